Serve one request end to end with every part a process of its own

Cause: the repository was empty, and nothing can be proved under failure before the whole path stands.

Change: `fireflyhoistd` reads host list and text from the stand-in platform, answers `/v1/entries` by rendezvous hash, relays a generation over SSE with a sink that takes only the next offset, and forwards plain calls. Decisions go through `policy::gate`, which is a plain rotation for now. The ntex client is built without redirects (a redirected POST would be sent twice) and without its 5 s response timeout.

--- /dev/null
+++ b/crates/daemon/src/connection/load.rs
@@ -0,0 +1,43 @@
+//! Reads the engines' load reports for the gates.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fireflyhoist_text::Kind;
+use fireflyhoist_wire::engine::Load;
+use futures_util::future::join_all;
+
+use crate::process::Worker;
+
+/// How often each engine is asked; well below the seconds by which reports lag anyway.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// How long an engine may take to answer.
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+pub(crate) async fn run(worker: Worker) {
+    loop {
+        round(&worker).await;
+        ntex::time::sleep(INTERVAL).await;
+    }
+}
+
+async fn round(worker: &Worker) {
+    let Some(snapshot) = worker.process.snapshot() else { return };
+    let models = snapshot.text.services.iter().filter(|s| s.kind == Kind::Model);
+    let reads = models.flat_map(|service| {
+        service.targets.iter().map(async |target| {
+            let load = read(worker, target.address).await;
+            if let (Some(load), Some(lane)) = (load, worker.process.lane(&service.name)) {
+                lane.report(&target.name, &load.report);
+            }
+        })
+    });
+    join_all(reads).await;
+}
+
+async fn read(worker: &Worker, address: SocketAddr) -> Option<Load> {
+    let url = format!("http://{address}/v1/load");
+    let response = worker.client.get(url).timeout(TIMEOUT).send().await.ok()?;
+    response.json().await.ok()
+}
--- /dev/null
+++ b/crates/daemon/src/process/lane.rs
@@ -0,0 +1,130 @@
+//! One service's gate, its lock, and the requests that wait at it.
+//!
+//! A lane is a shard of the process's state: services never wait for one another's lock.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use fireflyhoist_policy::gate::{Ask, Gate, Outcome, Refusal, Report, Verdict};
+use fireflyhoist_policy::id;
+use fireflyhoist_policy::unit::Tokens;
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+
+use crate::process::clock::Clock;
+
+/// The gate of one service and its waiters.
+#[derive(Debug)]
+pub(crate) struct Lane {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    gate: Gate,
+    waiters: HashMap<id::Request, oneshot::Sender<Verdict>>,
+}
+
+impl Lane {
+    pub(crate) fn open(clock: Clock) -> Arc<Self> {
+        Arc::new(Self { clock, state: Mutex::default() })
+    }
+
+    pub(crate) fn set_targets(&self, targets: Vec<id::Target>) {
+        self.state.lock().gate.set_targets(self.clock.now(), targets);
+        self.poll();
+    }
+
+    pub(crate) fn report(&self, target: &id::Target, report: &Report) {
+        self.state.lock().gate.report(self.clock.now(), target, report);
+        self.poll();
+    }
+
+    /// Waits for the gate's decision and returns a pass to the target that it chose.
+    pub(crate) async fn admit(self: &Arc<Self>, ask: Ask) -> Result<Pass, Refusal> {
+        let request = ask.request;
+        let (verdict, waiter) = {
+            let mut state = self.state.lock();
+            let verdict = state.gate.offer(self.clock.now(), &mut rand::rng(), ask);
+            let waiter = (verdict == Verdict::Wait).then(|| {
+                let (sender, receiver) = oneshot::channel();
+                state.waiters.insert(request, sender);
+                receiver
+            });
+            (verdict, waiter)
+        };
+        // From here on the request counts in the gate; dropping the pass, or this future while it
+        // waits, must free what it holds.
+        let mut pass = Pass { lane: Arc::clone(self), request, target: None, done: false };
+        let verdict = match waiter {
+            Some(receiver) => receiver.await.unwrap_or(verdict),
+            None => verdict,
+        };
+        match verdict {
+            Verdict::Send(target) => {
+                pass.target = Some(target);
+                Ok(pass)
+            }
+            Verdict::Refuse(refusal) => {
+                pass.done = true;
+                Err(refusal)
+            }
+            Verdict::Wait => unreachable!("a waiter is always told Send or Refuse"),
+        }
+    }
+
+    /// Carries out what the gate decides about waiting requests.
+    pub(crate) fn poll(&self) {
+        let mut state = self.state.lock();
+        let decided = state.gate.poll(self.clock.now(), &mut rand::rng());
+        for (request, verdict) in decided {
+            if let Some(waiter) = state.waiters.remove(&request) {
+                // A waiter that is gone frees its place when its pass is dropped.
+                let _ = waiter.send(verdict);
+            }
+        }
+    }
+
+    fn finish(&self, request: id::Request, outcome: Outcome) {
+        {
+            let mut state = self.state.lock();
+            state.waiters.remove(&request);
+            state.gate.finish(self.clock.now(), request, outcome);
+        }
+        self.poll();
+    }
+}
+
+/// Leave to use one target for one request; dropped without an end, it counts as cancelled.
+#[derive(Debug)]
+pub(crate) struct Pass {
+    lane: Arc<Lane>,
+    request: id::Request,
+    target: Option<id::Target>,
+    done: bool,
+}
+
+impl Pass {
+    pub(crate) fn target(&self) -> &id::Target {
+        self.target.as_ref().expect("a pass handed out names its target")
+    }
+
+    pub(crate) fn progress(&self, produced: Tokens) {
+        let now = self.lane.clock.now();
+        self.lane.state.lock().gate.progress(now, self.request, produced);
+    }
+
+    pub(crate) fn finish(mut self, outcome: Outcome) {
+        self.done = true;
+        self.lane.finish(self.request, outcome);
+    }
+}
+
+impl Drop for Pass {
+    fn drop(&mut self) {
+        if !self.done {
+            self.lane.finish(self.request, Outcome::Cancelled);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/process/mod.rs
@@ -0,0 +1,261 @@
+//! What lives as long as the process: settings, log, lanes, the server and its drain.
+
+pub(crate) mod clock;
+pub(crate) mod lane;
+pub(crate) mod log;
+pub(crate) mod settings;
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use fireflyhoist_policy::id;
+use fireflyhoist_wire::platform::{Hosts, State};
+use ntex::client::Client;
+use ntex::server::Server;
+use ntex::web::{self, HttpServer};
+use parking_lot::RwLock;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::connection::load;
+use crate::process::clock::Clock;
+use crate::process::lane::Lane;
+use crate::process::settings::Settings;
+use crate::request;
+use crate::version::{Snapshot, watch};
+
+/// How often a drain looks whether requests are still in progress.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// How often lanes look for deadlines that passed; a tenth of the shortest objective in use.
+const LANE_POLL: Duration = Duration::from_millis(10);
+
+/// Why a daemon does not start.
+#[derive(Debug, Display, Error)]
+pub enum StartError {
+    /// An address cannot be listened on.
+    #[display("cannot listen on {address} ({reason}); set `listen` to a free address of this host")]
+    Listen {
+        /// The address from the settings.
+        address: SocketAddr,
+        /// The operating system's words.
+        reason: io::Error,
+    },
+    /// The HTTP client cannot be built.
+    #[display("the HTTP client does not start; report this with the log")]
+    Client,
+}
+
+/// What the workers of one daemon share.
+#[derive(Debug)]
+pub(crate) struct Process {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    snapshot: RwLock<Option<Arc<Snapshot>>>,
+    hosts: RwLock<Arc<Hosts>>,
+    lanes: RwLock<HashMap<id::Service, Arc<Lane>>>,
+    leaving: AtomicBool,
+    open: AtomicUsize,
+}
+
+impl Process {
+    fn open(settings: Settings) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            clock: Clock::start(),
+            snapshot: RwLock::default(),
+            hosts: RwLock::default(),
+            lanes: RwLock::default(),
+            leaving: AtomicBool::new(false),
+            open: AtomicUsize::new(0),
+        })
+    }
+
+    /// The version in force, if any is known yet.
+    pub(crate) fn snapshot(&self) -> Option<Arc<Snapshot>> {
+        self.snapshot.read().clone()
+    }
+
+    /// The host list as last read.
+    pub(crate) fn hosts(&self) -> Arc<Hosts> {
+        Arc::clone(&self.hosts.read())
+    }
+
+    /// The lane of a service of the version in force.
+    pub(crate) fn lane(&self, service: &id::Service) -> Option<Arc<Lane>> {
+        self.lanes.read().get(service).cloned()
+    }
+
+    /// Puts a version in force, unless the one in force is as new.
+    pub(crate) fn adopt(&self, next: Snapshot) {
+        {
+            let mut current = self.snapshot.write();
+            if current.as_ref().is_some_and(|now| now.version >= next.version) {
+                return;
+            }
+            ::log::info!(version:% = next.version; "version in force");
+            *current = Some(Arc::new(next));
+        }
+        self.refresh_lanes();
+    }
+
+    /// Takes in a host list.
+    pub(crate) fn set_hosts(&self, hosts: Hosts) {
+        *self.hosts.write() = Arc::new(hosts);
+        self.refresh_lanes();
+    }
+
+    /// Gives every lane the targets that may receive new work.
+    fn refresh_lanes(&self) {
+        let Some(snapshot) = self.snapshot() else { return };
+        let hosts = self.hosts();
+        let leaving = |host: &id::Host| {
+            hosts.hosts.iter().any(|h| h.name == *host && h.state == State::Leaving)
+        };
+        let mut lanes = self.lanes.write();
+        lanes.retain(|name, _| snapshot.text.service(name).is_some());
+        for service in &snapshot.text.services {
+            let usable = service.targets.iter().filter(|t| !leaving(&t.host));
+            let lane = lanes.entry(service.name.clone()).or_insert_with(|| Lane::open(self.clock));
+            lane.set_targets(usable.map(|t| t.name.clone()).collect());
+        }
+    }
+
+    fn poll_lanes(&self) {
+        let lanes: Vec<Arc<Lane>> = self.lanes.read().values().cloned().collect();
+        lanes.iter().for_each(|lane| lane.poll());
+    }
+
+    /// Whether this host takes no new work.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    /// Counts a request in progress until the guard is dropped.
+    pub(crate) fn enter(self: &Arc<Self>) -> Open {
+        self.open.fetch_add(1, Ordering::AcqRel);
+        Open(Arc::clone(self))
+    }
+}
+
+/// One request in progress; a drain waits for all of them.
+#[derive(Debug)]
+pub(crate) struct Open(Arc<Process>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// What one worker thread owns.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub(crate) process: Arc<Process>,
+    pub(crate) client: Client,
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    process: Arc<Process>,
+    http: SocketAddr,
+    peer: SocketAddr,
+    server: Server,
+}
+
+impl Daemon {
+    /// Listens, reads the platform in the background and serves.
+    ///
+    /// Must be called within an ntex system, such as under `#[ntex::main]`.
+    pub async fn bind(settings: Settings) -> Result<Self, StartError> {
+        let listen = |address: SocketAddr| {
+            let listener = TcpListener::bind(address)
+                .map_err(|reason| StartError::Listen { address, reason })?;
+            let local =
+                listener.local_addr().map_err(|reason| StartError::Listen { address, reason })?;
+            Ok((listener, local))
+        };
+        let (listener, http) = listen(settings.listen)?;
+        let (_peers, peer) = listen(settings.peer_listen)?;
+        let process = Process::open(settings);
+        let client = crate::connection::client().await.ok_or(StartError::Client)?;
+        let worker = Worker { process: Arc::clone(&process), client };
+        ntex::rt::spawn(watch::run(worker.clone())).detach();
+        ntex::rt::spawn(load::run(worker)).detach();
+        ntex::rt::spawn(tick(Arc::clone(&process))).detach();
+        let server = serve(&process, listener)
+            .map_err(|reason| StartError::Listen { address: http, reason })?;
+        ::log::info!(http:% = http, peer:% = peer; "listening");
+        Ok(Self { process, http, peer, server })
+    }
+
+    /// Where callers connect.
+    pub fn http_address(&self) -> SocketAddr {
+        self.http
+    }
+
+    /// Where other daemons connect.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Serves until SIGTERM or SIGINT, then drains.
+    pub async fn run_until_signal(self) {
+        let term = signal(SignalKind::terminate());
+        let interrupt = signal(SignalKind::interrupt());
+        if let (Ok(mut term), Ok(mut interrupt)) = (term, interrupt) {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        }
+        self.drain().await;
+    }
+
+    /// Takes no new work, finishes every request in progress, then stops.
+    ///
+    /// The server's own graceful stop cut a streaming response after 0.1 s in a trial, so it runs
+    /// only once nothing is in progress.
+    pub async fn drain(self) {
+        self.process.leaving.store(true, Ordering::Release);
+        ::log::info!(open = self.process.open.load(Ordering::Acquire); "draining");
+        while self.process.open.load(Ordering::Acquire) > 0 {
+            ntex::time::sleep(DRAIN_POLL).await;
+        }
+        self.server.stop(true).await;
+        ::log::info!("stopped");
+    }
+}
+
+async fn tick(process: Arc<Process>) {
+    loop {
+        ntex::time::sleep(LANE_POLL).await;
+        process.poll_lanes();
+    }
+}
+
+fn serve(process: &Arc<Process>, listener: TcpListener) -> io::Result<Server> {
+    let workers = process.settings.workers;
+    let process = Arc::clone(process);
+    let server = HttpServer::new(async move || {
+        let process = Arc::clone(&process);
+        web::App::new()
+            .state_factory(async move || {
+                let client = crate::connection::client().await;
+                client
+                    .map(|client| Worker { process: Arc::clone(&process), client })
+                    .ok_or(StartError::Client)
+            })
+            .configure(request::routes)
+    })
+    .workers(workers)
+    .disable_signals()
+    .listen(listener)?
+    .run();
+    Ok(server)
+}
--- /dev/null
+++ b/crates/daemon/src/request/mod.rs
@@ -0,0 +1,49 @@
+//! What lives as long as a request: reading it, having it decided, answering it.
+
+mod completion;
+mod entries;
+mod plain;
+mod refuse;
+
+use fireflyhoist_policy::id;
+use fireflyhoist_wire::caller::WORKSPACE_HEADER;
+use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
+
+use crate::process::Worker;
+
+/// The largest completion request in bytes: a long manifest page's text with room to spare.
+const MAX_COMPLETION: usize = 1 << 20;
+
+/// The workspace of callers that name none.
+const DEFAULT_WORKSPACE: &str = "default";
+
+pub(crate) fn routes(config: &mut ServiceConfig) {
+    config
+        .state(web::types::JsonConfig::default().limit(MAX_COMPLETION))
+        .state(web::types::PayloadConfig::new(MAX_COMPLETION))
+        .route("/healthz", web::get().to(healthz))
+        .route("/readyz", web::get().to(readyz))
+        .route("/v1/entries", web::get().to(entries::get))
+        .route("/v1/completions", web::post().to(completion::post))
+        .route("/s/{service}/{path}*", web::to(plain::call));
+}
+
+async fn healthz() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+async fn readyz(worker: web::types::State<Worker>) -> HttpResponse {
+    if worker.process.is_leaving() {
+        return HttpResponse::ServiceUnavailable().body("leaving\n");
+    }
+    match worker.process.snapshot() {
+        Some(snapshot) => HttpResponse::Ok().body(format!("ready version={}\n", snapshot.version)),
+        None => HttpResponse::ServiceUnavailable().body("no version yet\n"),
+    }
+}
+
+/// The workspace that a caller names.
+fn workspace(request: &HttpRequest) -> Result<id::Workspace, id::NameError> {
+    let named = request.headers().get(WORKSPACE_HEADER).and_then(|value| value.to_str().ok());
+    named.unwrap_or(DEFAULT_WORKSPACE).parse()
+}
--- /dev/null
+++ b/crates/daemon/tests/whole_path.rs
@@ -0,0 +1,65 @@
+//! The whole path with every part a process of its own.
+
+use fireflyhoist_harness::{client, entry, host_list, read_answer, standin, until_ready};
+use fireflyhoist_standin::script::Script;
+use fireflyhoist_wire::caller::Entries;
+use ntex::util::Bytes;
+
+/// A member asks which address to use, sends a page there and receives every line once and in
+/// order; beside it a lookup of the search pages goes through the other daemon. The platform, two
+/// engines, the plain service and both daemons are processes of their own.
+#[ntex::test]
+async fn a_page_and_a_lookup_are_served_end_to_end() {
+    let (_platform, platform) = standin("platform", &[]);
+    let (_one, engine_one) = standin("engine", &[]);
+    let (_two, engine_two) = standin("engine", &[]);
+    let (_search, search) = standin("plain", &[]);
+    let a = entry("brno-1", "hala-a", platform);
+    let b = entry("brno-2", "hala-b", platform);
+    let text = format!(
+        r#"
+        revision = 1
+        [[service]]
+        name = "transcribe"
+        target = [
+            {{ name = "t1", host = "m1", address = "{engine_one}" }},
+            {{ name = "t2", host = "m2", address = "{engine_two}" }},
+        ]
+        [[service]]
+        name = "search"
+        kind = "plain"
+        class = "lookup"
+        depends_on = ["transcribe"]
+        target = [{{ name = "s1", host = "w1", address = "{search}" }}]
+        "#
+    );
+    let client = client().await;
+    let put = |path: &str, body: String, kind: &'static str| {
+        client.put(format!("http://{platform}{path}")).content_type(kind).send_body(body)
+    };
+    put("/operator/hosts", host_list(&[&a, &b]), "application/json").await.expect("hosts");
+    put("/operator/text", text, "text/plain").await.expect("text");
+    until_ready(&client, a.http).await;
+    until_ready(&client, b.http).await;
+
+    let response = client.get(format!("http://{}/v1/entries", a.http)).send().await.expect("sent");
+    let entries: Entries = response.json().await.expect("entries");
+    assert_eq!(entries.entries.len(), 2, "both daemons are listed");
+
+    let prompt = "transcribe the manifest of the Hansa lines=60";
+    let first = entries.entries[0].address;
+    let body = serde_json::json!({"model": "transcribe", "prompt": prompt, "stream": true});
+    let response =
+        client.post(format!("http://{first}/v1/completions")).send_json(&body).await.expect("sent");
+    assert_eq!(response.status(), 200);
+    let (texts, done) = read_answer(response).await;
+    let script = Script::of(prompt, fireflyhoist_policy::id::Generation::new(0), u64::MAX);
+    assert!(done, "the end mark arrived");
+    assert_eq!(texts.concat(), script.text());
+
+    let second = entries.entries[1].address;
+    let url = format!("http://{second}/s/search/villages?q=lhotka");
+    let response = client.get(url).send().await.expect("sent");
+    let body: Bytes = response.body().await.expect("body");
+    assert_eq!(&body[..], b"GET /villages?q=lhotka\n");
+}
--- /dev/null
+++ b/crates/demo/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder until the program lands.
+
+fn main() {}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,11 @@
+//! Every decision of fireflyhoist, free of network, clock and randomness of its own.
+//!
+//! Callers of this crate pass `now` and a random source into each decision, so that every test and
+//! every load pattern replays exactly. The absence of any I/O library in `Cargo.toml` is what
+//! keeps that true; see `docs/DESIGN.md`, section "One daemon, one tool".
+
+pub mod gate;
+pub mod id;
+pub mod rendezvous;
+pub mod time;
+pub mod unit;
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,11 @@
+//! Small stand-ins for what the system meets: model engines, plain services and the platform.
+//!
+//! Each speaks the real protocol over HTTP, and none is more than its tests need.
+
+pub mod engine;
+pub mod plain;
+pub mod platform;
+pub mod script;
+mod serve;
+
+pub use serve::Running;
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,71 @@
+//! `standin`: one stand-in as a process of its own.
+
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use fireflyhoist_standin::engine::{Engine, Pace};
+use fireflyhoist_standin::plain::Plain;
+use fireflyhoist_standin::platform::Platform;
+
+/// Small stand-ins for what fireflyhoist meets.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+enum Role {
+    /// A model engine.
+    #[bpaf(command)]
+    Engine {
+        /// Where to listen; port 0 lets the system choose.
+        #[bpaf(argument("IP:PORT"))]
+        listen: SocketAddr,
+        /// Milliseconds to the first token.
+        #[bpaf(argument("MS"), fallback(5))]
+        first_ms: u64,
+        /// Microseconds between tokens.
+        #[bpaf(argument("US"), fallback(2000))]
+        between_us: u64,
+    },
+    /// A plain service that echoes.
+    #[bpaf(command)]
+    Plain {
+        /// Where to listen; port 0 lets the system choose.
+        #[bpaf(argument("IP:PORT"))]
+        listen: SocketAddr,
+    },
+    /// The platform.
+    #[bpaf(command)]
+    Platform {
+        /// Where to listen; port 0 lets the system choose.
+        #[bpaf(argument("IP:PORT"))]
+        listen: SocketAddr,
+    },
+}
+
+#[ntex::main]
+async fn main() -> ExitCode {
+    match run(role().run()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("standin: {error}; choose another --listen address");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(role: Role) -> io::Result<()> {
+    let running = match role {
+        Role::Engine { listen, first_ms, between_us } => {
+            let first = Duration::from_millis(first_ms);
+            let between = Duration::from_micros(between_us);
+            Engine::bind(listen, Pace { first, between })?.0
+        }
+        Role::Plain { listen } => Plain::bind(listen)?.0,
+        Role::Platform { listen } => Platform::bind(listen)?.0,
+    };
+    let mut out = io::stdout();
+    writeln!(out, "listening address={}", running.address())?;
+    out.flush()?;
+    std::future::pending().await
+}
--- /dev/null
+++ b/crates/wire/src/engine.rs
@@ -0,0 +1,44 @@
+//! What the entry and a model engine exchange over HTTP.
+
+use fireflyhoist_policy::gate::Report;
+use fireflyhoist_policy::id;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// The body of `POST /v1/streams`: begin a generation under an id that the entry chose.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Start {
+    /// The generation; a second start with it does not run a second time.
+    pub generation: id::Generation,
+    /// The prompt.
+    pub prompt: String,
+    /// The most tokens to generate.
+    pub max_tokens: u64,
+    /// Smaller is served first.
+    pub priority: u8,
+}
+
+/// The data of one token event; its SSE id is the token's offset.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Token {
+    /// The token's text.
+    pub text: String,
+}
+
+/// The data of the `end` event.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct End {
+    /// `stop` or `length`.
+    pub reason: SmolStr,
+    /// Tokens generated in all.
+    pub tokens: u64,
+}
+
+/// The answer of `GET /v1/load`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Load {
+    /// How long ago the figures were taken, in milliseconds.
+    pub age_ms: u64,
+    /// The figures.
+    pub report: Report,
+}
--- /dev/null
+++ b/crates/wire/src/platform.rs
@@ -0,0 +1,50 @@
+//! What the platform publishes: the text and the list of hosts. Both can only be read.
+
+use std::net::SocketAddr;
+
+use fireflyhoist_policy::id;
+use serde::{Deserialize, Serialize};
+
+/// Whether a host stays.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// It is in service.
+    #[default]
+    Live,
+    /// It will be taken back.
+    Leaving,
+}
+
+/// Where the entry of a host listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listen {
+    /// For callers.
+    pub http: SocketAddr,
+    /// For other daemons.
+    pub peer: SocketAddr,
+}
+
+/// One host of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Host {
+    /// Its name.
+    pub name: id::Host,
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// Whether it stays.
+    #[serde(default)]
+    pub state: State,
+    /// Present on entry hosts only.
+    #[serde(default)]
+    pub entry: Option<Listen>,
+}
+
+/// The answer of `GET /v1/hosts`, which lags behind reality.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hosts {
+    /// Grows with each change of the list.
+    pub sequence: u64,
+    /// The hosts.
+    pub hosts: Vec<Host>,
+}
