Add placement, ejection, retry, hedge and limit decisions

Cause: the gate sends round robin, knows no slow target, no budget for second attempts and no limit of a workspace.

Changed: five modules of the policy crate, each with its load pattern and the grounds of its figures, and their tests by story.

Conclusion: ready for the gate to compose.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,7 +5,12 @@
 //! keeps that true; see `docs/DESIGN.md`, section "One daemon, one tool".
 
 pub mod gate;
+pub mod hedge;
 pub mod id;
+pub mod limit;
+pub mod outlier;
+pub mod placement;
 pub mod rendezvous;
+pub mod retry;
 pub mod time;
 pub mod unit;
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,109 @@
+//! Placement: which of the targets that have room receives a request.
+//!
+//! **Load pattern.** Many requests share a prompt's beginning (one archive's page template, one
+//! franchise's roster form) and a few of those prefixes are hot. Load figures lag, and many
+//! entries read the same ones.
+//!
+//! **Without it.** Sending to the least loaded target makes every entry pick the same one until
+//! the next report (a herd), and scatters a prefix over all caches, so that each engine computes
+//! it again. Plain affinity keeps the cache but melts the home of a hot prefix.
+//!
+//! **Figures.** A prefix stays at its home while that carries at most [`BOUND`] times the mean
+//! load, the usual factor of consistent hashing with bounded loads: smaller spills too soon,
+//! larger lets the home queue. A second home keeps a hot prefix in two caches before it spills
+//! anywhere. What spills, or has no prefix, takes the better of two random targets, which is
+//! within a small constant of the best choice and cannot herd. See `docs/DECISIONS.md`, section
+//! "Placement".
+
+use rand::Rng;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::id;
+
+/// How far above the mean a prefix's home may be loaded before its requests go elsewhere.
+pub const BOUND: f64 = 1.25;
+
+/// Load that counts as none. It lets a nearly idle fleet keep its affinity, and lets a weight
+/// bear on targets without load.
+const SLACK: f64 = 0.05;
+
+/// The prefix of a request that shares none.
+pub const NO_PREFIX: u64 = 0;
+
+/// One target that may receive the request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// [`key`] of its name, worked out once.
+    pub key: u64,
+    /// The share of it that is in use, from 0 to 1, with what was sent since the last report.
+    pub load: f64,
+    /// How far it is trusted, from 0 (ejected) to 1; see [`crate::outlier`].
+    pub weight: f64,
+}
+
+impl Candidate {
+    fn cost(&self) -> f64 {
+        (self.load + SLACK) / self.weight
+    }
+
+    fn usable(&self) -> bool {
+        self.weight > 0.0
+    }
+}
+
+/// The hash of a target's name that [`choose`] ranks by.
+pub fn key(target: &id::Target) -> u64 {
+    xxh3_64(target.as_str().as_bytes())
+}
+
+/// Picks one of `candidates` for a request whose prompt begins as `prefix` says.
+///
+/// Returns an index into `candidates`, or `None` where none may be used.
+pub fn choose(rng: &mut impl Rng, prefix: u64, candidates: &[Candidate]) -> Option<usize> {
+    let usable = candidates.iter().filter(|c| c.usable()).count();
+    if usable == 0 {
+        return None;
+    }
+    if prefix != NO_PREFIX
+        && let Some(home) = home(prefix, candidates, usable)
+    {
+        return Some(home);
+    }
+    let first = nth_usable(candidates, rng.random_range(0..usable));
+    let second = nth_usable(candidates, rng.random_range(0..usable));
+    match candidates[second].cost() < candidates[first].cost() {
+        true => Some(second),
+        false => Some(first),
+    }
+}
+
+/// The first of the prefix's two homes that is not loaded beyond the bound.
+fn home(prefix: u64, candidates: &[Candidate], usable: usize) -> Option<usize> {
+    let mut total = 0.0;
+    let mut best: [Option<(u64, usize)>; 2] = [None, None];
+    for (at, candidate) in candidates.iter().enumerate().filter(|(_, c)| c.usable()) {
+        total += candidate.cost();
+        let ranked = Some((mix(prefix, candidate.key), at));
+        if ranked > best[0] {
+            best = [ranked, best[0]];
+        } else if ranked > best[1] {
+            best[1] = ranked;
+        }
+    }
+    let bound = BOUND * total / usable as f64;
+    let fits = |at: &usize| candidates[*at].cost() <= bound;
+    best.into_iter().flatten().map(|(_, at)| at).find(fits)
+}
+
+fn nth_usable(candidates: &[Candidate], n: usize) -> usize {
+    let usable = candidates.iter().enumerate().filter(|(_, c)| c.usable());
+    usable.map(|(at, _)| at).nth(n).unwrap_or_default()
+}
+
+/// Ranks a target for a prefix: the finishing steps of MurmurHash3, two nanoseconds a target.
+fn mix(prefix: u64, key: u64) -> u64 {
+    let mut hash = prefix ^ key;
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash = (hash ^ (hash >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
--- /dev/null
+++ b/crates/policy/tests/limit.rs
@@ -0,0 +1,97 @@
+//! Limits of a workspace hold over all entries together.
+
+use std::time::Duration;
+
+use fireflyhoist_policy::id::{Host, Workspace};
+use fireflyhoist_policy::limit::{Limit, Limits, Part};
+use fireflyhoist_policy::time::Time;
+use fireflyhoist_policy::unit::{TokenRate, Tokens};
+use proptest::prelude::*;
+
+fn hosts(count: usize) -> Vec<Host> {
+    (0..count).map(|n| format!("entry-{n}").parse().expect("a name")).collect()
+}
+
+fn workspace() -> Workspace {
+    "archive".parse().expect("a name")
+}
+
+fn entry(own: &Host, published: &[Host], limit: Limit) -> Limits {
+    let mut limits = Limits::open();
+    limits.set(Time::ZERO, &workspace(), limit, Part::of(&workspace(), own, published));
+    limits
+}
+
+/// One workspace opens streams through all eight entries at once. Without a division it would get
+/// its limit eight times, and the other members' pages would wait behind it all night.
+#[test]
+fn a_workspace_gets_its_streams_once_however_many_entries_it_uses() {
+    let published = hosts(8);
+    let limit = Limit { streams: Some(10), rate: None };
+    let mut open = 0;
+    for own in &published {
+        let mut limits = entry(own, &published, limit);
+        open += (0..100).filter(|_| limits.admit(Time::ZERO, &workspace()).is_ok()).count();
+    }
+    assert_eq!(open, 10);
+}
+
+/// A workspace keeps to the entry that it was told to use. With equal parts it would get an
+/// eighth of what the operators allow.
+#[test]
+fn the_entry_that_a_workspace_is_told_to_use_has_half_of_its_limit() {
+    let published = hosts(8);
+    let ranked = fireflyhoist_policy::rendezvous::rank("archive", &published, Host::as_str);
+    assert_eq!(Part::of(&workspace(), ranked[0], &published).streams(10), 5);
+}
+
+/// One answer runs to tens of thousands of tokens. It is finished, and what it overdrew is
+/// earned back before the workspace's next one begins; the refusal says when that is.
+#[test]
+fn tokens_overdrawn_are_earned_back_and_the_refusal_says_when() {
+    let published = hosts(1);
+    let limit = Limit { streams: None, rate: Some(TokenRate::new(100.0)) };
+    let mut limits = entry(&published[0], &published, limit);
+    assert_eq!(limits.admit(Time::ZERO, &workspace()), Ok(()));
+    limits.spend(Time::ZERO, &workspace(), Tokens::new(3000));
+    let wait = limits.admit(Time::ZERO, &workspace()).expect_err("overdrawn");
+    assert!(wait > Duration::from_secs(19) && wait < Duration::from_secs(22), "{wait:?}");
+    assert_eq!(limits.admit(Time::ZERO + wait, &workspace()), Ok(()));
+}
+
+/// A host drops out of the published list but has not heard of it and goes on using its part.
+/// The others grow by small steps, so that the workspace does not get both parts at once.
+#[test]
+fn a_part_shrinks_at_once_and_grows_by_steps() {
+    let published = hosts(2);
+    let limit = Limit { streams: Some(100), rate: None };
+    let own = &published[0];
+    let mut limits = entry(own, &published, limit);
+    let count = |limits: &mut Limits, now| {
+        let open = (0..200).filter(|_| limits.admit(now, &workspace()).is_ok()).count();
+        (0..open).for_each(|_| limits.release(&workspace()));
+        open
+    };
+    assert_eq!(count(&mut limits, Time::ZERO), 50);
+    let alone = Part::of(&workspace(), own, &published[..1]);
+    limits.set(Time::ZERO, &workspace(), limit, alone);
+    assert_eq!(count(&mut limits, Time::ZERO), 50);
+    let later = Time::ZERO + Duration::from_secs(2);
+    assert_eq!(count(&mut limits, later), 60);
+    limits.set(later, &workspace(), limit, Part::of(&workspace(), own, &published));
+    assert_eq!(count(&mut limits, later), 50);
+}
+
+proptest! {
+    /// Whatever the list and the limit, the parts of all entries sum to the whole.
+    #[test]
+    fn parts_sum_to_one(count in 1usize..40, streams in 0u32..500, name in "[a-z]{1,8}") {
+        let workspace: Workspace = name.parse().expect("a name");
+        let published = hosts(count);
+        let parts = published.iter().map(|own| Part::of(&workspace, own, &published));
+        let parts: Vec<Part> = parts.collect();
+        let share: f64 = parts.iter().map(|part| part.share().get()).sum();
+        prop_assert!((share - 1.0).abs() < 1e-9);
+        prop_assert_eq!(parts.iter().map(|part| part.streams(streams)).sum::<u32>(), streams);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/placement.rs
@@ -0,0 +1,74 @@
+//! Placement under a hot prefix, lagging load figures and ejected targets.
+
+use fireflyhoist_policy::placement::{Candidate, NO_PREFIX, choose};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+fn rng() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(1)
+}
+
+fn fleet(count: u64) -> Vec<Candidate> {
+    (1..=count)
+        .map(|n| Candidate { key: n.wrapping_mul(0x9e37_79b9_7f4a_7c15), load: 0.0, weight: 1.0 })
+        .collect()
+}
+
+/// Members upload pages of one archive; each page's prompt begins alike. The pages meet at one
+/// engine whose cache holds that beginning, instead of being computed again at every engine.
+#[test]
+fn a_prefix_keeps_its_home_while_there_is_room() {
+    let candidates = fleet(12);
+    let home = choose(&mut rng(), 77, &candidates);
+    let mut rng = rng();
+    assert!((0..50).all(|_| choose(&mut rng, 77, &candidates) == home));
+}
+
+/// Every franchise sends the same roster form at seven in the morning. Its home engine fills up
+/// while others idle, and supervisors watch a stalled roster: affinity without a bound.
+#[test]
+fn a_hot_prefix_leaves_a_home_that_is_loaded_beyond_the_bound() {
+    let mut candidates = fleet(12);
+    let mut rng = rng();
+    for _ in 0..1200 {
+        let target = choose(&mut rng, 77, &candidates).expect("a target");
+        candidates[target].load += 0.001;
+    }
+    let most = candidates.iter().map(|c| c.load).fold(0.0, f64::max);
+    assert!(most < 0.2, "the home carries {most} of which an even spread would be 0.1");
+}
+
+/// Reports are late, so that for a while every decision sees one engine empty. Sending to the
+/// least loaded piles the whole burst there; callers of that burst wait behind one another.
+#[test]
+fn a_burst_on_stale_figures_does_not_herd() {
+    let mut candidates = fleet(12);
+    candidates.iter_mut().skip(1).for_each(|c| c.load = 0.5);
+    let mut rng = rng();
+    let sent = (0..1000).filter(|_| choose(&mut rng, NO_PREFIX, &candidates) == Some(0)).count();
+    assert!(sent < 250, "{sent} of 1000 went to the one that looked empty");
+}
+
+/// An engine that was ejected, or has just come back with a cold cache, receives nothing, or
+/// little, although it looks idle.
+#[test]
+fn a_weight_keeps_an_idle_target_from_its_full_share() {
+    let mut candidates = fleet(4);
+    candidates.iter_mut().for_each(|c| c.load = 0.5);
+    candidates[0] = Candidate { load: 0.0, weight: 0.0, ..candidates[0] };
+    candidates[1] = Candidate { load: 0.1, weight: 0.1, ..candidates[1] };
+    let mut rng = rng();
+    let mut sent = [0; 4];
+    for _ in 0..1000 {
+        let prefix = rng.random();
+        sent[choose(&mut rng, prefix, &candidates).expect("a target")] += 1;
+    }
+    assert_eq!(sent[0], 0);
+    assert!(sent[1] < sent[2] / 2 && sent[1] < sent[3] / 2, "{sent:?}");
+}
+
+#[test]
+fn nothing_usable_is_said_so() {
+    assert_eq!(choose(&mut rng(), 1, &[]), None);
+    assert_eq!(choose(&mut rng(), 1, &[Candidate { key: 1, load: 0.0, weight: 0.0 }]), None);
+}
