Play load patterns against the gate and four baselines in virtual time

Cause: decisions under load can only be judged beside what users would otherwise run, by what callers receive, and nothing measured either.

The stand-in's batch module models one engine's memory and time: streams join and leave at every step, the memory fills in the middle of generations, the youngest stream of the lowest priority is preempted and computed again, and a prefix cache of limited size saves prompt work. The bench plays arrivals, lagged reports, deadlines and lost engines against the very gate of the daemon and against round robin, least-loaded on the lagged report, reserve-the-maximum and fixed concurrency, each before the engine's own queue. Load is set as a share of the engines' best, which is the rate of a memory kept exactly full of average streams. Eight patterns stand; one file each.

The gate's report takes the report's age, and it learns how many entries the host list names; it is still a plain rotation, so 'ours' reads like round robin.

--- /dev/null
+++ b/crates/bench/src/policy.rs
@@ -0,0 +1,32 @@
+//! What the driver asks of a way of sending.
+
+use std::time::Duration;
+
+use fireflyhoist_policy::gate::{Ask, Outcome, Report, Verdict};
+use fireflyhoist_policy::id;
+use fireflyhoist_policy::time::Time;
+use fireflyhoist_policy::unit::Tokens;
+use rand_chacha::ChaCha8Rng;
+
+/// One entry's way of sending; it sees what an entry sees and nothing else.
+pub trait Policy {
+    /// Replaces the targets.
+    fn set_targets(&mut self, now: Time, targets: Vec<id::Target>);
+
+    /// Takes in a load report that was taken `age` ago.
+    fn report(&mut self, now: Time, target: &id::Target, report: &Report, age: Duration);
+
+    /// Decides on a request.
+    fn offer(&mut self, now: Time, rng: &mut ChaCha8Rng, ask: Ask) -> Verdict;
+
+    /// Learns how far a request has come.
+    fn progress(&mut self, _now: Time, _request: id::Request, _produced: Tokens) {}
+
+    /// Learns how an attempt ended.
+    fn finish(&mut self, now: Time, request: id::Request, outcome: Outcome);
+
+    /// Decides on queued requests.
+    fn poll(&mut self, _now: Time, _rng: &mut ChaCha8Rng) -> Vec<(id::Request, Verdict)> {
+        Vec::new()
+    }
+}
--- a/crates/daemon/src/process/lane.rs
+++ b/crates/daemon/src/process/lane.rs
@@ -4,6 +4,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use fireflyhoist_policy::gate::{Ask, Gate, Outcome, Refusal, Report, Verdict};
 use fireflyhoist_policy::id;
@@ -36,8 +37,14 @@
         self.poll();
     }
 
-    pub(crate) fn report(&self, target: &id::Target, report: &Report) {
-        self.state.lock().gate.report(self.clock.now(), target, report);
+    /// Tells how many entries the published list names, and which of them this one is.
+    pub(crate) fn set_entries(&self, entries: usize, own: usize) {
+        self.state.lock().gate.set_entries(self.clock.now(), entries, own);
+    }
+
+    /// Takes in a report that its engine took `age` ago.
+    pub(crate) fn report(&self, target: &id::Target, report: &Report, age: Duration) {
+        self.state.lock().gate.report(self.clock.now(), target, report, age);
         self.poll();
     }
 
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -131,6 +131,10 @@
     Cancelled,
 }
 
+/// Which mechanisms decide; benches and tests switch one off to show what it is there for.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {}
+
 /// Decides for one service.
 #[derive(Debug, Default)]
 pub struct Gate {
@@ -141,17 +145,20 @@
 
 impl Gate {
     /// Opens a gate that knows no target yet.
-    pub fn open() -> Self {
+    pub fn open(_settings: Settings) -> Self {
         Self::default()
     }
 
+    /// Tells how many entries the published list names, and which of them this one is.
+    pub fn set_entries(&mut self, _now: Time, _entries: usize, _own: usize) {}
+
     /// Replaces the targets; requests already sent to a removed one go on until they finish.
     pub fn set_targets(&mut self, _now: Time, targets: Vec<id::Target>) {
         self.targets = targets;
     }
 
-    /// Takes in a target's load report, which may be seconds old.
-    pub fn report(&mut self, _now: Time, _target: &id::Target, _report: &Report) {}
+    /// Takes in a target's load report, which was taken `age` ago.
+    pub fn report(&mut self, _now: Time, _target: &id::Target, _report: &Report, _age: Duration) {}
 
     /// Decides on a new request, or on a further attempt of one that failed before its answer.
     pub fn offer(&mut self, _now: Time, _rng: &mut impl Rng, ask: Ask) -> Verdict {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each speaks the real protocol over HTTP, and none is more than its tests need.
 
+pub mod batch;
 pub mod engine;
 pub mod plain;
 pub mod platform;
