--- /dev/null
+++ b/crates/daemon/src/process/burn.rs
@@ -0,0 +1,115 @@
+//! Records what callers received, by service, for the report on service-level burn.
+//!
+//! Each service's history is a shard under a lock of its own, held for a few additions.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use fireflyhoist_policy::burn::{History, Objective, Progress, Reading, Tally};
+use fireflyhoist_policy::id;
+use fireflyhoist_text::Service;
+use parking_lot::{Mutex, RwLock};
+
+use crate::process::clock::Clock;
+
+/// Histories of every service that was asked for since the process began.
+#[derive(Debug)]
+pub(crate) struct Recorder {
+    clock: Clock,
+    services: RwLock<HashMap<id::Service, Arc<Mutex<History>>>>,
+}
+
+impl Recorder {
+    pub(crate) fn open(clock: Clock) -> Self {
+        Self { clock, services: RwLock::default() }
+    }
+
+    /// Begins the watch of a request that just arrived.
+    pub(crate) fn watch(self: &Arc<Self>, service: &Service) -> Watch {
+        let progress = Progress::open(service.objective.burn(), self.clock.now());
+        Watch {
+            recorder: Arc::clone(self),
+            service: service.name.clone(),
+            progress: Some(progress),
+        }
+    }
+
+    /// Takes in counts of one service.
+    pub(crate) fn record(&self, service: &id::Service, tally: Tally) {
+        let history = self.services.read().get(service).cloned();
+        let history = history.unwrap_or_else(|| {
+            let mut services = self.services.write();
+            Arc::clone(services.entry(service.clone()).or_default())
+        });
+        history.lock().record(self.clock.now(), tally);
+    }
+
+    /// Forgets services that the text no longer declares.
+    pub(crate) fn retain(&self, declared: impl Fn(&id::Service) -> bool) {
+        self.services.write().retain(|service, _| declared(service));
+    }
+
+    /// The readings of one service; all zero where nothing was asked of it yet.
+    pub(crate) fn readings(&self, service: &id::Service, objective: &Objective) -> Vec<Reading> {
+        let history = self.services.read().get(service).cloned();
+        let now = self.clock.now();
+        match history {
+            Some(history) => history.lock().readings(now, objective),
+            None => History::default().readings(now, objective),
+        }
+    }
+}
+
+/// Watches one request and records it when dropped, however it ends.
+#[derive(Debug)]
+pub(crate) struct Watch {
+    recorder: Arc<Recorder>,
+    service: id::Service,
+    progress: Option<Progress>,
+}
+
+/// Counts are handed over after so many tokens, so that an answer of an hour shows before its end.
+const TOKENS_A_RECORD: u64 = 256;
+
+impl Watch {
+    /// Notes that the token at `offset` arrived.
+    pub(crate) fn token(&mut self, offset: u64) {
+        let now = self.recorder.clock.now();
+        let Some(progress) = &mut self.progress else { return };
+        progress.token(now);
+        if offset.is_multiple_of(TOKENS_A_RECORD) {
+            let tally = progress.take();
+            self.recorder.record(&self.service, tally);
+        }
+    }
+
+    /// The request was refused.
+    pub(crate) fn refused(mut self) {
+        self.progress = None;
+        self.recorder.record(&self.service, Tally::refused());
+    }
+
+    /// The response of a plain call begins.
+    pub(crate) fn answered(mut self) {
+        if let Some(progress) = self.progress.take() {
+            let now = self.recorder.clock.now();
+            self.recorder.record(&self.service, progress.answered(now));
+        }
+    }
+
+    /// Notes that the engine preempted the generation.
+    pub(crate) fn preempted(&mut self) {
+        if let Some(progress) = &mut self.progress {
+            progress.preempted();
+        }
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if let Some(progress) = self.progress.take() {
+            let now = self.recorder.clock.now();
+            self.recorder.record(&self.service, progress.finish(now));
+        }
+    }
+}
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as the process: settings, log, lanes, the server and its drain.
 
+pub(crate) mod burn;
 pub(crate) mod clock;
 pub(crate) mod lane;
 pub(crate) mod log;
@@ -22,6 +23,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::connection::load;
+use crate::process::burn::Recorder;
 use crate::process::clock::Clock;
 use crate::process::lane::Lane;
 use crate::process::settings::Settings;
@@ -58,15 +60,18 @@
     snapshot: RwLock<Option<Arc<Snapshot>>>,
     hosts: RwLock<Arc<Hosts>>,
     lanes: RwLock<HashMap<id::Service, Arc<Lane>>>,
+    burn: Arc<Recorder>,
     leaving: AtomicBool,
     open: AtomicUsize,
 }
 
 impl Process {
     fn open(settings: Settings) -> Arc<Self> {
+        let clock = Clock::start();
         Arc::new(Self {
             settings,
-            clock: Clock::start(),
+            clock,
+            burn: Arc::new(Recorder::open(clock)),
             snapshot: RwLock::default(),
             hosts: RwLock::default(),
             lanes: RwLock::default(),
@@ -90,6 +95,11 @@
         self.lanes.read().get(service).cloned()
     }
 
+    /// Where answers and refusals are counted for the report on service-level burn.
+    pub(crate) fn burn(&self) -> &Arc<Recorder> {
+        &self.burn
+    }
+
     /// Puts a version in force, unless the one in force is as new.
     pub(crate) fn adopt(&self, next: Snapshot) {
         {
@@ -122,6 +132,7 @@
         let own = names.iter().position(|name| **name == self.settings.host);
         let mut lanes = self.lanes.write();
         lanes.retain(|name, _| snapshot.text.service(name).is_some());
+        self.burn.retain(|name| snapshot.text.service(name).is_some());
         for service in &snapshot.text.services {
             let usable = service.targets.iter().filter(|t| !leaving(&t.host));
             let lane = lanes.entry(service.name.clone()).or_insert_with(|| Lane::open(self.clock));
--- a/crates/daemon/src/request/completion.rs
+++ b/crates/daemon/src/request/completion.rs
@@ -18,6 +18,7 @@
 use ntex::web::{self, HttpRequest, HttpResponse};
 
 use crate::connection::engine::{self, Event, Stream};
+use crate::process::burn::Watch;
 use crate::process::lane::Pass;
 use crate::process::{Open, Worker};
 use crate::request::{entries, refuse};
@@ -63,13 +64,17 @@
     completion: Completion,
 ) -> HttpResponse {
     let request = id::Request::new(rand::random());
+    let watch = worker.process.burn().watch(service);
     let ask = ask(worker, request, workspace, service, &completion);
     let Some(lane) = worker.process.lane(&service.name) else {
         return refuse::not_found("the service has just been removed; see the operators' text");
     };
     let pass = match lane.admit(ask).await {
         Ok(pass) => pass,
-        Err(refusal) => return refuse::gate(refusal),
+        Err(refusal) => {
+            watch.refused();
+            return refuse::gate(refusal);
+        }
     };
     let Some(target) = service.targets.iter().find(|t| t.name == *pass.target()) else {
         return refuse::target_failed(Ran::No);
@@ -92,6 +97,7 @@
         generation,
         stream,
         pass,
+        watch,
         _open: open,
     };
     ntex::rt::spawn(relay.run(sender)).detach();
@@ -128,6 +134,7 @@
     generation: id::Generation,
     stream: Stream,
     pass: Pass,
+    watch: Watch,
     _open: Open,
 }
 
@@ -140,11 +147,17 @@
             let out = match self.stream.next().await {
                 Ok(Event::Token { offset, text }) if offset == expected => {
                     expected += 1;
+                    self.watch.token(offset);
                     self.piece(offset, text)
                 }
                 // Late, crossed and doubled tokens fall here.
                 Ok(Event::Token { .. }) => continue,
-                Ok(Event::End(end)) if end.tokens == expected => break,
+                Ok(Event::End(end)) if end.tokens == expected => {
+                    if end.preemptions > 0 {
+                        self.watch.preempted();
+                    }
+                    break;
+                }
                 // An end that counts more tokens than arrived is no end of a whole answer.
                 Ok(Event::End(_)) => return self.pass.finish(Outcome::Failed),
                 Err(engine::Broken) => return self.pass.finish(Outcome::Failed),
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as a request: reading it, having it decided, answering it.
 
+mod burn;
 mod completion;
 mod entries;
 mod plain;
@@ -23,6 +24,7 @@
         .state(web::types::PayloadConfig::new(MAX_COMPLETION))
         .route("/healthz", web::get().to(healthz))
         .route("/readyz", web::get().to(readyz))
+        .route("/v1/burn", web::get().to(burn::get))
         .route("/v1/entries", web::get().to(entries::get))
         .route("/v1/completions", web::post().to(completion::post))
         .route("/s/{service}/{path}*", web::to(plain::call));
--- a/crates/daemon/src/request/plain.rs
+++ b/crates/daemon/src/request/plain.rs
@@ -48,6 +48,7 @@
     let Some(lane) = worker.process.lane(&service.name) else {
         return refuse::not_found("the service has just been removed; see the operators' text");
     };
+    let watch = worker.process.burn().watch(service);
     let ask = Ask {
         request: id::Request::new(rand::random()),
         workspace,
@@ -60,7 +61,10 @@
     };
     let pass = match lane.admit(ask).await {
         Ok(pass) => pass,
-        Err(refusal) => return refuse::gate(refusal),
+        Err(refusal) => {
+            watch.refused();
+            return refuse::gate(refusal);
+        }
     };
     let Some(target) = service.targets.iter().find(|t| t.name == *pass.target()) else {
         return refuse::target_failed(Ran::No);
@@ -73,6 +77,7 @@
         pass.finish(Outcome::Failed);
         return refuse::target_failed(Ran::Unknown);
     };
+    watch.answered();
     pass.finish(Outcome::Whole);
     HttpResponse::build(response.status()).streaming(response.take_payload())
 }
--- a/crates/daemon/src/version/watch.rs
+++ b/crates/daemon/src/version/watch.rs
@@ -36,9 +36,11 @@
 
 async fn text(worker: &Worker) -> Option<Snapshot> {
     let body = read(worker, "/v1/text").await?;
-    let source = std::str::from_utf8(&body).ok()?;
-    match Text::parse(source) {
-        Ok(text) => Some(Snapshot { version: Version::of(text.revision, source), text }),
+    match Text::parse_bytes(&body) {
+        Ok(text) => {
+            let source = std::str::from_utf8(&body).ok()?;
+            Some(Snapshot { version: Version::of(text.revision, source), text })
+        }
         Err(fault) => {
             log::warn!(fault:% = fault; "text refused");
             None
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -94,7 +94,8 @@
         }
         let ended = ready == script.len();
         if ended {
-            event("", "end", &End { reason: "stop".into(), tokens: ready }).write(&mut out);
+            event("", "end", &End { reason: "stop".into(), tokens: ready, preemptions: 0 })
+                .write(&mut out);
         }
         Some((out, ready.max(offset), ended))
     }
--- a/crates/wire/src/engine.rs
+++ b/crates/wire/src/engine.rs
@@ -32,6 +32,9 @@
     pub reason: SmolStr,
     /// Tokens generated in all.
     pub tokens: u64,
+    /// How often the engine preempted the generation.
+    #[serde(default)]
+    pub preemptions: u32,
 }
 
 /// The answer of `GET /v1/load`.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod platform;
 pub mod problem;
 pub mod sse;
+pub mod status;
