--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends it at once (SIGKILL).
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -70,13 +75,13 @@
     }
 }
 
-/// A program of this workspace, beside the test that runs.
+/// A program of this workspace, from the directory of the test or program that asks.
 pub fn program(name: &str) -> PathBuf {
-    let test = std::env::current_exe().expect("the test knows its own path");
-    let directory = test.ancestors().nth(2).expect("tests lie in target/PROFILE/deps");
-    let program = directory.join(name);
-    assert!(program.exists(), "{name} is not built; run cargo test --workspace");
-    program
+    let asking = std::env::current_exe().expect("a program knows its own path");
+    // Tests lie in target/PROFILE/deps, programs in target/PROFILE.
+    let beside = asking.ancestors().skip(1).take(2).map(|directory| directory.join(name));
+    let found = beside.into_iter().find(|path| path.exists());
+    found.unwrap_or_else(|| panic!("{name} is not built; build the whole workspace first"))
 }
 
 /// A stand-in process and its address.
@@ -104,15 +109,20 @@
     _settings: PathBuf,
 }
 
-/// Starts a daemon with ports from the operating system.
+/// Starts a daemon with two workers and ports from the operating system.
 pub fn entry(host: &str, domain: &str, platform: SocketAddr) -> Entry {
+    entry_with(host, domain, platform, 2)
+}
+
+/// Starts a daemon with ports from the operating system.
+pub fn entry_with(host: &str, domain: &str, platform: SocketAddr, workers: usize) -> Entry {
     let path = std::env::temp_dir().join(format!("ffh-{}-{host}.toml", std::process::id()));
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let mut file = std::fs::File::create(&path).expect("settings file");
     write!(
         file,
         "host = \"{host}\"\ndomain = \"{domain}\"\nlisten = \"{any}\"\npeer_listen = \"{any}\"\n\
-         platform = \"{platform}\"\npeer_key = \"test\"\nworkers = 2\n"
+         platform = \"{platform}\"\npeer_key = \"test\"\nworkers = {workers}\n"
     )
     .expect("settings written");
     let mut command = Command::new(program("fireflyhoistd"));
--- a/crates/standin/src/script.rs
+++ b/crates/standin/src/script.rs
@@ -2,7 +2,11 @@
 //!
 //! Tests can therefore check every byte. A prompt steers the answer with words: `lines=60` asks
 //! for a manifest page of 60 lines, `tokens=500` for 500 tokens, and `salt` puts the generation
-//! into every token, so that two generations spliced together are seen.
+//! into every token, so that two generations spliced together are seen. The one exception to
+//! purity is `stamp`, which puts the time of writing into every token, so that a measurement can
+//! tell how long each took to arrive.
+
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use fireflyhoist_policy::id;
 use xxhash_rust::xxh3::xxh3_64;
@@ -16,6 +20,7 @@
 pub struct Script {
     seed: u64,
     salt: Option<id::Generation>,
+    stamp: bool,
     length: u64,
 }
 
@@ -26,8 +31,13 @@
         let wanted = number(prompt, "tokens=")
             .or_else(|| number(prompt, "lines=").map(|lines| lines * TOKENS_PER_LINE))
             .unwrap_or_else(|| heavy_tail(seed));
-        let salted = prompt.split_whitespace().any(|word| word == "salt");
-        Self { seed, salt: salted.then_some(generation), length: wanted.min(max_tokens) }
+        let says = |wanted: &str| prompt.split_whitespace().any(|word| word == wanted);
+        Self {
+            seed,
+            salt: says("salt").then_some(generation),
+            stamp: says("stamp"),
+            length: wanted.min(max_tokens),
+        }
     }
 
     /// How many tokens it holds.
@@ -45,6 +55,9 @@
         if let Some(generation) = self.salt {
             return format!("{generation}:{offset}\n");
         }
+        if self.stamp {
+            return micros_now().to_string();
+        }
         let line = offset / TOKENS_PER_LINE;
         let draw = xxh3_64(&(self.seed ^ line).to_le_bytes());
         match offset % TOKENS_PER_LINE {
@@ -61,6 +74,12 @@
     }
 }
 
+/// Microseconds since the epoch, comparable between the processes of one machine.
+pub fn micros_now() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn pick<'a>(list: &[&'a str], draw: u64) -> &'a str {
     list[(draw % list.len() as u64) as usize]
 }
