Decide on orders to engines: stewards, fencing numbers and promises

Cause: nothing orders engines, and some engines don't check who does.

Changed: the policy crate gets the wanted setup as a pure function, the steward by rendezvous, fencing numbers that carry the version, promises of a majority of the published hosts for engines that ignore the number, pacing by the weight store's rate and rolling. The daemon does not use them yet.

So promises, at the price of more time behind the newest version where its side holds no majority.

Tried and overturned: promises that compare a steward's version only with the host's own.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod hedge;
 pub mod id;
 pub mod limit;
+pub mod order;
 pub mod outlier;
 pub mod placement;
 pub mod rendezvous;
