Add the patterns hot-caller, hot-prefix and slow-target

Changed: hot-caller with its twin others-alone (the same requests of the others at the same times), slow-target with none-slow, and hot-prefix, in which half of all prompts share one beginning.

--- a/crates/bench/src/patterns/mod.rs
+++ b/crates/bench/src/patterns/mod.rs
@@ -6,12 +6,15 @@
 mod brno_night;
 mod build;
 mod burst;
+mod hot_caller;
+mod hot_prefix;
 mod lag;
 mod long_among_short;
 mod mix;
 mod oslo_day;
 pub mod overload;
 pub mod reclaim;
+mod slow_target;
 
 use fireflyhoist_policy::gate::{Gate, Settings};
 use fireflyhoist_standin::batch::Admission;
@@ -34,6 +37,11 @@
 /// Every pattern.
 pub const ALL: &[Pattern] = &[
     Pattern { name: "burst", scene: burst::scene },
+    Pattern { name: "hot-caller", scene: hot_caller::scene },
+    Pattern { name: "others-alone", scene: hot_caller::alone },
+    Pattern { name: "hot-prefix", scene: hot_prefix::scene },
+    Pattern { name: "slow-target", scene: slow_target::scene },
+    Pattern { name: "none-slow", scene: slow_target::alone },
     Pattern { name: "long-among-short", scene: long_among_short::scene },
     Pattern { name: "short-alone", scene: long_among_short::alone },
     Pattern { name: "overload", scene: overload::scene },
