Say what the fleet would do on going from one text to another

Operators see the effect of an edit before they publish it. text::diff compares serialised fields, so a field added later shows up without a line of its own; services, targets, workspaces and loads of weights say what the fleet does.

Ruled out: a line diff of the sources, which shows comments and order and says nothing of loads; a derive for field diffs, one more library for what serde already gives.

--- a/crates/text/src/lib.rs
+++ b/crates/text/src/lib.rs
@@ -3,6 +3,7 @@
 //! A text is accepted whole or refused whole; `docs/OPERATIONS.md` describes each field.
 
 mod check;
+pub mod diff;
 mod fault;
 pub mod model;
 pub mod section;
