Serve status, burn and metrics, and take targets from the host list

Operators could not see what a daemon has in force, why a text was refused, or what its callers received.

GET /v1/status, /v1/burn and /metrics (opentelemetry, Prometheus' format). A service with targets_from = "hosts" takes the targets that the platform's list names for it, again on each new list. A refused text is logged once instead of twice a second, and status carries the reason.

Labels name services, never workspaces.

Seen red without the resolution on a new host list: "the status stayed Status { ... targets: [] }".

--- a/crates/daemon/src/process/burn.rs
+++ b/crates/daemon/src/process/burn.rs
@@ -11,17 +11,24 @@
 use parking_lot::{Mutex, RwLock};
 
 use crate::process::clock::Clock;
+use crate::process::metrics::Metrics;
 
 /// Histories of every service that was asked for since the process began.
 #[derive(Debug)]
 pub(crate) struct Recorder {
     clock: Clock,
+    metrics: Metrics,
     services: RwLock<HashMap<id::Service, Arc<Mutex<History>>>>,
 }
 
 impl Recorder {
-    pub(crate) fn open(clock: Clock) -> Self {
-        Self { clock, services: RwLock::default() }
+    pub(crate) fn open(clock: Clock, metrics: Metrics) -> Self {
+        Self { clock, metrics, services: RwLock::default() }
+    }
+
+    /// The metrics that the same counts feed.
+    pub(crate) fn metrics(&self) -> &Metrics {
+        &self.metrics
     }
 
     /// Begins the watch of a request that just arrived.
@@ -36,6 +43,7 @@
 
     /// Takes in counts of one service.
     pub(crate) fn record(&self, service: &id::Service, tally: Tally) {
+        self.metrics.tally(service, &tally);
         let history = self.services.read().get(service).cloned();
         let history = history.unwrap_or_else(|| {
             let mut services = self.services.write();
@@ -76,7 +84,9 @@
     pub(crate) fn token(&mut self, offset: u64) {
         let now = self.recorder.clock.now();
         let Some(progress) = &mut self.progress else { return };
-        progress.token(now);
+        if let Some(elapsed) = progress.token(now) {
+            self.recorder.metrics.first_token(&self.service, elapsed);
+        }
         if offset.is_multiple_of(TOKENS_A_RECORD) {
             let tally = progress.take();
             self.recorder.record(&self.service, tally);
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod clock;
 pub(crate) mod lane;
 pub(crate) mod log;
+pub(crate) mod metrics;
 pub(crate) mod settings;
 
 use std::collections::HashMap;
@@ -26,6 +27,7 @@
 use crate::process::burn::Recorder;
 use crate::process::clock::Clock;
 use crate::process::lane::Lane;
+use crate::process::metrics::Metrics;
 use crate::process::settings::Settings;
 use crate::request;
 use crate::version::{Snapshot, watch};
@@ -50,6 +52,9 @@
     /// The HTTP client cannot be built.
     #[display("the HTTP client does not start; report this with the log")]
     Client,
+    /// The metrics cannot be set up.
+    #[display("the metrics do not start; report this with the log")]
+    Metrics,
 }
 
 /// What the workers of one daemon share.
@@ -61,17 +66,19 @@
     hosts: RwLock<Arc<Hosts>>,
     lanes: RwLock<HashMap<id::Service, Arc<Lane>>>,
     burn: Arc<Recorder>,
+    refused: RwLock<Option<String>>,
     leaving: AtomicBool,
     open: AtomicUsize,
 }
 
 impl Process {
-    fn open(settings: Settings) -> Arc<Self> {
+    fn open(settings: Settings, metrics: Metrics) -> Arc<Self> {
         let clock = Clock::start();
         Arc::new(Self {
             settings,
             clock,
-            burn: Arc::new(Recorder::open(clock)),
+            burn: Arc::new(Recorder::open(clock, metrics)),
+            refused: RwLock::default(),
             snapshot: RwLock::default(),
             hosts: RwLock::default(),
             lanes: RwLock::default(),
@@ -108,14 +115,47 @@
                 return;
             }
             ::log::info!(version:% = next.version; "version in force");
-            *current = Some(Arc::new(next));
+            *current = Some(Arc::new(next.with_listed_targets(&self.hosts())));
         }
+        *self.refused.write() = None;
         self.refresh_lanes();
     }
 
+    /// Notes that the text read last was refused; the one in force stays.
+    pub(crate) fn refuse_text(&self, reason: String) {
+        let mut refused = self.refused.write();
+        // The platform is read again and again; one line a refused text is enough.
+        if refused.as_ref() != Some(&reason) {
+            ::log::warn!(reason:% = reason; "text refused");
+            *refused = Some(reason);
+        }
+    }
+
+    /// Why the text read last was refused, if it was.
+    pub(crate) fn refused(&self) -> Option<String> {
+        self.refused.read().clone()
+    }
+
+    /// Requests in progress.
+    pub(crate) fn open_requests(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+
     /// Takes in a host list.
     pub(crate) fn set_hosts(&self, hosts: Hosts) {
-        *self.hosts.write() = Arc::new(hosts);
+        {
+            let mut current = self.snapshot.write();
+            let listed = |snapshot: &Arc<Snapshot>| {
+                Arc::new(Snapshot::clone(snapshot).with_listed_targets(&hosts))
+            };
+            let from_list = |snapshot: &&Arc<Snapshot>| {
+                snapshot.text.services.iter().any(|service| service.targets_from.is_some())
+            };
+            if let Some(next) = current.as_ref().filter(from_list).map(listed) {
+                *current = Some(next);
+            }
+            *self.hosts.write() = Arc::new(hosts);
+        }
         self.refresh_lanes();
     }
 
@@ -198,7 +238,8 @@
         };
         let (listener, http) = listen(settings.listen)?;
         let (_peers, peer) = listen(settings.peer_listen)?;
-        let process = Process::open(settings);
+        let metrics = Metrics::open().ok_or(StartError::Metrics)?;
+        let process = Process::open(settings, metrics);
         let client = crate::connection::client().await.ok_or(StartError::Client)?;
         let worker = Worker { process: Arc::clone(&process), client };
         ntex::rt::spawn(watch::run(worker.clone())).detach();
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -3,8 +3,10 @@
 mod burn;
 mod completion;
 mod entries;
+mod metrics;
 mod plain;
 mod refuse;
+mod status;
 
 use fireflyhoist_policy::id;
 use fireflyhoist_wire::caller::WORKSPACE_HEADER;
@@ -24,6 +26,8 @@
         .state(web::types::PayloadConfig::new(MAX_COMPLETION))
         .route("/healthz", web::get().to(healthz))
         .route("/readyz", web::get().to(readyz))
+        .route("/metrics", web::get().to(metrics::get))
+        .route("/v1/status", web::get().to(status::get))
         .route("/v1/burn", web::get().to(burn::get))
         .route("/v1/entries", web::get().to(entries::get))
         .route("/v1/completions", web::post().to(completion::post))
--- a/crates/daemon/src/version/watch.rs
+++ b/crates/daemon/src/version/watch.rs
@@ -42,7 +42,7 @@
             Some(Snapshot { version: Version::of(text.revision, source), text })
         }
         Err(fault) => {
-            log::warn!(fault:% = fault; "text refused");
+            worker.process.refuse_text(fault.to_string());
             None
         }
     }
--- /dev/null
+++ b/crates/daemon/tests/operators.rs
@@ -0,0 +1,98 @@
+//! What operators read of a daemon: status, burn, metrics.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fireflyhoist_harness::{client, entry, host_list, read_answer, standin, until_ready};
+use fireflyhoist_policy::burn::Measure;
+use fireflyhoist_wire::status::{Burn, Status};
+use ntex::client::Client;
+
+async fn put(client: &Client, url: String, body: String, kind: &'static str) {
+    client.put(url).content_type(kind).send_body(body).await.expect("published");
+}
+
+async fn page(client: &Client, address: SocketAddr, path: &str) -> String {
+    let response = client.get(format!("http://{address}{path}")).send().await.expect("sent");
+    assert_eq!(response.status(), 200, "{path}");
+    String::from_utf8(response.body().await.expect("body").to_vec()).expect("text")
+}
+
+async fn status(client: &Client, address: SocketAddr) -> Status {
+    serde_json::from_str(&page(client, address, "/v1/status").await).expect("a status")
+}
+
+/// Waits until a status satisfies a condition and returns it.
+async fn until(
+    client: &Client,
+    address: SocketAddr,
+    condition: impl Fn(&Status) -> bool,
+) -> Status {
+    for _ in 0..1_000 {
+        let status = status(client, address).await;
+        if condition(&status) {
+            return status;
+        }
+        ntex::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the status stayed {:?}", status(client, address).await);
+}
+
+/// The host list with one more host, which runs a target of `scan`.
+fn list_with_engine(list: &str, engine: SocketAddr, state: &str) -> String {
+    let mut list: serde_json::Value = serde_json::from_str(list).expect("a list");
+    let serving = serde_json::json!({"service": "scan", "target": "t1", "address": engine});
+    let host = serde_json::json!({
+        "name": "m1", "domain": "hala-a", "state": state, "serves": [serving],
+    });
+    list["hosts"].as_array_mut().expect("hosts").push(host);
+    list.to_string()
+}
+
+/// An operator publishes a text whose targets come from the host list, serves a page, publishes a
+/// text with a typing error, and then the engine's host is about to be taken back. Status, burn
+/// and metrics must tell each of these, and the good text stays in force throughout.
+#[ntex::test]
+async fn operators_read_what_a_daemon_does() {
+    let (_platform, platform) = standin("platform", &[]);
+    let (_engine, engine) = standin("engine", &[]);
+    let host = entry("brno-1", "hala-a", platform);
+    let client = client().await;
+    let text = "revision = 3\n[[service]]\nname = \"scan\"\ntargets_from = \"hosts\"\n";
+    let publish = |path: &str| format!("http://{platform}/operator/{path}");
+    let list = host_list(&[&host]);
+    put(&client, publish("hosts"), list.clone(), "application/json").await;
+    put(&client, publish("text"), text.into(), "text/plain").await;
+    until_ready(&client, host.http).await;
+    put(&client, publish("hosts"), list_with_engine(&list, engine, "live"), "application/json")
+        .await;
+    let seen = until(&client, host.http, |s| s.targets.len() == 1).await;
+    assert_eq!(seen.in_force.as_ref().expect("in force").revision, 3);
+    assert_eq!((seen.members.len(), seen.targets[0].unused.clone()), (1, None));
+
+    let body = serde_json::json!({"model": "scan", "prompt": "tokens=300", "stream": true});
+    let url = format!("http://{}/v1/completions", host.http);
+    let response = client.post(url).send_json(&body).await.expect("sent");
+    assert_eq!(read_answer(response).await.0.len(), 300);
+    until(&client, host.http, |s| s.open == 0).await;
+    let burn: Burn =
+        serde_json::from_str(&page(&client, host.http, "/v1/burn").await).expect("burn");
+    let gaps = burn.services[0].readings.iter().find(|r| r.measure == Measure::BetweenTokens);
+    assert_eq!(gaps.expect("read").windows[0].total, 299);
+    let metrics = page(&client, host.http, "/metrics").await;
+    let counted = "fireflyhoist_slo_events_total{measure=\"between_tokens\",service=\"scan\"} 299";
+    assert!(metrics.contains(counted), "{metrics}");
+    assert!(metrics.contains("fireflyhoist_revision 3"), "{metrics}");
+    assert!(metrics.contains("fireflyhoist_first_token_seconds_count{service=\"scan\"} 1"));
+
+    let wrong = text.replace("revision = 3", "revision = 4").replace("hosts", "host");
+    put(&client, publish("text"), wrong, "text/plain").await;
+    let seen = until(&client, host.http, |s| s.refused.is_some()).await;
+    assert!(seen.refused.expect("said").contains("line 4: `\"host\"` is no choice here"));
+    assert_eq!(seen.in_force.expect("in force").revision, 3);
+
+    put(&client, publish("hosts"), list_with_engine(&list, engine, "leaving"), "application/json")
+        .await;
+    let seen = until(&client, host.http, |s| s.targets[0].unused.is_some()).await;
+    assert_eq!(seen.targets[0].unused.as_deref(), Some("its host is leaving"));
+}
--- a/crates/policy/src/burn.rs
+++ b/crates/policy/src/burn.rs
@@ -195,17 +195,18 @@
         Self { objective, since: now, begun: false, preempted: false, tally }
     }
 
-    /// Notes that a token arrived; one that also proves a wait proves it up to now.
-    pub fn token(&mut self, now: Time) {
+    /// Notes that a token arrived and returns how long the first one took, if it is that.
+    pub fn token(&mut self, now: Time) -> Option<Duration> {
         let gap = now.since(self.since);
         self.since = now;
         if !self.begun {
             self.begun = true;
             self.tally.first_token.add(gap > self.objective.first_token);
-            return;
+            return Some(gap);
         }
         self.tally.between_tokens.add(gap > self.objective.between_tokens);
         self.span(gap);
+        None
     }
 
     /// Notes that the engine preempted the generation.
--- a/crates/text/src/diff.rs
+++ b/crates/text/src/diff.rs
@@ -237,17 +237,16 @@
     names.sort();
     names.dedup();
     for name in names.into_iter().filter(|name| old.get(*name) != new.get(*name)) {
-        let shown = |table: &Table| {
-            table.get(name).map_or_else(|| SmolStr::new("(none)"), |value| shown(value))
-        };
         let (place, field) = (place.into(), name.into());
-        changes.push(Change::Field { place, field, old: shown(&old), new: shown(&new) });
+        let (old, new) = (shown(old.get(name)), shown(new.get(name)));
+        changes.push(Change::Field { place, field, old, new });
     }
 }
 
-fn shown(value: &Value) -> SmolStr {
+fn shown(value: Option<&Value>) -> SmolStr {
     match value {
-        Value::String(text) => text.into(),
-        other => other.to_string().split_whitespace().collect::<Vec<_>>().join(" ").into(),
+        None => "(none)".into(),
+        Some(Value::String(text)) => text.into(),
+        Some(other) => other.to_string().split_whitespace().collect::<Vec<_>>().join(" ").into(),
     }
 }
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -25,6 +25,17 @@
     pub peer: SocketAddr,
 }
 
+/// One target that a host runs, for services that take their targets from the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Serving {
+    /// The service it serves.
+    pub service: id::Service,
+    /// The target.
+    pub target: id::Target,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
 /// One host of the list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Host {
@@ -38,6 +49,9 @@
     /// Present on entry hosts only.
     #[serde(default)]
     pub entry: Option<Listen>,
+    /// Targets that it runs.
+    #[serde(default)]
+    pub serves: Vec<Serving>,
 }
 
 /// The answer of `GET /v1/hosts`, which lags behind reality.
