Measure what one placement and one open request cost

Cause: the cost of a decision among 12 and 810 targets, and the memory of an open request and of a workspace, are to be stated.

--- a/crates/bench/src/bin/patterns.rs
+++ b/crates/bench/src/bin/patterns.rs
@@ -5,9 +5,11 @@
 
 use bpaf::Bpaf;
 use derive_more::{Display, FromStr};
+use fireflyhoist_bench::cost;
 use fireflyhoist_bench::patterns::{self, ALL};
 use fireflyhoist_bench::report::Row;
-use tabled::Table;
+use serde::Serialize;
+use tabled::{Table, Tabled};
 
 #[derive(Clone, Copy, Debug, Display, FromStr)]
 enum Format {
@@ -17,11 +19,14 @@
     Json,
 }
 
+/// The name under which the cost of a decision is measured; it is no pattern to play.
+const COST: &str = "cost";
+
 /// Plays load patterns in virtual time over the decisions that the daemon runs.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options)]
 struct Flags {
-    /// Only this pattern; all where absent.
+    /// Only this pattern; all where absent. `cost` measures what one decision costs.
     #[bpaf(argument("NAME"))]
     pattern: Option<String>,
     /// What the random draws start from; the same seed prints the same figures.
@@ -34,10 +39,16 @@
 
 fn main() -> ExitCode {
     let flags = flags().run();
+    if flags.pattern.as_deref() == Some(COST) {
+        return match print(&cost::measure(), flags.format) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(_) => ExitCode::FAILURE,
+        };
+    }
     let chosen: Vec<_> =
         ALL.iter().filter(|p| flags.pattern.as_ref().is_none_or(|name| name == p.name)).collect();
     if chosen.is_empty() {
-        let names: Vec<&str> = ALL.iter().map(|p| p.name).collect();
+        let names: Vec<&str> = ALL.iter().map(|p| p.name).chain([COST]).collect();
         eprintln!("patterns: no such pattern; use one of {}", names.join(", "));
         return ExitCode::FAILURE;
     }
@@ -53,7 +64,7 @@
     ExitCode::SUCCESS
 }
 
-fn print(rows: &[Row], format: Format) -> io::Result<()> {
+fn print<T: Serialize + Tabled>(rows: &[T], format: Format) -> io::Result<()> {
     let mut out = io::stdout().lock();
     match format {
         Format::Table => writeln!(out, "{}", Table::new(rows)),
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -6,6 +6,7 @@
 //! this is a bench of decisions.
 
 pub mod baselines;
+pub mod cost;
 pub mod lengths;
 pub mod ours;
 pub mod patterns;
