Decide membership and versions without network or clock

Cause: the daemon answers entries from the platform's list alone, which lags, and puts whatever the platform serves in force once it is newer; nobody misses a dead entry, and a host that starts beside a stale platform serves what the fleet has left behind.

What changed: `policy::member` joins the published list with heartbeats over at most six neighbours (three hash rings), suspicion after indirect probes, incarnations that only the member raises, news pushed once over each link in frames of at most 16 records, and distrust after a pause. `policy::version` keeps the maximum by (revision, digest), refuses and remembers invalid texts, tells two texts of one revision apart, is ready only after peers and platform were asked, picks two watchers a failure domain by rendezvous hash and shares one poll rate among the rest. `Version` moves to the policy crate, where the decisions about it are; the text crate re-exports it. `standin::fleet` passes messages among members in memory, in virtual time.

Each guard was switched off and its test seen red; docs/PROOFS.md lists all 24.

Conclusion: the decisions stand; the daemon does not run them yet.

--- /dev/null
+++ b/crates/policy/src/member/mod.rs
@@ -0,0 +1,511 @@
+//! Membership: which hosts are up, ready or leaving, from what peers observe and the platform
+//! publishes.
+//!
+//! Load pattern: 330 members, of which 20 fail and 140 are replaced on an ordinary day, and a
+//! platform list that lags. Without it callers are sent to hosts that are gone; with heartbeats
+//! between all pairs each member would send 329 a second. Here each member beats with a bounded
+//! number of neighbours ([`ring`]), news is pushed once over each link in bounded frames
+//! ([`news`]), and a silent neighbour is asked after through others before it is suspected
+//! ([`watch`]), so that bytes for each member stay flat as the fleet grows.
+//! See `docs/DESIGN.md`, section "Membership"; `docs/CAPACITY.md` has the measured slopes.
+
+mod message;
+mod news;
+pub mod proof;
+mod published;
+mod record;
+pub mod ring;
+mod table;
+mod watch;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::id;
+use crate::time::Time;
+use crate::version::Stamp;
+
+pub use message::{Heartbeat, MAX_RECORDS, Message};
+pub use published::{Entry, Notice, Published};
+pub use record::{Record, Status};
+
+use news::Outbox;
+use published::List;
+use table::Table;
+use watch::Neighbour;
+
+/// Between two heartbeats to one neighbour.
+///
+/// Six neighbours at about 60 bytes a frame, and as much again for TCP and IP headers, cost some
+/// 0.7 KB a second of the 2 KB budget; half the interval would leave no room for texts.
+pub const HEARTBEAT: Duration = Duration::from_secs(1);
+
+/// How long news waits to share a frame; four hops of it still stay under a second.
+const FLUSH: Duration = Duration::from_millis(200);
+
+/// A neighbour unheard for this long is asked after through others: two and a half heartbeats, so
+/// that one late heartbeat asks nobody.
+pub const SILENCE: Duration = Duration::from_millis(2_500);
+
+/// How long an indirect probe may take before the neighbour is suspected.
+pub const PROBE: Duration = Duration::from_millis(1_500);
+
+/// How long a suspect has to refute: four heartbeats, several times the spread of news.
+pub const SUSPICION: Duration = Duration::from_secs(4);
+
+/// A gap between two polls that counts as a pause of this process.
+///
+/// The daemon polls ten times a second. As long as [`SILENCE`], since after such a gap this process
+/// cannot tell a silent neighbour from its own sleep.
+pub const PAUSE: Duration = SILENCE;
+
+/// How long a process that woke waits for a neighbour before it counts itself alone.
+const DOUBT: Duration = Duration::from_secs(3);
+
+/// How often one dead host is tried again, so that a partition that healed is noticed.
+const RETRY: Duration = Duration::from_secs(2);
+
+/// How long a dead host that is no longer published is remembered.
+const FORGET: Duration = Duration::from_secs(120);
+
+/// Who this process is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Its host.
+    pub host: id::Host,
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// Where it serves callers.
+    pub http: SocketAddr,
+    /// Where it serves other daemons.
+    pub peer: SocketAddr,
+    /// Greater than that of any earlier process on this host: its start in Unix milliseconds.
+    pub incarnation: u64,
+}
+
+/// What the daemon does for the membership.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a message to a host at its address for peers.
+    Send {
+        /// The host.
+        to: id::Host,
+        /// Where it listens for peers.
+        address: SocketAddr,
+        /// The message.
+        message: Message,
+    },
+    /// Close every link: what waits in their buffers was sent before a pause.
+    Reset,
+    /// Close the link to this host, which fell silent, so that the next message opens a new one.
+    Replace(id::Host),
+}
+
+/// One process's view of the fleet.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    own: Record,
+    table: Table,
+    list: List,
+    neighbours: BTreeMap<id::Host, Neighbour>,
+    outbox: Outbox,
+    stamp: Stamp,
+    polled: Time,
+    doubt: Option<Time>,
+    retried: Time,
+    heard_any: bool,
+}
+
+impl Membership {
+    /// A process that knows nobody yet.
+    pub fn open(now: Time, identity: Identity) -> Self {
+        let own = Record {
+            host: identity.host,
+            domain: identity.domain,
+            http: identity.http,
+            peer: identity.peer,
+            incarnation: identity.incarnation.max(1),
+            status: Status::Alive,
+            ready: false,
+            leaving: false,
+        };
+        let mut table = Table::default();
+        table.merge(now, &own);
+        Self {
+            own,
+            table,
+            list: List::default(),
+            neighbours: BTreeMap::new(),
+            outbox: Outbox::default(),
+            stamp: Stamp::default(),
+            polled: now,
+            doubt: None,
+            retried: now,
+            heard_any: false,
+        }
+    }
+
+    /// This process's own record.
+    pub fn own(&self) -> &Record {
+        &self.own
+    }
+
+    /// Everybody known, dead members included.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.table.records()
+    }
+
+    /// Members that may be handed to callers: up, ready, and leaving by no source.
+    pub fn usable(&self) -> impl Iterator<Item = &Record> {
+        self.table.records().filter(|record| {
+            record.status == Status::Alive
+                && record.ready
+                && !record.leaving
+                && !self.list.is_leaving(&record.host)
+        })
+    }
+
+    /// Whether a host, of an entry or of a target, is leaving by any source.
+    pub fn is_leaving(&self, host: &id::Host) -> bool {
+        self.list.is_leaving(host) || self.table.get(host).is_some_and(|record| record.leaving)
+    }
+
+    /// Whether what this process knows may be acted on; not right after a pause.
+    pub fn is_trusted(&self) -> bool {
+        self.doubt.is_none()
+    }
+
+    /// Whether any member has answered since the start or the last pause.
+    pub fn has_heard(&self) -> bool {
+        self.heard_any
+    }
+
+    /// Whether any other member is known to ask.
+    pub fn knows_others(&self) -> bool {
+        self.table.len() > 1
+    }
+
+    /// How many members are not dead, this one included.
+    pub fn size(&self) -> usize {
+        self.table.live().count()
+    }
+
+    /// Members of one failure domain that are not dead.
+    pub fn domain_members(&self, domain: &id::Domain) -> Vec<id::Host> {
+        let of = |record: &&Record| record.domain == *domain;
+        self.table.live().filter(of).map(|record| record.host.clone()).collect()
+    }
+
+    /// The members that this one beats with.
+    pub fn neighbours(&self) -> impl Iterator<Item = &id::Host> {
+        self.neighbours.keys()
+    }
+
+    /// The sequence of the newest published list seen.
+    pub fn sequence(&self) -> u64 {
+        self.list.sequence()
+    }
+
+    /// The version in force here, which heartbeats announce; a change goes out with the next flush.
+    pub fn set_stamp(&mut self, stamp: Stamp) {
+        if stamp != self.stamp {
+            self.stamp = stamp;
+            self.neighbours.values_mut().for_each(Neighbour::hasten);
+        }
+    }
+
+    /// Says whether this process may be handed to callers.
+    pub fn set_ready(&mut self, now: Time, ready: bool) {
+        if self.own.ready != ready {
+            self.own.ready = ready;
+            self.renew(now);
+        }
+    }
+
+    /// Says that this process takes no new work from now on.
+    ///
+    /// The news waits for no flush: each of its neighbours has it with the next poll.
+    pub fn leave(&mut self, now: Time) {
+        if !self.own.leaving {
+            self.own.leaving = true;
+            self.renew(now);
+            self.neighbours.values_mut().for_each(Neighbour::hurry);
+        }
+    }
+
+    /// Takes in a host list from the platform; one older than known is ignored.
+    pub fn publish(&mut self, now: Time, published: &Published) {
+        for notice in self.list.install(published) {
+            self.outbox.notice(notice, None, self.neighbours.keys());
+        }
+        for entry in published.entries.iter().filter(|entry| entry.host != self.own.host) {
+            let record = Record::unheard(entry);
+            self.table.merge(now, &record);
+        }
+        self.rewire(now);
+    }
+
+    /// Takes in a message that came over a proven link from `from`.
+    pub fn receive(&mut self, now: Time, from: &id::Host, message: Message) -> Vec<Action> {
+        // It waited in a buffer while this process slept; the next poll notices the pause.
+        if now.since(self.polled) >= PAUSE {
+            return Vec::new();
+        }
+        self.heard(now, from);
+        match message {
+            Message::Heartbeat(beat) => self.beat(now, from, beat),
+            Message::Probe { target } => {
+                self.send(&target, Message::Ping { on_behalf: from.clone() })
+            }
+            Message::Ping { on_behalf } => self.send(from, Message::Pong { on_behalf }),
+            Message::Pong { on_behalf } => {
+                self.send(&on_behalf, Message::Reached { target: from.clone() })
+            }
+            Message::Reached { target } => {
+                // It lives, so the silence is that of the link: replace it.
+                if let Some(neighbour) = self.neighbours.get_mut(&target) {
+                    neighbour.vouched(now);
+                    return vec![Action::Replace(target)];
+                }
+                Vec::new()
+            }
+            Message::Sync { after } => {
+                let (records, more) = self.table.page(after.as_ref(), MAX_RECORDS);
+                self.send(from, Message::Page { records, more })
+            }
+            Message::Page { records, more } => self.page(now, from, &records, more),
+        }
+    }
+
+    /// The link to a host broke or could not be opened: ask after it at once.
+    pub fn unreachable(&mut self, now: Time, host: &id::Host) {
+        if let Some(neighbour) = self.neighbours.get_mut(host) {
+            neighbour.doubted(now);
+        }
+    }
+
+    /// Does what time demands; called about ten times a second.
+    pub fn poll(&mut self, now: Time, random: &mut impl Rng) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.notice_pause(now, &mut actions);
+        self.polled = now;
+        self.accuse(now, random, &mut actions);
+        self.bury(now);
+        self.retry(now, random, &mut actions);
+        self.flush(now, &mut actions);
+        actions
+    }
+
+    /// The failure: a process that was stopped wakes with old facts. It would accuse every
+    /// neighbour of silence and hand callers hosts that left meanwhile. So it forgets when it heard
+    /// whom, drops its links with what they buffered, and is not trusted until somebody answers.
+    fn notice_pause(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if now.since(self.polled) >= PAUSE {
+            self.doubt = Some(now);
+            self.heard_any = false;
+            self.neighbours.values_mut().for_each(|neighbour| neighbour.forgive(now));
+            self.table.forgive(now);
+            actions.push(Action::Reset);
+        }
+        if self.doubt.is_some_and(|since| now.since(since) >= DOUBT) {
+            self.doubt = None;
+        }
+    }
+
+    fn heard(&mut self, now: Time, from: &id::Host) {
+        self.heard_any = true;
+        self.doubt = None;
+        if let Some(neighbour) = self.neighbours.get_mut(from) {
+            neighbour.heard(now);
+        }
+        // It speaks, so whoever called it dead or suspect is wrong; only the member itself may say
+        // so, with a greater incarnation, and it does once it learns of the accusation.
+        if self.table.get(from).is_some_and(|record| record.status != Status::Alive) {
+            self.outbox.record(from, None, std::iter::once(from));
+        }
+    }
+
+    fn beat(&mut self, now: Time, from: &id::Host, beat: Heartbeat) -> Vec<Action> {
+        for notice in beat.notices.into_iter().take(MAX_RECORDS) {
+            if self.list.note(&notice) {
+                self.outbox.notice(notice, Some(from), self.neighbours.keys());
+            }
+        }
+        for record in beat.records.into_iter().take(MAX_RECORDS) {
+            self.learn(now, Some(from), &record);
+        }
+        let differs = beat.table != self.table.hash();
+        let newborn = self.table.is_alone();
+        if let Some(neighbour) = self.neighbours.get_mut(from) {
+            return match neighbour.compare(now, differs, newborn) {
+                true => self.send(from, Message::Sync { after: None }),
+                false => Vec::new(),
+            };
+        }
+        // A member that beats with us although we do not with it sees another ring for a while; it
+        // gets an answer, or it would suspect us.
+        if beat.reply {
+            return Vec::new();
+        }
+        let reply = self.heartbeat(from, true);
+        self.send(from, reply)
+    }
+
+    /// Takes in what somebody says of a member; news goes on to the neighbours.
+    fn learn(&mut self, now: Time, from: Option<&id::Host>, record: &Record) {
+        if record.host == self.own.host {
+            self.refute(now, from, record);
+            return;
+        }
+        if self.table.merge(now, record) {
+            self.outbox.record(&record.host, from, self.neighbours.keys());
+            self.rewire(now);
+        } else if let (Some(from), true) = (from, self.table.supersedes(record)) {
+            self.outbox.record(&record.host, None, std::iter::once(from));
+        }
+    }
+
+    /// Others hold something of this process that is not so: outbid it.
+    fn refute(&mut self, now: Time, from: Option<&id::Host>, said: &Record) {
+        if said.incarnation >= self.own.incarnation && *said != self.own {
+            self.own.incarnation = said.incarnation;
+            self.renew(now);
+        }
+        // Whoever says it may be no neighbour, as after a partition; its answer carries the truth.
+        if *said != self.own {
+            self.outbox.record(&self.own.host, None, from.into_iter());
+        }
+    }
+
+    /// Raises the own incarnation and tells everybody.
+    fn renew(&mut self, now: Time) {
+        self.own.incarnation += 1;
+        self.table.merge(now, &self.own);
+        self.outbox.record(&self.own.host, None, self.neighbours.keys());
+    }
+
+    /// Chooses the neighbours anew after the set of members changed.
+    fn rewire(&mut self, now: Time) {
+        if !self.table.take_moved() {
+            return;
+        }
+        let live: Vec<&str> = self.table.live().map(|record| record.host.as_str()).collect();
+        let chosen = ring::neighbours(self.own.host.as_str(), &live);
+        let chosen: Vec<id::Host> =
+            chosen.into_iter().filter_map(|name| name.parse().ok()).collect();
+        self.neighbours.retain(|host, _| chosen.contains(host));
+        for host in chosen {
+            if !self.neighbours.contains_key(&host) {
+                self.outbox.record(&self.own.host, None, std::iter::once(&host));
+                self.neighbours.insert(host, Neighbour::open(now));
+            }
+        }
+        self.outbox.retain(&self.neighbours);
+    }
+
+    /// Asks after silent neighbours, and suspects those whom nobody reached.
+    fn accuse(&mut self, now: Time, random: &mut impl Rng, actions: &mut Vec<Action>) {
+        let hosts: Vec<id::Host> = self.neighbours.keys().cloned().collect();
+        for host in hosts {
+            let Some(neighbour) = self.neighbours.get_mut(&host) else { continue };
+            match neighbour.verdict(now) {
+                watch::Verdict::Fine => {}
+                watch::Verdict::Ask => {
+                    // A link that went silent for good while new ones work: replaced, and the
+                    // member asked after through others that have links of their own.
+                    actions.push(Action::Replace(host.clone()));
+                    for through in ring::sample(random, self.neighbours.keys(), &host) {
+                        let message = Message::Probe { target: host.clone() };
+                        actions.extend(self.send(&through, message));
+                    }
+                }
+                watch::Verdict::Suspect => self.mark(now, &host, Status::Suspect),
+            }
+        }
+    }
+
+    fn mark(&mut self, now: Time, host: &id::Host, status: Status) {
+        let Some(record) = self.table.get(host) else { return };
+        if record.status < status {
+            let record = Record { status, ..record.clone() };
+            self.learn(now, None, &record);
+        }
+    }
+
+    /// Suspects that did not refute in time are dead; the dead are forgotten in the end.
+    fn bury(&mut self, now: Time) {
+        for host in self.table.overdue(now, SUSPICION) {
+            self.mark(now, &host, Status::Dead);
+        }
+        let list = &self.list;
+        self.table.forget(now, FORGET, |host| list.names(host));
+    }
+
+    /// Tries one dead host again: after a partition healed, nobody else would speak first.
+    fn retry(&mut self, now: Time, random: &mut impl Rng, actions: &mut Vec<Action>) {
+        if now.since(self.retried) < RETRY {
+            return;
+        }
+        self.retried = now;
+        let dead: Vec<id::Host> = self.table.dead().map(|record| record.host.clone()).collect();
+        if dead.is_empty() {
+            return;
+        }
+        let host = &dead[random.random_range(0..dead.len())];
+        // The record travels along, so that the host learns that it is thought dead and refutes.
+        let mut beat = self.outline(false);
+        beat.records = self.table.get(host).cloned().into_iter().collect();
+        actions.extend(self.send(host, Message::Heartbeat(beat)));
+    }
+
+    fn flush(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let hosts: Vec<id::Host> = self.neighbours.keys().cloned().collect();
+        for host in hosts {
+            let pending = self.outbox.has(&host);
+            let Some(neighbour) = self.neighbours.get_mut(&host) else { continue };
+            if neighbour.take_due(now, pending, HEARTBEAT, FLUSH) {
+                let message = self.heartbeat(&host, false);
+                actions.extend(self.send(&host, message));
+            }
+        }
+    }
+
+    /// Takes in part of a neighbour's table and asks for the next one.
+    fn page(&mut self, now: Time, from: &id::Host, records: &[Record], more: bool) -> Vec<Action> {
+        for record in records.iter().take(MAX_RECORDS) {
+            self.learn(now, Some(from), record);
+        }
+        match records.last() {
+            Some(last) if more => self.send(from, Message::Sync { after: Some(last.host.clone()) }),
+            _ => Vec::new(),
+        }
+    }
+
+    fn heartbeat(&mut self, to: &id::Host, reply: bool) -> Message {
+        let mut beat = self.outline(reply);
+        let news = self.outbox.take(to, MAX_RECORDS);
+        beat.records =
+            news.records.iter().filter_map(|host| self.table.get(host).cloned()).collect();
+        beat.notices = news.notices;
+        Message::Heartbeat(beat)
+    }
+
+    fn outline(&mut self, reply: bool) -> Heartbeat {
+        Heartbeat {
+            table: self.table.hash(),
+            stamp: self.stamp,
+            reply,
+            records: Vec::new(),
+            notices: Vec::new(),
+        }
+    }
+
+    fn send(&self, to: &id::Host, message: Message) -> Vec<Action> {
+        let address = self.table.get(to).map(|record| record.peer);
+        let send = address.map(|address| Action::Send { to: to.clone(), address, message });
+        send.into_iter().collect()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/member/ring.rs
@@ -0,0 +1,45 @@
+//! Who beats with whom: the next and the previous live member on each of three rings.
+//!
+//! Each ring orders the members by a hash of its own, so three together make a graph in which every
+//! member has at most six neighbours and the way between any two of 330 takes about four steps.
+//! Two members see each other as neighbours alike wherever they know the same members.
+
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
+use crate::id;
+use crate::rendezvous;
+
+/// Three rings give six links a member: five of its neighbours may fail before it hangs on one.
+const RINGS: [&str; 3] = ["ring-0", "ring-1", "ring-2"];
+
+/// How many others are asked to probe a silent neighbour, as in SWIM.
+const PROBES: usize = 3;
+
+/// The neighbours of `own` among `members`, in order of names and each once.
+pub fn neighbours(own: &str, members: &[&str]) -> Vec<String> {
+    let mut chosen: Vec<String> = Vec::with_capacity(RINGS.len() * 2);
+    for ring in RINGS {
+        let place = |name: &str| (rendezvous::weight(ring, name), name.to_owned());
+        let here = place(own);
+        let mut places: Vec<(u64, String)> =
+            members.iter().filter(|name| **name != own).map(|name| place(name)).collect();
+        places.sort_unstable();
+        let after = places.partition_point(|other| *other < here);
+        let next = places.get(after).or(places.first());
+        let previous = places[..after].last().or(places.last());
+        chosen.extend(next.into_iter().chain(previous).map(|(_, name)| name.clone()));
+    }
+    chosen.sort_unstable();
+    chosen.dedup();
+    chosen
+}
+
+/// A few of `hosts` that are not `besides`.
+pub(crate) fn sample<'a>(
+    random: &mut impl Rng,
+    hosts: impl Iterator<Item = &'a id::Host>,
+    besides: &id::Host,
+) -> Vec<id::Host> {
+    hosts.filter(|host| *host != besides).cloned().choose_multiple(random, PROBES)
+}
--- /dev/null
+++ b/crates/policy/src/version/fetch.rs
@@ -0,0 +1,54 @@
+//! From whom a newer text is fetched, and when another neighbour is asked instead.
+
+use std::time::Duration;
+
+use crate::id;
+use crate::time::Time;
+use crate::version::Stamp;
+
+/// How long one neighbour may take for one step before another is asked: two heartbeats.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// One fetch at a time, from one neighbour at a time.
+#[derive(Clone, Debug, Default)]
+pub struct Fetch {
+    job: Option<Job>,
+}
+
+#[derive(Clone, Debug)]
+struct Job {
+    from: id::Host,
+    stamp: Stamp,
+    asked: Time,
+}
+
+impl Fetch {
+    /// A neighbour announced a version that is wanted; whether to ask it for the manifest.
+    pub fn announced(&mut self, now: Time, from: &id::Host, stamp: Stamp) -> bool {
+        // The failure: the neighbour died or its link fell silent during a fetch, and the version
+        // never arrives here. After the patience any neighbour's next heartbeat begins anew.
+        let busy = |job: &Job| job.stamp >= stamp && now.since(job.asked) < PATIENCE;
+        if self.job.as_ref().is_some_and(busy) {
+            return false;
+        }
+        self.job = Some(Job { from: from.clone(), stamp, asked: now });
+        true
+    }
+
+    /// Whether an answer comes from the neighbour that was asked and carries at least the version
+    /// that it announced; if so, its patience begins anew.
+    pub fn answered(&mut self, now: Time, from: &id::Host, stamp: Stamp) -> bool {
+        match self.job.as_mut() {
+            Some(job) if job.from == *from && stamp >= job.stamp => {
+                job.asked = now;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// The fetch has ended, whole or in vain.
+    pub fn end(&mut self) {
+        self.job = None;
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod batch;
 pub mod engine;
+pub mod fleet;
 pub mod order;
 pub mod plain;
 pub mod platform;
