--- a/crates/daemon/src/connection/engine.rs
+++ b/crates/daemon/src/connection/engine.rs
@@ -1,82 +1,101 @@
-//! One generation's stream from its engine.
+//! One link to an engine that carries one generation's stream.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use fireflyhoist_policy::id;
-use fireflyhoist_wire::engine::{End, Start, Token};
-use fireflyhoist_wire::sse;
-use futures_util::StreamExt;
-use ntex::client::Client;
-use ntex::http::Payload;
+use fireflyhoist_policy::session::Break;
+use fireflyhoist_wire::engine::{READER_HEADER, Start};
+use ntex::client::{Client, ClientRequest, ClientResponse};
+use ntex::http::{Method, Payload, StatusCode};
+use ntex::time::timeout;
+use ntex::util::{Bytes, stream_recv};
 
-/// The largest event that an engine may send, in bytes.
-const MAX_EVENT: usize = 256 * 1024;
+use crate::connection::{fresh, unwritten};
 
-/// What an engine says next.
-#[derive(Debug)]
-pub(crate) enum Event {
-    /// The token at an offset.
-    Token { offset: u64, text: String },
-    /// The answer is complete.
-    End(End),
-}
+/// How long an engine may take to take note of a cancel.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The stream broke before its end.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Broken;
+/// Where a generation runs and who reads it.
+#[derive(Clone, Debug)]
+pub(crate) struct Site {
+    pub(crate) address: SocketAddr,
+    pub(crate) generation: id::Generation,
+    pub(crate) reader: id::Request,
+}
 
-/// A stream of events of one generation.
+/// A link whose engine has answered that it has the generation.
 #[derive(Debug)]
-pub(crate) struct Stream {
+pub(crate) struct Link {
     payload: Payload,
-    decoder: sse::Decoder,
-    ready: VecDeque<Event>,
 }
 
-impl Stream {
-    /// Begins a generation at the engine at `address`.
+impl Link {
+    /// Begins a generation; the engine runs it once, however often it is begun under one id.
     pub(crate) async fn start(
         client: &Client,
-        address: SocketAddr,
+        site: &Site,
         start: &Start,
-    ) -> Result<Self, Broken> {
-        let url = format!("http://{address}/v1/streams");
-        let response = client.post(url).send_json(start).await.map_err(|_| Broken)?;
-        if !response.status().is_success() {
-            return Err(Broken);
+        patience: Duration,
+    ) -> Result<Self, Break> {
+        let request = request(client, Method::POST, site, "/v1/streams");
+        let response = sent(request.send_json(start), patience).await?;
+        match response.status() {
+            status if status.is_success() => Ok(Self { payload: response.take_payload() }),
+            StatusCode::SERVICE_UNAVAILABLE => Err(Break::Declined),
+            status if status.is_client_error() => Err(Break::Declined),
+            _ => Err(Break::Lost),
         }
-        let payload = response.take_payload();
-        let decoder = sse::Decoder::open(MAX_EVENT);
-        Ok(Self { payload, decoder, ready: VecDeque::new() })
     }
 
-    /// The next event.
-    pub(crate) async fn next(&mut self) -> Result<Event, Broken> {
-        loop {
-            if let Some(event) = self.ready.pop_front() {
-                return Ok(event);
-            }
-            let bytes = self.payload.next().await.ok_or(Broken)?.map_err(|_| Broken)?;
-            for event in self.decoder.feed(&bytes).map_err(|_| Broken)? {
-                self.ready.push_back(typed(&event)?);
-            }
+    /// Goes on with a generation from the token at `from` on.
+    pub(crate) async fn resume(
+        client: &Client,
+        site: &Site,
+        from: u64,
+        patience: Duration,
+    ) -> Result<Self, Break> {
+        let path = format!("/v1/streams/{}?from={from}", site.generation);
+        let request = request(client, Method::GET, site, &path);
+        let response = sent(request.send(), patience).await?;
+        match response.status() {
+            status if status.is_success() => Ok(Self { payload: response.take_payload() }),
+            // Too busy to answer is no reason to give up a generation that it may still run.
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Err(Break::Cut),
+            _ => Err(Break::Lost),
         }
     }
+
+    /// The next bytes; the end of the connection counts as a cut, since the end mark is an event.
+    pub(crate) async fn read(&mut self) -> Result<Bytes, Break> {
+        match stream_recv(&mut self.payload).await {
+            Some(Ok(bytes)) => Ok(bytes),
+            Some(Err(_)) | None => Err(Break::Cut),
+        }
+    }
+}
+
+fn request(client: &Client, method: Method, site: &Site, path: &str) -> ClientRequest {
+    // Guards against resuming into another silent connection of the pool: each link is new.
+    fresh(client, method, site.address, path).header(READER_HEADER, site.reader.to_string())
 }
 
-fn typed(event: &sse::Event) -> Result<Event, Broken> {
-    if event.name == "end" {
-        return serde_json::from_str(&event.data).map(Event::End).map_err(|_| Broken);
+async fn sent(
+    send: impl Future<Output = Result<ClientResponse, ntex::client::error::ClientError>>,
+    patience: Duration,
+) -> Result<ClientResponse, Break> {
+    match timeout(patience, send).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(error)) if unwritten(&error) => Err(Break::Refused),
+        Ok(Err(_)) => Err(Break::Cut),
+        Err(()) => Err(Break::Silent),
     }
-    let offset = event.id.parse().map_err(|_| Broken)?;
-    let token: Token = serde_json::from_str(&event.data).map_err(|_| Broken)?;
-    Ok(Event::Token { offset, text: token.text })
 }
 
-/// Tells the engine that nobody waits for a generation any more.
-pub(crate) async fn cancel(client: &Client, address: SocketAddr, generation: id::Generation) {
-    let url = format!("http://{address}/v1/streams/{generation}");
-    // An engine that cannot be told ends the stream when it notices the cut connection.
-    drop(client.delete(url).send().await);
+/// Tells the engine that this reader waits for the generation no more.
+pub(crate) async fn cancel(client: &Client, site: &Site) {
+    let path = format!("/v1/streams/{}", site.generation);
+    let request = request(client, Method::DELETE, site, &path);
+    // An engine that cannot be reached goes on until it notices that nobody reads.
+    drop(timeout(CANCEL_TIMEOUT, request.send()).await);
 }
--- a/crates/daemon/src/process/clock.rs
+++ b/crates/daemon/src/process/clock.rs
@@ -1,6 +1,6 @@
 //! The one place where the daemon reads a clock.
 
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use fireflyhoist_policy::time::Time;
 
@@ -19,3 +19,8 @@
         Time::from_micros(u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX))
     }
 }
+
+/// Seconds since the Unix epoch, for what outlives this process; never for deadlines.
+pub(crate) fn unix_s() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |span| span.as_secs())
+}
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -16,6 +16,7 @@
 
 use derive_more::{Display, Error};
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::mac::Key;
 use fireflyhoist_wire::platform::{Hosts, State};
 use ntex::client::Client;
 use ntex::server::Server;
@@ -62,6 +63,7 @@
 pub(crate) struct Process {
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
+    pub(crate) key: Key,
     snapshot: RwLock<Option<Arc<Snapshot>>>,
     hosts: RwLock<Arc<Hosts>>,
     lanes: RwLock<HashMap<id::Service, Arc<Lane>>>,
@@ -75,6 +77,7 @@
     fn open(settings: Settings, metrics: Metrics) -> Arc<Self> {
         let clock = Clock::start();
         Arc::new(Self {
+            key: Key::open(&settings.peer_key),
             settings,
             clock,
             burn: Arc::new(Recorder::open(clock, metrics)),
--- /dev/null
+++ b/crates/daemon/src/request/body.rs
@@ -0,0 +1,30 @@
+//! A response body that counts as a request in progress until its last byte is on its way.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use futures_util::Stream;
+
+use crate::process::Open;
+
+/// A stream of chunks that keeps a drain waiting while it lives.
+#[derive(Debug)]
+pub(crate) struct Body<S> {
+    chunks: S,
+    _open: Rc<Open>,
+}
+
+impl<S> Body<S> {
+    pub(crate) fn open(chunks: S, open: Rc<Open>) -> Self {
+        Self { chunks, _open: open }
+    }
+}
+
+impl<S: Stream + Unpin> Stream for Body<S> {
+    type Item = S::Item;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        Pin::new(&mut self.chunks).poll_next(cx)
+    }
+}
--- a/crates/daemon/src/request/completion.rs
+++ b/crates/daemon/src/request/completion.rs
@@ -1,190 +1,232 @@
-//! `POST /v1/completions`: one answer from one generation.
+//! `POST /v1/completions`: one answer from one generation, begun here or taken up here.
 
-use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use fireflyhoist_policy::gate::{Ask, Outcome};
+use fireflyhoist_policy::gate::Ask;
+use fireflyhoist_policy::handle::Handle;
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::session::{Session, Terms};
+use fireflyhoist_policy::sink::Position;
 use fireflyhoist_policy::unit::Tokens;
-use fireflyhoist_text::Service;
-use fireflyhoist_wire::caller::{Answer, Choice, Completion, REQUEST_HEADER};
+use fireflyhoist_text::{Delivery, Kind, Service};
+use fireflyhoist_wire::caller::{
+    ACCEPT_HEADER, Completion, LAST_EVENT_HEADER, REQUEST_HEADER, RESUME_HEADER,
+};
 use fireflyhoist_wire::engine::Start;
 use fireflyhoist_wire::problem::Ran;
-use fireflyhoist_wire::sse;
-use futures_channel::mpsc;
-use futures_util::SinkExt;
-use ntex::util::Bytes;
+use fireflyhoist_wire::transcode::Transcoder;
+use ntex::http::HeaderMap;
 use ntex::web::{self, HttpRequest, HttpResponse};
 
-use crate::connection::engine::{self, Event, Stream};
-use crate::process::burn::Watch;
-use crate::process::lane::Pass;
+use crate::connection::engine::Site;
+use crate::process::clock::unix_s;
+use crate::process::lane::{Lane, Pass};
 use crate::process::{Open, Worker};
+use crate::request::body::Body;
+use crate::request::outlet::{Form, Head, Outlet, Reply};
+use crate::request::relay::{Attempt, Job, Relay};
 use crate::request::{entries, refuse};
+use crate::version::Snapshot;
 
 /// The most tokens of an answer where the caller names no bound.
 const DEFAULT_MAX_TOKENS: u64 = 65_536;
 
-/// Events that wait for a slow caller before the engine's stream is left unread.
-const BACKLOG: usize = 64;
-
 /// Bytes of prompt for one token, a rough mean of European languages.
 const BYTES_PER_TOKEN: u64 = 4;
 
+/// Gaps between tokens, counted in the service's own objective for them, after which a link is
+/// held to be silent; a new link costs one round trip, so a false alarm is cheap.
+const SILENT_GAPS: u32 = 20;
+
+/// Bounds of the above, for objectives that are very small or very large.
+const SILENCE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
+
+/// Looks at the clock for each silence deadline.
+const BEATS: u32 = 4;
+
+/// Bounds of the time between two looks.
+const BEAT: (Duration, Duration) = (Duration::from_millis(25), Duration::from_millis(250));
+
 pub(crate) async fn post(
     worker: web::types::State<Worker>,
     http: HttpRequest,
     body: web::types::Json<Completion>,
 ) -> HttpResponse {
-    let open = worker.process.enter();
-    let workspace = match crate::request::workspace(&http) {
+    let open = Rc::new(worker.process.enter());
+    let Some(snapshot) = worker.process.snapshot() else {
+        return refuse::not_ready();
+    };
+    let workspace = match crate::request::auth::workspace(&snapshot.text, &http) {
         Ok(workspace) => workspace,
-        Err(error) => return refuse::bad_request("bad-workspace", &error.to_string()),
+        Err(error) => return refuse::auth(&error),
     };
     if worker.process.is_leaving() {
         return refuse::leaving(entries::list(&worker.process, workspace.as_str()));
     }
     let completion = body.into_inner();
-    let Some(snapshot) = worker.process.snapshot() else {
-        return refuse::not_found("no text is in force yet; try again when /readyz says ready");
-    };
     let service = completion.model.parse().ok().and_then(|name| snapshot.text.service(&name));
-    let Some(service) = service else {
-        return refuse::not_found("no service has this name; see the operators' text");
+    let Some(service) = service.filter(|s| s.kind == Kind::Model) else {
+        return refuse::not_found("no model service has this name; see the operators' text");
     };
-    serve(&worker, open, workspace, service, completion).await
-}
-
-async fn serve(
-    worker: &Worker,
-    open: Open,
-    workspace: id::Workspace,
-    service: &Service,
-    completion: Completion,
-) -> HttpResponse {
-    let request = id::Request::new(rand::random());
-    let watch = worker.process.burn().watch(service);
-    let ask = ask(worker, request, workspace, service, &completion);
     let Some(lane) = worker.process.lane(&service.name) else {
         return refuse::not_found("the service has just been removed; see the operators' text");
     };
-    let pass = match lane.admit(ask).await {
-        Ok(pass) => pass,
-        Err(refusal) => {
-            watch.refused();
-            return refuse::gate(refusal);
-        }
-    };
-    let Some(target) = service.targets.iter().find(|t| t.name == *pass.target()) else {
-        return refuse::target_failed(Ran::No);
-    };
-    let generation = id::Generation::new(rand::random());
-    let start = Start {
-        generation,
-        prompt: completion.prompt,
-        max_tokens: completion.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
-        priority: service.class as u8,
-    };
-    let Ok(stream) = Stream::start(&worker.client, target.address, &start).await else {
-        pass.finish(Outcome::Failed);
-        return refuse::target_failed(Ran::Unknown);
-    };
-    let (sender, receiver) = mpsc::channel(BACKLOG);
-    let relay = Relay {
-        worker: worker.clone(),
-        address: target.address,
-        generation,
-        stream,
-        pass,
-        watch,
-        _open: open,
-    };
-    ntex::rt::spawn(relay.run(sender)).detach();
-    HttpResponse::Ok()
-        .content_type("text/event-stream")
-        .header(REQUEST_HEADER, request.to_string())
-        .streaming(receiver)
+    let call = Call { worker: &worker, http: &http, open, lane, service, snapshot: &snapshot };
+    call.serve(workspace, completion).await
 }
 
-fn ask(
-    worker: &Worker,
-    request: id::Request,
-    workspace: id::Workspace,
-    service: &Service,
-    completion: &Completion,
-) -> Ask {
-    Ask {
-        request,
-        workspace,
-        class: service.class,
-        prompt: Tokens::new(completion.prompt.len() as u64 / BYTES_PER_TOKEN),
-        limit: Tokens::new(completion.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS)),
-        prefix: 0,
-        deadline: worker.process.clock.now() + Duration::from_millis(service.patience_ms),
-        avoid: None,
-    }
-}
-
-/// Carries one generation's tokens to its caller, in a task of its own so that the engine is told
-/// even where the caller's connection is gone.
-struct Relay {
-    worker: Worker,
-    address: SocketAddr,
-    generation: id::Generation,
-    stream: Stream,
-    pass: Pass,
-    watch: Watch,
-    _open: Open,
+/// One request and what it needs to be served.
+struct Call<'a> {
+    worker: &'a Worker,
+    http: &'a HttpRequest,
+    open: Rc<Open>,
+    lane: Arc<Lane>,
+    service: &'a Service,
+    snapshot: &'a Snapshot,
 }
 
-type Sender = mpsc::Sender<Result<Bytes, Infallible>>;
-
-impl Relay {
-    async fn run(mut self, mut caller: Sender) {
-        let mut expected = 0;
-        loop {
-            let out = match self.stream.next().await {
-                Ok(Event::Token { offset, text }) if offset == expected => {
-                    expected += 1;
-                    self.watch.token(offset);
-                    self.piece(offset, text)
+impl Call<'_> {
+    async fn serve(self, workspace: id::Workspace, completion: Completion) -> HttpResponse {
+        let job = self.job(workspace, &completion);
+        let form =
+            Form { stream: completion.stream, resumes: accepts(self.http.headers(), "resume") };
+        let watch = self.worker.process.burn().watch(self.service);
+        let (attempt, shown) = match self.resumed(&job) {
+            Ok(Some(resumed)) => resumed,
+            Ok(None) => match self.lane.admit(job.ask.clone()).await {
+                Ok(pass) => match self.admitted(&job, pass) {
+                    Some(attempt) => (attempt, false),
+                    None => return refuse::target_failed(Ran::No),
+                },
+                Err(refusal) => {
+                    watch.refused();
+                    return refuse::gate(refusal);
                 }
-                // Late, crossed and doubled tokens fall here.
-                Ok(Event::Token { .. }) => continue,
-                Ok(Event::End(end)) if end.tokens == expected => {
-                    if end.preemptions > 0 {
-                        self.watch.preempted();
-                    }
-                    break;
-                }
-                // An end that counts more tokens than arrived is no end of a whole answer.
-                Ok(Event::End(_)) => return self.pass.finish(Outcome::Failed),
-                Err(engine::Broken) => return self.pass.finish(Outcome::Failed),
-            };
-            if caller.send(Ok(Bytes::from(out))).await.is_err() {
-                engine::cancel(&self.worker.client, self.address, self.generation).await;
-                return self.pass.finish(Outcome::Cancelled);
-            }
+            },
+            Err(response) => return response,
+        };
+        let clock = self.worker.process.clock;
+        let beat = (job.terms.silence / BEATS).clamp(BEAT.0, BEAT.1);
+        let (outlet, reply) = Outlet::open(clock, form, beat);
+        let relay = Relay {
+            worker: self.worker.clone(),
+            open: Rc::clone(&self.open),
+            lane: self.lane,
+            session: Session::open(clock.now(), job.terms, shown),
+            job,
+            attempt,
+            outlet,
+            watch,
+        };
+        ntex::rt::spawn(relay.run()).detach();
+        match reply.await {
+            Ok(reply) => respond(reply, self.open),
+            Err(_) => refuse::target_failed(Ran::Unknown),
+        }
+    }
+
+    fn job(&self, workspace: id::Workspace, completion: &Completion) -> Job {
+        let patience = Duration::from_millis(self.service.patience_ms);
+        let gap = Duration::from_millis(self.service.objective.between_tokens_ms);
+        let max_tokens = completion.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+        Job {
+            ask: Ask {
+                request: id::Request::new(rand::random()),
+                workspace,
+                class: self.service.class,
+                prompt: Tokens::new(completion.prompt.len() as u64 / BYTES_PER_TOKEN),
+                limit: Tokens::new(max_tokens),
+                prefix: 0,
+                deadline: self.worker.process.clock.now() + patience,
+                avoid: None,
+            },
+            service: self.service.name.clone(),
+            patience,
+            terms: Terms {
+                whole: self.service.delivery == Delivery::Whole || !completion.stream,
+                restarts: accepts(self.http.headers(), "restart"),
+                silence: (gap * SILENT_GAPS).clamp(SILENCE.0, SILENCE.1),
+                stall: patience,
+            },
+            start: Start {
+                generation: id::Generation::new(0),
+                prompt: completion.prompt.clone(),
+                max_tokens,
+                priority: self.service.class as u8,
+            },
         }
-        self.pass.progress(Tokens::new(expected));
-        self.pass.finish(Outcome::Whole);
-        let _ = caller.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
     }
 
-    fn piece(&self, offset: u64, text: String) -> String {
-        let answer = Answer {
-            id: smol_str::format_smolstr!("{}", self.generation),
-            object: "text_completion".into(),
-            choices: vec![Choice { index: 0, text, finish_reason: None }],
+    /// A fresh generation at the target of the pass, unless that has just been removed.
+    fn admitted(&self, job: &Job, pass: Pass) -> Option<Attempt> {
+        let target = self.service.targets.iter().find(|t| t.name == *pass.target())?;
+        let generation = id::Generation::new(rand::random());
+        Some(Attempt {
+            site: Site { address: target.address, generation, reader: job.ask.request },
+            target: target.name.clone(),
+            pass: Some(pass),
+            known: false,
+            told: false,
+            way: Transcoder::open(generation, 0, job.terms.whole),
+        })
+    }
+
+    /// The generation that the caller takes up, and whether it has seen a part of it.
+    fn resumed(&self, job: &Job) -> Result<Option<(Attempt, bool)>, HttpResponse> {
+        let headers = self.http.headers();
+        let Some(text) = headers.get(RESUME_HEADER) else { return Ok(None) };
+        let text = text.to_str().unwrap_or_default();
+        let key = &self.worker.process.key;
+        let handle = Handle::read(key, unix_s(), &job.ask.workspace, &self.service.name, text)
+            .map_err(refuse::handle)?;
+        let from = match headers.get(LAST_EVENT_HEADER).map(|v| v.to_str().unwrap_or_default()) {
+            None | Some("") => 0,
+            Some(text) => match text.parse::<Position>() {
+                Ok(last) if last.generation == handle.generation => last.offset.saturating_add(1),
+                Ok(_) => return Err(refuse::position("the last event is not of this handle")),
+                Err(error) => return Err(refuse::position(&error.to_string())),
+            },
         };
-        let event = sse::Event {
-            id: format!("{}:{offset}", self.generation),
-            name: String::new(),
-            data: serde_json::to_string(&answer).unwrap_or_default(),
+        // The text may have given the target a new address since; the generation runs at the old.
+        let generation = handle.generation;
+        log::info!(
+            request:% = job.ask.request, generation:% = generation, target:% = handle.target,
+            offset = from, version:% = self.snapshot.version;
+            "answer taken up"
+        );
+        let attempt = Attempt {
+            site: Site { address: handle.address, generation, reader: job.ask.request },
+            target: handle.target,
+            pass: None,
+            known: true,
+            told: false,
+            way: Transcoder::open(generation, from, job.terms.whole),
         };
-        let mut out = String::new();
-        event.write(&mut out);
-        out
+        Ok(Some((attempt, from > 0)))
+    }
+}
+
+/// Whether the caller says that it understands events of a kind.
+fn accepts(headers: &HeaderMap, kind: &str) -> bool {
+    let values = headers.get_all(ACCEPT_HEADER).filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).any(|word| word.trim() == kind)
+}
+
+fn respond(reply: Reply, open: Rc<Open>) -> HttpResponse {
+    let (head, mut response) = match reply {
+        Reply::Failed(problem) => return refuse::respond(&problem),
+        Reply::Stream(ref head, _) | Reply::Body(ref head, _) => (head.clone(), HttpResponse::Ok()),
+    };
+    let Head { request, handle } = head;
+    response.header(REQUEST_HEADER, request.to_string()).header(RESUME_HEADER, handle.as_str());
+    match reply {
+        Reply::Stream(_, receiver) => response
+            .content_type("text/event-stream")
+            .header("cache-control", "no-store")
+            .streaming(Body::open(receiver, open)),
+        Reply::Body(_, body) => response.content_type("application/json").body(body),
+        Reply::Failed(_) => HttpResponse::InternalServerError().finish(),
     }
 }
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -1,11 +1,15 @@
 //! What lives as long as a request: reading it, having it decided, answering it.
 
+mod auth;
+mod body;
 mod burn;
 mod completion;
 mod entries;
 mod metrics;
+mod outlet;
 mod plain;
 mod refuse;
+mod relay;
 mod status;
 
 use fireflyhoist_policy::id;
--- a/crates/daemon/src/request/plain.rs
+++ b/crates/daemon/src/request/plain.rs
@@ -20,16 +20,16 @@
     body: Bytes,
 ) -> HttpResponse {
     let _open = worker.process.enter();
-    let workspace = match crate::request::workspace(&http) {
+    let Some(snapshot) = worker.process.snapshot() else {
+        return refuse::not_ready();
+    };
+    let workspace = match crate::request::auth::workspace(&snapshot.text, &http) {
         Ok(workspace) => workspace,
-        Err(error) => return refuse::bad_request("bad-workspace", &error.to_string()),
+        Err(error) => return refuse::auth(&error),
     };
     if worker.process.is_leaving() {
         return refuse::leaving(entries::list(&worker.process, workspace.as_str()));
     }
-    let Some(snapshot) = worker.process.snapshot() else {
-        return refuse::not_found("no text is in force yet; try again when /readyz says ready");
-    };
     let service = path.0.parse().ok().and_then(|name| snapshot.text.service(&name));
     let Some(service) = service.filter(|s| s.kind == Kind::Plain) else {
         return refuse::not_found("no plain service has this name; see the operators' text");
--- a/crates/daemon/src/request/refuse.rs
+++ b/crates/daemon/src/request/refuse.rs
@@ -3,12 +3,19 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::gate::{Reason, Refusal};
+use fireflyhoist_policy::handle::HandleError;
 use fireflyhoist_wire::caller::Entries;
 use fireflyhoist_wire::problem::{Problem, Ran};
 use ntex::http::StatusCode;
+use ntex::http::header::{HeaderValue, WWW_AUTHENTICATE};
 use ntex::web::HttpResponse;
 
-fn respond(problem: &Problem) -> HttpResponse {
+use crate::request::auth::AuthError;
+
+/// When to ask an entry again that has just started; it reads the platform twice a second.
+const NOT_READY_RETRY_MS: u64 = 500;
+
+pub(crate) fn respond(problem: &Problem) -> HttpResponse {
     let status = StatusCode::from_u16(problem.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut response = HttpResponse::build(status);
     response.content_type("application/problem+json");
@@ -42,8 +49,52 @@
     respond(&problem(404, "unknown-service", detail, Ran::No))
 }
 
+/// No text is in force yet, so nothing can be served.
+pub(crate) fn not_ready() -> HttpResponse {
+    let detail = "no text is in force yet; try again when /readyz says ready";
+    let mut problem = problem(503, "not-ready", detail, Ran::No);
+    problem.retry_after_ms = Some(NOT_READY_RETRY_MS);
+    respond(&problem)
+}
+
+/// The caller may not do this.
+pub(crate) fn auth(error: &AuthError) -> HttpResponse {
+    let (status, kind) = match error {
+        AuthError::Name(_) => (400, "bad-workspace"),
+        AuthError::Key | AuthError::Missing { .. } => (401, "unauthorized"),
+        AuthError::Foreign { .. } => (403, "foreign-workspace"),
+    };
+    let mut response = respond(&problem(status, kind, &error.to_string(), Ran::No));
+    if status == 401 {
+        let challenge = HeaderValue::from_static("Bearer");
+        response.headers_mut().insert(WWW_AUTHENTICATE, challenge);
+    }
+    response
+}
+
+/// The resume handle is not taken; this entry has asked no target anything.
+pub(crate) fn handle(error: HandleError) -> HttpResponse {
+    let (status, kind) = match error {
+        HandleError::Forged => (400, "bad-handle"),
+        HandleError::Foreign => (403, "foreign-handle"),
+        HandleError::Expired => (410, "expired-handle"),
+    };
+    // The generation that the caller means did run, whatever the handle now says of it.
+    respond(&problem(status, kind, &error.to_string(), Ran::Unknown))
+}
+
+/// The `Last-Event-ID` does not fit the handle.
+pub(crate) fn position(detail: &str) -> HttpResponse {
+    respond(&problem(400, "bad-position", detail, Ran::Unknown))
+}
+
 /// The gate refused: the request has touched no target.
-pub(crate) fn gate(refusal: Refusal) -> HttpResponse {
+pub(crate) fn gate(refused: Refusal) -> HttpResponse {
+    respond(&refusal(refused, Ran::No))
+}
+
+/// What the gate's refusal says to a caller.
+pub(crate) fn refusal(refusal: Refusal, ran: Ran) -> Problem {
     let (status, detail) = match refusal.reason {
         Reason::WorkspaceLimit => (429, "the workspace is at its limit; send less or later"),
         Reason::NoTarget => (503, "no target of this service is up; try again later"),
@@ -51,9 +102,15 @@
             (503, "the service is full; try again later")
         }
     };
-    let mut problem = problem(status, &refusal.reason.to_string(), detail, Ran::No);
+    let mut problem = problem(status, &refusal.reason.to_string(), detail, ran);
     problem.retry_after_ms = Some(millis(refusal.retry_after));
-    respond(&problem)
+    problem
+}
+
+/// The answer ends unfinished.
+pub(crate) fn interrupted(ran: Ran) -> Problem {
+    let detail = "the engine was lost before the answer was complete; discard it and ask again";
+    problem(502, "interrupted", detail, ran)
 }
 
 /// This host is leaving; the caller gets the addresses to use instead.
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,112 @@
+//! A small fleet in one process: a platform, engines and daemons on loopback.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use fireflyhoist_daemon::{Daemon, Settings};
+use fireflyhoist_policy::id::Generation;
+use fireflyhoist_standin::Running;
+use fireflyhoist_standin::engine::{Engine, Pace};
+use fireflyhoist_standin::platform::Platform;
+use fireflyhoist_standin::script::Script;
+use fireflyhoist_wire::caller::Completion;
+use fireflyhoist_wire::platform::{Host, Hosts, Listen, State};
+
+/// Any free port of loopback.
+pub(crate) const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// The platform of one test.
+pub(crate) struct Fleet {
+    pub(crate) running: Running,
+    pub(crate) platform: Arc<Platform>,
+    pub(crate) hosts: Hosts,
+}
+
+impl Fleet {
+    pub(crate) fn open(text: &str) -> Self {
+        let (running, platform) = Platform::bind(ANY).expect("platform");
+        platform.publish(text);
+        Self { running, platform, hosts: Hosts { sequence: 1, hosts: Vec::new() } }
+    }
+
+    /// Starts a daemon in this process and publishes it.
+    pub(crate) async fn daemon(&mut self, name: &str) -> Daemon {
+        let daemon = Daemon::bind(settings(name, self.running.address())).await.expect("daemon");
+        let listen = Listen { http: daemon.http_address(), peer: daemon.peer_address() };
+        self.list(name, listen);
+        fireflyhoist_harness::until_ready(
+            &fireflyhoist_harness::client().await,
+            daemon.http_address(),
+        )
+        .await;
+        daemon
+    }
+
+    /// Publishes an entry host.
+    pub(crate) fn list(&mut self, name: &str, listen: Listen) {
+        self.hosts.hosts.push(Host {
+            name: name.parse().expect("name"),
+            domain: "hala-a".parse().expect("name"),
+            state: State::Live,
+            entry: Some(listen),
+            serves: Vec::new(),
+        });
+        self.hosts.sequence += 1;
+        self.platform.set_hosts(self.hosts.clone());
+    }
+}
+
+pub(crate) fn settings(name: &str, platform: SocketAddr) -> Settings {
+    let source = format!(
+        "host = \"{name}\"\ndomain = \"hala-a\"\nlisten = \"{ANY}\"\npeer_listen = \"{ANY}\"\n\
+         platform = \"{platform}\"\npeer_key = \"test\"\nworkers = 1\n"
+    );
+    Settings::parse(source.as_bytes()).expect("settings")
+}
+
+/// A text with one model service on these engines.
+///
+/// The objective of 5 ms between tokens makes 100 ms without a byte a silent link.
+pub(crate) fn text(delivery: &str, patience_ms: u64, engines: &[SocketAddr]) -> String {
+    let targets: Vec<String> = engines
+        .iter()
+        .enumerate()
+        .map(|(n, address)| {
+            format!("{{ name = \"t{n}\", host = \"m{n}\", address = \"{address}\" }}")
+        })
+        .collect();
+    format!(
+        "revision = 1\n[[service]]\nname = \"transcribe\"\ndelivery = \"{delivery}\"\n\
+         patience_ms = {patience_ms}\ntarget = [{}]\n\
+         [service.objective]\nbetween_tokens_ms = 5\n",
+        targets.join(", ")
+    )
+}
+
+/// An engine that works fast.
+pub(crate) fn engine() -> (Running, Arc<Engine>) {
+    paced(2_000)
+}
+
+/// An engine with this many microseconds from token to token.
+pub(crate) fn paced(micros: u64) -> (Running, Arc<Engine>) {
+    let pace = Pace { first: Duration::from_millis(2), between: Duration::from_micros(micros) };
+    Engine::bind(ANY, pace).expect("engine")
+}
+
+pub(crate) fn completion(prompt: &str) -> Completion {
+    Completion {
+        model: "transcribe".into(),
+        prompt: prompt.to_owned(),
+        max_tokens: None,
+        stream: true,
+    }
+}
+
+/// The answer that an engine gives to a prompt without salt.
+pub(crate) fn expected(prompt: &str) -> String {
+    Script::of(prompt, Generation::new(0), u64::MAX).text()
+}
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -2,7 +2,7 @@
 
 mod caller;
 
-pub use caller::{client, read_answer, until_ready};
+pub use caller::{Ended, Transcript, client, read_answer, until_ready};
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr};
--- /dev/null
+++ b/crates/policy/src/handle.rs
@@ -0,0 +1,118 @@
+//! Resume handles: what lets any entry go on with an answer whose entry has died.
+//!
+//! The state of a stream rides with its caller instead of being shared between entries: the
+//! handle names the engine and the generation, and a code over it shows that an entry of this
+//! fleet wrote it. See `docs/PROTOCOLS.md`, section "Resuming an answer".
+
+use std::net::SocketAddr;
+
+use derive_more::{Display, Error};
+use smol_str::SmolStr;
+
+use crate::id;
+use crate::mac::Key;
+
+/// How long a handle may be used, in seconds: the longest generation with room to spare.
+pub const LIFETIME_S: u64 = 3_600;
+
+const PURPOSE: &str = "resume";
+const SEPARATOR: char = '~';
+const FIELDS: usize = 7;
+
+/// What a handle says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Handle {
+    /// The generation.
+    pub generation: id::Generation,
+    /// The engine that runs it.
+    pub target: id::Target,
+    /// Where that engine listens.
+    pub address: SocketAddr,
+    /// The service that was asked.
+    pub service: id::Service,
+    /// Whose request it is.
+    pub workspace: id::Workspace,
+    /// Until when it may be used, in seconds since the Unix epoch.
+    pub expires_s: u64,
+}
+
+/// Why a handle is refused.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum HandleError {
+    /// It was not written by an entry of this fleet, or was changed.
+    #[display("the resume handle is not one of this fleet; pass it on exactly as received")]
+    Forged,
+    /// Its time is over.
+    #[display("the resume handle has expired; send the request anew without it")]
+    Expired,
+    /// It belongs to another service or workspace.
+    #[display("the resume handle is of another service or workspace; use that of this request")]
+    Foreign,
+}
+
+impl Handle {
+    /// The handle as text for a header.
+    pub fn write(&self, key: &Key) -> SmolStr {
+        let fields = self.fields();
+        let code = key.sign(PURPOSE, &fields.each_ref().map(SmolStr::as_str));
+        let mut out = String::with_capacity(200);
+        for field in &fields {
+            out.push_str(field);
+            out.push(SEPARATOR);
+        }
+        out.push_str(&code);
+        SmolStr::new(out)
+    }
+
+    /// Reads a handle for a request of `workspace` to `service` at `now_s` of the Unix epoch.
+    pub fn read(
+        key: &Key,
+        now_s: u64,
+        workspace: &id::Workspace,
+        service: &id::Service,
+        text: &str,
+    ) -> Result<Self, HandleError> {
+        let fields: Vec<&str> = text.split(SEPARATOR).collect();
+        let Some((code, fields)) = fields.split_last().filter(|_| fields.len() == FIELDS) else {
+            return Err(HandleError::Forged);
+        };
+        // Guards against a caller that reads another's stream by naming its generation: the code
+        // covers every field, and only entries know the key.
+        if !key.verify(PURPOSE, fields, code) {
+            return Err(HandleError::Forged);
+        }
+        let handle = Self::parse(fields).ok_or(HandleError::Forged)?;
+        if handle.workspace != *workspace || handle.service != *service {
+            return Err(HandleError::Foreign);
+        }
+        if handle.expires_s <= now_s {
+            return Err(HandleError::Expired);
+        }
+        Ok(handle)
+    }
+
+    fn fields(&self) -> [SmolStr; FIELDS - 1] {
+        [
+            smol_str::format_smolstr!("{}", self.generation),
+            self.target.as_str().into(),
+            smol_str::format_smolstr!("{}", self.address),
+            self.service.as_str().into(),
+            self.workspace.as_str().into(),
+            smol_str::format_smolstr!("{}", self.expires_s),
+        ]
+    }
+
+    fn parse(fields: &[&str]) -> Option<Self> {
+        let [generation, target, address, service, workspace, expires_s] = fields else {
+            return None;
+        };
+        Some(Self {
+            generation: generation.parse().ok()?,
+            target: target.parse().ok()?,
+            address: address.parse().ok()?,
+            service: service.parse().ok()?,
+            workspace: workspace.parse().ok()?,
+            expires_s: expires_s.parse().ok()?,
+        })
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,15 +6,19 @@
 
 pub mod burn;
 pub mod gate;
+pub mod handle;
 pub mod hedge;
 pub mod id;
 pub mod limit;
+pub mod mac;
 pub mod member;
 pub mod order;
 pub mod outlier;
 pub mod placement;
 pub mod rendezvous;
 pub mod retry;
+pub mod session;
+pub mod sink;
 pub mod time;
 pub mod unit;
 pub mod version;
--- /dev/null
+++ b/crates/policy/src/mac.rs
@@ -0,0 +1,58 @@
+//! Message authentication for what entries hand to callers and must recognise again.
+
+use derive_more::Debug;
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
+use smol_str::SmolStr;
+
+/// Bytes of a code; half of SHA-256's output is the usual truncation (RFC 2104, section 5).
+const LENGTH: usize = 16;
+
+/// The key that all daemons of one fleet share.
+#[derive(Clone, Debug)]
+#[debug("Key(..)")]
+pub struct Key(SmolStr);
+
+impl Key {
+    /// Takes the secret from the settings.
+    pub fn open(secret: &str) -> Self {
+        Self(SmolStr::new(secret))
+    }
+
+    /// The code over `parts` for one `purpose`, in hexadecimal.
+    ///
+    /// The purpose and each part's length are covered, so that a code for one kind of text never
+    /// fits another and parts cannot be shifted into one another.
+    pub fn sign(&self, purpose: &str, parts: &[&str]) -> String {
+        let bytes = self.mac(purpose, parts).finalize().into_bytes();
+        bytes[..LENGTH].iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+
+    /// Whether `code` is the code over `parts`, compared in constant time.
+    pub fn verify(&self, purpose: &str, parts: &[&str], code: &str) -> bool {
+        let Some(bytes) = decoded(code) else { return false };
+        self.mac(purpose, parts).verify_truncated_left(&bytes).is_ok()
+    }
+
+    fn mac(&self, purpose: &str, parts: &[&str]) -> Hmac<Sha256> {
+        // HMAC takes keys of any length, so this cannot fail.
+        let mut mac = <Hmac<Sha256> as Mac>::new_from_slice(self.0.as_bytes())
+            .unwrap_or_else(|_| unreachable!("HMAC takes keys of any length"));
+        for part in std::iter::once(&purpose).chain(parts) {
+            mac.update(&(part.len() as u64).to_be_bytes());
+            mac.update(part.as_bytes());
+        }
+        mac
+    }
+}
+
+fn decoded(code: &str) -> Option<[u8; LENGTH]> {
+    if code.len() != 2 * LENGTH || !code.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return None;
+    }
+    let mut bytes = [0; LENGTH];
+    for (index, byte) in bytes.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&code[2 * index..2 * index + 2], 16).ok()?;
+    }
+    Some(bytes)
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,7 +1,6 @@
 //! A stand-in model engine: generates scripted streams at a fixed pace.
 
 use std::collections::HashMap;
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,15 +9,16 @@
 use fireflyhoist_policy::gate::Report;
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::unit::Tokens;
-use fireflyhoist_wire::engine::{End, Load, Start, Token};
+use fireflyhoist_wire::engine::{End, Load, READER_HEADER, Start, Token};
 use fireflyhoist_wire::sse;
 use futures_util::stream::{self, Stream};
 use ntex::util::Bytes;
-use ntex::web::{self, HttpResponse, ServiceConfig};
+use ntex::web::{self, HttpRequest, HttpResponse, ServiceConfig};
 use parking_lot::Mutex;
 use serde::Deserialize;
 
 use crate::Running;
+use crate::fault::{Fault, Order, Switch};
 use crate::script::Script;
 use crate::serve;
 
@@ -41,8 +41,13 @@
 #[derive(Debug)]
 struct Run {
     script: Script,
+    prompt: String,
     started: Instant,
     cancelled: bool,
+    /// Who opened the stream last; a cancel by anybody else is stale.
+    reader: Option<String>,
+    /// How many tokens any link has carried.
+    carried: u64,
 }
 
 /// What the engine remembers, shared by its handlers.
@@ -50,12 +55,13 @@
 pub struct Engine {
     pace: Pace,
     runs: Mutex<HashMap<id::Generation, Run>>,
+    fault: Switch,
 }
 
 impl Engine {
     /// Listens on `listen` and serves until killed.
     pub fn bind(listen: SocketAddr, pace: Pace) -> io::Result<(Running, Arc<Self>)> {
-        let engine = Arc::new(Self { pace, runs: Mutex::default() });
+        let engine = Arc::new(Self { pace, ..Self::default() });
         let state = Arc::clone(&engine);
         let running = serve::bind(listen, move |config| routes(config, &state))?;
         Ok((running, engine))
@@ -71,11 +77,38 @@
         self.runs.lock().values().filter(|run| run.cancelled).count()
     }
 
+    /// How many generations of this prompt began.
+    pub fn started_of(&self, prompt: &str) -> usize {
+        self.runs.lock().values().filter(|run| run.prompt == prompt).count()
+    }
+
+    /// How many generations of this prompt were carried to their last token.
+    pub fn carried_of(&self, prompt: &str) -> usize {
+        let whole = |run: &&Run| run.prompt == prompt && run.carried == run.script.len();
+        self.runs.lock().values().filter(whole).count()
+    }
+
+    /// The most tokens of any generation that were carried.
+    pub fn carried_max(&self) -> u64 {
+        self.runs.lock().values().map(|run| run.carried).max().unwrap_or(0)
+    }
+
+    /// Switches a fault on or off.
+    pub fn set_fault(&self, order: Option<Order>) {
+        if order.is_some_and(|order| order.fault == Fault::Forget) {
+            return self.runs.lock().clear();
+        }
+        self.fault.set(order);
+    }
+
     /// Tokens of a run that are ready, or `None` where the run is unknown or cancelled.
     fn ready(&self, generation: id::Generation) -> Option<u64> {
         let runs = self.runs.lock();
         let run = runs.get(&generation).filter(|run| !run.cancelled)?;
-        let elapsed = run.started.elapsed();
+        let mut elapsed = run.started.elapsed();
+        if let Some(Fault::Slow { by }) = self.fault.on() {
+            elapsed /= by.max(1);
+        }
         if elapsed < self.pace.first {
             return Some(0);
         }
@@ -83,21 +116,57 @@
         Some((steps as u64 + 1).min(run.script.len()))
     }
 
-    /// The events from `offset` on that are ready, and whether the last is among them.
-    fn events(&self, generation: id::Generation, offset: u64) -> Option<(String, u64, bool)> {
-        let ready = self.ready(generation)?;
-        let runs = self.runs.lock();
-        let script = &runs.get(&generation)?.script;
+    /// What a link that has carried everything before `offset` carries next.
+    fn next(&self, generation: id::Generation, offset: u64) -> Option<Piece> {
+        let mut ready = self.ready(generation)?;
+        let fault = self.fault.on();
+        let mut withheld = false;
+        if let Some(Fault::Cut { at } | Fault::Silent { at } | Fault::Stall { at }) = fault {
+            if offset >= at && fault != Some(Fault::Stall { at }) {
+                let strike = self.fault.strikes(|on| Some(on) == fault);
+                return Some(if strike == Some(Fault::Cut { at }) {
+                    Piece::Cut
+                } else {
+                    Piece::Silent
+                });
+            }
+            withheld = ready >= at;
+            ready = ready.min(at.max(offset));
+        }
+        let mut runs = self.runs.lock();
+        let run = runs.get_mut(&generation)?;
         let mut out = String::new();
         for at in offset..ready {
-            event(&at.to_string(), "", &Token { text: script.token(at) }).write(&mut out);
+            self.lie(&mut out, &run.script, at);
+            event(&at.to_string(), "", &Token { text: run.script.token(at) }).write(&mut out);
         }
-        let ended = ready == script.len();
+        run.carried = run.carried.max(ready);
+        let ended = ready == run.script.len() && !withheld;
         if ended {
             event("", "end", &End { reason: "stop".into(), tokens: ready, preemptions: 0 })
                 .write(&mut out);
         }
-        Some((out, ready.max(offset), ended))
+        Some(Piece::Bytes { out, next: ready.max(offset), ended })
+    }
+
+    /// Mixes in what does not belong before the token at `at`.
+    fn lie(&self, out: &mut String, script: &Script, at: u64) {
+        match self.fault.on() {
+            Some(Fault::Lie { at: from }) if at >= from => {
+                let late = at.saturating_sub(1);
+                let mut mix = |id: String, text: String| {
+                    event(&id, "", &Token { text }).write(out);
+                };
+                mix(late.to_string(), script.token(late));
+                mix((at + 7).to_string(), script.token(at + 7));
+                mix(format!("{}:{at}", id::Generation::new(7)), "crossed".to_owned());
+            }
+            Some(Fault::EndEarly { at: from }) if at >= from => {
+                event("", "end", &End { reason: "stop".into(), tokens: at - 1, preemptions: 0 })
+                    .write(out);
+            }
+            _ => {}
+        }
     }
 
     fn load(&self) -> Load {
@@ -117,19 +186,32 @@
     sse::Event { id: id.to_owned(), name: name.to_owned(), data }
 }
 
+/// What a link carries next.
+enum Piece {
+    Bytes { out: String, next: u64, ended: bool },
+    Cut,
+    Silent,
+}
+
 fn tokens(
     engine: Arc<Engine>,
     generation: id::Generation,
     from: u64,
-) -> impl Stream<Item = Result<Bytes, Infallible>> {
+) -> impl Stream<Item = io::Result<Bytes>> {
     stream::unfold((engine, from, false), move |(engine, offset, ended)| async move {
         if ended {
             return None;
         }
         loop {
-            let (out, next, ended) = engine.events(generation, offset)?;
-            if !out.is_empty() {
-                return Some((Ok(Bytes::from(out)), (engine, next, ended)));
+            match engine.next(generation, offset)? {
+                Piece::Bytes { out, next, ended } if !out.is_empty() => {
+                    return Some((Ok(Bytes::from(out)), (engine, next, ended)));
+                }
+                Piece::Bytes { .. } => {}
+                Piece::Cut => {
+                    return Some((Err(io::ErrorKind::BrokenPipe.into()), (engine, 0, true)));
+                }
+                Piece::Silent => std::future::pending().await,
             }
             let nap = engine.pace.between.max(Duration::from_millis(1));
             ntex::time::sleep(nap).await;
@@ -143,28 +225,52 @@
     from: u64,
 }
 
+fn reader(http: &HttpRequest) -> Option<String> {
+    Some(http.headers().get(READER_HEADER)?.to_str().ok()?.to_owned())
+}
+
 async fn start(
     engine: web::types::State<Arc<Engine>>,
+    http: HttpRequest,
     body: web::types::Json<Start>,
 ) -> HttpResponse {
+    if engine.fault.strikes(|on| on == Fault::Refuse).is_some() {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
     let start = body.into_inner();
-    let script = Script::of(&start.prompt, start.generation, start.max_tokens);
-    engine.runs.lock().entry(start.generation).or_insert_with(|| Run {
-        script,
-        started: Instant::now(),
-        cancelled: false,
-    });
-    answer(Arc::clone(&engine), start.generation, 0)
+    let generation = start.generation;
+    let script = Script::of(&start.prompt, generation, start.max_tokens);
+    engine
+        .runs
+        .lock()
+        .entry(generation)
+        .or_insert_with(|| Run {
+            script,
+            prompt: start.prompt,
+            started: Instant::now(),
+            cancelled: false,
+            reader: None,
+            carried: 0,
+        })
+        .reader = reader(&http);
+    if engine.fault.strikes(|on| on == Fault::LoseReply).is_some() {
+        std::future::pending::<()>().await;
+    }
+    answer(Arc::clone(&engine), generation, 0)
 }
 
 async fn resume(
     engine: web::types::State<Arc<Engine>>,
+    http: HttpRequest,
     path: web::types::Path<id::Generation>,
     query: web::types::Query<From>,
 ) -> HttpResponse {
     if engine.ready(*path).is_none() {
         return HttpResponse::NotFound().finish();
     }
+    if let Some(run) = engine.runs.lock().get_mut(&*path) {
+        run.reader = reader(&http);
+    }
     answer(Arc::clone(&engine), *path, query.from)
 }
 
@@ -176,14 +282,24 @@
 
 async fn cancel(
     engine: web::types::State<Arc<Engine>>,
+    http: HttpRequest,
     path: web::types::Path<id::Generation>,
 ) -> HttpResponse {
+    let reader = reader(&http);
     if let Some(run) = engine.runs.lock().get_mut(&*path) {
-        run.cancelled = true;
+        run.cancelled |= reader.is_none() || reader == run.reader;
     }
     HttpResponse::NoContent().finish()
 }
 
+async fn fault(
+    engine: web::types::State<Arc<Engine>>,
+    order: web::types::Json<Option<Order>>,
+) -> HttpResponse {
+    engine.set_fault(order.into_inner());
+    HttpResponse::NoContent().finish()
+}
+
 async fn load(engine: web::types::State<Arc<Engine>>) -> HttpResponse {
     HttpResponse::Ok().json(&engine.load())
 }
@@ -195,5 +311,6 @@
         .route("/v1/streams", web::post().to(start))
         .route("/v1/streams/{generation}", web::get().to(resume))
         .route("/v1/streams/{generation}", web::delete().to(cancel))
-        .route("/v1/load", web::get().to(load));
+        .route("/v1/load", web::get().to(load))
+        .route("/fault", web::put().to(fault));
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod batch;
 pub mod engine;
+pub mod fault;
 pub mod fleet;
 pub mod order;
 pub mod plain;
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -10,6 +10,20 @@
 pub const WORKSPACE_HEADER: &str = "fireflyhoist-workspace";
 /// The response header that repeats the request id of the entry's log lines.
 pub const REQUEST_HEADER: &str = "fireflyhoist-request";
+/// Carries a resume handle: in the response of the entry, and in the request that resumes.
+pub const RESUME_HEADER: &str = "fireflyhoist-resume";
+/// With the value `restart`, tells the entry that the caller understands `restart` events.
+pub const ACCEPT_HEADER: &str = "fireflyhoist-accept";
+/// Names the last event that the caller received, as `GENERATION:OFFSET`.
+pub const LAST_EVENT_HEADER: &str = "last-event-id";
+/// The event that carries the resume handle of the generation that now answers.
+pub const RESUME_EVENT: &str = "resume";
+/// The event after which a caller discards what it has received.
+pub const RESTART_EVENT: &str = "restart";
+/// The event that ends an answer unfinished; its data are problem details.
+pub const ERROR_EVENT: &str = "error";
+/// The data of the event that ends a whole answer.
+pub const DONE: &str = "[DONE]";
 
 /// The body of `POST /v1/completions`.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod problem;
 pub mod sse;
 pub mod status;
+pub mod transcode;
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -32,6 +32,17 @@
 /// The comment that keeps a silent stream visibly alive.
 pub const KEEP_ALIVE: &str = ": keep-alive\n\n";
 
+/// One event as it lies in the receive buffer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct View<'a> {
+    /// The `id` field; empty where absent.
+    pub id: &'a str,
+    /// The `event` field; empty where absent.
+    pub name: &'a str,
+    /// The first `data` field.
+    pub data: &'a str,
+}
+
 /// Takes a byte stream apart into events.
 ///
 /// An event may arrive in any number of pieces. Comments are skipped. Bytes of an unfinished event
@@ -55,37 +66,79 @@
 
     /// Takes in bytes and returns the events that they complete.
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<Event>, StreamError> {
-        self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
-        let mut start = 0;
-        while let Some(end) = blank_line(&self.buffer[start..]) {
-            let block = &self.buffer[start..start + end];
-            let text = std::str::from_utf8(block).map_err(|_| StreamError)?;
-            events.extend(parse(text));
-            start += end + 2;
+        self.blocks(bytes, |block| events.extend(parse(block)))?;
+        Ok(events)
+    }
+
+    /// Takes in bytes and shows each event that they complete, without copying it.
+    ///
+    /// For streams whose events hold a single line of data, as those of engines do.
+    pub fn each(&mut self, bytes: &[u8], mut see: impl FnMut(View<'_>)) -> Result<(), StreamError> {
+        self.blocks(bytes, |block| {
+            if let Some(view) = view(block) {
+                see(view);
+            }
+        })
+    }
+
+    fn blocks(&mut self, bytes: &[u8], mut see: impl FnMut(&str)) -> Result<(), StreamError> {
+        if self.buffer.is_empty() {
+            // The usual case: whole events in one read, which are looked at where they lie.
+            let taken = blocks(bytes, &mut see)?;
+            self.buffer.extend_from_slice(&bytes[taken..]);
+        } else {
+            self.buffer.extend_from_slice(bytes);
+            let taken = blocks(&self.buffer, &mut see)?;
+            self.buffer.drain(..taken);
         }
-        self.buffer.drain(..start);
         if self.buffer.len() > self.limit {
             return Err(StreamError);
         }
-        Ok(events)
+        Ok(())
+    }
+}
+
+/// Shows each finished block and returns how many bytes they took.
+fn blocks(bytes: &[u8], see: &mut impl FnMut(&str)) -> Result<usize, StreamError> {
+    let mut start = 0;
+    for end in memchr::memmem::find_iter(bytes, b"\n\n") {
+        // Three line ends in a row are found twice; the second has already been taken.
+        if end < start {
+            continue;
+        }
+        see(std::str::from_utf8(&bytes[start..end]).map_err(|_| StreamError)?);
+        start = end + 2;
     }
+    Ok(start)
 }
 
-fn blank_line(bytes: &[u8]) -> Option<usize> {
-    bytes.windows(2).position(|pair| pair == b"\n\n")
+fn field(line: &str) -> (&str, &str) {
+    let (field, value) = line.split_once(':').unwrap_or((line, ""));
+    (field, value.strip_prefix(' ').unwrap_or(value))
+}
+
+fn view(block: &str) -> Option<View<'_>> {
+    let mut view = View::default();
+    for line in block.split('\n') {
+        match field(line) {
+            ("id", value) => view.id = value,
+            ("event", value) => view.name = value,
+            ("data", value) => view.data = value,
+            _ => {}
+        }
+    }
+    (!view.data.is_empty() || !view.name.is_empty()).then_some(view)
 }
 
 fn parse(block: &str) -> Option<Event> {
     let mut event = Event::default();
     let mut seen = false;
     for line in block.lines() {
-        let (field, value) = line.split_once(':').unwrap_or((line, ""));
-        let value = value.strip_prefix(' ').unwrap_or(value);
-        match field {
-            "id" => value.clone_into(&mut event.id),
-            "event" => value.clone_into(&mut event.name),
-            "data" => {
+        match field(line) {
+            ("id", value) => value.clone_into(&mut event.id),
+            ("event", value) => value.clone_into(&mut event.name),
+            ("data", value) => {
                 if seen {
                     event.data.push('\n');
                 }
