Order engines from the daemons that are their stewards

Cause: the decisions on orders were carried out by nobody.

Changed: a task of each daemon reads the engines that it is the steward of and orders what the version in force wants, rolled and paced; the stand-in engine takes orders over HTTP, with orders lost, doubled and late as faults. The text's Role is now the one of the policy crate; it stood twice.

Not done: promises have no transport between daemons yet, so engines that ignore fencing numbers get no orders, and the log says so. Stewards are chosen among the live entries of the published list, not of the membership.

--- a/crates/daemon/src/connection/mod.rs
+++ b/crates/daemon/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod engine;
 pub(crate) mod load;
+pub(crate) mod order;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod log;
 pub(crate) mod metrics;
 pub(crate) mod settings;
+pub(crate) mod steward;
 
 use std::collections::HashMap;
 use std::io;
@@ -246,7 +247,8 @@
         let client = crate::connection::client().await.ok_or(StartError::Client)?;
         let worker = Worker { process: Arc::clone(&process), client };
         ntex::rt::spawn(watch::run(worker.clone())).detach();
-        ntex::rt::spawn(load::run(worker)).detach();
+        ntex::rt::spawn(load::run(worker.clone())).detach();
+        ntex::rt::spawn(steward::run(worker)).detach();
         ntex::rt::spawn(tick(Arc::clone(&process))).detach();
         let server = serve(&process, listener)
             .map_err(|reason| StartError::Listen { address: http, reason })?;
--- a/crates/daemon/src/version/mod.rs
+++ b/crates/daemon/src/version/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as a version of the text is in force.
 
 mod listed;
+pub(crate) mod wanted;
 pub(crate) mod watch;
 
 use fireflyhoist_text::{Text, Version};
--- /dev/null
+++ b/crates/daemon/src/version/wanted.rs
@@ -0,0 +1,52 @@
+//! What the version in force wants of each engine.
+
+use std::net::SocketAddr;
+
+use fireflyhoist_policy::id;
+use fireflyhoist_policy::order::wanted::{self, Declared, Fencing, Setup};
+use fireflyhoist_policy::unit::Bytes;
+use fireflyhoist_text::{Kind, Model, Service, Target, Text};
+use fireflyhoist_wire::platform::{Hosts, State};
+
+/// Bytes of a gibibyte.
+pub(crate) const GIB: u64 = 1 << 30;
+
+/// The engines that are to be ordered: those of services that name a model of the text, on hosts
+/// that are not listed as leaving.
+///
+/// A host that is not listed at all may run its engine elsewhere than on this platform, so only
+/// "leaving" keeps an engine out, as it does for requests.
+pub(crate) fn engines(text: &Text, hosts: &Hosts) -> Vec<Declared> {
+    let models = text.services.iter().filter(|service| service.kind == Kind::Model);
+    let declared = models.flat_map(|service| {
+        let model = service.model.as_ref().and_then(|name| text.model(name));
+        model.into_iter().flat_map(move |model| {
+            service.targets.iter().map(move |target| declared(service, target, model))
+        })
+    });
+    let leaving =
+        |host: &id::Host| hosts.hosts.iter().any(|h| h.name == *host && h.state == State::Leaving);
+    wanted::engines(declared, |host| !leaving(host))
+}
+
+fn declared(service: &Service, target: &Target, model: &Model) -> Declared {
+    Declared {
+        target: target.name.clone(),
+        host: target.host.clone(),
+        service: service.name.clone(),
+        setup: Setup {
+            model: model.name.clone(),
+            version: model.version.clone(),
+            adapters: model.adapters.clone(),
+            role: target.role,
+        },
+        fencing: if service.checks_fence { Fencing::Checked } else { Fencing::Ignored },
+        weights: Bytes::new(u64::from(model.weights_gib) * GIB),
+    }
+}
+
+/// Where a target of the text listens.
+pub(crate) fn address(text: &Text, engine: &Declared) -> Option<SocketAddr> {
+    let service = text.service(&engine.service)?;
+    service.targets.iter().find(|target| target.name == engine.target).map(|t| t.address)
+}
--- a/crates/policy/src/order/wanted.rs
+++ b/crates/policy/src/order/wanted.rs
@@ -8,13 +8,26 @@
 use crate::unit::Bytes;
 
 /// What an engine does for its model.
-#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+)]
 #[serde(rename_all = "snake_case")]
 pub enum Role {
     /// Prompts and answers.
     #[default]
-    #[display("mixed")]
-    Mixed,
+    #[display("both")]
+    Both,
     /// Prompts only.
     #[display("prefill")]
     Prefill,
--- a/crates/policy/src/version/mod.rs
+++ b/crates/policy/src/version/mod.rs
@@ -41,6 +41,11 @@
         self.revision
     }
 
+    /// SHA-256 of the text as published.
+    pub fn digest(&self) -> &[u8] {
+        &self.digest
+    }
+
     /// The short form that heartbeats carry.
     pub fn stamp(&self) -> Stamp {
         let mut prefix = [0; 8];
--- a/crates/policy/tests/order_plan.rs
+++ b/crates/policy/tests/order_plan.rs
@@ -38,7 +38,7 @@
             model: "scribe".parse().expect("a name"),
             version: "7".into(),
             adapters,
-            role: Role::Mixed,
+            role: Role::Both,
         },
         fencing: Fencing::Checked,
         weights: Bytes::new(1 << 30),
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -19,6 +19,7 @@
 
 use crate::Running;
 use crate::fault::{Fault, Order, Switch};
+use crate::order::{self, Desk};
 use crate::script::Script;
 use crate::serve;
 
@@ -56,6 +57,7 @@
     pace: Pace,
     runs: Mutex<HashMap<id::Generation, Run>>,
     fault: Switch,
+    orders: Arc<Desk>,
 }
 
 impl Engine {
@@ -67,6 +69,11 @@
         Ok((running, engine))
     }
 
+    /// What it was ordered to hold.
+    pub fn orders(&self) -> &Desk {
+        &self.orders
+    }
+
     /// How many generations began.
     pub fn started(&self) -> usize {
         self.runs.lock().len()
@@ -305,6 +312,7 @@
 }
 
 fn routes(config: &mut ServiceConfig, engine: &Arc<Engine>) {
+    order::routes(config, &engine.orders);
     config
         .state(Arc::clone(engine))
         .state(web::types::JsonConfig::default().limit(1 << 20))
--- a/crates/standin/tests/order_weighing.rs
+++ b/crates/standin/tests/order_weighing.rs
@@ -75,7 +75,7 @@
 
 fn setup(version: u64) -> Setup {
     let model = "scribe".parse().expect("a name");
-    Setup { model, version: format!("{version:06}").into(), adapters: vec![], role: Role::Mixed }
+    Setup { model, version: format!("{version:06}").into(), adapters: vec![], role: Role::Both }
 }
 
 fn engine() -> Target {
--- a/crates/standin/tests/orders.rs
+++ b/crates/standin/tests/orders.rs
@@ -17,7 +17,7 @@
 
 fn setup(version: u64) -> Setup {
     let model = "scribe".parse().expect("a name");
-    Setup { model, version: format!("{version}").into(), adapters: vec![], role: Role::Mixed }
+    Setup { model, version: format!("{version}").into(), adapters: vec![], role: Role::Both }
 }
 
 /// What a steward of `version` orders after it read `observed`.
--- a/crates/text/src/model.rs
+++ b/crates/text/src/model.rs
@@ -8,6 +8,7 @@
 use fireflyhoist_policy::burn;
 use fireflyhoist_policy::gate::Class;
 use fireflyhoist_policy::id;
+pub use fireflyhoist_policy::order::wanted::Role;
 use fireflyhoist_policy::unit::{TokenRate, Tokens};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -41,24 +42,6 @@
     Live,
 }
 
-/// What part of a generation an engine does.
-#[derive(
-    Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
-)]
-#[serde(rename_all = "snake_case")]
-pub enum Role {
-    /// Both prefill and decode.
-    #[default]
-    #[display("both")]
-    Both,
-    /// It reads prompts.
-    #[display("prefill")]
-    Prefill,
-    /// It generates.
-    #[display("decode")]
-    Decode,
-}
-
 /// Where a service's targets come from when the text does not list them.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod engine;
+pub mod order;
 pub mod peer;
 pub mod platform;
 pub mod problem;
