Let the stand-in engine batch in a memory that fills

Change: `standin batching` steps the pure batch model in real time and serves its streams; load reports, the end event's preemptions and cancels follow the batch.

Ruled out: a second memory model for the HTTP engine; the load patterns and the processes now share one.

--- a/crates/standin/src/batch.rs
+++ b/crates/standin/src/batch.rs
@@ -204,6 +204,12 @@
         ids
     }
 
+    /// Tokens that a stream has produced so far, while the engine holds it.
+    pub fn produced(&self, id: u64) -> Option<u64> {
+        let held = self.running.iter().chain(&self.waiting);
+        held.filter(|s| s.job.id == id).map(|s| s.produced).next()
+    }
+
     /// Whether a step would do anything.
     pub fn is_idle(&self) -> bool {
         self.running.is_empty() && self.waiting.is_empty()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each speaks the real protocol over HTTP, and none is more than its tests need.
 
 pub mod batch;
+mod batching;
 pub mod engine;
 pub mod fault;
 pub mod fleet;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
+use fireflyhoist_standin::batch::Shape;
 use fireflyhoist_standin::engine::{Engine, Pace};
 use fireflyhoist_standin::plain::Plain;
 use fireflyhoist_standin::platform::Platform;
@@ -27,6 +28,19 @@
         #[bpaf(argument("US"), fallback(2000))]
         between_us: u64,
     },
+    /// A model engine that batches continuously in a memory of limited size.
+    #[bpaf(command)]
+    Batching {
+        /// Where to listen; port 0 lets the system choose.
+        #[bpaf(argument("IP:PORT"))]
+        listen: SocketAddr,
+        /// Tokens that its memory holds.
+        #[bpaf(argument("TOKENS"), fallback(64_000))]
+        memory: u64,
+        /// Microseconds of a step without work.
+        #[bpaf(argument("US"), fallback(14_000))]
+        step_us: u64,
+    },
     /// A plain service that echoes.
     #[bpaf(command)]
     Plain {
@@ -61,6 +75,10 @@
             let between = Duration::from_micros(between_us);
             Engine::bind(listen, Pace { first, between })?.0
         }
+        Role::Batching { listen, memory, step_us } => {
+            let shape = Shape { memory, base: step_us as f64, ..Shape::default() };
+            Engine::bind_batching(listen, shape)?.0
+        }
         Role::Plain { listen } => Plain::bind(listen)?.0,
         Role::Platform { listen } => Platform::bind(listen)?.0,
     };
