--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,12 +3,15 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use bpaf::Bpaf;
+use bpaf::{Args, Bpaf, ParseFailure};
 use fireflyhoist_daemon::{Daemon, Settings};
 
 /// Exit code of a wrong command line or settings file.
 const USAGE: u8 = 2;
 
+/// The widest help text in columns.
+const HELP_WIDTH: usize = 100;
+
 /// Serves callers on this host until SIGTERM.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
@@ -20,7 +23,10 @@
 
 #[ntex::main]
 async fn main() -> ExitCode {
-    let flags = flags().run();
+    let flags = match flags().run_inner(Args::current_args()) {
+        Ok(flags) => flags,
+        Err(failure) => return explained(&failure),
+    };
     let settings = match Settings::open(&flags.settings) {
         Ok(settings) => settings,
         Err(error) => {
@@ -40,3 +46,12 @@
         }
     }
 }
+
+/// Prints help, version, completions or what is wrong with the command line.
+fn explained(failure: &ParseFailure) -> ExitCode {
+    failure.print_message(HELP_WIDTH);
+    match failure {
+        ParseFailure::Stderr(_) => ExitCode::from(USAGE),
+        _ => ExitCode::SUCCESS,
+    }
+}
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -71,3 +71,9 @@
     assert!(stderr.contains("no-such-file.toml: cannot be read"), "{stderr}");
     assert_eq!(stderr.lines().count(), 1, "{stderr}");
 }
+
+#[test]
+fn a_wrong_command_line_ends_with_code_two() {
+    let (code, stderr) = start(&["--setings", "x"]);
+    assert_eq!(code, Some(2), "{stderr}");
+}
