Hold workspaces to their limits over all entries, and prompts to their prefix

Cause: max_streams and tokens_per_second of the text bound nothing, and the gate was told no prefix, so prompts that begin alike could not meet.

The relay notes what an answer draws. The prefix is a hash of the prompt's first 256 bytes.

Ruled out: limits in the gates, since a workspace's limit spans services and each gate serves one.

With the whole prompt hashed, prompts_that_begin_alike_share_a_prefix fails.

Not counted: an answer taken up at another entry by its resume handle.

--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod burn;
 pub(crate) mod clock;
 pub(crate) mod lane;
+pub(crate) mod limits;
 pub(crate) mod log;
 pub(crate) mod metrics;
 pub(crate) mod settings;
@@ -29,6 +30,7 @@
 use crate::process::burn::Recorder;
 use crate::process::clock::Clock;
 use crate::process::lane::Lane;
+use crate::process::limits::Limits;
 use crate::process::metrics::Metrics;
 use crate::process::settings::Settings;
 use crate::request;
@@ -68,6 +70,7 @@
     snapshot: RwLock<Option<Arc<Snapshot>>>,
     hosts: RwLock<Arc<Hosts>>,
     lanes: RwLock<HashMap<id::Service, Arc<Lane>>>,
+    pub(crate) limits: Arc<Limits>,
     burn: Arc<Recorder>,
     refused: RwLock<Option<String>>,
     leaving: AtomicBool,
@@ -81,6 +84,7 @@
             key: Key::open(&settings.peer_key),
             settings,
             clock,
+            limits: Limits::open(clock),
             burn: Arc::new(Recorder::open(clock, metrics)),
             refused: RwLock::default(),
             snapshot: RwLock::default(),
@@ -167,6 +171,7 @@
     fn refresh_lanes(&self) {
         let Some(snapshot) = self.snapshot() else { return };
         let hosts = self.hosts();
+        self.limits.set(&snapshot.text, &hosts, &self.settings.host);
         let leaving = |host: &id::Host| {
             hosts.hosts.iter().any(|h| h.name == *host && h.state == State::Leaving)
         };
--- a/crates/daemon/src/request/completion.rs
+++ b/crates/daemon/src/request/completion.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fireflyhoist_policy::gate::Ask;
+use fireflyhoist_policy::gate::{Ask, Refusal};
 use fireflyhoist_policy::handle::Handle;
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::placement;
 use fireflyhoist_policy::session::{Session, Terms};
 use fireflyhoist_policy::sink::Position;
 use fireflyhoist_policy::unit::Tokens;
@@ -23,6 +24,7 @@
 use crate::connection::engine::Site;
 use crate::process::clock::unix_s;
 use crate::process::lane::{Lane, Pass};
+use crate::process::limits::Permit;
 use crate::process::{Open, Worker};
 use crate::request::body::Body;
 use crate::request::outlet::{Form, Head, Outlet, Reply};
@@ -93,11 +95,12 @@
         let form =
             Form { stream: completion.stream, resumes: accepts(self.http.headers(), "resume") };
         let watch = self.worker.process.burn().watch(self.service);
-        let (attempt, shown) = match self.resumed(&job) {
-            Ok(Some(resumed)) => resumed,
-            Ok(None) => match self.lane.admit(job.ask.clone()).await {
-                Ok(pass) => match self.admitted(&job, pass) {
-                    Some(attempt) => (attempt, false),
+        let (attempt, shown, permit) = match self.resumed(&job) {
+            // What runs already was admitted where it began.
+            Ok(Some((attempt, shown))) => (attempt, shown, None),
+            Ok(None) => match self.admit(&job).await {
+                Ok((pass, permit)) => match self.admitted(&job, pass) {
+                    Some(attempt) => (attempt, false, Some(permit)),
                     None => return refuse::target_failed(Ran::No),
                 },
                 Err(refusal) => {
@@ -119,6 +122,7 @@
             attempt,
             outlet,
             watch,
+            permit,
         };
         ntex::rt::spawn(relay.run()).detach();
         match reply.await {
@@ -127,6 +131,13 @@
         }
     }
 
+    /// Leave of the workspace's limits, which no target is needed for, and then of the gate.
+    async fn admit(&self, job: &Job) -> Result<(Pass, Permit), Refusal> {
+        let permit = self.worker.process.limits.admit(&job.ask.workspace)?;
+        let pass = self.lane.admit(job.ask.clone()).await?;
+        Ok((pass, permit))
+    }
+
     fn job(&self, workspace: id::Workspace, completion: &Completion) -> Job {
         let patience = Duration::from_millis(self.service.patience_ms);
         let gap = Duration::from_millis(self.service.objective.between_tokens_ms);
@@ -138,7 +149,7 @@
                 class: self.service.class,
                 prompt: Tokens::new(completion.prompt.len() as u64 / BYTES_PER_TOKEN),
                 limit: Tokens::new(max_tokens),
-                prefix: 0,
+                prefix: placement::prefix(&completion.prompt),
                 deadline: self.worker.process.clock.now() + patience,
                 avoid: None,
             },
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -21,6 +21,7 @@
 use crate::connection::engine::{self, Link, Site};
 use crate::process::burn::Watch;
 use crate::process::lane::{Lane, Pass};
+use crate::process::limits::Permit;
 use crate::process::{Open, Worker};
 use crate::request::outlet::{Gone, Head, Outlet};
 use crate::request::refuse;
@@ -76,6 +77,8 @@
     pub(crate) attempt: Attempt,
     pub(crate) outlet: Outlet,
     pub(crate) watch: Watch,
+    /// Absent where the generation was admitted by another entry.
+    pub(crate) permit: Option<Permit>,
 }
 
 /// Why a stream stopped before its end.
@@ -191,6 +194,9 @@
             }
             if progress.ended || produced >= noted + PROGRESS_EVERY {
                 noted = produced;
+                if let Some(permit) = &mut self.permit {
+                    permit.spend(produced);
+                }
                 if let Some(pass) = &self.attempt.pass {
                     pass.progress(Tokens::new(produced));
                 }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -51,6 +51,16 @@
     }
 }
 
+/// Bytes of a prompt that count as its beginning: longer than a greeting, shorter than the
+/// instructions that the pages of one archive share.
+const PREFIX_BYTES: usize = 256;
+
+/// The prefix of a prompt; never [`NO_PREFIX`].
+pub fn prefix(prompt: &str) -> u64 {
+    let bytes = prompt.as_bytes();
+    xxh3_64(&bytes[..bytes.len().min(PREFIX_BYTES)]).max(NO_PREFIX + 1)
+}
+
 /// The hash of a target's name that [`choose`] ranks by.
 pub fn key(target: &id::Target) -> u64 {
     xxh3_64(target.as_str().as_bytes())
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -1,6 +1,6 @@
 //! Placement under a hot prefix, lagging load figures and ejected targets.
 
-use fireflyhoist_policy::placement::{Candidate, NO_PREFIX, choose};
+use fireflyhoist_policy::placement::{Candidate, NO_PREFIX, choose, prefix};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -60,8 +60,8 @@
     let mut rng = rng();
     let mut sent = [0; 4];
     for _ in 0..1000 {
-        let prefix = rng.random();
-        sent[choose(&mut rng, prefix, &candidates).expect("a target")] += 1;
+        let random = rng.random();
+        sent[choose(&mut rng, random, &candidates).expect("a target")] += 1;
     }
     assert_eq!(sent[0], 0);
     assert!(sent[1] < sent[2] / 2 && sent[1] < sent[3] / 2, "{sent:?}");
@@ -72,3 +72,14 @@
     assert_eq!(choose(&mut rng(), 1, &[]), None);
     assert_eq!(choose(&mut rng(), 1, &[Candidate { key: 1, load: 0.0, weight: 0.0 }]), None);
 }
+
+/// Pages of one archive differ only after their common instructions; each must count as the same
+/// beginning, or every page would go to a cold cache.
+#[test]
+fn prompts_that_begin_alike_share_a_prefix() {
+    let instructions = "Transcribe the manifest line by line. ".repeat(10);
+    let page = |n: u32| prefix(&format!("{instructions} page {n}"));
+    assert_eq!(page(1), page(2));
+    assert_ne!(page(1), prefix("Draft the roster of next week."));
+    assert_ne!(prefix(""), NO_PREFIX);
+}
