Bound the revision, tell why a target is out, follow publications cheaply

A text with the largest revision would have come into force, and nothing could ever have followed it; engines could not even be ordered. The bound is that of fencing numbers. Key digests in capitals were taken but matched no key, and two cases of one digest did not count as a duplicate.

submit asked every member for its whole status twice a second.

The detector of slow targets keeps the cause of an ejection for operators.

--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -11,6 +11,7 @@
 mod refuse;
 mod relay;
 mod status;
+mod version;
 
 use fireflyhoist_policy::id;
 use fireflyhoist_wire::caller::WORKSPACE_HEADER;
@@ -32,6 +33,7 @@
         .route("/readyz", web::get().to(readyz))
         .route("/metrics", web::get().to(metrics::get))
         .route("/v1/status", web::get().to(status::get))
+        .route("/v1/version", web::get().to(version::get))
         .route("/v1/burn", web::get().to(burn::get))
         .route("/v1/entries", web::get().to(entries::get))
         .route("/v1/completions", web::post().to(completion::post))
--- a/crates/policy/src/outlier.rs
+++ b/crates/policy/src/outlier.rs
@@ -19,6 +19,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use derive_more::Display;
+
 use crate::id;
 use crate::time::Time;
 
@@ -60,6 +62,26 @@
     Failed,
 }
 
+/// Why a target was ejected, for operators.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Cause {
+    /// It answers far more slowly than its peers.
+    #[display("slower than its peers")]
+    Slow,
+    /// Calls to it fail one after another.
+    #[display("its calls fail")]
+    Failing,
+}
+
+/// A target that is out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ejection {
+    /// Why.
+    pub cause: Cause,
+    /// When it is tried again.
+    pub until: Time,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Track {
     latency: f64,
@@ -67,6 +89,7 @@
     failures: u32,
     slow_since: Option<Time>,
     out_until: Option<Time>,
+    cause: Option<Cause>,
     ejections: u32,
 }
 
@@ -93,7 +116,7 @@
         }
     }
 
-    fn eject(&mut self, now: Time) {
+    fn eject(&mut self, now: Time, cause: Cause) {
         let last_end = self.out_until.unwrap_or(Time::ZERO);
         if now.since(last_end) > FORGIVEN {
             self.ejections = 0;
@@ -101,7 +124,12 @@
         let span = EJECTION * 2u32.saturating_pow(self.ejections.min(8));
         let ejections = self.ejections + 1;
         // What was measured before says nothing of the target that returns.
-        *self = Self { out_until: Some(now + span.min(LONGEST)), ejections, ..Self::default() };
+        *self = Self {
+            out_until: Some(now + span.min(LONGEST)),
+            cause: Some(cause),
+            ejections,
+            ..Self::default()
+        };
     }
 
     fn weight(&self, now: Time) -> f64 {
@@ -155,7 +183,8 @@
         let Some(track) = self.tracks.get_mut(target) else { return };
         track.slow_since = slow_since;
         if eject {
-            track.eject(now);
+            let cause = if track.failures >= FAILURES { Cause::Failing } else { Cause::Slow };
+            track.eject(now, cause);
         }
     }
 
@@ -174,6 +203,15 @@
         self.tracks.iter().map(move |(target, track)| (target, weight(track)))
     }
 
+    /// Why a target gets no new work now; `None` where it does.
+    pub fn ejection(&self, now: Time, target: &id::Target) -> Option<Ejection> {
+        let track = self.tracks.get(target).filter(|track| track.is_out(now))?;
+        if self.most_look_bad(now) {
+            return None;
+        }
+        Some(Ejection { cause: track.cause?, until: track.out_until? })
+    }
+
     /// How many targets are out now.
     pub fn ejected(&self, now: Time) -> usize {
         self.tracks.values().filter(|track| track.is_out(now)).count()
--- a/crates/policy/tests/outlier.rs
+++ b/crates/policy/tests/outlier.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::id::Target;
-use fireflyhoist_policy::outlier::{Detector, EJECTION, RAMP, Sample};
+use fireflyhoist_policy::outlier::{Cause, Detector, EJECTION, RAMP, Sample};
 use fireflyhoist_policy::time::Time;
 use proptest::prelude::*;
 
@@ -40,6 +40,9 @@
     let now = feed(&mut detector, Time::ZERO, 40, |n| if n == 3 { 200 } else { 20 });
     assert_eq!(detector.weight(now, &target(3)), 0.0);
     assert_eq!(detector.ejected(now), 1);
+    let ejection = detector.ejection(now, &target(3)).expect("operators are told why");
+    assert_eq!(ejection.cause, Cause::Slow);
+    assert_eq!(detector.ejection(now, &target(4)), None);
 }
 
 /// One long prompt slows an engine for half a second. Ejecting it would throw its warm cache away
@@ -60,6 +63,8 @@
     let mut detector = open(12);
     (0..3).for_each(|_| detector.record(Time::ZERO, &target(0), Sample::Failed));
     assert_eq!(detector.weight(Time::ZERO, &target(0)), 0.0);
+    let ejection = detector.ejection(Time::ZERO, &target(0)).expect("operators are told why");
+    assert_eq!((ejection.cause, ejection.until), (Cause::Failing, Time::ZERO + EJECTION));
 }
 
 /// A link between domains stalls and everything behind it fails. Ejecting all that fails would
--- a/crates/text/src/check.rs
+++ b/crates/text/src/check.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use fireflyhoist_policy::order::fence::MAX_REVISION;
 use smol_str::{SmolStr, ToSmolStr};
 
 use crate::fault::{Fault, Faults, Problem};
@@ -41,12 +42,18 @@
         return Err(Faults::new(check.faults));
     }
     let mut text = root.unwrap_or_default();
-    text.workspaces = workspaces.into_iter().flatten().collect();
+    text.workspaces = workspaces.into_iter().flatten().map(with_lower_digest).collect();
     text.models = models.into_iter().flatten().collect();
     text.services = services.into_iter().flatten().collect();
     Ok(text)
 }
 
+/// Digests are compared letter by letter later on, so both cases of a digit must become one.
+fn with_lower_digest(workspace: Workspace) -> Workspace {
+    let key_sha256 = workspace.key_sha256.map(|digest| digest.to_ascii_lowercase().into());
+    Workspace { key_sha256, ..workspace }
+}
+
 /// Items that could be read, with their place among all.
 fn read<T>(items: &[Option<T>]) -> impl Iterator<Item = (usize, &T)> {
     items.iter().enumerate().filter_map(|(index, item)| Some((index, item.as_ref()?)))
@@ -86,7 +93,9 @@
 
     fn root(&mut self, text: &Text) {
         let revision = text.revision;
-        self.range(revision > 0, "revision", revision.to_smolstr(), "to 1 or more");
+        let good = (1..=MAX_REVISION).contains(&revision);
+        let range = "from 1 to 1099511627775, or nothing could follow it";
+        self.range(good, "revision", revision.to_smolstr(), range);
         if let Some(store) = text.weight_store {
             let rate = store.gib_per_second;
             let good = rate.is_finite() && rate > 0.0;
@@ -99,7 +108,8 @@
         let names = names.map(|(i, name)| (format!("workspace.{i}.name"), name.into()));
         self.unique("workspace", names.collect::<Vec<_>>().into_iter());
         let keys = read(workspaces).filter_map(|(i, w)| {
-            Some((format!("workspace.{i}.key_sha256"), w.key_sha256.clone()?))
+            let digest = w.key_sha256.as_ref()?.to_ascii_lowercase();
+            Some((format!("workspace.{i}.key_sha256"), digest.into()))
         });
         self.unique("key_sha256", keys);
         for (i, workspace) in read(workspaces) {
--- a/crates/text/tests/malformed.rs
+++ b/crates/text/tests/malformed.rs
@@ -64,7 +64,8 @@
     open_quote = { "revision = 1\nx = \"abc", 2, "`x = \"abc` is not TOML here" },
     twice = { "revision = 1\nrevision = 2", 2, "`revision` is not TOML here: duplicate key" },
     revision_missing = { "[[workspace]]\nname = \"a\"", 1, "field `revision` is missing in `the file`" },
-    revision_zero = { "revision = 0", 1, "revision `0` is out of range; set it to 1 or more" },
+    revision_zero = { "revision = 0", 1, "revision `0` is out of range; set it from 1 to 1099511627775" },
+    revision_last = { "revision = 1099511627776", 1, "or nothing could follow it" },
     revision_negative = { "revision = -1", 1, "`-1` does not fit; write a whole number" },
     revision_text = { "revision = \"1\"", 1, "`\"1\"` does not fit; write a whole number" },
     revision_huge = { "revision = 99999999999999999999", 1, "`99999999999999999999` does not fit" },
@@ -108,6 +109,15 @@
     rate_endless = { &workspace("tokens_per_second = inf"), 4, "tokens_per_second `inf` is out of range" },
     digest_short = { &workspace("key_sha256 = \"abc\""), 4, "key_sha256 `abc` is not 64 hexadecimal digits" },
     workspace_twice = { &format!("{}[[workspace]]\nname = \"archive\"", workspace("")), 5, "workspace `archive` stands twice, first on line 3" },
+    digest_twice = {
+        &format!(
+            "{0}\n[[workspace]]\nname = \"b\"\n{1}",
+            workspace(&format!("key_sha256 = \"{}\"", "ab".repeat(32))),
+            format_args!("key_sha256 = \"{}\"", "AB".repeat(32)),
+        ),
+        7,
+        "stands twice, first on line 4"
+    },
     version_blank = { &model("version = \" \""), 4, "version is empty" },
     memory = { &model("version = \"1\"\nmemory = 0"), 5, "memory `0` is out of range" },
     adapter_twice = { &model("version = \"1\"\nadapters = [\"x\", \"x\"]"), 5, "adapter `x` stands twice" },
@@ -145,3 +155,10 @@
     let text = format!("revision = 1\n{}", "[[service]]\nname = \"A\"\n".repeat(1_000));
     assert_eq!(refused(text.as_bytes()).iter().count(), 50);
 }
+
+#[test]
+fn both_cases_of_a_digest_are_one() {
+    let text = workspace(&format!("key_sha256 = \"{}\"", "AB".repeat(32)));
+    let text = Text::parse(&text).expect("clean");
+    assert_eq!(text.workspaces[0].key_sha256.as_deref(), Some("ab".repeat(32).as_str()));
+}
--- a/crates/tool/src/fleet.rs
+++ b/crates/tool/src/fleet.rs
@@ -114,11 +114,8 @@
         Err(Error::Unreachable { tried: self.entries.len(), reason })
     }
 
-    /// Asks every member that any named host lists for a report of its own.
-    pub(crate) async fn each<T: DeserializeOwned>(
-        &self,
-        path: &str,
-    ) -> Result<Vec<Heard<T>>, Error> {
+    /// The members that the first named host that answers knows of, itself included.
+    pub(crate) async fn members(&self) -> Result<Vec<(String, SocketAddr)>, Error> {
         let (asked, status): (SocketAddr, Status) = self.get_any("/v1/status").await?;
         let own = (status.host.to_string(), asked);
         let mut listed: Vec<(String, SocketAddr)> = status
@@ -129,11 +126,28 @@
         if !listed.iter().any(|(host, _)| *host == own.0) {
             listed.push(own);
         }
-        let asks = listed.into_iter().map(async |(host, address)| {
-            let report = self.get(address, path).await.map_err(|error| error.to_string());
-            Heard { host, address, report }
+        Ok(listed)
+    }
+
+    /// Asks each member for a report of its own.
+    pub(crate) async fn ask<T: DeserializeOwned>(
+        &self,
+        members: &[(String, SocketAddr)],
+        path: &str,
+    ) -> Vec<Heard<T>> {
+        let asks = members.iter().map(async |(host, address)| {
+            let report = self.get(*address, path).await.map_err(|error| error.to_string());
+            Heard { host: host.clone(), address: *address, report }
         });
-        Ok(join_all(asks).await)
+        join_all(asks).await
+    }
+
+    /// Asks every member for a report of its own.
+    pub(crate) async fn each<T: DeserializeOwned>(
+        &self,
+        path: &str,
+    ) -> Result<Vec<Heard<T>>, Error> {
+        Ok(self.ask(&self.members().await?, path).await)
     }
 }
 
--- a/crates/tool/src/submit.rs
+++ b/crates/tool/src/submit.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use fireflyhoist_text::{Text, Version};
-use fireflyhoist_wire::status::Status;
+use fireflyhoist_wire::status::Brief;
 
 use crate::Outcome;
 use crate::check;
@@ -19,6 +19,10 @@
 /// How often members are asked; a fraction of the 11 s in which a version should be in force.
 const INTERVAL: Duration = Duration::from_millis(500);
 
+/// The list of members is read anew after so many rounds: it names every target too, and a host
+/// that leaves within these seconds is merely called silent.
+const ROUNDS_A_LIST: u64 = 10;
+
 /// What one member says of the version wanted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum State {
@@ -54,7 +58,7 @@
 
 impl Progress {
     /// Judges one round of answers.
-    pub fn open(wanted: Version, answers: Vec<(String, Result<Status, String>)>) -> Self {
+    pub fn open(wanted: Version, answers: Vec<(String, Result<Brief, String>)>) -> Self {
         let states = answers.into_iter();
         let states = states.map(|(host, answer)| (host, state(wanted, answer))).collect();
         Self { wanted, states }
@@ -98,7 +102,7 @@
     }
 }
 
-fn state(wanted: Version, answer: Result<Status, String>) -> State {
+fn state(wanted: Version, answer: Result<Brief, String>) -> State {
     let status = match answer {
         Ok(status) => status,
         Err(reason) => return State::Silent(reason),
@@ -130,8 +134,13 @@
     let fleet = Fleet::open(flags).await?;
     let began = Instant::now();
     let mut said = String::new();
-    loop {
-        let progress = Progress::open(wanted, answers(fleet.each("/v1/status").await?));
+    let mut members = Vec::new();
+    for round in 0u64.. {
+        if round.is_multiple_of(ROUNDS_A_LIST) {
+            members = fleet.members().await?;
+        }
+        let heard = fleet.ask(&members, "/v1/version").await;
+        let progress = Progress::open(wanted, answers(heard));
         match progress.verdict() {
             Verdict::Done => {
                 let span = began.elapsed().as_secs_f64();
@@ -155,9 +164,10 @@
         }
         ntex::time::sleep(INTERVAL).await;
     }
+    Ok(Outcome::Finding)
 }
 
-fn answers(heard: Vec<Heard<Status>>) -> Vec<(String, Result<Status, String>)> {
+fn answers(heard: Vec<Heard<Brief>>) -> Vec<(String, Result<Brief, String>)> {
     heard.into_iter().map(|heard| (heard.host, heard.report)).collect()
 }
 
--- a/crates/tool/tests/submit.rs
+++ b/crates/tool/tests/submit.rs
@@ -2,7 +2,7 @@
 
 use fireflyhoist_text::Version;
 use fireflyhoist_tool::submit::{Progress, Verdict};
-use fireflyhoist_wire::status::{InForce, Status};
+use fireflyhoist_wire::status::{Brief, InForce};
 
 const TEXT: &str = "revision = 5";
 
@@ -10,23 +10,18 @@
     Version::of(5, TEXT)
 }
 
-fn member(version: Option<Version>, refused: Option<&str>) -> Result<Status, String> {
-    Ok(Status {
+fn member(version: Option<Version>, refused: Option<&str>) -> Result<Brief, String> {
+    Ok(Brief {
         host: "brno-1".parse().expect("a name"),
-        domain: "hala-a".parse().expect("a name"),
-        leaving: false,
         in_force: version.map(|version| InForce {
             revision: version.revision(),
             version: version.to_string().into(),
         }),
         refused: refused.map(str::to_owned),
-        open: 0,
-        members: Vec::new(),
-        targets: Vec::new(),
     })
 }
 
-fn progress(answers: Vec<Result<Status, String>>) -> Progress {
+fn progress(answers: Vec<Result<Brief, String>>) -> Progress {
     let named = answers.into_iter().enumerate().map(|(i, a)| (format!("brno-{i}"), a));
     Progress::open(wanted(), named.collect())
 }
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -87,3 +87,19 @@
     /// Targets.
     pub targets: Vec<Target>,
 }
+
+/// The answer of `GET /v1/version`: the little that following a publication needs.
+///
+/// A status names every target and member; asked of each member twice a second it would cost a node
+/// of the design size hundreds of times its budget.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Brief {
+    /// The host that answers.
+    pub host: id::Host,
+    /// The version in force here; absent before the first.
+    #[serde(default)]
+    pub in_force: Option<InForce>,
+    /// Why the text read last was refused; absent where it was not.
+    #[serde(default)]
+    pub refused: Option<String>,
+}
