--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -284,6 +284,11 @@
         self.drain().await;
     }
 
+    /// Stops at once, as a crash would: requests in progress are cut.
+    pub async fn kill(self) {
+        self.server.stop(false).await;
+    }
+
     /// Takes no new work, finishes every request in progress, then stops.
     ///
     /// The server's own graceful stop cut a streaming response after 0.1 s in a trial, so it runs
