Decide in the gate by predicted memory, shares, fair turns and pace

Cause: the gate was a plain rotation, so memory filled in the middle of generations, one workspace stood before all others, and a caller learned only at its deadline that it would not be served.

The gate now composes modules with one job each: length (hazards per bucket, running answers included), curve (memory held ahead, mean and variance), room (lagged report plus what this entry knows at once), share (free room divided by the published list), queue (fair turns by tokens, bounds, foretold waits), drain, usage (a slice kept from heavy workspaces), pace, and the placement, outlier and retry modules that stood already. Settings switch each off for tests and benches.

--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -175,17 +175,14 @@
         let leaving = |host: &id::Host| {
             hosts.hosts.iter().any(|h| h.name == *host && h.state == State::Leaving)
         };
-        let mut names: Vec<&id::Host> =
-            hosts.hosts.iter().filter(|h| h.entry.is_some()).map(|h| &h.name).collect();
-        names.sort();
-        let own = names.iter().position(|name| **name == self.settings.host);
+        let entries = hosts.hosts.iter().filter(|h| h.entry.is_some()).count();
         let mut lanes = self.lanes.write();
         lanes.retain(|name, _| snapshot.text.service(name).is_some());
         self.burn.retain(|name| snapshot.text.service(name).is_some());
         for service in &snapshot.text.services {
             let usable = service.targets.iter().filter(|t| !leaving(&t.host));
             let lane = lanes.entry(service.name.clone()).or_insert_with(|| Lane::open(self.clock));
-            lane.set_entries(names.len().max(1), own.unwrap_or_default());
+            lane.set_entries(entries);
             lane.set_targets(usable.map(|t| t.name.clone()).collect());
         }
     }
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -1,193 +1,482 @@
 //! The gate of one service: whom to send where, who waits, who is refused.
 //!
 //! One gate serves one service in one process; the daemon keeps each under a lock of its own and
-//! carries out what it decides. Virtual-time benches drive the very same type.
+//! carries out what it decides. Virtual-time benches drive the very same type. The gate only
+//! composes: each decision stands in a module of its own, which names the load pattern that it
+//! answers. `docs/DECISIONS.md` has the runs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use derive_more::Display;
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 
+pub use crate::ask::{Ask, Class, Outcome, Reason, Refusal, Report, Verdict};
+use crate::curve::Curve;
+use crate::drain::Drain;
 use crate::id;
+use crate::length::{Book, Mark};
+use crate::outlier::{Detector, Sample};
+use crate::placement::{self, Candidate};
+use crate::queue::{BOUND, Item, Queue};
+use crate::retry;
+use crate::room::Growth;
+use crate::share::Share;
+use crate::slot::Slot;
 use crate::time::Time;
 use crate::unit::Tokens;
+use crate::usage::Usage;
 
-/// What kind of wait a caller can bear.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    Display,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-)]
-#[serde(rename_all = "snake_case")]
-pub enum Class {
-    /// A small call that a page waits for; it never stands behind a generation.
-    #[display("lookup")]
-    Lookup,
-    /// A generation that a person watches arrive.
-    #[default]
-    #[display("live")]
-    Live,
-    /// A generation whose whole answer is read the next day.
-    #[display("overnight")]
-    Overnight,
-}
+/// A prompt token costs an engine a twentieth of a generated one: prompts are computed in bulk.
+const PROMPT_WORK: f64 = 0.05;
 
-/// One request that asks to be served.
-#[derive(Clone, Debug)]
-pub struct Ask {
-    /// The request, unique in this process.
-    pub request: id::Request,
-    /// Whose request it is.
-    pub workspace: id::Workspace,
-    /// What wait it bears.
-    pub class: Class,
-    /// Tokens of the prompt, as estimated by the entry.
-    pub prompt: Tokens,
-    /// The most tokens the answer may hold.
-    pub limit: Tokens,
-    /// A hash of the prompt's beginning, by which engines' prefix caches are met again.
-    pub prefix: u64,
-    /// When an answer that has not begun is of no more use.
-    pub deadline: Time,
-    /// A target that just failed this request and should not be tried next.
-    pub avoid: Option<id::Target>,
-}
+/// Part of every engine that a heavy workspace leaves to the others.
+const RESERVE: f64 = 0.12;
 
-/// What a target last said of itself, and how old that is.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct Report {
-    /// Room for tokens in the engine's memory.
-    pub capacity: Tokens,
-    /// Tokens that its memory holds now.
-    pub used: Tokens,
-    /// Streams being generated.
-    pub running: u32,
-    /// Streams waiting inside the engine.
-    pub waiting: u32,
-    /// Preemptions since the engine began.
-    pub preemptions: u64,
-}
+/// Streams that one entry may have at a live engine before their first token: each prompt holds
+/// back every stream of the engine while it is computed.
+const UNSTARTED: u32 = 1;
 
-/// Why a request is refused.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Reason {
-    /// No target of the service is known to be up.
-    #[display("no-target")]
-    NoTarget,
-    /// The queue is at its bound.
-    #[display("queue-full")]
-    QueueFull,
-    /// The deadline would pass before its turn.
-    #[display("deadline")]
-    Deadline,
-    /// The workspace is over its own limits.
-    #[display("workspace-limit")]
-    WorkspaceLimit,
-    /// The retry budget is spent.
-    #[display("retry-budget")]
-    RetryBudget,
-}
+/// From sending to the first token; kept off a caller's patience when its wait is foretold.
+const START: Duration = Duration::from_millis(500);
 
-/// A refusal and when to come back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// Why.
-    pub reason: Reason,
-    /// When a retry is likely to be served.
-    pub retry_after: Duration,
-}
+/// Foretold waits are stretched by this, since requests that come later may go first and one
+/// entry's drain swings: at 1.2 some 2 in 100 accepted requests of `overload` missed their
+/// deadlines, at 1.5 some 0.5.
+const CAUTION: f64 = 1.5;
+
+/// A refused caller is told to come back no sooner and no later than this.
+const RETRY: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(60));
 
-/// What becomes of a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// Send it to this target now.
-    Send(id::Target),
-    /// It is queued; [`Gate::poll`] decides later.
-    Wait,
-    /// It is refused at once and has touched no target.
-    Refuse(Refusal),
+/// Tokens after which an answer's time between tokens tells how fast its engine is.
+const JUDGED: u64 = 16;
+
+/// How often targets' weights are read from the detector.
+const WEIGHTS: Duration = Duration::from_millis(200);
+
+/// Which mechanisms decide; benches and tests switch one off to show what it is there for.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The time between tokens that live callers are promised.
+    pub between: Duration,
+    /// Predict memory instead of sending whatever is asked.
+    pub room: bool,
+    /// Predict lengths instead of reserving the limit.
+    pub length: bool,
+    /// Divide free room among the entries.
+    pub share: bool,
+    /// Serve workspaces in fair turns.
+    pub fair: bool,
+    /// Keep a slice of memory from heavy workspaces.
+    pub reserve: bool,
+    /// Refuse on arrival what would miss its deadline.
+    pub refuse: bool,
+    /// Bound streams and unstarted prompts of live engines.
+    pub pace: bool,
+    /// Send prompts to where their beginning is cached.
+    pub affinity: bool,
+    /// Leave out slow and failing targets.
+    pub outlier: bool,
 }
 
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// The whole answer arrived.
-    Whole,
-    /// The target failed, refused or vanished.
-    Failed,
-    /// The caller gave up.
-    Cancelled,
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            between: Duration::from_millis(57),
+            room: true,
+            length: true,
+            share: true,
+            fair: true,
+            reserve: true,
+            refuse: true,
+            pace: true,
+            affinity: true,
+            outlier: true,
+        }
+    }
 }
 
-/// Which mechanisms decide; benches and tests switch one off to show what it is there for.
-#[derive(Clone, Debug, Default)]
-pub struct Settings {}
+#[derive(Debug)]
+struct Running {
+    slot: usize,
+    ask: Ask,
+    curve: Curve,
+    mark: Mark,
+    /// Work counted to its workspace so far.
+    work: f64,
+    produced: u64,
+    sent: Time,
+    first: Option<Time>,
+    latest: Time,
+}
 
 /// Decides for one service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Gate {
-    targets: Vec<id::Target>,
-    running: BTreeMap<id::Request, id::Target>,
-    next: usize,
+    settings: Settings,
+    share: Share,
+    slots: Vec<Slot>,
+    index: BTreeMap<id::Target, usize>,
+    running: HashMap<id::Request, Running>,
+    queue: Queue,
+    drain: Drain,
+    book: Book,
+    usage: Usage,
+    /// The sum of all running answers' curves.
+    all: Curve,
+    /// The curve of the latest request sent, as a measure of an average new one.
+    fresh: Curve,
+    detector: Detector,
+    retries: retry::Budget,
+    weighed: Time,
+    candidates: Vec<Candidate>,
+    fitting: Vec<usize>,
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        Self::open(Settings::default())
+    }
 }
 
 impl Gate {
     /// Opens a gate that knows no target yet.
-    pub fn open(_settings: Settings) -> Self {
-        Self::default()
+    pub fn open(settings: Settings) -> Self {
+        let queue = Queue::open(settings.fair);
+        Self {
+            settings,
+            share: Share::default(),
+            slots: Vec::new(),
+            index: BTreeMap::new(),
+            running: HashMap::new(),
+            queue,
+            drain: Drain::default(),
+            book: Book::open(),
+            usage: Usage::default(),
+            all: Curve::default(),
+            fresh: Curve::default(),
+            detector: Detector::open(),
+            retries: retry::Budget::open(),
+            weighed: Time::ZERO,
+            candidates: Vec::new(),
+            fitting: Vec::new(),
+        }
     }
 
-    /// Tells how many entries the published list names, and which of them this one is.
-    pub fn set_entries(&mut self, _now: Time, _entries: usize, _own: usize) {}
+    /// Tells how many entries the published list names.
+    pub fn set_entries(&mut self, now: Time, entries: usize) {
+        let entries = if self.settings.share { entries } else { 1 };
+        match self.slots.is_empty() {
+            true => self.share = Share::open(entries),
+            false => self.share.set_entries(now, entries),
+        }
+    }
+
+    /// Sets the weights of workspaces among the others; those not named weigh one.
+    pub fn set_weights(&mut self, weights: BTreeMap<id::Workspace, f64>) {
+        self.queue.set_weights(weights);
+    }
 
     /// Replaces the targets; requests already sent to a removed one go on until they finish.
     pub fn set_targets(&mut self, _now: Time, targets: Vec<id::Target>) {
-        self.targets = targets;
+        self.slots.iter_mut().for_each(|slot| slot.listed = false);
+        self.detector.set_targets(&targets);
+        for target in targets {
+            let next = self.slots.len();
+            let at = *self.index.entry(target.clone()).or_insert(next);
+            if at == next {
+                self.slots.push(Slot::open(target));
+            }
+            self.slots[at].listed = true;
+        }
     }
 
     /// Takes in a target's load report, which was taken `age` ago.
-    pub fn report(&mut self, _now: Time, _target: &id::Target, _report: &Report, _age: Duration) {}
+    pub fn report(&mut self, now: Time, target: &id::Target, report: &Report, age: Duration) {
+        let Some(at) = self.index.get(target) else { return };
+        let growth = Growth { own: self.all, fresh: self.fresh };
+        self.slots[*at].room.report(now, now - age, report, &growth);
+    }
 
     /// Decides on a new request, or on a further attempt of one that failed before its answer.
-    pub fn offer(&mut self, _now: Time, _rng: &mut impl Rng, ask: Ask) -> Verdict {
-        let usable: Vec<&id::Target> =
-            self.targets.iter().filter(|t| Some(*t) != ask.avoid.as_ref()).collect();
-        let Some(target) = usable.get(self.next % usable.len().max(1)).copied().cloned() else {
-            let retry_after = Duration::from_secs(1);
-            return Verdict::Refuse(Refusal { reason: Reason::NoTarget, retry_after });
-        };
-        self.next = self.next.wrapping_add(1);
-        self.running.insert(ask.request, target.clone());
-        Verdict::Send(target)
+    pub fn offer(&mut self, now: Time, rng: &mut impl Rng, ask: Ask) -> Verdict {
+        self.weigh(now);
+        self.drain.pass(now, !self.queue.is_empty());
+        let again = ask.avoid.is_some();
+        if !self.slots.iter().any(|slot| slot.listed) {
+            return refuse(rng, Reason::NoTarget, RETRY.0);
+        }
+        if again && ask.class != Class::Overnight && !self.retries.try_take() {
+            return refuse(rng, Reason::RetryBudget, RETRY.0);
+        }
+        if is_lookup(&ask) {
+            return match self.place_lookup(now, rng, &ask) {
+                Some(at) => self.send(now, at, ask, 0.0),
+                None => refuse(rng, Reason::NoTarget, RETRY.0),
+            };
+        }
+        let work = self.work(&ask);
+        let curve = self.curve(&ask, 0);
+        if self.queue.is_clear(ask.class)
+            && let Some(at) = self.place(now, rng, &ask, &curve)
+        {
+            return self.send(now, at, ask, work);
+        }
+        if !again && let Some(verdict) = self.refusal(now, rng, &ask, work) {
+            return verdict;
+        }
+        self.queue.push(now, Item { ask, work }, again);
+        Verdict::Wait
     }
 
     /// Notes that a running request has produced `produced` tokens in all, the latest just now.
-    pub fn progress(&mut self, _now: Time, _request: id::Request, _produced: Tokens) {}
+    pub fn progress(&mut self, now: Time, request: id::Request, produced: Tokens) {
+        let produced = produced.get();
+        let Some(running) = self.running.get_mut(&request) else { return };
+        if produced <= running.produced {
+            return;
+        }
+        let slot = &mut self.slots[running.slot];
+        let gap =
+            now.since(running.latest) / u32::try_from(produced - running.produced).unwrap_or(1);
+        match running.first {
+            None => {
+                running.first = Some(now);
+                slot.unstarted = slot.unstarted.saturating_sub(1);
+            }
+            Some(first) => {
+                slot.pace.sample(now, gap, slot.room.all_streams(), self.settings.between);
+                if running.produced < JUDGED && produced >= JUDGED {
+                    let tokens = u32::try_from(produced - 1).unwrap_or(1).max(1);
+                    let sample = Sample::Latency(now.since(first) / tokens);
+                    self.detector.record(now, &slot.name, sample);
+                }
+            }
+        }
+        running.latest = now;
+        running.produced = produced;
+        let workspace = running.ask.workspace.clone();
+        self.book.advance(&workspace, &mut running.mark, produced);
+        self.redraw(now, request);
+    }
+
+    /// Replaces a running answer's curve by one that knows how far it has come.
+    fn redraw(&mut self, now: Time, request: id::Request) {
+        let Some(running) = self.running.get(&request) else { return };
+        let new = self.curve(&running.ask, running.produced);
+        let Some(running) = self.running.get_mut(&request) else { return };
+        let old = std::mem::replace(&mut running.curve, new);
+        self.slots[running.slot].room.update(now, &old, &new);
+        self.all.remove(&old);
+        self.all.add(&new);
+        self.usage.add(&running.ask.workspace, f64::from(new.now() - old.now()));
+        // An answer longer than predicted weighs on its workspace as it grows.
+        let work = PROMPT_WORK * running.ask.prompt.get() as f64 + running.produced as f64;
+        if work > running.work {
+            self.queue.charge(&running.ask.workspace, work - running.work);
+            running.work = work;
+        }
+    }
 
     /// Notes that an attempt ended and frees what it held; a queued request is forgotten.
-    pub fn finish(&mut self, _now: Time, request: id::Request, _outcome: Outcome) {
-        self.running.remove(&request);
+    pub fn finish(&mut self, now: Time, request: id::Request, outcome: Outcome) {
+        let Some(running) = self.running.remove(&request) else {
+            self.drain.pass(now, !self.queue.is_empty());
+            self.queue.remove(request);
+            return;
+        };
+        let workspace = &running.ask.workspace;
+        let slot = &mut self.slots[running.slot];
+        slot.room.free(now, &running.curve);
+        if running.first.is_none() {
+            slot.unstarted = slot.unstarted.saturating_sub(1);
+        }
+        self.all.remove(&running.curve);
+        self.usage.add(workspace, -f64::from(running.curve.now()));
+        let done = PROMPT_WORK * running.ask.prompt.get() as f64 + running.produced as f64;
+        self.queue.charge(workspace, done - running.work);
+        match outcome {
+            Outcome::Whole => {
+                self.retries.earn();
+                self.book.end(workspace, running.mark, running.produced);
+                if is_lookup(&running.ask) {
+                    let sample = Sample::Latency(now.since(running.sent));
+                    self.detector.record(now, &slot.name, sample);
+                }
+            }
+            Outcome::Failed => {
+                slot.pause(now);
+                self.detector.record(now, &slot.name, Sample::Failed);
+            }
+            Outcome::Cancelled => {}
+        }
     }
 
     /// Decides on queued requests whose turn or deadline has come.
-    pub fn poll(&mut self, _now: Time, _rng: &mut impl Rng) -> Vec<(id::Request, Verdict)> {
-        Vec::new()
+    pub fn poll(&mut self, now: Time, rng: &mut impl Rng) -> Vec<(id::Request, Verdict)> {
+        if self.queue.is_empty() {
+            return Vec::new();
+        }
+        self.weigh(now);
+        self.drain.pass(now, true);
+        let mut decided = Vec::new();
+        for item in self.queue.expire(now) {
+            let wait = self.drain.wait(self.queue.ahead(item.ask.class, &item.ask.workspace, 0.0));
+            let verdict = refuse(rng, Reason::Deadline, wait.unwrap_or(RETRY.0));
+            decided.push((item.ask.request, verdict));
+        }
+        while let Some((request, verdict)) = self.serve_next(now, rng) {
+            decided.push((request, verdict));
+        }
+        decided
+    }
+
+    /// Sends the next request that fits somewhere.
+    fn serve_next(&mut self, now: Time, rng: &mut impl Rng) -> Option<(id::Request, Verdict)> {
+        for (class, workspace) in self.queue.turns() {
+            let ask = self.queue.head(class, &workspace)?.ask.clone();
+            let curve = self.curve(&ask, 0);
+            if let Some(at) = self.place(now, rng, &ask, &curve) {
+                let item = self.queue.pop(now, class, &workspace)?;
+                self.drain.take(item.work);
+                return Some((ask.request, self.send(now, at, item.ask, item.work)));
+            }
+        }
+        None
     }
 
     /// When [`Gate::poll`] has something to do next, if nothing else happens.
     pub fn next_poll(&self) -> Option<Time> {
-        None
+        self.queue.next_deadline()
+    }
+
+    fn work(&self, ask: &Ask) -> f64 {
+        let expected = self.book.law(&ask.workspace).expected(0, ask.limit.get());
+        PROMPT_WORK * ask.prompt.get() as f64 + f64::from(expected)
+    }
+
+    fn curve(&self, ask: &Ask, produced: u64) -> Curve {
+        let (prompt, limit) = (ask.prompt.get(), ask.limit.get());
+        if is_lookup(ask) {
+            return Curve::default();
+        }
+        match self.settings.length {
+            true => Curve::of(self.book.law(&ask.workspace), prompt, produced, limit),
+            false => Curve::reserved(prompt, limit),
+        }
+    }
+
+    /// Says no at once where the answer would not begin in time.
+    fn refusal(&mut self, now: Time, rng: &mut impl Rng, ask: &Ask, work: f64) -> Option<Verdict> {
+        let ahead = self.queue.ahead(ask.class, &ask.workspace, work);
+        let own = self.queue.own_wait(now, ask.class, &ask.workspace, work);
+        let wait = self.drain.wait(ahead).max(own).map(|wait| wait.mul_f64(CAUTION) + START);
+        if self.queue.len() >= BOUND {
+            let retry = self.drain.wait(work).unwrap_or(RETRY.0);
+            return Some(refuse(rng, Reason::QueueFull, retry));
+        }
+        let patience = ask.deadline.since(now);
+        let late = wait.filter(|wait| self.settings.refuse && *wait > patience)?;
+        Some(refuse(rng, Reason::Deadline, late - patience))
+    }
+
+    /// Reads anew how far each target is trusted.
+    fn weigh(&mut self, now: Time) {
+        if !self.settings.outlier || now.since(self.weighed) < WEIGHTS {
+            return;
+        }
+        self.weighed = now;
+        for (target, weight) in self.detector.weights(now) {
+            if let Some(at) = self.index.get(target) {
+                self.slots[*at].weight = weight;
+            }
+        }
+    }
+
+    /// A lookup goes out at once, whatever the generations do.
+    fn place_lookup(&mut self, now: Time, rng: &mut impl Rng, ask: &Ask) -> Option<usize> {
+        self.collect(|slot| {
+            let up = slot.is_up(now) && Some(&slot.name) != ask.avoid.as_ref();
+            up.then(|| f64::from(slot.room.streams()))
+        });
+        if self.candidates.is_empty() {
+            // Better a target in doubt than no answer.
+            self.collect(|slot| slot.listed.then_some(0.0));
+        }
+        placement::choose(rng, placement::NO_PREFIX, &self.candidates).map(|at| self.fitting[at])
+    }
+
+    /// The target for a generation, where one has room.
+    fn place(&mut self, now: Time, rng: &mut impl Rng, ask: &Ask, curve: &Curve) -> Option<usize> {
+        let settings = self.settings.clone();
+        let share = self.share;
+        let part = share.get(now);
+        let reserve = settings.reserve && self.usage.is_heavy(&ask.workspace);
+        let reserve = if reserve { RESERVE } else { 0.0 };
+        let live = settings.pace && ask.class == Class::Live;
+        self.collect(|slot| {
+            if !slot.is_up(now) || Some(&slot.name) == ask.avoid.as_ref() {
+                return None;
+            }
+            if live && (slot.unstarted >= UNSTARTED || !slot.has_pace(now, part)) {
+                return None;
+            }
+            let (own, total) = slot.room.holdings();
+            let claim = slot.room.claim(now, part, share.kept(now, own, total), reserve);
+            let fits = !settings.room || slot.room.fits(&claim, curve);
+            fits.then(|| slot.room.load())
+        });
+        let prefix = if settings.affinity { ask.prefix } else { placement::NO_PREFIX };
+        placement::choose(rng, prefix, &self.candidates).map(|at| self.fitting[at])
     }
+
+    /// Lists the targets that `load` takes, each with its load.
+    fn collect(&mut self, load: impl Fn(&Slot) -> Option<f64>) {
+        self.candidates.clear();
+        self.fitting.clear();
+        for (at, slot) in self.slots.iter().enumerate() {
+            if let Some(load) = load(slot) {
+                self.candidates.push(Candidate { key: slot.key, load, weight: slot.weight });
+                self.fitting.push(at);
+            }
+        }
+    }
+
+    fn send(&mut self, now: Time, at: usize, ask: Ask, work: f64) -> Verdict {
+        let curve = self.curve(&ask, 0);
+        let slot = &mut self.slots[at];
+        slot.room.send(now, &curve);
+        slot.unstarted += 1;
+        let target = slot.name.clone();
+        self.all.add(&curve);
+        self.fresh = curve;
+        self.usage.add(&ask.workspace, f64::from(curve.now()));
+        self.queue.charge(&ask.workspace, work);
+        let mark = self.book.begin(&ask.workspace);
+        let request = ask.request;
+        let running = Running {
+            slot: at,
+            ask,
+            curve,
+            mark,
+            work,
+            produced: 0,
+            sent: now,
+            first: None,
+            latest: now,
+        };
+        self.running.insert(request, running);
+        Verdict::Send(target)
+    }
+}
+
+fn is_lookup(ask: &Ask) -> bool {
+    ask.class == Class::Lookup || ask.limit == Tokens::default()
+}
+
+/// A refusal with a time to come back that is spread, so that those refused together don't return
+/// together.
+fn refuse(rng: &mut impl Rng, reason: Reason, after: Duration) -> Verdict {
+    let spread = rng.random_range(1.0..1.5);
+    let retry_after = after.clamp(RETRY.0, RETRY.1).mul_f64(spread);
+    Verdict::Refuse(Refusal { reason, retry_after })
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,21 +4,31 @@
 //! every load pattern replays exactly. The absence of any I/O library in `Cargo.toml` is what
 //! keeps that true; see `docs/DESIGN.md`, section "One daemon, one tool".
 
+pub mod ask;
 pub mod burn;
+pub mod curve;
+pub mod drain;
 pub mod gate;
 pub mod handle;
 pub mod hedge;
 pub mod id;
+pub mod length;
 pub mod limit;
 pub mod mac;
 pub mod member;
 pub mod order;
 pub mod outlier;
+pub mod pace;
 pub mod placement;
+pub mod queue;
 pub mod rendezvous;
 pub mod retry;
+pub mod room;
 pub mod session;
+pub mod share;
 pub mod sink;
+mod slot;
 pub mod time;
 pub mod unit;
+pub mod usage;
 pub mod version;
--- /dev/null
+++ b/crates/policy/src/slot.rs
@@ -0,0 +1,62 @@
+//! What one entry knows of one target.
+
+use std::time::Duration;
+
+use crate::id;
+use crate::pace::Pace;
+use crate::placement;
+use crate::room::Room;
+use crate::time::Time;
+
+/// After a failure nothing more is sent for so long; the detector of slow targets judges after.
+/// It spans the reconnection of a link, and is short beside any patience.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// One target.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    pub(crate) name: id::Target,
+    pub(crate) key: u64,
+    pub(crate) listed: bool,
+    pub(crate) weight: f64,
+    pub(crate) room: Room,
+    pub(crate) pace: Pace,
+    /// Streams sent that have produced nothing yet.
+    pub(crate) unstarted: u32,
+    paused: Time,
+}
+
+impl Slot {
+    pub(crate) fn open(name: id::Target) -> Self {
+        let key = placement::key(&name);
+        Self {
+            name,
+            key,
+            listed: true,
+            weight: 1.0,
+            room: Room::default(),
+            pace: Pace::default(),
+            unstarted: 0,
+            paused: Time::ZERO,
+        }
+    }
+
+    /// Notes a failure.
+    pub(crate) fn pause(&mut self, now: Time) {
+        self.paused = now + PAUSE;
+    }
+
+    /// Whether it may receive anything.
+    pub(crate) fn is_up(&self, now: Time) -> bool {
+        self.listed && self.weight > 0.0 && now >= self.paused
+    }
+
+    /// Streams that the pace leaves this entry to add: its share of those below the bound.
+    pub(crate) fn has_pace(&self, now: Time, share: f64) -> bool {
+        let bound = self.pace.bound(now);
+        let all = f64::from(self.room.all_streams());
+        let own = f64::from(self.room.streams());
+        // An entry below its equal part of the bound may always go on.
+        all < bound || own < bound * share
+    }
+}
--- /dev/null
+++ b/crates/policy/src/usage.rs
@@ -0,0 +1,42 @@
+//! Who holds engine memory now, and who holds far more than an equal part.
+//!
+//! Load pattern: long jobs among short ones, a hot caller. Fair turns alone come too late there:
+//! a workspace that was alone for a minute holds all memory with answers that run for minutes, and
+//! the first short one of another must wait for one of them to end. So a workspace that holds more
+//! than its part leaves a slice of every engine free for the rest.
+
+use std::collections::BTreeMap;
+
+use crate::id;
+
+/// A workspace is heavy above so many times an equal part. Ordinary unevenness (a busy hour, one
+/// long answer) stays below; the large ones of either user are above at their busiest.
+const HEAVY: f64 = 1.5;
+
+/// Tokens that each workspace holds at this entry.
+#[derive(Clone, Debug, Default)]
+pub struct Usage {
+    held: BTreeMap<id::Workspace, f64>,
+    total: f64,
+}
+
+impl Usage {
+    /// Adds what a workspace holds more, or takes away where negative.
+    pub fn add(&mut self, workspace: &id::Workspace, tokens: f64) {
+        self.total = (self.total + tokens).max(0.0);
+        let held = self.held.entry(workspace.clone()).or_default();
+        *held += tokens;
+        if *held < 0.5 {
+            self.held.remove(workspace);
+        }
+        if self.held.is_empty() {
+            self.total = 0.0;
+        }
+    }
+
+    /// Whether a workspace holds far more than an equal part while others hold some, too.
+    pub fn is_heavy(&self, workspace: &id::Workspace) -> bool {
+        let held = self.held.get(workspace).copied().unwrap_or_default();
+        self.held.len() > 1 && held * self.held.len() as f64 > HEAVY * self.total
+    }
+}
