Let equal targets take turns, and draw two different ones

Cause: two random choices drew the same target twice in half the draws of two targets, so that a nearly idle fleet could send a whole run of requests to one of them and never learn of the other; seen once as 'both were asked' in answer.rs (late_crossed_and_doubled_tokens_fall, crossed).

The two draws now differ, and a trace of load far below one answer's tells equal targets apart by when they were last sent to.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -128,6 +128,7 @@
     detector: Detector,
     retries: retry::Budget,
     weighed: Time,
+    sends: u64,
     candidates: Vec<Candidate>,
     fitting: Vec<usize>,
 }
@@ -157,6 +158,7 @@
             detector: Detector::open(),
             retries: retry::Budget::open(),
             weighed: Time::ZERO,
+            sends: 0,
             candidates: Vec::new(),
             fitting: Vec::new(),
         }
@@ -394,9 +396,10 @@
 
     /// A lookup goes out at once, whatever the generations do.
     fn place_lookup(&mut self, now: Time, rng: &mut impl Rng, ask: &Ask) -> Option<usize> {
+        let sends = self.sends;
         self.collect(|slot| {
             let up = slot.is_up(now) && Some(&slot.name) != ask.avoid.as_ref();
-            up.then(|| f64::from(slot.room.streams()))
+            up.then(|| slot.load(sends))
         });
         if self.candidates.is_empty() {
             // Better a target in doubt than no answer.
@@ -408,6 +411,7 @@
     /// The target for a generation, where one has room.
     fn place(&mut self, now: Time, rng: &mut impl Rng, ask: &Ask, curve: &Curve) -> Option<usize> {
         let settings = self.settings.clone();
+        let sends = self.sends;
         let share = self.share;
         let part = share.get(now);
         let reserve = settings.reserve && self.usage.is_heavy(&ask.workspace);
@@ -423,7 +427,7 @@
             let (own, total) = slot.room.holdings();
             let claim = slot.room.claim(now, part, share.kept(now, own, total), reserve);
             let fits = !settings.room || slot.room.fits(&claim, curve);
-            fits.then(|| slot.room.load())
+            fits.then(|| slot.load(sends))
         });
         let prefix = if settings.affinity { ask.prefix } else { placement::NO_PREFIX };
         placement::choose(rng, prefix, &self.candidates).map(|at| self.fitting[at])
@@ -446,6 +450,8 @@
         let slot = &mut self.slots[at];
         slot.room.send(now, &curve);
         slot.unstarted += 1;
+        self.sends += 1;
+        slot.turn = self.sends;
         let target = slot.name.clone();
         self.all.add(&curve);
         self.fresh = curve;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -79,8 +79,10 @@
     {
         return Some(home);
     }
-    let first = nth_usable(candidates, rng.random_range(0..usable));
-    let second = nth_usable(candidates, rng.random_range(0..usable));
+    let first = rng.random_range(0..usable);
+    // A target drawn twice would be no choice, which shows most where there are few.
+    let second = (first + rng.random_range(1..usable.max(2))) % usable;
+    let (first, second) = (nth_usable(candidates, first), nth_usable(candidates, second));
     match candidates[second].cost() < candidates[first].cost() {
         true => Some(second),
         false => Some(first),
--- a/crates/policy/src/slot.rs
+++ b/crates/policy/src/slot.rs
@@ -12,6 +12,9 @@
 /// It spans the reconnection of a link, and is short beside any patience.
 const PAUSE: Duration = Duration::from_secs(1);
 
+/// Far less load than one answer makes.
+const TRACE: f64 = 1e-6;
+
 /// One target.
 #[derive(Debug)]
 pub(crate) struct Slot {
@@ -23,6 +26,8 @@
     pub(crate) pace: Pace,
     /// Streams sent that have produced nothing yet.
     pub(crate) unstarted: u32,
+    /// The gate's count of sends when this target was last sent to.
+    pub(crate) turn: u64,
     paused: Time,
 }
 
@@ -37,6 +42,7 @@
             room: Room::default(),
             pace: Pace::default(),
             unstarted: 0,
+            turn: 0,
             paused: Time::ZERO,
         }
     }
@@ -46,6 +52,12 @@
         self.paused = now + PAUSE;
     }
 
+    /// Its load, with a trace of how recently it was sent to: targets that are otherwise equal take
+    /// turns, so that each of a nearly idle fleet goes on showing that it works.
+    pub(crate) fn load(&self, sends: u64) -> f64 {
+        self.room.load() + TRACE * self.turn as f64 / sends.max(1) as f64
+    }
+
     /// Whether it may receive anything.
     pub(crate) fn is_up(&self, now: Time) -> bool {
         self.listed && self.weight > 0.0 && now >= self.paused
