Predict no answer beyond the largest engine; keep short prompts free

Prompts of the same few words always met at one engine although computing them costs less than a step; answer.rs (late_crossed_and_doubled_tokens_fall) showed that the other engine was never asked.

A curve ends at the largest capacity reported, affinity starts at 64 tokens of prompt, and begins and ends of own answers are remembered exactly.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -50,6 +50,13 @@
 /// Tokens after which an answer's time between tokens tells how fast its engine is.
 const JUDGED: u64 = 16;
 
+/// Prompts below so many tokens are computed in about 3 ms, less than one step of an engine, so
+/// they go where the load is least and not where they were met before.
+const AFFINE: u64 = 64;
+
+/// Tokens that the largest engine is taken to hold before any has reported.
+const UNREPORTED: u64 = 100;
+
 /// How often targets' weights are read from the detector.
 const WEIGHTS: Duration = Duration::from_millis(200);
 
@@ -129,6 +136,8 @@
     retries: retry::Budget,
     weighed: Time,
     sends: u64,
+    /// Tokens that the largest engine seen holds; no answer outgrows it.
+    largest: u64,
     candidates: Vec<Candidate>,
     fitting: Vec<usize>,
 }
@@ -159,6 +168,7 @@
             retries: retry::Budget::open(),
             weighed: Time::ZERO,
             sends: 0,
+            largest: UNREPORTED,
             candidates: Vec::new(),
             fitting: Vec::new(),
         }
@@ -197,6 +207,7 @@
         let Some(at) = self.index.get(target) else { return };
         let growth = Growth { own: self.all, fresh: self.fresh };
         self.slots[*at].room.report(now, now - age, report, &growth);
+        self.largest = self.largest.max(report.capacity.get());
     }
 
     /// Decides on a new request, or on a further attempt of one that failed before its answer.
@@ -357,7 +368,7 @@
     }
 
     fn curve(&self, ask: &Ask, produced: u64) -> Curve {
-        let (prompt, limit) = (ask.prompt.get(), ask.limit.get());
+        let (prompt, limit) = (ask.prompt.get(), ask.limit.get().min(self.largest));
         if is_lookup(ask) {
             return Curve::default();
         }
@@ -429,7 +440,8 @@
             let fits = !settings.room || slot.room.fits(&claim, curve);
             fits.then(|| slot.load(sends))
         });
-        let prefix = if settings.affinity { ask.prefix } else { placement::NO_PREFIX };
+        let worth = settings.affinity && ask.prompt.get() >= AFFINE;
+        let prefix = if worth { ask.prefix } else { placement::NO_PREFIX };
         placement::choose(rng, prefix, &self.candidates).map(|at| self.fitting[at])
     }
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -19,7 +19,7 @@
 use crate::time::Time;
 
 /// The most requests that wait at one gate; a request takes about 300 bytes.
-pub const BOUND: usize = 8_192;
+pub const BOUND: usize = 16_384;
 
 /// One turn in so many goes to the lowest class that waits.
 const LOWEST_TURN: u32 = 8;
--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -40,7 +40,7 @@
 /// How far back own holdings are remembered; reports older than this are not believed.
 pub const OLDEST: Duration = Duration::from_secs(15);
 
-/// Steps in which own holdings are remembered.
+/// Steps in which the growth of own holdings is remembered; begins and ends are exact.
 const STEP: Duration = Duration::from_millis(100);
 
 #[derive(Clone, Copy, Debug)]
@@ -159,8 +159,8 @@
     fn remember(&mut self, now: Time) {
         let held = Held { at: now, tokens: self.mine.now(), streams: self.streams };
         match self.history.back_mut() {
-            Some(last) if now.since(last.at) < STEP => {
-                *last = Held { at: last.at, ..held };
+            Some(last) if last.streams == held.streams && now.since(last.at) < STEP => {
+                last.tokens = held.tokens;
             }
             _ => self.history.push_back(held),
         }
