Take an answer as whole only if no token went by

With the resume headers switched off, ask printed eight lines of a page of 60 and ended with 0: the second entry answered with another generation, its tokens were passed over, and its end mark was taken.

An end mark after a token that was passed over counts as a lost connection. A test with real processes kills the entry in mid-page; the page is printed whole through the other.

--- a/crates/tool/src/ask/caller.rs
+++ b/crates/tool/src/ask/caller.rs
@@ -216,6 +216,7 @@
                 match self.session.take(&event) {
                     Step::Nothing => {}
                     Step::Print(text) => self.screen.text(&text)?,
+                    Step::Cut => return lost("ended the answer with tokens missing"),
                     Step::Done => return Ok(Ended::Done),
                     Step::Failed(problem) => return Ok(Ended::Refused(problem)),
                 }
--- a/crates/tool/src/ask/session.rs
+++ b/crates/tool/src/ask/session.rs
@@ -21,6 +21,8 @@
     Print(String),
     /// The answer is whole.
     Done,
+    /// The end mark came though tokens are missing; the attempt counts as lost.
+    Cut,
     /// The answer ended unfinished.
     Failed(Box<Problem>),
 }
@@ -46,6 +48,7 @@
     generation: Option<String>,
     expected: u64,
     received: u64,
+    passed_over: bool,
     failures: u32,
 }
 
@@ -98,12 +101,16 @@
                 Step::Nothing
             }
             ERROR_EVENT => Step::Failed(Box::new(problem(&event.data))),
+            // The failure: an entry that does not know the handle answers with another generation
+            // to its end mark, and half a page would pass for a whole one.
+            _ if event.data == DONE && self.passed_over => Step::Cut,
             _ if event.data == DONE => Step::Done,
             _ => self.token(event),
         }
     }
 
     fn restart(&mut self) {
+        self.passed_over = false;
         self.held.clear();
         self.last_event = None;
         self.generation = None;
@@ -117,6 +124,7 @@
         let Ok(offset) = offset.parse::<u64>() else { return Step::Nothing };
         let same = self.generation.as_deref().is_none_or(|own| own == generation);
         if !same || offset != self.expected {
+            self.passed_over |= !same || offset > self.expected;
             return Step::Nothing;
         }
         let Ok(answer) = serde_json::from_str::<Answer>(&event.data) else { return Step::Nothing };
@@ -135,6 +143,7 @@
 
     /// A connection was lost, or never came about.
     pub fn lost(&mut self, reason: &str) -> Next {
+        self.passed_over = false;
         self.failures += 1;
         if self.failures == 1 {
             return Next::Elsewhere(reason.to_owned());
--- a/crates/tool/tests/process.rs
+++ b/crates/tool/tests/process.rs
@@ -157,6 +157,51 @@
     assert!(err(&output).contains("t-brno-2 has 2-"), "{}", err(&output));
 }
 
+/// The open requests of an entry, by its own word.
+async fn open(entry: SocketAddr) -> u64 {
+    let response = client().await.get(format!("http://{entry}/v1/status")).send().await;
+    let status: serde_json::Value = response.expect("sent").json().await.expect("a status");
+    status["open"].as_u64().expect("a count")
+}
+
+/// A volunteer's page is being printed when the entry that serves it dies. The command goes on at
+/// the other entry, from the same generation; every line is printed once.
+#[ntex::test]
+async fn ask_prints_a_page_whole_though_its_entry_is_killed() {
+    let (_platform, platform) = standin("platform", &[]);
+    let (_engine, engine) = standin("engine", &["--between-us", "10000"]);
+    let mut entries =
+        [entry("k-brno-1", "hala-a", platform), entry("k-brno-2", "hala-b", platform)];
+    let list = host_list(&[&entries[0], &entries[1]]);
+    put(platform, "hosts", list, "application/json").await;
+    put(platform, "text", text(1, engine), "text/plain").await;
+    let http = client().await;
+    until_ready(&http, entries[0].http).await;
+    until_ready(&http, entries[1].http).await;
+
+    let prompt = "the manifest of the Saxonia lines=60";
+    let (one, two) = (entries[0].http.to_string(), entries[1].http.to_string());
+    let asking = Command::new(program("fireflyhoist"))
+        .args(["ask", "--entry", &one, "--entry", &two, "scan", prompt])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it runs");
+    let serving = loop {
+        let counts = [open(entries[0].http).await, open(entries[1].http).await];
+        if let Some(serving) = counts.iter().position(|count| *count > 0) {
+            break serving;
+        }
+    };
+    ntex::time::sleep(std::time::Duration::from_millis(300)).await;
+    entries[serving].process.kill();
+    let output = asking.wait_with_output().expect("it ends");
+    assert_eq!(output.status.code(), Some(0), "{}", err(&output));
+    let script = Script::of(prompt, Generation::new(0), u64::MAX);
+    assert_eq!(out(&output), format!("{}\n", script.text()), "{}", err(&output));
+    assert!(err(&output).contains("going on"), "{}", err(&output));
+}
+
 #[test]
 fn ask_without_a_service_that_exists_gives_up_with_the_reason() {
     let mut server = scripted::Server::open(vec![scripted::entries, scripted::problem_404]);
--- a/crates/tool/tests/session.rs
+++ b/crates/tool/tests/session.rs
@@ -39,6 +39,10 @@
     assert_eq!((session.handle(), session.last_event()), (Some("h1"), Some("g:1")));
     let second = [token("g", 1, "b"), token("x", 2, "!"), token("g", 3, "!"), token("g", 2, "c")];
     assert_eq!(printed(&mut session, &second), "c");
+    // A token went by that was not taken, so this end is not the whole answer's.
+    assert!(matches!(session.take(&named("", "[DONE]")), Step::Cut));
+    session.lost("cut");
+    assert_eq!(printed(&mut session, &[token("g", 3, "d")]), "d");
     assert!(matches!(session.take(&named("", "[DONE]")), Step::Done));
 }
 
