--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -39,14 +39,16 @@
     panic!("the status stayed {:?}", status(client, address).await);
 }
 
-/// The host list with one more host, which runs a target of `scan`.
-fn list_with_engine(list: &str, engine: SocketAddr, state: &str) -> String {
+/// The host list with more hosts, each of which runs the one target of `scan`.
+fn list_with(list: &str, engine: SocketAddr, hosts: &[(&str, &str)]) -> String {
     let mut list: serde_json::Value = serde_json::from_str(list).expect("a list");
     let serving = serde_json::json!({"service": "scan", "target": "t1", "address": engine});
-    let host = serde_json::json!({
-        "name": "m1", "domain": "hala-a", "state": state, "serves": [serving],
-    });
-    list["hosts"].as_array_mut().expect("hosts").push(host);
+    for (name, state) in hosts {
+        let host = serde_json::json!({
+            "name": name, "domain": "hala-a", "state": state, "serves": [serving],
+        });
+        list["hosts"].as_array_mut().expect("hosts").push(host);
+    }
     list.to_string()
 }
 
@@ -65,7 +67,7 @@
     put(&client, publish("hosts"), list.clone(), "application/json").await;
     put(&client, publish("text"), text.into(), "text/plain").await;
     until_ready(&client, host.http).await;
-    put(&client, publish("hosts"), list_with_engine(&list, engine, "live"), "application/json")
+    put(&client, publish("hosts"), list_with(&list, engine, &[("m1", "live")]), "application/json")
         .await;
     let seen = until(&client, host.http, |s| s.targets.len() == 1).await;
     assert_eq!(seen.in_force.as_ref().expect("in force").revision, 3);
@@ -95,8 +97,18 @@
     assert!(seen.refused.expect("said").contains("line 4: `\"host\"` is no choice here"));
     assert_eq!(seen.in_force.expect("in force").revision, 3);
 
-    put(&client, publish("hosts"), list_with_engine(&list, engine, "leaving"), "application/json")
-        .await;
+    put(
+        &client,
+        publish("hosts"),
+        list_with(&list, engine, &[("m1", "leaving")]),
+        "application/json",
+    )
+    .await;
     let seen = until(&client, host.http, |s| s.targets[0].unused.is_some()).await;
     assert_eq!(seen.targets[0].unused.as_deref(), Some("its host is leaving"));
+
+    let replaced = list_with(&list, engine, &[("m1", "leaving"), ("m2", "live")]);
+    put(&client, publish("hosts"), replaced, "application/json").await;
+    let seen = until(&client, host.http, |s| s.targets[0].host.as_str() == "m2").await;
+    assert_eq!((seen.targets.len(), seen.targets[0].unused.clone()), (1, None));
 }
