Run calls that may not be repeated at most once, by tickets

Cause: a plain call was written over a pooled connection and its failure said nothing of whether it had run; a repeat ran it again, and a caller that disconnected dropped the handler in the middle.

What changed: - policy::ticket and policy::ledger: issued by one process, run by it alone, once, remembered until expiry within bounds. - POST /v1/tickets; 428 with the remedy without one; other entries pass the call on, one marked hop; an issuer that is gone or silent means `ran: unknown` at once. - A ticketed call runs in a task of its own over a connection of its own. - Calls that may be repeated are streamed both ways, bounded, and tried again before any byte of a reply. Headers of one hop stay at the entry. - `ran` has a third value, `yes`, for a repeat whose reply is not kept. - standin::link breaks a connection at a chosen step.

Small bodies are now read first.

--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod metrics;
 pub(crate) mod settings;
 pub(crate) mod steward;
+pub(crate) mod tickets;
 
 use std::collections::HashMap;
 use std::io;
@@ -33,6 +34,7 @@
 use crate::process::limits::Limits;
 use crate::process::metrics::Metrics;
 use crate::process::settings::Settings;
+use crate::process::tickets::Tickets;
 use crate::request;
 use crate::version::{Snapshot, watch};
 
@@ -67,6 +69,7 @@
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
     pub(crate) key: Key,
+    pub(crate) tickets: Tickets,
     snapshot: RwLock<Option<Arc<Snapshot>>>,
     hosts: RwLock<Arc<Hosts>>,
     lanes: RwLock<HashMap<id::Service, Arc<Lane>>>,
@@ -82,6 +85,7 @@
         let clock = Clock::start();
         Arc::new(Self {
             key: Key::open(&settings.peer_key),
+            tickets: Tickets::open(clock, settings.host.clone()),
             settings,
             clock,
             limits: Limits::open(clock),
--- /dev/null
+++ b/crates/daemon/src/process/tickets.rs
@@ -0,0 +1,68 @@
+//! The tickets of this process and the ledger of those that were used.
+
+use fireflyhoist_policy::id;
+use fireflyhoist_policy::ledger::{Claim, Ledger, MAX_ENTRIES, Result};
+use fireflyhoist_policy::ticket::{LIFETIME, Ticket};
+use ntex::util::Bytes;
+use parking_lot::Mutex;
+
+use crate::process::clock::Clock;
+
+/// A reply that is kept for repeats.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Kept {
+    pub(crate) content_type: Option<String>,
+    pub(crate) body: Bytes,
+}
+
+/// What this process issued and what was used of it; gone with the process, as it must be.
+#[derive(Debug)]
+pub(crate) struct Tickets {
+    clock: Clock,
+    host: id::Host,
+    instance: id::Instance,
+    ledger: Mutex<Ledger<Kept>>,
+}
+
+impl Tickets {
+    pub(crate) fn open(clock: Clock, host: id::Host) -> Self {
+        let instance = id::Instance::new(rand::random());
+        Self { clock, host, instance, ledger: Mutex::new(Ledger::open(MAX_ENTRIES)) }
+    }
+
+    pub(crate) fn issue(&self) -> Ticket {
+        Ticket {
+            issuer: self.host.clone(),
+            instance: self.instance,
+            sequence: self.ledger.lock().issue(),
+            expires: self.clock.now() + LIFETIME,
+        }
+    }
+
+    /// Whether this very process issued the ticket. A restart on the same address did not: it
+    /// has forgotten what ran, so it must not run anything either.
+    pub(crate) fn issued(&self, ticket: &Ticket) -> bool {
+        ticket.issuer == self.host && ticket.instance == self.instance
+    }
+
+    /// Whether the ticket names this host, in whatever run of its daemon.
+    pub(crate) fn is_here(&self, ticket: &Ticket) -> bool {
+        ticket.issuer == self.host
+    }
+
+    pub(crate) fn knows(&self, ticket: &Ticket) -> bool {
+        self.ledger.lock().knows(ticket.sequence)
+    }
+
+    pub(crate) fn claim(&self, ticket: &Ticket, call: u64) -> Claim<Kept> {
+        self.ledger.lock().claim(self.clock.now(), ticket, call)
+    }
+
+    pub(crate) fn release(&self, ticket: &Ticket) {
+        self.ledger.lock().release(ticket.sequence);
+    }
+
+    pub(crate) fn settle(&self, ticket: &Ticket, result: Result<Kept>, bytes: usize) {
+        self.ledger.lock().settle(ticket.sequence, result, bytes);
+    }
+}
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -36,6 +36,7 @@
         .route("/v1/version", web::get().to(version::get))
         .route("/v1/burn", web::get().to(burn::get))
         .route("/v1/entries", web::get().to(entries::get))
+        .route("/v1/tickets", web::post().to(plain::issue))
         .route("/v1/completions", web::post().to(completion::post))
         .route("/s/{service}/{path}*", web::to(plain::call));
 }
--- /dev/null
+++ b/crates/daemon/src/request/plain/mod.rs
@@ -0,0 +1,87 @@
+//! `/s/NAME/...`: calls to plain services.
+//!
+//! Calls that may be repeated are streamed both ways and tried again before any byte of a reply;
+//! those that may not are run by the issuer of their ticket, once.
+
+mod forward;
+mod message;
+mod repeatable;
+mod ticketed;
+
+use std::rc::Rc;
+
+use fireflyhoist_policy::gate::Ask;
+use fireflyhoist_policy::id;
+use fireflyhoist_policy::unit::Tokens;
+use fireflyhoist_text::{Kind, Service};
+use ntex::http::Method;
+use ntex::web::{self, HttpRequest, HttpResponse};
+
+use crate::process::Worker;
+use crate::request::plain::message::{BodyError, Message, Upload};
+use crate::request::{entries, refuse};
+
+pub(crate) use ticketed::issue;
+
+/// The largest body of a call, in bytes; larger uploads belong into a store, not through an entry.
+const MAX_BODY: u64 = 16 << 20;
+
+/// The largest body that is kept so that the call can be sent again, or by a task of its own.
+const MAX_KEPT: usize = 1 << 20;
+
+pub(crate) async fn call(
+    worker: web::types::State<Worker>,
+    http: HttpRequest,
+    path: web::types::Path<(String, String)>,
+    payload: web::types::Payload,
+) -> HttpResponse {
+    let open = Rc::new(worker.process.enter());
+    // Guards against refusals that nobody reads: a response to a body that is still unread closes
+    // the connection, and its caller sees a failed write instead of the remedy.
+    let upload = match Upload::open(&http, payload).await {
+        Ok(upload) => upload,
+        Err(BodyError::TooLarge) => return refuse::too_large(MAX_BODY),
+        Err(BodyError::Broken) => return refuse::bad_request("bad-body", "send the whole body"),
+    };
+    let Some(snapshot) = worker.process.snapshot() else {
+        return refuse::not_ready();
+    };
+    let workspace = match crate::request::auth::workspace(&snapshot.text, &http) {
+        Ok(workspace) => workspace,
+        Err(error) => return refuse::auth(&error),
+    };
+    let service = path.0.parse().ok().and_then(|name| snapshot.text.service(&name));
+    let Some(service) = service.filter(|s| s.kind == Kind::Plain) else {
+        return refuse::not_found("no plain service has this name; see the operators' text");
+    };
+    let message = Message::open(&http, workspace, &service.name, &path.1);
+    if !service.idempotent && !is_safe(http.method()) {
+        return ticketed::call(&worker, service, message, upload, open).await;
+    }
+    if worker.process.is_leaving() {
+        return refuse::leaving(entries::list(&worker.process, message.workspace.as_str()));
+    }
+    repeatable::call(&worker, service, message, upload, open).await
+}
+
+/// Methods that change nothing (RFC 9110, section 9.2.1) need no ticket anywhere.
+fn is_safe(method: &Method) -> bool {
+    matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS)
+}
+
+fn ask(worker: &Worker, service: &Service, message: &Message) -> Ask {
+    Ask {
+        request: message.request,
+        workspace: message.workspace.clone(),
+        class: service.class,
+        prompt: Tokens::default(),
+        limit: Tokens::default(),
+        prefix: 0,
+        deadline: worker.process.clock.now() + message::patience(service),
+        avoid: None,
+    }
+}
+
+fn address(service: &Service, target: &id::Target) -> Option<std::net::SocketAddr> {
+    service.targets.iter().find(|t| t.name == *target).map(|t| t.address)
+}
--- a/crates/daemon/src/request/refuse.rs
+++ b/crates/daemon/src/request/refuse/mod.rs
@@ -1,5 +1,7 @@
 //! Refusals: problem details that say whether the request ran and when to come back.
 
+mod ticket;
+
 use std::time::Duration;
 
 use fireflyhoist_policy::gate::{Reason, Refusal};
@@ -13,6 +15,11 @@
 
 use crate::request::auth::AuthError;
 
+pub(crate) use ticket::{
+    already_ran, crossed_ticket, expired_ticket, issuer_gone, ledger_full, still_running, ticket,
+    ticket_needed,
+};
+
 /// When to ask an entry again that has just started; it reads the platform twice a second.
 const NOT_READY_RETRY_MS: u64 = 500;
 
@@ -142,10 +149,27 @@
     respond(&problem)
 }
 
-pub(crate) fn target_failed(ran: Ran) -> HttpResponse {
+/// What a failed target means for the caller.
+pub(crate) fn failed(ran: Ran) -> Problem {
     let detail = match ran {
         Ran::No => "the target could not be reached; the call was not written; try again",
-        Ran::Unknown => "the target failed after the call may have reached it; check before retry",
+        _ => "the target failed after the call may have reached it; check before retry",
     };
-    respond(&problem(502, "target-failed", detail, ran))
+    problem(502, "target-failed", detail, ran)
+}
+
+pub(crate) fn target_failed(ran: Ran) -> HttpResponse {
+    respond(&failed(ran))
+}
+
+/// The body is larger than an entry takes; no target has seen it.
+pub(crate) fn too_large(limit: u64) -> HttpResponse {
+    let detail = format!("the body is larger than {limit} bytes; send less, or a reference to it");
+    respond(&problem(413, "too-large", &detail, Ran::No))
+}
+
+/// The body ended early or grew too large while a target was reading it.
+pub(crate) fn broken_upload(limit: u64) -> HttpResponse {
+    let detail = format!("the body broke off or is larger than {limit} bytes; send it whole");
+    respond(&problem(400, "bad-body", &detail, Ran::Unknown))
 }
--- /dev/null
+++ b/crates/daemon/tests/plain.rs
@@ -0,0 +1,122 @@
+//! Plain calls: streamed both ways, bounded, and tried again only where that is harmless.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use fireflyhoist_harness::client;
+use fireflyhoist_standin::Running;
+use fireflyhoist_standin::fault::{Fault, Order};
+use fireflyhoist_standin::link::{Link, Plan, Step, Strike};
+use fireflyhoist_standin::plain::Plain;
+use fireflyhoist_wire::problem::{Problem, Ran};
+use ntex::util::Bytes;
+use support::{ANY, Fleet, plain_text};
+use yare::parameterized;
+
+fn plain() -> (Running, Arc<Plain>) {
+    Plain::bind(ANY).expect("plain")
+}
+
+async fn fleet(search: &[SocketAddr]) -> (Fleet, fireflyhoist_daemon::Daemon) {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 3));
+    let mut fleet = Fleet::open(&plain_text(&[nowhere], search));
+    let daemon = fleet.daemon("brno-1").await;
+    (fleet, daemon)
+}
+
+/// A member's search page makes a lookup while its target's connection breaks. Lookups simply have
+/// to answer, and running one twice harms nobody, so another target is asked.
+#[parameterized(
+    before_it_is_written = { Step::Connected, Strike::Cut },
+    partly_written = { Step::Partly, Strike::Cut },
+    written = { Step::Sent, Strike::Cut },
+    silent_after_it_is_written = { Step::Sent, Strike::Silent },
+    target_dies = { Step::Sent, Strike::Die },
+    target_gone = { Step::BeforeConnect, Strike::Die },
+)]
+#[test_macro(ntex::test)]
+async fn a_lookup_outlives_its_connection(step: Step, strike: Strike) {
+    let (one, _first) = plain();
+    let (two, second) = plain();
+    let plan = Plan { step, strike, times: 1 };
+    let link = Link::open(one.address(), Some(plan), |_| true).expect("link");
+    let (_fleet, entry) = fleet(&[link.address(), two.address()]).await;
+    let client = client().await;
+    for n in 0..4 {
+        let url = format!("http://{}/s/search/villages?q={n}", entry.http_address());
+        let response = client.get(url).send().await.expect("sent");
+        let body: Bytes = response.body().await.expect("body");
+        assert_eq!(&body[..], format!("GET /villages?q={n}\n").as_bytes());
+    }
+    assert!(second.calls() > 0);
+    assert_eq!(link.strikes(), 1, "the fault came about");
+}
+
+/// Every target is gone or silent: the caller hears so, and whether the call may have run.
+#[parameterized(
+    gone = { true, Ran::No },
+    written = { false, Ran::Unknown },
+)]
+#[test_macro(ntex::test)]
+async fn a_failed_call_says_whether_it_may_have_run(gone: bool, ran: Ran) {
+    let (one, service) = plain();
+    match gone {
+        true => one.kill().await,
+        false => service.set_fault(Some(Order { fault: Fault::LoseReply, times: None })),
+    }
+    let (_fleet, entry) = fleet(&[one.address()]).await;
+    let url = format!("http://{}/s/search/villages", entry.http_address());
+    let response = client().await.get(url).send().await.expect("sent");
+    assert!(response.status().is_server_error());
+    let problem: Problem = response.json().await.expect("problem details");
+    assert_eq!(problem.ran, ran);
+}
+
+/// A scanned page of 200 kB goes up and comes back, in one piece and in chunks of unknown number.
+#[parameterized(
+    announced = { false },
+    chunked = { true },
+)]
+#[test_macro(ntex::test)]
+async fn bodies_pass_both_ways(chunked: bool) {
+    let (one, _service) = plain();
+    let (_fleet, entry) = fleet(&[one.address()]).await;
+    let page = vec![b'x'; 200_000];
+    let url = format!("http://{}/s/search/scan", entry.http_address());
+    let client = client().await;
+    let request = client.post(url);
+    let response = match chunked {
+        false => request.send_body(page.clone()).await,
+        true => {
+            let parts: Vec<Result<Bytes, std::io::Error>> =
+                page.chunks(7_000).map(|part| Ok(Bytes::copy_from_slice(part))).collect();
+            request.send_stream(futures_util::stream::iter(parts)).await
+        }
+    };
+    let body = response.expect("sent").body().limit(1 << 20).await.expect("body");
+    assert_eq!(&body[..], [b"POST /scan\n".as_slice(), &page].concat());
+}
+
+/// Headers of one hop end at the entry, and the workspace's key is not shown to targets.
+#[ntex::test]
+async fn headers_of_one_hop_and_keys_stay_at_the_entry() {
+    let (listener, seen) = support::recorder();
+    let (_fleet, entry) = fleet(&[listener]).await;
+    let _caller = support::raw(
+        entry.http_address(),
+        "GET /s/search/x HTTP/1.1\r\nhost: e\r\nconnection: keep-alive, x-secret\r\nx-secret: 1\r\n\
+         te: trailers\r\nproxy-authorization: 2\r\nx-kept: 3\r\n\r\n",
+    );
+    let mut head = String::new();
+    while head.is_empty() {
+        ntex::time::sleep(std::time::Duration::from_millis(5)).await;
+        head = seen.try_recv().unwrap_or_default();
+    }
+    let head = head.to_ascii_lowercase();
+    for gone in ["\nx-secret", "\nte:", "\nproxy-authorization"] {
+        assert!(!head.contains(gone), "{gone} in {head}");
+    }
+    assert!(head.contains("x-kept: 3") && head.contains("fireflyhoist-request: "), "{head}");
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -28,6 +28,7 @@
 impl Fleet {
     pub(crate) fn open(text: &str) -> Self {
         let (running, platform) = Platform::bind(ANY).expect("platform");
+        fireflyhoist_text::Text::parse(text).expect("the test's text is right");
         platform.publish(text);
         Self { running, platform, hosts: Hosts { sequence: 1, hosts: Vec::new() } }
     }
@@ -110,3 +111,52 @@
 pub(crate) fn expected(prompt: &str) -> String {
     Script::of(prompt, Generation::new(0), u64::MAX).text()
 }
+
+/// A text with plain services: `dispatch` and `payroll`, whose calls may not be repeated, and
+/// `search`, whose calls may; 200 ms without a reply are too slow for it.
+pub(crate) fn plain_text(dispatch: &[SocketAddr], search: &[SocketAddr]) -> String {
+    let list = |prefix: &str, targets: &[SocketAddr]| -> String {
+        let named = targets.iter().enumerate().map(|(n, address)| {
+            format!("{{ name = \"{prefix}{n}\", host = \"m{n}\", address = \"{address}\" }}")
+        });
+        named.collect::<Vec<_>>().join(", ")
+    };
+    let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let other = SocketAddr::from((Ipv4Addr::LOCALHOST, 2));
+    let search = if search.is_empty() { &[other] } else { search };
+    format!(
+        "revision = 1\n\
+         [[workspace]]\nname = \"default\"\n[[workspace]]\nname = \"bergen\"\n\
+         [[service]]\nname = \"dispatch\"\nkind = \"plain\"\nidempotent = false\n\
+         patience_ms = 2000\ntarget = [{}]\n\
+         [[service]]\nname = \"payroll\"\nkind = \"plain\"\nidempotent = false\n\
+         patience_ms = 2000\ntarget = [{}]\n\
+         [[service]]\nname = \"search\"\nkind = \"plain\"\npatience_ms = 2000\ntarget = [{}]\n\
+         [service.objective]\nfirst_token_ms = 20\n",
+        list("d", dispatch),
+        list("p", &[nowhere]),
+        list("s", search)
+    )
+}
+
+/// Sends bytes as they are and keeps the connection open.
+pub(crate) fn raw(address: SocketAddr, bytes: &str) -> std::net::TcpStream {
+    let mut stream = std::net::TcpStream::connect(address).expect("connected");
+    std::io::Write::write_all(&mut stream, bytes.as_bytes()).expect("written");
+    stream
+}
+
+/// A target that hands over the first bytes of each connection and answers nothing.
+pub(crate) fn recorder() -> (SocketAddr, std::sync::mpsc::Receiver<String>) {
+    let listener = std::net::TcpListener::bind(ANY).expect("port");
+    let address = listener.local_addr().expect("address");
+    let (sender, receiver) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut buffer = [0; 4096];
+            let read = std::io::Read::read(&mut stream, &mut buffer).unwrap_or(0);
+            let _ = sender.send(String::from_utf8_lossy(&buffer[..read]).into_owned());
+        }
+    });
+    (address, receiver)
+}
--- a/crates/policy/src/id.rs
+++ b/crates/policy/src/id.rs
@@ -171,4 +171,6 @@
     Request,
     /// One generation: the stream id that the entry chose for one attempt at one engine.
     Generation,
+    /// One run of a daemon's process, from its start to its end.
+    Instance,
 }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -13,8 +13,6 @@
     Refuse,
     /// Work is accepted and done, but its reply never comes.
     LoseReply,
-    /// The connection is closed without a reply, after the work was done.
-    HangUp,
     /// The link is cut before the token or byte at this offset.
     Cut {
         /// The offset.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod fault;
 pub mod fleet;
+pub mod link;
 pub mod order;
 pub mod plain;
 pub mod platform;
--- a/crates/tool/src/ask/session.rs
+++ b/crates/tool/src/ask/session.rs
@@ -162,6 +162,7 @@
             let ran = match problem.ran {
                 Ran::No => "it was not run",
                 Ran::Unknown => "whether it ran is not known",
+                Ran::Yes => "it ran",
             };
             return Next::GiveUp(format!("{reason} ({ran})"));
         }
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -40,6 +40,29 @@
     pub stream: bool,
 }
 
+/// Carries the ticket of a call that may not be repeated.
+pub const TICKET_HEADER: &str = "idempotency-key";
+/// Marks a call that another entry passed on to the issuer of its ticket; it goes no further.
+pub const FORWARDED_HEADER: &str = "fireflyhoist-forwarded";
+/// Marks the reply of a call that ran before: this request did not run it again.
+pub const REPLAYED_HEADER: &str = "fireflyhoist-replayed";
+
+/// The body of `POST /v1/tickets`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Purpose {
+    /// The service that the ticket is for.
+    pub service: SmolStr,
+}
+
+/// The answer of `POST /v1/tickets`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Ticket {
+    /// The ticket, for the `Idempotency-Key` header of one call.
+    pub ticket: SmolStr,
+    /// How long it may be used, in milliseconds.
+    pub expires_in_ms: u64,
+}
+
 /// One piece of the answer, as OpenAI-style clients expect it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Choice {
--- a/crates/wire/src/problem.rs
+++ b/crates/wire/src/problem.rs
@@ -13,6 +13,8 @@
     No,
     /// Nobody can tell.
     Unknown,
+    /// It ran, once: this is a repeat, and the reply is not kept.
+    Yes,
 }
 
 /// The body of a refusal.
