Tell operators which target is ejected, why and until when

status named only targets whose host leaves; one that a daemon had put out by its own measurements looked as if it were in use.

The gate hands on the detector's reason; status gives it in words. The test runs a service with one engine where nothing listens: each of the answers is whole, and status comes to say "its calls fail; tried again in ...".

After each failure it rests for a second, so three failures in a row take about that many seconds; the test now asks until status tells.

--- a/crates/daemon/src/process/lane.rs
+++ b/crates/daemon/src/process/lane.rs
@@ -10,6 +10,7 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::unit::Tokens;
 use parking_lot::Mutex;
+use smol_str::{SmolStr, format_smolstr};
 use tokio::sync::oneshot;
 
 use crate::process::clock::Clock;
@@ -93,6 +94,14 @@
         }
     }
 
+    /// Why a target gets no new work now, in words; `None` where it does.
+    pub(crate) fn ejection(&self, target: &id::Target) -> Option<SmolStr> {
+        let now = self.clock.now();
+        let ejection = self.state.lock().gate.ejection(now, target)?;
+        let left = ejection.until.since(now).as_secs();
+        Some(format_smolstr!("{}; tried again in {left} s", ejection.cause))
+    }
+
     fn finish(&self, request: id::Request, outcome: Outcome) {
         {
             let mut state = self.state.lock();
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -4,6 +4,7 @@
 mod body;
 mod burn;
 mod completion;
+mod ejected;
 mod entries;
 mod metrics;
 mod outlet;
--- a/crates/daemon/src/request/status.rs
+++ b/crates/daemon/src/request/status.rs
@@ -8,9 +8,12 @@
 use smol_str::ToSmolStr;
 
 use crate::process::{Process, Worker};
+use crate::request::ejected;
 
 pub(crate) async fn get(worker: web::types::State<Worker>) -> HttpResponse {
-    HttpResponse::Ok().json(&status(&worker.process))
+    let mut status = status(&worker.process);
+    ejected::mark(&worker.process, &mut status);
+    HttpResponse::Ok().json(&status)
 }
 
 fn status(process: &Process) -> Status {
--- a/crates/daemon/tests/operators.rs
+++ b/crates/daemon/tests/operators.rs
@@ -112,3 +112,42 @@
     let seen = until(&client, host.http, |s| s.targets[0].host.as_str() == "m2").await;
     assert_eq!((seen.targets.len(), seen.targets[0].unused.clone()), (1, None));
 }
+
+/// Nothing listens any more where one of two engines was. Calls to it fail at once, so it always
+/// looks idle; after a few it is left out for a while, and an operator must be told which and why.
+#[ntex::test]
+async fn status_tells_which_target_is_ejected_and_why() {
+    let (_platform, platform) = standin("platform", &[]);
+    let (_engine, engine) = standin("engine", &[]);
+    let closed = {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        listener.local_addr().expect("an address")
+    };
+    let host = entry("e-brno-1", "hala-a", platform);
+    let client = client().await;
+    let text = format!(
+        "revision = 1\n[[service]]\nname = \"scan\"\ntarget = [\n\
+         {{ name = \"dead\", host = \"m1\", address = \"{closed}\" }},\n\
+         {{ name = \"good\", host = \"m2\", address = \"{engine}\" }},\n]\n"
+    );
+    let publish = |path: &str| format!("http://{platform}/operator/{path}");
+    put(&client, publish("hosts"), host_list(&[&host]), "application/json").await;
+    put(&client, publish("text"), text, "text/plain").await;
+    until_ready(&client, host.http).await;
+    let mut seen = status(&client, host.http).await;
+    // After each failure the target rests for a second; three in a row put it out.
+    for _ in 0..400 {
+        if seen.targets[0].unused.is_some() {
+            break;
+        }
+        let body = serde_json::json!({"model": "scan", "prompt": "tokens=2", "stream": true});
+        let url = format!("http://{}/v1/completions", host.http);
+        let response = client.post(url).send_json(&body).await.expect("sent");
+        assert_eq!(read_answer(response).await.0.len(), 2);
+        ntex::time::sleep(Duration::from_millis(20)).await;
+        seen = status(&client, host.http).await;
+    }
+    let reason = seen.targets[0].unused.clone().expect("said");
+    assert!(reason.starts_with("its calls fail; tried again in"), "{reason}");
+    assert_eq!(seen.targets[1].unused, None);
+}
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -15,7 +15,7 @@
 use crate::drain::Drain;
 use crate::id;
 use crate::length::{Book, Mark};
-use crate::outlier::{Detector, Sample};
+use crate::outlier::{Detector, Ejection, Sample};
 use crate::placement::{self, Candidate};
 use crate::queue::{BOUND, Item, Queue};
 use crate::retry;
@@ -357,6 +357,11 @@
         None
     }
 
+    /// Why a target gets no new work now; `None` where it does.
+    pub fn ejection(&self, now: Time, target: &id::Target) -> Option<Ejection> {
+        self.detector.ejection(now, target)
+    }
+
     /// When [`Gate::poll`] has something to do next, if nothing else happens.
     pub fn next_poll(&self) -> Option<Time> {
         self.queue.next_deadline()
