--- a/crates/bench/src/patterns/mod.rs
+++ b/crates/bench/src/patterns/mod.rs
@@ -53,9 +53,9 @@
 
 /// Plays ours with the given settings.
 pub fn ours(name: &'static str, scene: &Scene, seed: u64, settings: &Settings) -> Run {
-    let open = |_entry: usize| {
+    let open = |entry: usize| {
         let mut gate = Gate::open(settings.clone());
-        gate.set_entries(fireflyhoist_policy::time::Time::ZERO, scene.entries);
+        gate.set_entries(fireflyhoist_policy::time::Time::ZERO, scene.entries, Some(entry));
         Ours::open(gate)
     };
     play(name, scene, seed, Admission::Now, open)
--- a/crates/daemon/src/process/lane.rs
+++ b/crates/daemon/src/process/lane.rs
@@ -38,9 +38,9 @@
         self.poll();
     }
 
-    /// Tells how many entries the published list names.
-    pub(crate) fn set_entries(&self, entries: usize) {
-        self.state.lock().gate.set_entries(self.clock.now(), entries);
+    /// Tells how many entries the published list names, and which of them this one is.
+    pub(crate) fn set_entries(&self, entries: usize, own: Option<usize>) {
+        self.state.lock().gate.set_entries(self.clock.now(), entries, own);
     }
 
     /// Takes in a report that its engine took `age` ago.
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -179,14 +179,17 @@
         let leaving = |host: &id::Host| {
             hosts.hosts.iter().any(|h| h.name == *host && h.state == State::Leaving)
         };
-        let entries = hosts.hosts.iter().filter(|h| h.entry.is_some()).count();
+        let mut entries: Vec<&id::Host> =
+            hosts.hosts.iter().filter(|h| h.entry.is_some()).map(|h| &h.name).collect();
+        entries.sort();
+        let own = entries.iter().position(|name| **name == self.settings.host);
         let mut lanes = self.lanes.write();
         lanes.retain(|name, _| snapshot.text.service(name).is_some());
         self.burn.retain(|name| snapshot.text.service(name).is_some());
         for service in &snapshot.text.services {
             let usable = service.targets.iter().filter(|t| !leaving(&t.host));
             let lane = lanes.entry(service.name.clone()).or_insert_with(|| Lane::open(self.clock));
-            lane.set_entries(entries);
+            lane.set_entries(entries.len(), own);
             lane.set_targets(usable.map(|t| t.name.clone()).collect());
         }
     }
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -20,7 +20,7 @@
 use crate::queue::{BOUND, Item, Queue};
 use crate::retry;
 use crate::room::Growth;
-use crate::share::Share;
+use crate::share;
 use crate::slot::Slot;
 use crate::time::Time;
 use crate::unit::Tokens;
@@ -120,7 +120,8 @@
 #[derive(Debug)]
 pub struct Gate {
     settings: Settings,
-    share: Share,
+    /// Entries of the published list, and which of them this one is.
+    entries: (usize, Option<usize>),
     slots: Vec<Slot>,
     index: BTreeMap<id::Target, usize>,
     running: HashMap<id::Request, Running>,
@@ -154,7 +155,7 @@
         let queue = Queue::open(settings.fair);
         Self {
             settings,
-            share: Share::default(),
+            entries: (1, None),
             slots: Vec::new(),
             index: BTreeMap::new(),
             running: HashMap::new(),
@@ -174,12 +175,22 @@
         }
     }
 
-    /// Tells how many entries the published list names.
-    pub fn set_entries(&mut self, now: Time, entries: usize) {
+    /// Tells how many entries the published list names, and which of them this one is.
+    pub fn set_entries(&mut self, now: Time, entries: usize, own: Option<usize>) {
         let entries = if self.settings.share { entries } else { 1 };
-        match self.slots.is_empty() {
-            true => self.share = Share::open(entries),
-            false => self.share.set_entries(now, entries),
+        if (entries, own) != self.entries {
+            self.entries = (entries, own);
+            self.divide(now);
+        }
+    }
+
+    /// Works out this entry's share of each target anew.
+    fn divide(&mut self, now: Time) {
+        let (entries, own) = self.entries;
+        let listed = self.index.values().filter(|at| self.slots[**at].listed);
+        for (order, at) in listed.copied().collect::<Vec<_>>().into_iter().enumerate() {
+            let part = share::part(order, own, entries);
+            self.slots[at].share.set(now, part);
         }
     }
 
@@ -189,7 +200,7 @@
     }
 
     /// Replaces the targets; requests already sent to a removed one go on until they finish.
-    pub fn set_targets(&mut self, _now: Time, targets: Vec<id::Target>) {
+    pub fn set_targets(&mut self, now: Time, targets: Vec<id::Target>) {
         self.slots.iter_mut().for_each(|slot| slot.listed = false);
         self.detector.set_targets(&targets);
         for target in targets {
@@ -200,6 +211,7 @@
             }
             self.slots[at].listed = true;
         }
+        self.divide(now);
     }
 
     /// Takes in a target's load report, which was taken `age` ago.
@@ -428,8 +440,6 @@
     fn place(&mut self, now: Time, rng: &mut impl Rng, ask: &Ask, curve: &Curve) -> Option<usize> {
         let settings = self.settings.clone();
         let sends = self.sends;
-        let share = self.share;
-        let part = share.get(now);
         let reserve = settings.reserve && self.usage.is_heavy(&ask.workspace);
         let reserve = if reserve { RESERVE } else { 0.0 };
         let live = settings.pace && ask.class == Class::Live;
@@ -437,6 +447,7 @@
             if !slot.is_up(now) || Some(&slot.name) == ask.avoid.as_ref() {
                 return None;
             }
+            let (share, part) = (slot.share, slot.share.get(now));
             if live && (slot.unstarted >= UNSTARTED || !slot.has_pace(now, part)) {
                 return None;
             }
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -9,8 +9,6 @@
 //! engine full however old reports are. An entry that holds more than its equal part gives a
 //! little of each to the rest, so that holdings move towards equal in bounded steps.
 
-use std::time::Duration;
-
 use crate::time::Time;
 
 /// How fast a share may grow after the list shrank. A list that is read late at some entries
@@ -22,7 +20,12 @@
 /// engine's holdings half way to equal within about seven answers' time.
 const KEPT_ABOVE: f64 = 0.9;
 
-/// One entry's share of every engine that it feeds.
+/// The part of an engine that its first feeder has; the other entries divide the rest. With equal
+/// parts an eighth of a nearly full engine's free room is less than one answer needs, and the room
+/// stays free while all eight wait.
+const FIRST: f64 = 0.5;
+
+/// One entry's share of one engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Share {
     part: f64,
@@ -32,30 +35,43 @@
 
 impl Default for Share {
     fn default() -> Self {
-        Self { part: 1.0, wanted: 1.0, changed: Time::ZERO }
+        Self::open(1.0)
+    }
+}
+
+/// The share of entry `own` of `entries` in target `at` of the targets in order of their names.
+///
+/// Over all entries these sum to one for every target, whatever each of them sees of the others.
+/// An entry that the list doesn't name has none of its own; it is given the smallest share, since
+/// a list that lags may name it a moment later.
+pub fn part(at: usize, own: Option<usize>, entries: usize) -> f64 {
+    let entries = entries.max(1);
+    if entries == 1 {
+        return 1.0;
+    }
+    match own == Some(at % entries) {
+        true => FIRST,
+        false => (1.0 - FIRST) / (entries - 1) as f64,
     }
 }
 
 impl Share {
-    /// The share of one of `entries` that the published list names, from the beginning.
-    pub fn open(entries: usize) -> Self {
-        let part = 1.0 / entries.max(1) as f64;
+    /// A share that is in force from the beginning.
+    pub fn open(part: f64) -> Self {
         Self { part, wanted: part, changed: Time::ZERO }
     }
 
     /// Follows a new list: down at once, up in bounded steps.
-    pub fn set_entries(&mut self, now: Time, entries: usize) {
-        self.part = self.get(now);
-        self.wanted = 1.0 / entries.max(1) as f64;
-        self.part = self.part.min(self.wanted);
-        self.changed = now;
+    pub fn set(&mut self, now: Time, wanted: f64) {
+        let part = self.get(now);
+        *self = Self { part: part.min(wanted), wanted, changed: now };
     }
 
     /// The share now, from 0 to 1.
     pub fn get(&self, now: Time) -> f64 {
-        let passed: Duration = now.since(self.changed);
-        let grown = self.part + (self.wanted - self.part) * GROWTH * passed.as_secs_f64();
-        grown.clamp(self.part, self.wanted.max(self.part))
+        let passed = now.since(self.changed).as_secs_f64();
+        let grown = self.part + (self.wanted - self.part) * GROWTH * passed;
+        grown.min(self.wanted)
     }
 
     /// What an entry that holds `own` of `total` keeps of what its answers free.
--- a/crates/policy/src/slot.rs
+++ b/crates/policy/src/slot.rs
@@ -6,6 +6,7 @@
 use crate::pace::Pace;
 use crate::placement;
 use crate::room::Room;
+use crate::share::Share;
 use crate::time::Time;
 
 /// After a failure nothing more is sent for so long; the detector of slow targets judges after.
@@ -22,6 +23,7 @@
     pub(crate) key: u64,
     pub(crate) listed: bool,
     pub(crate) weight: f64,
+    pub(crate) share: Share,
     pub(crate) room: Room,
     pub(crate) pace: Pace,
     /// Streams sent that have produced nothing yet.
@@ -39,6 +41,7 @@
             key,
             listed: true,
             weight: 1.0,
+            share: Share::default(),
             room: Room::default(),
             pace: Pace::default(),
             unstarted: 0,
