--- a/crates/policy/src/curve.rs
+++ b/crates/policy/src/curve.rs
@@ -56,7 +56,13 @@
     }
 
     /// The curve of so many more or fewer answers of this kind that together hold `now` tokens.
+    ///
+    /// A process that has sent nothing yet knows no curve; what it sees held is then taken to stay,
+    /// or it would think full engines empty and flood them.
     pub fn scaled_to(&self, now: f32) -> Self {
+        if self.mean[0] <= 0.0 {
+            return Self { mean: [now; STEPS], variance: [0.0; STEPS] };
+        }
         let factor = now / self.mean[0].max(1.0);
         Self {
             mean: self.mean.map(|value| value * factor),
