--- a/crates/daemon/tests/answer.rs
+++ b/crates/daemon/tests/answer.rs
@@ -297,3 +297,42 @@
     assert_eq!(problem.kind, kind);
     assert_eq!(engine.started(), 1);
 }
+
+/// A host is being replaced while a long page is on its way to a member on a slow line. The page
+/// arrives whole; new work is refused meanwhile, truthfully and with the addresses to use.
+#[parameterized(
+    live = { "live" },
+    whole = { "whole" },
+)]
+#[test_macro(ntex::test)]
+async fn a_drain_cuts_nothing(delivery: &str) {
+    const LONG: &str = "the Hansa tokens=30000";
+    let (one, engine) = support::paced(20);
+    let mut fleet = Fleet::open(&text(delivery, 5_000, &[one.address()]));
+    let leaving = fleet.daemon("brno-1").await;
+    let client = client().await;
+    let address = leaving.http_address();
+    let asking = client.clone();
+    let asked = ntex::rt::spawn(async move {
+        let mut got = Transcript::default();
+        let ended = got.ask(&asking, address, &completion(LONG), "").await;
+        (got, ended)
+    });
+    until(|| engine.started() == 1).await;
+    let drained = ntex::rt::spawn(leaving.drain());
+    let mut got = Transcript::default();
+    loop {
+        match got.ask(&client, address, &completion(PROMPT), "").await {
+            Ended::Refused(problem) => {
+                assert_eq!((problem.kind.as_str(), problem.ran), ("leaving", Ran::No));
+                assert!(problem.entries.is_some(), "the list comes along");
+                break;
+            }
+            ended => assert!(matches!(ended, Ended::Whole), "{ended:?}"),
+        }
+    }
+    let (got, ended) = asked.await.expect("asked");
+    assert!(matches!(ended, Ended::Whole), "{ended:?}");
+    assert_eq!(got.texts.len(), 30_000);
+    drained.await.expect("drained");
+}
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -11,6 +11,8 @@
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
+use rustix::process::{Pid, Signal, kill_process};
+
 /// How long anything may take before a test gives up; generous, since no verdict rests on it.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -62,6 +64,21 @@
         self.child.id()
     }
 
+    /// Pauses it (SIGSTOP), as a machine does that is migrated or out of memory.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it go on (SIGCONT), still believing what it believed.
+    pub fn wake(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw).expect("an id");
+        kill_process(id, signal).expect("the process is ours");
+    }
+
     /// Ends it at once (SIGKILL).
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -182,8 +182,9 @@
         let _ = to.shutdown(Shutdown::Write);
     });
     if chosen && let Some(strike) = state.strikes_at(Step::Sent) {
-        // Give the target time to act on the request whose reply is lost.
-        thread::sleep(Duration::from_millis(20));
+        // The target has acted on the request once its reply begins, which is lost.
+        let mut lost = [0; 1];
+        let _ = far.try_clone()?.read(&mut lost);
         return struck(state, strike, &near, Some(&far));
     }
     back(state, chosen, &near, far)
