Count lines only for values that stand twice

Cause: the check for duplicates counted the lines before every name, so a text of 24,000 workspaces (973 KB, under the limit of a megabyte) took 99.9 s to check in a debug build, and any daemon that read it stood still for that long.

What changed: the place of the first value is kept as a path; lines are counted when it stands twice.

Conclusion: the time grows with the size of the text, no longer with its square.

--- a/crates/text/src/check.rs
+++ b/crates/text/src/check.rs
@@ -78,15 +78,13 @@
 
     /// Notes values that stand twice; `path` says where the value of each item lies.
     fn unique(&mut self, what: &'static str, values: impl Iterator<Item = (String, SmolStr)>) {
-        let mut seen: BTreeMap<SmolStr, usize> = BTreeMap::new();
+        let mut seen: BTreeMap<SmolStr, String> = BTreeMap::new();
         for (path, value) in values {
-            let line = self.source.line(&path);
-            match seen.get(&value) {
-                Some(first) => {
-                    let first = *first;
-                    self.note(&path, Problem::Duplicate { what, value, first });
-                }
-                None => drop(seen.insert(value, line)),
+            // Lines are counted for duplicates only; counting for each value made a megabyte's
+            // parse quadratic.
+            match seen.get(&value).map(|first| self.source.line(first)) {
+                Some(first) => self.note(&path, Problem::Duplicate { what, value, first }),
+                None => drop(seen.insert(value, path)),
             }
         }
     }
