Find where lines end once for each text

Each fault counted the lines before it anew. A megabyte with a wrong value in each workspace, or with broken syntax there, held up whoever read it, a daemon included.

The test of endless faults now reads 40,000 of them; there is no timing assert, without this change it would merely stand still.

--- a/crates/text/src/source.rs
+++ b/crates/text/src/source.rs
@@ -22,9 +22,35 @@
 #[derive(Debug)]
 pub struct Source<'a> {
     text: &'a str,
+    breaks: Breaks,
     table: DeTable<'a>,
 }
 
+/// Where lines end, found once: a megabyte of faults, its lines counted anew for each, would hold
+/// up the daemon that reads it for a minute.
+#[derive(Debug)]
+struct Breaks(Vec<usize>);
+
+impl Breaks {
+    fn of(text: &str) -> Self {
+        let bytes = text.bytes().enumerate();
+        Self(bytes.filter(|(_, byte)| *byte == b'\n').map(|(at, _)| at).collect())
+    }
+
+    /// The line of an offset, counted from one.
+    fn line(&self, at: usize) -> usize {
+        1 + self.0.partition_point(|end| *end < at)
+    }
+
+    /// The line around an offset.
+    fn around<'a>(&self, text: &'a str, at: usize) -> &'a str {
+        let line = self.line(at) - 1;
+        let start = line.checked_sub(1).map_or(0, |before| self.0[before] + 1);
+        let end = self.0.get(line).copied().unwrap_or(text.len());
+        &text[start..end]
+    }
+}
+
 impl<'a> Source<'a> {
     /// Parses a file of at most `limit` bytes.
     pub fn parse(bytes: &'a [u8], limit: usize) -> Result<Self, Faults> {
@@ -35,11 +61,12 @@
         if text.trim().is_empty() {
             return Err(Fault::new(1, Problem::Empty).into());
         }
+        let breaks = Breaks::of(text);
         let (table, errors) = DeTable::parse_recoverable(text);
         if !errors.is_empty() {
-            return Err(Faults::new(errors.iter().map(|e| syntax(text, e)).collect()));
+            return Err(Faults::new(errors.iter().map(|e| syntax(text, &breaks, e)).collect()));
         }
-        Ok(Self { text, table: table.into_inner() })
+        Ok(Self { text, breaks, table: table.into_inner() })
     }
 
     /// Reads the whole file as one type.
@@ -124,8 +151,9 @@
     fn fault(&self, error: &Error, around: Range<usize>) -> Fault {
         let span = error.span().unwrap_or(around);
         let whole_file = span.is_empty();
-        let value = if whole_file { "the file".into() } else { quote(self.text, &span) };
-        Fault::new(line(self.text, span.start), shape_problem(error.message(), value))
+        let value =
+            if whole_file { "the file".into() } else { quote(self.text, &self.breaks, &span) };
+        Fault::new(self.breaks.line(span.start), shape_problem(error.message(), value))
     }
 
     /// The line of the value at `path`, such as `service.3.target.0.address`, or of the nearest
@@ -143,7 +171,7 @@
             let Some(next) = next else { break };
             at = next;
         }
-        line(self.text, at.span().start)
+        self.breaks.line(at.span().start)
     }
 
     /// Whether the file itself writes a value at `path`, rather than leaving it to its default.
@@ -169,26 +197,21 @@
     Fault::new(line, Problem::Encoding { byte: bytes[at] }).into()
 }
 
-fn line(text: &str, at: usize) -> usize {
-    let end = at.min(text.len());
-    1 + text.as_bytes()[..end].iter().filter(|b| **b == b'\n').count()
-}
-
 /// The source at a fault, or its line where the fault is between characters; on one line, bounded.
-fn quote(text: &str, span: &Range<usize>) -> SmolStr {
+fn quote(text: &str, breaks: &Breaks, span: &Range<usize>) -> SmolStr {
     let source = text.get(span.clone()).unwrap_or_default();
     let first = source.lines().next().unwrap_or_default();
     if first.is_empty() {
-        let line = text.lines().nth(line(text, span.start) - 1).unwrap_or_default();
+        let line = breaks.around(text, span.start);
         return line.trim().chars().take(QUOTE).collect();
     }
     first.chars().take(QUOTE).collect()
 }
 
-fn syntax(text: &str, error: &Error) -> Fault {
+fn syntax(text: &str, breaks: &Breaks, error: &Error) -> Fault {
     let span = error.span().unwrap_or(text.len()..text.len());
-    let value = quote(text, &span);
-    let line = line(text, span.start);
+    let value = quote(text, breaks, &span);
+    let line = breaks.line(span.start);
     if error.message().contains("recurs") {
         return Fault::new(line, Problem::Deep { value });
     }
--- a/crates/text/tests/malformed.rs
+++ b/crates/text/tests/malformed.rs
@@ -152,7 +152,7 @@
 
 #[test]
 fn a_text_of_faults_without_end_is_answered_with_a_bounded_list() {
-    let text = format!("revision = 1\n{}", "[[service]]\nname = \"A\"\n".repeat(1_000));
+    let text = format!("revision = 1\n{}", "[[service]]\nname = \"A\"\n".repeat(40_000));
     assert_eq!(refused(text.as_bytes()).iter().count(), 50);
 }
 
