--- /dev/null
+++ b/crates/daemon/src/connection/handshake.rs
@@ -0,0 +1,141 @@
+//! The first frames of a link, by which both ends prove the settings' key.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::{Display, Error};
+use fireflyhoist_policy::id;
+use fireflyhoist_policy::member::proof::{self, Challenge, Role};
+use fireflyhoist_wire::peer::{self, Frame, FrameError, MAX_FRAME};
+use futures_util::{SinkExt, StreamExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+
+/// How long connecting and proving may take together: many round trips between regions, and short
+/// enough that strangers who say nothing hold no sockets.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// A link's socket.
+pub(crate) type Socket = WebSocketStream<TcpStream>;
+
+/// Why a link does not come about.
+#[derive(Debug, Display, Error)]
+pub(crate) enum LinkError {
+    #[display("no connection; see whether the host is up")]
+    Unreachable,
+    #[display("no answer in time; see whether the host is overloaded")]
+    Silent,
+    #[display("{_0}")]
+    Stranger(#[error(not(source))] proof::Stranger),
+    #[display("{_0}")]
+    Frame(#[error(not(source))] FrameError),
+    #[display("an unexpected frame; run the same release on every entry host")]
+    Unexpected,
+    #[display("{found} answers where {wanted} is listed; correct the host list")]
+    Other { found: id::Host, wanted: id::Host },
+}
+
+/// Who speaks for this end.
+#[derive(Clone, Debug)]
+pub(crate) struct Credentials {
+    pub(crate) host: id::Host,
+    pub(crate) key: smol_str::SmolStr,
+}
+
+fn config() -> WebSocketConfig {
+    // A stranger or a faulty peer could otherwise make this end hold 64 MB for one message.
+    WebSocketConfig::default()
+        .read_buffer_size(8 << 10)
+        .max_message_size(Some(MAX_FRAME))
+        .max_frame_size(Some(MAX_FRAME))
+}
+
+/// Connects to a daemon and proves both ends; the host that answers must be `wanted`, if known.
+pub(crate) async fn call(
+    credentials: &Credentials,
+    address: SocketAddr,
+    wanted: Option<&id::Host>,
+) -> Result<(Socket, id::Host), LinkError> {
+    timeout(PATIENCE, prove_as_caller(credentials, address, wanted))
+        .await
+        .map_err(|_| LinkError::Silent)?
+}
+
+/// Takes in a connection and proves both ends.
+pub(crate) async fn answer(
+    credentials: &Credentials,
+    stream: TcpStream,
+) -> Result<(Socket, id::Host), LinkError> {
+    timeout(PATIENCE, prove_as_listener(credentials, stream))
+        .await
+        .map_err(|_| LinkError::Silent)?
+}
+
+async fn prove_as_caller(
+    credentials: &Credentials,
+    address: SocketAddr,
+    wanted: Option<&id::Host>,
+) -> Result<(Socket, id::Host), LinkError> {
+    let stream = TcpStream::connect(address).await.map_err(|_| LinkError::Unreachable)?;
+    let _ = stream.set_nodelay(true);
+    let url = format!("ws://{address}/peer");
+    let (mut socket, _) = tokio_tungstenite::client_async_with_config(url, stream, Some(config()))
+        .await
+        .map_err(|_| LinkError::Unreachable)?;
+    let Frame::Challenge(theirs) = receive(&mut socket).await? else {
+        return Err(LinkError::Unexpected);
+    };
+    let ours = Challenge::new(rand::random());
+    let proof = proof::prove(&credentials.key, Role::Caller, ours, theirs, &credentials.host);
+    let hello = Frame::Hello { host: credentials.host.clone(), challenge: ours, proof };
+    send(&mut socket, &hello).await?;
+    let Frame::Welcome { host, proof } = receive(&mut socket).await? else {
+        return Err(LinkError::Unexpected);
+    };
+    proof::check(&credentials.key, Role::Listener, ours, theirs, &host, &proof)
+        .map_err(LinkError::Stranger)?;
+    match wanted {
+        Some(wanted) if *wanted != host => {
+            Err(LinkError::Other { found: host, wanted: wanted.clone() })
+        }
+        _ => Ok((socket, host)),
+    }
+}
+
+async fn prove_as_listener(
+    credentials: &Credentials,
+    stream: TcpStream,
+) -> Result<(Socket, id::Host), LinkError> {
+    let _ = stream.set_nodelay(true);
+    let mut socket = tokio_tungstenite::accept_async_with_config(stream, Some(config()))
+        .await
+        .map_err(|_| LinkError::Unexpected)?;
+    let ours = Challenge::new(rand::random());
+    send(&mut socket, &Frame::Challenge(ours)).await?;
+    let Frame::Hello { host, challenge, proof } = receive(&mut socket).await? else {
+        return Err(LinkError::Unexpected);
+    };
+    // The failure: a stranger that reaches the port feeds the fleet a member list or a text of its
+    // own. Nothing but the handshake is read before the key is proved.
+    proof::check(&credentials.key, Role::Caller, challenge, ours, &host, &proof)
+        .map_err(LinkError::Stranger)?;
+    let proof = proof::prove(&credentials.key, Role::Listener, challenge, ours, &credentials.host);
+    send(&mut socket, &Frame::Welcome { host: credentials.host.clone(), proof }).await?;
+    Ok((socket, host))
+}
+
+async fn send(socket: &mut Socket, frame: &Frame) -> Result<(), LinkError> {
+    let message = Message::binary(peer::encode(frame));
+    socket.send(message).await.map_err(|_| LinkError::Unreachable)
+}
+
+async fn receive(socket: &mut Socket) -> Result<Frame, LinkError> {
+    match socket.next().await {
+        Some(Ok(Message::Binary(bytes))) => peer::decode(&bytes).map_err(LinkError::Frame),
+        Some(Ok(_)) => Err(LinkError::Unexpected),
+        _ => Err(LinkError::Unreachable),
+    }
+}
--- a/crates/daemon/src/connection/mod.rs
+++ b/crates/daemon/src/connection/mod.rs
@@ -1,9 +1,11 @@
 //! What lives as long as a connection: the client's pool and the streams of engines.
 
 pub(crate) mod engine;
+pub(crate) mod handshake;
 pub(crate) mod intake;
 pub(crate) mod load;
 pub(crate) mod order;
+pub(crate) mod peer;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
--- /dev/null
+++ b/crates/daemon/src/connection/peer.rs
@@ -0,0 +1,274 @@
+//! Links between daemons: opened when something is to be said, replaced when they fall silent.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use fireflyhoist_policy::id;
+use fireflyhoist_wire::peer::{self, Frame};
+use futures_util::{SinkExt, StreamExt};
+use parking_lot::Mutex;
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::{Instant, timeout};
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::connection::handshake::{self, Credentials, LinkError, Socket};
+
+/// Frames that wait for one link; more are dropped, since heartbeats repeat what they say.
+const BACKLOG: usize = 64;
+
+/// A link on which nothing came for this long is pinged: two and a half heartbeats.
+const QUIET: Duration = Duration::from_millis(2_500);
+
+/// A link on which even the ping is not answered by then is given up.
+const SILENT: Duration = Duration::from_secs(5);
+
+/// A link that carried no frame either way for this long is closed; probes and partings leave some.
+const UNUSED: Duration = Duration::from_secs(30);
+
+/// How long one frame may take to be written before the link counts as stuck.
+const WRITE: Duration = Duration::from_secs(2);
+
+/// Connections of which the key is not proved yet; further ones wait in the listener's queue.
+const UNPROVED: usize = 32;
+
+/// What the links tell the process.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// A frame from a host that proved the key; `era` tells frames from before a reset.
+    Frame { era: u64, from: id::Host, frame: Frame },
+    /// A host that answered at an address of the settings.
+    Found(id::Host, SocketAddr),
+    /// A host cannot be reached.
+    Unreachable(id::Host),
+}
+
+/// All links of one daemon.
+#[derive(Debug)]
+pub(crate) struct Links {
+    credentials: Credentials,
+    events: mpsc::Sender<Event>,
+    open: Mutex<HashMap<id::Host, Link>>,
+    next: AtomicU64,
+    era: AtomicU64,
+}
+
+#[derive(Debug)]
+struct Link {
+    number: u64,
+    frames: mpsc::Sender<Vec<u8>>,
+}
+
+impl Links {
+    pub(crate) fn open(credentials: Credentials, events: mpsc::Sender<Event>) -> Arc<Self> {
+        Arc::new(Self {
+            credentials,
+            events,
+            open: Mutex::default(),
+            next: AtomicU64::new(0),
+            era: AtomicU64::new(0),
+        })
+    }
+
+    /// The era that frames must carry to count.
+    pub(crate) fn era(&self) -> u64 {
+        self.era.load(Ordering::Acquire)
+    }
+
+    /// Sends a frame over the newest link to a host, opening one where there is none.
+    pub(crate) fn send(self: &Arc<Self>, to: &id::Host, address: SocketAddr, frame: &Frame) {
+        let bytes = peer::encode(frame);
+        let mut open = self.open.lock();
+        let bytes = match open.get(to).map(|link| link.frames.try_send(bytes)) {
+            Some(Err(mpsc::error::TrySendError::Closed(bytes))) => bytes,
+            Some(_) => return,
+            None => peer::encode(frame),
+        };
+        let (link, frames) = self.link();
+        let _ = link.frames.try_send(bytes);
+        let number = link.number;
+        open.insert(to.clone(), link);
+        drop(open);
+        let (links, to) = (Arc::clone(self), to.clone());
+        ntex::rt::spawn(async move { links.call(to, address, number, frames).await }).detach();
+    }
+
+    /// Closes the link to a host; the next frame opens a new one.
+    pub(crate) fn replace(&self, host: &id::Host) {
+        if self.open.lock().remove(host).is_some() {
+            log::info!(peer:% = host; "link replaced");
+        }
+    }
+
+    /// Closes every link and disowns what they have read.
+    pub(crate) fn reset(&self) {
+        self.era.fetch_add(1, Ordering::AcqRel);
+        self.open.lock().clear();
+    }
+
+    /// Looks who answers at an address of the settings, and keeps the link.
+    pub(crate) async fn find(self: &Arc<Self>, address: SocketAddr) {
+        let Ok((socket, host)) = handshake::call(&self.credentials, address, None).await else {
+            return;
+        };
+        let (link, frames) = self.link();
+        let number = link.number;
+        self.open.lock().insert(host.clone(), link);
+        let _ = self.events.send(Event::Found(host.clone(), address)).await;
+        let links = Arc::clone(self);
+        ntex::rt::spawn(async move { links.carry(socket, host, number, frames).await }).detach();
+    }
+
+    /// Takes in links until the process ends.
+    pub(crate) async fn listen(self: Arc<Self>, listener: TcpListener) {
+        let places = Arc::new(Semaphore::new(UNPROVED));
+        loop {
+            let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
+            let Ok((stream, from)) = listener.accept().await else {
+                // Out of descriptors, most likely: the closing of others frees some.
+                ntex::time::sleep(Duration::from_millis(100)).await;
+                continue;
+            };
+            let links = Arc::clone(&self);
+            ntex::rt::spawn(async move {
+                let proved = handshake::answer(&links.credentials, stream).await;
+                drop(place);
+                links.admit(proved, from).await;
+            })
+            .detach();
+        }
+    }
+
+    async fn admit(
+        self: Arc<Self>,
+        proved: Result<(Socket, id::Host), LinkError>,
+        from: SocketAddr,
+    ) {
+        match proved {
+            Ok((socket, host)) => {
+                let (link, frames) = self.link();
+                let number = link.number;
+                self.open.lock().insert(host.clone(), link);
+                self.carry(socket, host, number, frames).await;
+            }
+            Err(error) => log::warn!(from:% = from, error:% = error; "stranger refused"),
+        }
+    }
+
+    fn link(&self) -> (Link, mpsc::Receiver<Vec<u8>>) {
+        let (frames, receiver) = mpsc::channel(BACKLOG);
+        (Link { number: self.next.fetch_add(1, Ordering::Relaxed), frames }, receiver)
+    }
+
+    async fn call(
+        self: Arc<Self>,
+        to: id::Host,
+        address: SocketAddr,
+        number: u64,
+        frames: mpsc::Receiver<Vec<u8>>,
+    ) {
+        match handshake::call(&self.credentials, address, Some(&to)).await {
+            Ok((socket, host)) => self.carry(socket, host, number, frames).await,
+            Err(error) => {
+                log::debug!(peer:% = to, error:% = error; "no link");
+                self.forget(&to, number);
+                let _ = self.events.send(Event::Unreachable(to)).await;
+            }
+        }
+    }
+
+    fn forget(&self, host: &id::Host, number: u64) {
+        let mut open = self.open.lock();
+        if open.get(host).is_some_and(|link| link.number == number) {
+            open.remove(host);
+        }
+    }
+
+    /// Reads and writes one link until either end gives it up.
+    async fn carry(
+        self: Arc<Self>,
+        socket: Socket,
+        host: id::Host,
+        number: u64,
+        mut frames: mpsc::Receiver<Vec<u8>>,
+    ) {
+        let era = self.era();
+        let (mut sink, mut source) = socket.split();
+        let (mut read, mut used, mut pinged) = (Instant::now(), Instant::now(), false);
+        // Still wanted for reading after `frames` closed: the other end may know no newer link.
+        let mut writable = true;
+        while self.era() == era {
+            let deadline = read + if pinged { SILENT } else { QUIET };
+            tokio::select! {
+                frame = frames.recv(), if writable => match frame {
+                    Some(bytes) => {
+                        used = Instant::now();
+                        if !written(&mut sink, Message::binary(bytes)).await {
+                            break;
+                        }
+                    }
+                    None if self.is_current(&host) => writable = false,
+                    None => break,
+                },
+                message = source.next() => match message {
+                    Some(Ok(Message::Binary(bytes))) => {
+                        (read, pinged, used) = (Instant::now(), false, Instant::now());
+                        if !self.hand_on(era, &host, &bytes).await {
+                            break;
+                        }
+                    }
+                    Some(Ok(Message::Close(_)) | Err(_)) | None => break,
+                    Some(Ok(_)) => (read, pinged) = (Instant::now(), false),
+                },
+                () = tokio::time::sleep_until(deadline) => {
+                    // The failure: something between the ends lost track of the connection, and
+                    // whoever waits on it waits for good, while new connections work. No answer to
+                    // a ping within the deadline closes it, and the next frame opens a new one.
+                    if pinged || used.elapsed() >= UNUSED {
+                        break;
+                    }
+                    pinged = true;
+                    if !written(&mut sink, Message::Ping(Default::default())).await {
+                        break;
+                    }
+                }
+            }
+        }
+        self.forget(&host, number);
+        let _ = timeout(WRITE, sink.close()).await;
+    }
+
+    /// Whether a link to this host is known at all.
+    fn is_current(&self, host: &id::Host) -> bool {
+        self.open.lock().contains_key(host)
+    }
+
+    async fn hand_on(&self, era: u64, from: &id::Host, bytes: &[u8]) -> bool {
+        match peer::decode(bytes) {
+            Ok(frame) => {
+                let event = Event::Frame { era, from: from.clone(), frame };
+                self.events.send(event).await.is_ok()
+            }
+            Err(error) => {
+                log::warn!(peer:% = from, error:% = error; "frame refused");
+                false
+            }
+        }
+    }
+}
+
+async fn written<S>(sink: &mut S, message: Message) -> bool
+where
+    S: futures_util::Sink<Message> + Unpin,
+{
+    matches!(timeout(WRITE, sink.send(message)).await, Ok(Ok(())))
+}
+
+/// Takes a socket that the process has bound already.
+pub(crate) fn listener(bound: std::net::TcpListener) -> std::io::Result<TcpListener> {
+    bound.set_nonblocking(true)?;
+    TcpListener::from_std(bound)
+}
--- /dev/null
+++ b/crates/daemon/src/process/member.rs
@@ -0,0 +1,299 @@
+//! This process's part in the fleet: membership, versions and what is said to peers about both.
+//!
+//! One lock holds it all: peers speak about ten times a second, and requests read it only where they
+//! ask for entries.
+
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use fireflyhoist_policy::id;
+use fireflyhoist_policy::member::{
+    Action, Entry, Identity, Membership, Message, Published, Record,
+};
+use fireflyhoist_policy::time::Time;
+use fireflyhoist_policy::version::{
+    Asked, Book, Readiness, Stamp, Standing, Verdict, Version, is_watcher, poll_interval,
+};
+use fireflyhoist_wire::peer::Frame;
+use fireflyhoist_wire::platform::{Host, Hosts, State};
+use parking_lot::Mutex;
+use smol_str::SmolStr;
+
+use crate::process::settings::Settings;
+use crate::version::transfer::{Next, Transfer};
+
+/// What is to be done after the lock is released.
+#[derive(Debug)]
+pub(crate) enum Step {
+    /// Say this to a host.
+    Send { to: id::Host, address: SocketAddr, frame: Frame },
+    /// Close the link to a host.
+    Replace(id::Host),
+    /// Close every link: this process slept.
+    Reset,
+    /// A whole text arrived from a peer.
+    Text { version: Version, source: String },
+}
+
+/// Membership and versions under their lock.
+#[derive(Debug)]
+pub(crate) struct Control {
+    state: Mutex<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    membership: Membership,
+    book: Book,
+    readiness: Readiness,
+    transfer: Transfer,
+    listed: bool,
+    draining: bool,
+}
+
+/// What the request path reads, refreshed whenever it may have changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct View {
+    pub(crate) standing: Standing,
+    pub(crate) leaving: bool,
+    /// Changes whenever some host's leaving may have changed.
+    pub(crate) departures: u64,
+}
+
+impl Control {
+    pub(crate) fn open(now: Time, settings: &Settings, http: SocketAddr, peer: SocketAddr) -> Self {
+        let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        let identity = Identity {
+            host: settings.host.clone(),
+            domain: settings.domain.clone(),
+            http,
+            peer,
+            incarnation: u64::try_from(started.as_millis()).unwrap_or(u64::MAX),
+        };
+        let shared = Shared {
+            membership: Membership::open(now, identity),
+            book: Book::default(),
+            readiness: Readiness::open(now),
+            transfer: Transfer::default(),
+            listed: false,
+            draining: false,
+        };
+        Self { state: Mutex::new(shared) }
+    }
+
+    /// Does what time demands.
+    pub(crate) fn poll(&self, now: Time) -> Vec<Step> {
+        let mut state = self.state.lock();
+        let actions = state.membership.poll(now, &mut rand::rng());
+        if actions.contains(&Action::Reset) {
+            state.readiness = Readiness::open(now);
+        }
+        state.steps(actions)
+    }
+
+    /// Takes in a frame from a host that proved the key.
+    pub(crate) fn receive(&self, now: Time, from: &id::Host, frame: Frame) -> Vec<Step> {
+        let mut state = self.state.lock();
+        match frame {
+            Frame::Member(message) => state.member(now, from, message),
+            Frame::WantManifest => {
+                let manifest = state.transfer.manifest();
+                let answer =
+                    manifest.map(|(version, sections)| Frame::Manifest { version, sections });
+                state.reply(from, answer)
+            }
+            Frame::Manifest { version, sections } => {
+                let next = state.transfer.on_manifest(now, from, version, sections);
+                state.next(from, next)
+            }
+            Frame::WantSections(digests) => {
+                let answer = Frame::Sections(state.transfer.sections(&digests));
+                state.reply(from, Some(answer))
+            }
+            Frame::Sections(sections) => {
+                let next = state.transfer.on_sections(now, from, sections);
+                state.next(from, next)
+            }
+            // Only the first frames of a link may be these.
+            Frame::Challenge(_) | Frame::Hello { .. } | Frame::Welcome { .. } => Vec::new(),
+        }
+    }
+
+    /// Says who this is to a host found at an address of the settings.
+    pub(crate) fn greet(&self, to: id::Host, address: SocketAddr) -> Step {
+        let message = self.state.lock().membership.greeting();
+        Step::Send { to, address, frame: Frame::Member(message) }
+    }
+
+    /// A host cannot be reached.
+    pub(crate) fn unreachable(&self, now: Time, host: &id::Host) {
+        self.state.lock().membership.unreachable(now, host);
+    }
+
+    /// Takes in the platform's host list.
+    pub(crate) fn publish(&self, now: Time, hosts: &Hosts) {
+        let mut state = self.state.lock();
+        state.listed = true;
+        state.membership.publish(now, &published(hosts));
+    }
+
+    /// Whether a list as old as this one is behind what is known.
+    pub(crate) fn is_stale(&self, hosts: &Hosts) -> bool {
+        hosts.sequence < self.state.lock().membership.sequence()
+    }
+
+    /// Takes in what came of asking the platform for the text.
+    pub(crate) fn platform(&self, asked: Asked) {
+        self.state.lock().readiness.platform(asked);
+    }
+
+    /// Decides about a text that was found valid, or not.
+    pub(crate) fn offer(
+        &self,
+        version: Version,
+        source: &str,
+        validity: Result<(), SmolStr>,
+    ) -> Verdict {
+        let mut state = self.state.lock();
+        let verdict = state.book.offer(version, validity);
+        if verdict == Verdict::Adopt {
+            state.transfer.hold(version, source);
+            let stamp = state.book.stamp();
+            state.membership.set_stamp(stamp);
+        }
+        verdict
+    }
+
+    /// The version in force, and the two texts last seen under one revision.
+    pub(crate) fn versions(&self) -> (Option<Version>, Option<(Version, Version)>) {
+        let state = self.state.lock();
+        (state.book.in_force(), state.book.conflict())
+    }
+
+    /// Takes no new work from now on and says so to the peers.
+    pub(crate) fn leave(&self, now: Time) {
+        let mut state = self.state.lock();
+        state.draining = true;
+        state.membership.leave(now);
+    }
+
+    /// What the request path should go by; tells the peers too where it changed.
+    pub(crate) fn view(&self, now: Time) -> View {
+        let mut state = self.state.lock();
+        let standing = state.standing(now);
+        let own = state.membership.own().host.clone();
+        let leaving = state.draining || state.membership.is_leaving(&own);
+        state.membership.set_ready(now, standing == Standing::Ready);
+        View { standing, leaving, departures: state.membership.departures() }
+    }
+
+    /// Members that may be handed to callers; none while this process distrusts what it knows.
+    pub(crate) fn usable(&self) -> Vec<Record> {
+        let state = self.state.lock();
+        match state.membership.is_trusted() {
+            true => state.membership.usable().cloned().collect(),
+            false => Vec::new(),
+        }
+    }
+
+    /// Everybody known, the dead included.
+    pub(crate) fn members(&self) -> Vec<Record> {
+        self.state.lock().membership.records().cloned().collect()
+    }
+
+    /// Whether a host of an entry or a target is leaving by any source.
+    pub(crate) fn is_leaving(&self, host: &id::Host) -> bool {
+        self.state.lock().membership.is_leaving(host)
+    }
+
+    /// Whether no other member was heard yet.
+    pub(crate) fn is_alone(&self) -> bool {
+        !self.state.lock().membership.has_heard()
+    }
+
+    /// Whether this process is one that watches the platform.
+    pub(crate) fn is_watcher(&self) -> bool {
+        let state = self.state.lock();
+        let own = state.membership.own();
+        is_watcher(&own.host, &own.domain, &state.membership.domain_members(&own.domain))
+    }
+
+    /// How long a process that does not watch waits between polls.
+    pub(crate) fn poll_interval(&self) -> Duration {
+        poll_interval(self.state.lock().membership.size(), &mut rand::rng())
+    }
+}
+
+impl Shared {
+    fn standing(&mut self, now: Time) -> Standing {
+        // Nobody to ask, or nobody who can be reached, is known at once; silence takes its time.
+        let nobody = self.listed && !self.membership.knows_others();
+        let asked = match nobody || self.membership.is_cut_off() {
+            true => Asked::Silent,
+            false => Asked::Pending,
+        };
+        self.readiness.peers(asked);
+        self.readiness.standing(now, self.book.stamp())
+    }
+
+    fn member(&mut self, now: Time, from: &id::Host, message: Message) -> Vec<Step> {
+        let mut steps = Vec::new();
+        if let Message::Heartbeat(beat) = &message {
+            let stamp = beat.stamp;
+            if stamp != Stamp::default() {
+                self.readiness.peers(Asked::Answered);
+            }
+            if self.book.wants(stamp) {
+                self.readiness.announced(stamp);
+                if self.transfer.announced(now, from, stamp) {
+                    steps.extend(self.reply(from, Some(Frame::WantManifest)));
+                }
+            }
+        }
+        let actions = self.membership.receive(now, from, message);
+        steps.extend(self.steps(actions));
+        steps
+    }
+
+    fn next(&self, from: &id::Host, next: Next) -> Vec<Step> {
+        match next {
+            Next::Nothing => Vec::new(),
+            Next::Ask(digests) => self.reply(from, Some(Frame::WantSections(digests))),
+            Next::Whole(version, source) => vec![Step::Text { version, source }],
+        }
+    }
+
+    fn reply(&self, to: &id::Host, frame: Option<Frame>) -> Vec<Step> {
+        let address = self.membership.address(to);
+        let step = |(frame, address)| Step::Send { to: to.clone(), address, frame };
+        frame.zip(address).map(step).into_iter().collect()
+    }
+
+    fn steps(&self, actions: Vec<Action>) -> Vec<Step> {
+        let step = |action| match action {
+            Action::Send { to, address, message } => {
+                Step::Send { to, address, frame: Frame::Member(message) }
+            }
+            Action::Replace(host) => Step::Replace(host),
+            Action::Reset => Step::Reset,
+        };
+        actions.into_iter().map(step).collect()
+    }
+}
+
+fn published(hosts: &Hosts) -> Published {
+    let entry = |host: &Host| {
+        let listen = host.entry?;
+        Some(Entry {
+            host: host.name.clone(),
+            domain: host.domain.clone(),
+            http: listen.http,
+            peer: listen.peer,
+        })
+    };
+    Published {
+        sequence: hosts.sequence,
+        hosts: hosts.hosts.iter().map(|h| (h.name.clone(), h.state == State::Leaving)).collect(),
+        entries: hosts.hosts.iter().filter_map(entry).collect(),
+    }
+}
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -2,9 +2,11 @@
 
 pub(crate) mod burn;
 pub(crate) mod clock;
+pub(crate) mod fleet;
 pub(crate) mod lane;
 pub(crate) mod limits;
 pub(crate) mod log;
+pub(crate) mod member;
 pub(crate) mod metrics;
 pub(crate) mod settings;
 pub(crate) mod steward;
@@ -14,24 +16,30 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use derive_more::{Display, Error};
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::mac::Key;
-use fireflyhoist_wire::platform::{Hosts, State};
+use fireflyhoist_policy::version::{Standing, Verdict};
+use fireflyhoist_text::{Text, Version};
+use fireflyhoist_wire::platform::Hosts;
 use ntex::client::Client;
 use ntex::server::Server;
 use ntex::web::{self, HttpServer};
 use parking_lot::RwLock;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
 
+use crate::connection::handshake::Credentials;
 use crate::connection::load;
+use crate::connection::peer::{self, Links};
 use crate::process::burn::Recorder;
 use crate::process::clock::Clock;
 use crate::process::lane::Lane;
 use crate::process::limits::Limits;
+use crate::process::member::Control;
 use crate::process::metrics::Metrics;
 use crate::process::settings::Settings;
 use crate::process::tickets::Tickets;
@@ -41,6 +49,10 @@
 /// How often a drain looks whether requests are still in progress.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// How long a drain goes on answering so that its goodbye is out before it stops: two polls of the
+/// membership and the way to each neighbour.
+const GOODBYE: Duration = Duration::from_millis(300);
+
 /// How often lanes look for deadlines that passed; a tenth of the shortest objective in use.
 const LANE_POLL: Duration = Duration::from_millis(10);
 
@@ -70,6 +82,7 @@
     pub(crate) clock: Clock,
     pub(crate) key: Key,
     pub(crate) tickets: Tickets,
+    pub(crate) control: Control,
     snapshot: RwLock<Option<Arc<Snapshot>>>,
     hosts: RwLock<Arc<Hosts>>,
     lanes: RwLock<HashMap<id::Service, Arc<Lane>>>,
@@ -77,24 +90,32 @@
     burn: Arc<Recorder>,
     refused: RwLock<Option<String>>,
     leaving: AtomicBool,
+    ready: AtomicBool,
+    departures: AtomicU64,
+    stopped: AtomicBool,
     open: AtomicUsize,
 }
 
 impl Process {
-    fn open(settings: Settings, metrics: Metrics) -> Arc<Self> {
+    fn open(settings: Settings, metrics: Metrics, http: SocketAddr, peer: SocketAddr) -> Arc<Self> {
         let clock = Clock::start();
+        let control = Control::open(clock.now(), &settings, http, peer);
         Arc::new(Self {
             key: Key::open(&settings.peer_key),
             tickets: Tickets::open(clock, settings.host.clone()),
             settings,
             clock,
             limits: Limits::open(clock),
+            control,
             burn: Arc::new(Recorder::open(clock, metrics)),
             refused: RwLock::default(),
             snapshot: RwLock::default(),
             hosts: RwLock::default(),
             lanes: RwLock::default(),
             leaving: AtomicBool::new(false),
+            ready: AtomicBool::new(false),
+            departures: AtomicU64::new(0),
+            stopped: AtomicBool::new(false),
             open: AtomicUsize::new(0),
         })
     }
@@ -104,6 +125,21 @@
         self.snapshot.read().clone()
     }
 
+    /// The version in force, once this process may serve by it.
+    pub(crate) fn serving(&self) -> Option<Arc<Snapshot>> {
+        self.snapshot().filter(|_| self.ready.load(Ordering::Acquire))
+    }
+
+    /// What this process still waits for before it may serve.
+    pub(crate) fn standing(&self) -> Standing {
+        self.control.view(self.clock.now()).standing
+    }
+
+    /// Whether the process has ended its work.
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Acquire)
+    }
+
     /// The host list as last read.
     pub(crate) fn hosts(&self) -> Arc<Hosts> {
         Arc::clone(&self.hosts.read())
@@ -119,10 +155,70 @@
         &self.burn
     }
 
-    /// Puts a version in force, unless the one in force is as new.
-    pub(crate) fn adopt(&self, next: Snapshot) {
+    /// Takes in a text as the platform serves it; whether it told anything new.
+    pub(crate) fn take_text(&self, body: &[u8]) -> bool {
+        let parsed = Text::parse_bytes(body);
+        match (parsed, std::str::from_utf8(body)) {
+            (Ok(text), Ok(source)) => {
+                let version = Version::of(text.revision, source);
+                self.take(version, source, text)
+            }
+            (Err(faults), _) => self.refuse_text(faults.to_string()),
+            (_, Err(fault)) => self.refuse_text(fault.to_string()),
+        }
+    }
+
+    /// Takes in a text that a peer has in force.
+    pub(crate) fn take_fetched(&self, version: Version, source: &str) {
+        match Text::parse(source) {
+            Ok(text) if text.revision == version.revision() => {
+                self.take(version, source, text);
+            }
+            Ok(_) => self.refuse_fetched(version, source, "its revision is not the announced one"),
+            Err(faults) => self.refuse_fetched(version, source, &faults.to_string()),
+        }
+    }
+
+    fn refuse_fetched(&self, version: Version, source: &str, reason: &str) {
+        self.control.offer(version, source, Err(reason.into()));
+        self.refuse_text(format!("a peer runs {version}, which is refused here: {reason}"));
+    }
+
+    fn take(&self, version: Version, source: &str, text: Text) -> bool {
+        let known = self.control.versions();
+        match self.control.offer(version, source, Ok(())) {
+            Verdict::Adopt => {
+                self.adopt(Snapshot { version, text });
+                self.report_conflict(known.1);
+                true
+            }
+            Verdict::Older => {
+                let held = known.0.map(|version| version.to_string()).unwrap_or_default();
+                self.report_conflict(known.1);
+                self.refuse_text(format!(
+                    "{version} is older than {held}, which is in force; the platform is stale, or \
+                     raise `revision` above that of the text in force"
+                ))
+            }
+            Verdict::Same | Verdict::Refused => false,
+        }
+    }
+
+    fn report_conflict(&self, before: Option<(Version, Version)>) {
+        let now = self.control.versions().1;
+        if let Some((lower, higher)) = now.filter(|_| now != before) {
+            ::log::warn!(
+                lower:% = lower, higher:% = higher;
+                "two texts share a revision; the higher digest is in force; publish a next revision"
+            );
+        }
+    }
+
+    /// Puts a version in force that is newer than the one before.
+    fn adopt(&self, next: Snapshot) {
         {
             let mut current = self.snapshot.write();
+            // Two offers were decided in one order and may get here in the other.
             if current.as_ref().is_some_and(|now| now.version >= next.version) {
                 return;
             }
@@ -134,13 +230,17 @@
     }
 
     /// Notes that the text read last was refused; the one in force stays.
-    pub(crate) fn refuse_text(&self, reason: String) {
+    ///
+    /// Returns whether that is news.
+    pub(crate) fn refuse_text(&self, reason: String) -> bool {
         let mut refused = self.refused.write();
         // The platform is read again and again; one line a refused text is enough.
-        if refused.as_ref() != Some(&reason) {
+        let news = refused.as_ref() != Some(&reason);
+        if news {
             ::log::warn!(reason:% = reason; "text refused");
             *refused = Some(reason);
         }
+        news
     }
 
     /// Why the text read last was refused, if it was.
@@ -153,8 +253,12 @@
         self.open.load(Ordering::Acquire)
     }
 
-    /// Takes in a host list.
-    pub(crate) fn set_hosts(&self, hosts: Hosts) {
+    /// Takes in a host list, unless a newer one was seen; whether it told anything new.
+    pub(crate) fn set_hosts(&self, hosts: Hosts) -> bool {
+        self.control.publish(self.clock.now(), &hosts);
+        if self.control.is_stale(&hosts) || *self.hosts() == hosts {
+            return false;
+        }
         {
             let mut current = self.snapshot.write();
             let listed = |snapshot: &Arc<Snapshot>| {
@@ -169,6 +273,22 @@
             *self.hosts.write() = Arc::new(hosts);
         }
         self.refresh_lanes();
+        true
+    }
+
+    /// Brings what requests rely on up to date with what membership and versions say.
+    pub(crate) fn refresh(&self) {
+        let view = self.control.view(self.clock.now());
+        let ready = view.standing == Standing::Ready;
+        if self.ready.swap(ready, Ordering::AcqRel) != ready {
+            ::log::info!(ready = ready, standing:? = view.standing; "readiness");
+        }
+        if self.leaving.swap(view.leaving, Ordering::AcqRel) != view.leaving {
+            ::log::info!(leaving = view.leaving; "leaving");
+        }
+        if self.departures.swap(view.departures, Ordering::AcqRel) != view.departures {
+            self.refresh_lanes();
+        }
     }
 
     /// Gives every lane the targets that may receive new work.
@@ -176,9 +296,6 @@
         let Some(snapshot) = self.snapshot() else { return };
         let hosts = self.hosts();
         self.limits.set(&snapshot.text, &hosts, &self.settings.host);
-        let leaving = |host: &id::Host| {
-            hosts.hosts.iter().any(|h| h.name == *host && h.state == State::Leaving)
-        };
         let mut entries: Vec<&id::Host> =
             hosts.hosts.iter().filter(|h| h.entry.is_some()).map(|h| &h.name).collect();
         entries.sort();
@@ -187,7 +304,7 @@
         lanes.retain(|name, _| snapshot.text.service(name).is_some());
         self.burn.retain(|name| snapshot.text.service(name).is_some());
         for service in &snapshot.text.services {
-            let usable = service.targets.iter().filter(|t| !leaving(&t.host));
+            let usable = service.targets.iter().filter(|t| !self.control.is_leaving(&t.host));
             let lane = lanes.entry(service.name.clone()).or_insert_with(|| Lane::open(self.clock));
             lane.set_entries(entries.len(), own);
             lane.set_targets(usable.map(|t| t.name.clone()).collect());
@@ -250,12 +367,15 @@
             Ok((listener, local))
         };
         let (listener, http) = listen(settings.listen)?;
-        let (_peers, peer) = listen(settings.peer_listen)?;
+        let (peers, peer) = listen(settings.peer_listen)?;
         let metrics = Metrics::open().ok_or(StartError::Metrics)?;
-        let process = Process::open(settings, metrics);
+        let process = Process::open(settings, metrics, http, peer);
         let client = crate::connection::client().await.ok_or(StartError::Client)?;
         let worker = Worker { process: Arc::clone(&process), client };
-        ntex::rt::spawn(watch::run(worker.clone())).detach();
+        join(&process, peers, peer)
+            .map_err(|reason| StartError::Listen { address: peer, reason })?;
+        ntex::rt::spawn(watch::run(worker.clone(), watch::Key::Hosts)).detach();
+        ntex::rt::spawn(watch::run(worker.clone(), watch::Key::Text)).detach();
         ntex::rt::spawn(load::run(worker.clone())).detach();
         ntex::rt::spawn(steward::run(worker)).detach();
         ntex::rt::spawn(tick(Arc::clone(&process))).detach();
@@ -298,18 +418,35 @@
     /// The server's own graceful stop cut a streaming response after 0.1 s in a trial, so it runs
     /// only once nothing is in progress.
     pub async fn drain(self) {
-        self.process.leaving.store(true, Ordering::Release);
+        let process = &self.process;
+        process.leaving.store(true, Ordering::Release);
+        process.control.leave(process.clock.now());
         ::log::info!(open = self.process.open.load(Ordering::Acquire); "draining");
+        ntex::time::sleep(GOODBYE).await;
         while self.process.open.load(Ordering::Acquire) > 0 {
             ntex::time::sleep(DRAIN_POLL).await;
         }
+        self.process.stopped.store(true, Ordering::Release);
         self.server.stop(true).await;
         ::log::info!("stopped");
     }
 }
 
+/// Begins to listen to peers and to speak with them.
+fn join(process: &Arc<Process>, listener: TcpListener, own: SocketAddr) -> io::Result<()> {
+    let settings = &process.settings;
+    let credentials = Credentials { host: settings.host.clone(), key: settings.peer_key.clone() };
+    let (sender, events) = mpsc::channel(fleet::BACKLOG);
+    let links = Links::open(credentials, sender);
+    let listener = peer::listener(listener)?;
+    ntex::rt::spawn(Arc::clone(&links).listen(listener)).detach();
+    ntex::rt::spawn(fleet::seek(Arc::clone(process), Arc::clone(&links), own)).detach();
+    ntex::rt::spawn(fleet::run(Arc::clone(process), links, events)).detach();
+    Ok(())
+}
+
 async fn tick(process: Arc<Process>) {
-    loop {
+    while !process.is_stopped() {
         ntex::time::sleep(LANE_POLL).await;
         process.poll_lanes();
     }
--- a/crates/daemon/src/process/settings.rs
+++ b/crates/daemon/src/process/settings.rs
@@ -46,6 +46,10 @@
     pub peer_listen: SocketAddr,
     /// Where the platform answers.
     pub platform: SocketAddr,
+    /// Where other daemons listen, asked where the platform is down at the start; any that answers
+    /// tells of the rest.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
     /// The key that daemons prove to one another.
     pub peer_key: SmolStr,
     /// Threads that serve callers; one for each core where absent.
--- a/crates/daemon/src/process/steward.rs
+++ b/crates/daemon/src/process/steward.rs
@@ -60,7 +60,7 @@
 impl Desk {
     /// Reads this host's engines and orders what is due; says whether anything is left to do.
     async fn round(&mut self, worker: &Worker) -> bool {
-        let Some(snapshot) = worker.process.snapshot() else { return true };
+        let Some(snapshot) = worker.process.serving() else { return true };
         let (revision, digest) = (snapshot.version.revision(), snapshot.version.digest());
         let mark = match Mark::of(revision, digest) {
             Ok(mark) => mark,
--- a/crates/daemon/src/request/completion.rs
+++ b/crates/daemon/src/request/completion.rs
@@ -58,7 +58,7 @@
     body: Result<web::types::Json<Completion>, JsonPayloadError>,
 ) -> HttpResponse {
     let open = Rc::new(worker.process.enter());
-    let Some(snapshot) = worker.process.snapshot() else {
+    let Some(snapshot) = worker.process.serving() else {
         return refuse::not_ready();
     };
     let workspace = match crate::request::auth::workspace(&snapshot.text, &http) {
--- a/crates/daemon/src/request/entries.rs
+++ b/crates/daemon/src/request/entries.rs
@@ -1,8 +1,8 @@
 //! `GET /v1/entries`: which addresses a caller should use.
 
+use fireflyhoist_policy::member::Record;
 use fireflyhoist_policy::rendezvous;
 use fireflyhoist_wire::caller::{Entries, Entry};
-use fireflyhoist_wire::platform::{Host, State};
 use ntex::web::{self, HttpRequest, HttpResponse};
 
 use crate::process::{Process, Worker};
@@ -18,22 +18,20 @@
     }
 }
 
-/// Live entry hosts, ranked for one workspace.
+/// Members that are ready and leaving by no source, ranked for one workspace.
 ///
 /// Ranking by hash makes one workspace's requests meet in few queues, where they can be ordered
 /// fairly, and keeps them there when other hosts come and go.
 pub(crate) fn list(process: &Process, workspace: &str) -> Entries {
-    let hosts = process.hosts();
     let own = &process.settings.host;
-    let usable =
-        |host: &&Host| host.state == State::Live && !(host.name == *own && process.is_leaving());
-    let live: Vec<&Host> = hosts.hosts.iter().filter(usable).collect();
-    let entries = rendezvous::rank(workspace, &live, |host| host.name.as_str())
-        .into_iter()
-        .filter_map(|host| {
-            let address = host.entry?.http;
-            Some(Entry { host: host.name.clone(), domain: host.domain.clone(), address })
-        })
-        .collect();
-    Entries { ttl_ms: TTL_MS, entries }
+    let mut members = process.control.usable();
+    members.retain(|member| member.host != *own || !process.is_leaving());
+    let ranked = rendezvous::rank(workspace, &members, |member| member.host.as_str());
+    let spread = rendezvous::spread(ranked, |member| member.domain.as_str());
+    let entry = |member: &Record| Entry {
+        host: member.host.clone(),
+        domain: member.domain.clone(),
+        address: member.http,
+    };
+    Entries { ttl_ms: TTL_MS, entries: spread.into_iter().map(entry).collect() }
 }
--- a/crates/daemon/src/request/mod.rs
+++ b/crates/daemon/src/request/mod.rs
@@ -50,9 +50,12 @@
     if worker.process.is_leaving() {
         return HttpResponse::ServiceUnavailable().body("leaving\n");
     }
-    match worker.process.snapshot() {
+    match worker.process.serving() {
         Some(snapshot) => HttpResponse::Ok().body(format!("ready version={}\n", snapshot.version)),
-        None => HttpResponse::ServiceUnavailable().body("no version yet\n"),
+        None => {
+            let standing = worker.process.standing();
+            HttpResponse::ServiceUnavailable().body(format!("not ready: {standing}\n"))
+        }
     }
 }
 
--- a/crates/daemon/src/request/plain/mod.rs
+++ b/crates/daemon/src/request/plain/mod.rs
@@ -43,7 +43,7 @@
         Err(BodyError::TooLarge) => return refuse::too_large(MAX_BODY),
         Err(BodyError::Broken) => return refuse::bad_request("bad-body", "send the whole body"),
     };
-    let Some(snapshot) = worker.process.snapshot() else {
+    let Some(snapshot) = worker.process.serving() else {
         return refuse::not_ready();
     };
     let workspace = match crate::request::auth::workspace(&snapshot.text, &http) {
--- a/crates/daemon/src/request/plain/ticketed.rs
+++ b/crates/daemon/src/request/plain/ticketed.rs
@@ -36,7 +36,7 @@
     http: HttpRequest,
     body: web::types::Json<Purpose>,
 ) -> HttpResponse {
-    let Some(snapshot) = worker.process.snapshot() else {
+    let Some(snapshot) = worker.process.serving() else {
         return refuse::not_ready();
     };
     let workspace = match crate::request::auth::workspace(&snapshot.text, &http) {
--- a/crates/daemon/src/request/status.rs
+++ b/crates/daemon/src/request/status.rs
@@ -1,8 +1,7 @@
 //! `GET /v1/status`: this host and the fleet as it sees it.
 
-use fireflyhoist_policy::id;
+use fireflyhoist_policy::member::{Record, Status as Seen};
 use fireflyhoist_text::{Service, Target as Declared, Version};
-use fireflyhoist_wire::platform::{Host, Hosts, State};
 use fireflyhoist_wire::status::{InForce, Member, Status, Target};
 use ntex::web::{self, HttpResponse};
 use smol_str::ToSmolStr;
@@ -17,7 +16,6 @@
 }
 
 fn status(process: &Process) -> Status {
-    let hosts = process.hosts();
     let snapshot = process.snapshot();
     let services = snapshot.iter().flat_map(|snapshot| &snapshot.text.services);
     Status {
@@ -27,8 +25,8 @@
         in_force: snapshot.as_ref().map(|snapshot| in_force(snapshot.version)),
         refused: process.refused(),
         open: process.open_requests(),
-        members: members(process, &hosts),
-        targets: services.flat_map(|service| targets(&hosts, service)).collect(),
+        members: members(process),
+        targets: services.flat_map(|service| targets(process, service)).collect(),
     }
 }
 
@@ -36,32 +34,38 @@
     InForce { revision: version.revision(), version: version.to_smolstr() }
 }
 
-/// The entry hosts of the published list; of itself a host knows more than the list does.
-fn members(process: &Process, hosts: &Hosts) -> Vec<Member> {
+/// The entry hosts that this one knows, from the published list or from peers.
+fn members(process: &Process) -> Vec<Member> {
     let own = &process.settings.host;
-    let entries = hosts.hosts.iter().filter(|host| host.entry.is_some());
-    let member = |host: &Host| {
-        let leaving = host.state == State::Leaving || (host.name == *own && process.is_leaving());
-        let known = process.snapshot().filter(|_| host.name == *own);
+    let member = |record: Record| {
+        let known = process.snapshot().filter(|_| record.host == *own);
         Member {
-            host: host.name.clone(),
-            domain: host.domain.clone(),
-            state: if leaving { "leaving".into() } else { "live".into() },
-            address: host.entry.map(|entry| entry.http),
+            state: state(process, &record).into(),
+            address: Some(record.http),
             in_force: known.map(|snapshot| in_force(snapshot.version)),
+            host: record.host,
+            domain: record.domain,
         }
     };
-    entries.map(member).collect()
+    process.control.members().into_iter().map(member).collect()
 }
 
-fn targets(hosts: &Hosts, service: &Service) -> Vec<Target> {
-    let leaving =
-        |host: &id::Host| hosts.hosts.iter().any(|h| h.name == *host && h.state == State::Leaving);
+fn state(process: &Process, record: &Record) -> &'static str {
+    match record.status {
+        Seen::Dead => "dead",
+        Seen::Suspect => "suspect",
+        Seen::Alive if process.control.is_leaving(&record.host) => "leaving",
+        Seen::Alive if record.host == process.settings.host && process.is_leaving() => "leaving",
+        Seen::Alive => "live",
+    }
+}
+
+fn targets(process: &Process, service: &Service) -> Vec<Target> {
     let one = |target: &Declared| Target {
         name: target.name.clone(),
         service: service.name.clone(),
         host: target.host.clone(),
-        unused: leaving(&target.host).then(|| "its host is leaving".into()),
+        unused: process.control.is_leaving(&target.host).then(|| "its host is leaving".into()),
     };
     service.targets.iter().map(one).collect()
 }
--- a/crates/daemon/src/version/mod.rs
+++ b/crates/daemon/src/version/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as a version of the text is in force.
 
 mod listed;
+pub(crate) mod transfer;
 pub(crate) mod wanted;
 pub(crate) mod watch;
 
--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -1,8 +1,9 @@
 //! The whole path with every part a process of its own.
 
-use fireflyhoist_harness::{client, entry, host_list, read_answer, standin, until_ready};
+use fireflyhoist_harness::{
+    client, entry, host_list, read_answer, standin, until_listed, until_ready,
+};
 use fireflyhoist_standin::script::Script;
-use fireflyhoist_wire::caller::Entries;
 use ntex::util::Bytes;
 
 /// A member asks which address to use, sends a page there and receives every line once and in
@@ -42,9 +43,7 @@
     until_ready(&client, a.http).await;
     until_ready(&client, b.http).await;
 
-    let response = client.get(format!("http://{}/v1/entries", a.http)).send().await.expect("sent");
-    let entries: Entries = response.json().await.expect("entries");
-    assert_eq!(entries.entries.len(), 2, "both daemons are listed");
+    let entries = until_listed(&client, a.http, &["brno-1", "brno-2"]).await;
 
     let prompt = "transcribe the manifest of the Hansa lines=60";
     let first = entries.entries[0].address;
--- a/crates/harness/src/caller.rs
+++ b/crates/harness/src/caller.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use fireflyhoist_wire::caller::{
-    ACCEPT_HEADER, Answer, Completion, DONE, ERROR_EVENT, LAST_EVENT_HEADER, RESTART_EVENT,
-    RESUME_EVENT, RESUME_HEADER,
+    ACCEPT_HEADER, Answer, Completion, DONE, ERROR_EVENT, Entries, LAST_EVENT_HEADER,
+    RESTART_EVENT, RESUME_EVENT, RESUME_HEADER,
 };
 use fireflyhoist_wire::problem::Problem;
 use fireflyhoist_wire::sse;
@@ -179,3 +179,22 @@
         self.texts.concat()
     }
 }
+
+/// Waits until a daemon hands out exactly these hosts, in any order.
+pub async fn until_listed(client: &Client, address: SocketAddr, hosts: &[&str]) -> Entries {
+    let mut last = Vec::new();
+    for _ in 0..3_000 {
+        let response = client.get(format!("http://{address}/v1/entries")).send().await;
+        if let Ok(response) = response
+            && let Ok(entries) = response.json::<Entries>().await
+        {
+            last = entries.entries.iter().map(|entry| entry.host.to_string()).collect();
+            last.sort();
+            if last.iter().eq(hosts) {
+                return entries;
+            }
+        }
+        ntex::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the daemon at {address} hands out {last:?}, not {hosts:?}");
+}
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -2,7 +2,7 @@
 
 mod caller;
 
-pub use caller::{Ended, Transcript, client, read_answer, until_ready};
+pub use caller::{Ended, Transcript, client, read_answer, until_listed, until_ready};
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -64,19 +64,36 @@
         self.child.id()
     }
 
-    /// Pauses it (SIGSTOP), as a machine does that is migrated or out of memory.
+    /// Stops it where it stands (SIGSTOP); it holds its sockets and answers nothing.
     pub fn pause(&self) {
         self.signal(Signal::STOP);
     }
 
-    /// Lets it go on (SIGCONT), still believing what it believed.
+    /// Lets it go on (SIGCONT).
     pub fn wake(&self) {
         self.signal(Signal::CONT);
     }
 
+    /// Asks it to drain and end (SIGTERM).
+    pub fn term(&self) {
+        self.signal(Signal::TERM);
+    }
+
     fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw).expect("an id");
-        kill_process(id, signal).expect("the process is ours");
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        kill_process(pid.expect("a process id"), signal).expect("the child is signalled");
+    }
+
+    /// Waits for a line that holds `words`.
+    pub fn line(&self, words: &str) -> String {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            let line = self.lines.recv_timeout(left).expect("the line arrives in time");
+            if line.contains(words) {
+                return line;
+            }
+        }
     }
 
     /// Ends it at once (SIGKILL).
@@ -133,13 +150,30 @@
 
 /// Starts a daemon with ports from the operating system.
 pub fn entry_with(host: &str, domain: &str, platform: SocketAddr, workers: usize) -> Entry {
+    start(host, domain, platform, workers, &[])
+}
+
+/// Starts a daemon whose settings name peers.
+pub fn entry_beside(host: &str, domain: &str, platform: SocketAddr, peers: &[&Entry]) -> Entry {
+    let peers: Vec<String> = peers.iter().map(|entry| entry.peer.to_string()).collect();
+    start(host, domain, platform, 2, &peers)
+}
+
+fn start(
+    host: &str,
+    domain: &str,
+    platform: SocketAddr,
+    workers: usize,
+    peers: &[String],
+) -> Entry {
     let path = std::env::temp_dir().join(format!("ffh-{}-{host}.toml", std::process::id()));
     let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let mut file = std::fs::File::create(&path).expect("settings file");
     write!(
         file,
         "host = \"{host}\"\ndomain = \"{domain}\"\nlisten = \"{any}\"\npeer_listen = \"{any}\"\n\
-         platform = \"{platform}\"\npeer_key = \"test\"\nworkers = {workers}\n"
+         platform = \"{platform}\"\npeer_key = \"test\"\nworkers = {workers}\n\
+         peers = {peers:?}\n"
     )
     .expect("settings written");
     let mut command = Command::new(program("fireflyhoistd"));
@@ -170,14 +204,20 @@
 
 /// The host list that names these entries as live.
 pub fn host_list(entries: &[&Entry]) -> String {
+    host_list_at(1, entries, &[])
+}
+
+/// The host list of a sequence, with some of its entries leaving.
+pub fn host_list_at(sequence: u64, entries: &[&Entry], leaving: &[&Entry]) -> String {
     let hosts: Vec<serde_json::Value> = entries
         .iter()
         .map(|e| {
             serde_json::json!({
                 "name": e.host, "domain": e.domain,
+                "state": if leaving.iter().any(|l| l.host == e.host) { "leaving" } else { "live" },
                 "entry": {"http": e.http, "peer": e.peer},
             })
         })
         .collect();
-    serde_json::json!({"sequence": 1, "hosts": hosts}).to_string()
+    serde_json::json!({"sequence": sequence, "hosts": hosts}).to_string()
 }
--- a/crates/policy/src/member/mod.rs
+++ b/crates/policy/src/member/mod.rs
@@ -117,6 +117,7 @@
     doubt: Option<Time>,
     retried: Time,
     heard_any: bool,
+    departures: u64,
 }
 
 impl Membership {
@@ -145,6 +146,7 @@
             doubt: None,
             retried: now,
             heard_any: false,
+            departures: 0,
         }
     }
 
@@ -188,6 +190,28 @@
         self.table.len() > 1
     }
 
+    /// Whether every neighbour failed to be reached when last tried.
+    pub fn is_cut_off(&self) -> bool {
+        !self.neighbours.is_empty() && self.neighbours.values().all(Neighbour::is_broken)
+    }
+
+    /// Where a host listens for peers.
+    pub fn address(&self, host: &id::Host) -> Option<SocketAddr> {
+        self.table.get(host).map(|record| record.peer)
+    }
+
+    /// Counts changes in who is leaving, by any source.
+    pub fn departures(&self) -> u64 {
+        self.list.changes() + self.departures
+    }
+
+    /// A first message to a host that may not know this one.
+    pub fn greeting(&mut self) -> Message {
+        let mut beat = self.outline(false);
+        beat.records.push(self.own.clone());
+        Message::Heartbeat(beat)
+    }
+
     /// How many members are not dead, this one included.
     pub fn size(&self) -> usize {
         self.table.live().count()
@@ -241,13 +265,24 @@
         for notice in self.list.install(published) {
             self.outbox.notice(notice, None, self.neighbours.keys());
         }
-        for entry in published.entries.iter().filter(|entry| entry.host != self.own.host) {
-            let record = Record::unheard(entry);
-            self.table.merge(now, &record);
+        for entry in &published.entries {
+            if entry.host == self.own.host {
+                self.locate(now, entry);
+            } else {
+                self.table.merge(now, &Record::unheard(entry));
+            }
         }
         self.rewire(now);
     }
 
+    /// A process may listen on every address of its host; the list says which of them others use.
+    fn locate(&mut self, now: Time, entry: &Entry) {
+        if (self.own.http, self.own.peer) != (entry.http, entry.peer) {
+            (self.own.http, self.own.peer) = (entry.http, entry.peer);
+            self.renew(now);
+        }
+    }
+
     /// Takes in a message that came over a proven link from `from`.
     pub fn receive(&mut self, now: Time, from: &id::Host, message: Message) -> Vec<Action> {
         // It waited in a buffer while this process slept; the next poll notices the pause.
@@ -350,6 +385,7 @@
         if beat.reply {
             return Vec::new();
         }
+        self.outbox.record(&self.own.host, None, std::iter::once(from));
         let reply = self.heartbeat(from, true);
         self.send(from, reply)
     }
@@ -360,7 +396,9 @@
             self.refute(now, from, record);
             return;
         }
+        let left = self.is_leaving(&record.host);
         if self.table.merge(now, record) {
+            self.departures += u64::from(left != self.is_leaving(&record.host));
             self.outbox.record(&record.host, from, self.neighbours.keys());
             self.rewire(now);
         } else if let (Some(from), true) = (from, self.table.supersedes(record)) {
@@ -504,8 +542,8 @@
     }
 
     fn send(&self, to: &id::Host, message: Message) -> Vec<Action> {
-        let address = self.table.get(to).map(|record| record.peer);
-        let send = address.map(|address| Action::Send { to: to.clone(), address, message });
+        let send =
+            self.address(to).map(|address| Action::Send { to: to.clone(), address, message });
         send.into_iter().collect()
     }
 }
--- a/crates/policy/src/member/published.rs
+++ b/crates/policy/src/member/published.rs
@@ -46,6 +46,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct List {
     sequence: u64,
+    changes: u64,
     hosts: BTreeMap<id::Host, Said>,
 }
 
@@ -61,6 +62,11 @@
         self.sequence
     }
 
+    /// Counts changes in who is leaving.
+    pub(crate) fn changes(&self) -> u64 {
+        self.changes
+    }
+
     pub(crate) fn names(&self, host: &id::Host) -> bool {
         self.hosts.get(host).is_some_and(|said| said.listed)
     }
@@ -116,6 +122,8 @@
         }
         let said = Said { sequence: notice.sequence, leaving: notice.leaving, listed };
         self.hosts.insert(notice.host.clone(), said);
-        before.is_some_and(|said| said.leaving) != notice.leaving
+        let changed = before.is_some_and(|said| said.leaving) != notice.leaving;
+        self.changes += u64::from(changed);
+        changed
     }
 }
--- a/crates/policy/src/member/watch.rs
+++ b/crates/policy/src/member/watch.rs
@@ -31,6 +31,7 @@
     flushed: bool,
     differs: Option<Time>,
     repaired: Option<Time>,
+    broken: bool,
 }
 
 impl Neighbour {
@@ -42,12 +43,14 @@
             flushed: false,
             differs: None,
             repaired: None,
+            broken: false,
         }
     }
 
     pub(crate) fn heard(&mut self, now: Time) {
         self.heard = now;
         self.asked = None;
+        self.broken = false;
     }
 
     /// Another member reached it: it has the time of one silence to be heard over a new link.
@@ -63,11 +66,16 @@
 
     /// Its link broke: as good as a silence.
     pub(crate) fn doubted(&mut self, now: Time) {
+        self.broken = true;
         if self.asked.is_none() {
             self.heard = self.heard.min(now - SILENCE);
         }
     }
 
+    pub(crate) fn is_broken(&self) -> bool {
+        self.broken
+    }
+
     pub(crate) fn verdict(&mut self, now: Time) -> Verdict {
         match self.asked {
             None if now.since(self.heard) >= SILENCE => {
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -18,3 +18,23 @@
     });
     ranked
 }
+
+/// Reorders `ranked` so that neighbours in the list share no failure domain where that can be.
+///
+/// A caller whose first entry went with its failure domain tries the second next, which must not
+/// have gone with it. The first stays first.
+pub fn spread<'a, T>(ranked: Vec<&'a T>, domain: impl Fn(&T) -> &str) -> Vec<&'a T> {
+    let mut left = ranked;
+    let mut spread: Vec<&'a T> = Vec::with_capacity(left.len());
+    let mut round: Vec<&str> = Vec::new();
+    while !left.is_empty() {
+        let apart = left.iter().position(|member| !round.contains(&domain(member)));
+        if apart.is_none() {
+            round.clear();
+        }
+        let member = left.remove(apart.unwrap_or(0));
+        round.push(domain(member));
+        spread.push(member);
+    }
+    spread
+}
--- a/crates/policy/src/version/readiness.rs
+++ b/crates/policy/src/version/readiness.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 use crate::time::Time;
 use crate::version::Stamp;
 
@@ -25,19 +27,25 @@
 }
 
 /// Whether a process may serve, and if not, what it waits for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Standing {
     /// It may serve.
+    #[display("ready")]
     Ready,
     /// Peers were not asked yet.
+    #[display("asking peers")]
     AskingPeers,
     /// The platform was not asked yet.
+    #[display("asking the platform")]
     AskingPlatform,
     /// Neither peers nor platform answered.
+    #[display("neither peers nor the platform answer")]
     Alone,
     /// No text is known.
+    #[display("no text is published")]
     NoVersion,
     /// A peer has announced a newer version, which is on its way.
+    #[display("a newer text is on its way")]
     Behind,
 }
 
@@ -48,6 +56,7 @@
     peers: Asked,
     platform: Asked,
     newest: Stamp,
+    ready: bool,
 }
 
 impl Readiness {
@@ -58,6 +67,7 @@
             peers: Asked::Pending,
             platform: Asked::Pending,
             newest: Stamp::default(),
+            ready: false,
         }
     }
 
@@ -82,7 +92,16 @@
     }
 
     /// Whether the process may serve with the version behind `stamp` in force.
-    pub fn standing(&self, now: Time, stamp: Stamp) -> Standing {
+    ///
+    /// Once it may, it goes on: the failure would be a fleet whose every member stops serving for a
+    /// moment whenever a host is listed or a text published.
+    pub fn standing(&mut self, now: Time, stamp: Stamp) -> Standing {
+        let standing = if self.ready { Standing::Ready } else { self.asked(now, stamp) };
+        self.ready = standing == Standing::Ready;
+        standing
+    }
+
+    fn asked(&self, now: Time, stamp: Stamp) -> Standing {
         let late = now.since(self.since) >= PATIENCE;
         let settled = |asked: Asked| match asked {
             Asked::Pending if late => Asked::Silent,
--- a/crates/policy/tests/version.rs
+++ b/crates/policy/tests/version.rs
@@ -107,6 +107,19 @@
     assert_eq!(readiness.standing(Time::ZERO, new), Standing::Ready);
 }
 
+/// Requests are refused for a moment by every entry whenever a text is published or a host listed.
+/// A process that serves must go on while it learns of more.
+#[test]
+fn a_process_that_serves_goes_on_while_news_comes() {
+    let mut readiness = Readiness::open(Time::ZERO);
+    readiness.platform(Asked::Answered);
+    readiness.peers(Asked::Silent);
+    assert_eq!(readiness.standing(Time::ZERO, version(5).stamp()), Standing::Ready);
+    readiness.peers(Asked::Pending);
+    readiness.announced(version(6).stamp());
+    assert_eq!(readiness.standing(Time::ZERO, version(5).stamp()), Standing::Ready);
+}
+
 /// With the platform down for hours, a replaced host must be able to serve: peers suffice. With
 /// neither it would serve nothing it can vouch for.
 #[test]
@@ -117,8 +130,8 @@
     readiness.platform(Asked::Silent);
     assert_eq!(readiness.standing(late, text), Standing::Alone);
     readiness.peers(Asked::Answered);
-    assert_eq!(readiness.standing(late, text), Standing::Ready);
     assert_eq!(readiness.standing(late, Stamp::default()), Standing::NoVersion);
+    assert_eq!(readiness.standing(late, text), Standing::Ready);
 }
 
 /// The platform refuses calls as the fleet grows. Only two processes of a domain watch, whatever
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -2,9 +2,19 @@
 
 use derive_more::{Display, Error};
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::member::Message;
+use fireflyhoist_policy::member::proof::{Challenge, Proof};
+use fireflyhoist_policy::version::Version;
+use fireflyhoist_text::section::{Digest, Manifest};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+/// The largest frame in bytes that is read; a batch of sections or a large manifest with room.
+pub const MAX_FRAME: usize = 128 << 10;
+
+/// The most bytes of sections that one frame carries; one section is at most 16 KB.
+pub const MAX_BATCH: usize = 48 << 10;
+
 /// Why a frame is not taken.
 #[derive(Clone, Debug, Display, Error)]
 pub enum FrameError {
@@ -17,13 +27,41 @@
 }
 
 /// One message between two daemons.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Frame {
-    /// Who is speaking.
+    /// The listener's first word.
+    Challenge(Challenge),
+    /// The caller proves the key and asks for proof.
     Hello {
-        /// The speaker's host.
+        /// The caller's host.
         host: id::Host,
+        /// What the listener must answer.
+        challenge: Challenge,
+        /// The answer to the listener's challenge.
+        proof: Proof,
+    },
+    /// The listener proves the key.
+    Welcome {
+        /// The listener's host.
+        host: id::Host,
+        /// The answer to the caller's challenge.
+        proof: Proof,
+    },
+    /// About membership.
+    Member(Message),
+    /// Please tell which sections make the text in force at you.
+    WantManifest,
+    /// The sections of a text, in order.
+    Manifest {
+        /// The version of the text.
+        version: Version,
+        /// Its sections.
+        sections: Manifest,
     },
+    /// Please send these sections.
+    WantSections(Vec<Digest>),
+    /// Sections, as many as fit in [`MAX_BATCH`]; none where the sender lacks them.
+    Sections(Vec<String>),
 }
 
 /// Encodes a frame.
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -62,3 +62,17 @@
     /// The hosts.
     pub hosts: Vec<Host>,
 }
+
+/// The header that carries a value's sequence, which grows with each change of the value.
+pub const SEQUENCE_HEADER: &str = "x-sequence";
+
+/// The query of a read: with `after` the answer is 304 while the sequence is still that, and with
+/// `wait_ms` the platform waits so long for a change before it says so.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Watch {
+    /// The sequence that the reader has.
+    pub after: Option<u64>,
+    /// Milliseconds to wait for another.
+    pub wait_ms: u64,
+}
