Free the peer address when a daemon has drained

Cause: the task that takes in links kept the listener, so a replacement on the same address failed in once.rs a_restart_on_the_same_address_honours_no_old_ticket with 'Address already in use'.

What changed: a drain tells that task to stop and waits until the address is free.

Conclusion: a daemon may be restarted on its address at once.

--- a/crates/daemon/src/connection/peer.rs
+++ b/crates/daemon/src/connection/peer.rs
@@ -11,7 +11,7 @@
 use futures_util::{SinkExt, StreamExt};
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, mpsc};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, timeout};
 use tokio_tungstenite::tungstenite::Message;
 
@@ -122,8 +122,25 @@
         ntex::rt::spawn(async move { links.carry(socket, host, number, frames).await }).detach();
     }
 
-    /// Takes in links until the process ends.
-    pub(crate) async fn listen(self: Arc<Self>, listener: TcpListener) {
+    /// Takes in links until it is told to stop, which it confirms once the address is free again.
+    pub(crate) async fn listen(
+        self: Arc<Self>,
+        listener: TcpListener,
+        stop: oneshot::Receiver<oneshot::Sender<()>>,
+    ) {
+        tokio::select! {
+            () = self.accept(&listener) => {}
+            confirm = stop => {
+                drop(listener);
+                if let Ok(confirm) = confirm {
+                    // Nobody waits any more where the daemon was dropped meanwhile.
+                    let _ = confirm.send(());
+                }
+            }
+        }
+    }
+
+    async fn accept(self: &Arc<Self>, listener: &TcpListener) {
         let places = Arc::new(Semaphore::new(UNPROVED));
         loop {
             let Ok(place) = Arc::clone(&places).acquire_owned().await else { return };
@@ -132,7 +149,7 @@
                 ntex::time::sleep(Duration::from_millis(100)).await;
                 continue;
             };
-            let links = Arc::clone(&self);
+            let links = Arc::clone(self);
             ntex::rt::spawn(async move {
                 let proved = handshake::answer(&links.credentials, stream).await;
                 drop(place);
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -30,7 +30,7 @@
 use ntex::web::{self, HttpServer};
 use parking_lot::RwLock;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::connection::handshake::Credentials;
 use crate::connection::load;
@@ -352,6 +352,7 @@
     http: SocketAddr,
     peer: SocketAddr,
     server: Server,
+    peers: oneshot::Sender<oneshot::Sender<()>>,
 }
 
 impl Daemon {
@@ -372,7 +373,7 @@
         let process = Process::open(settings, metrics, http, peer);
         let client = crate::connection::client().await.ok_or(StartError::Client)?;
         let worker = Worker { process: Arc::clone(&process), client };
-        join(&process, peers, peer)
+        let peers = join(&process, peers, peer)
             .map_err(|reason| StartError::Listen { address: peer, reason })?;
         ntex::rt::spawn(watch::run(worker.clone(), watch::Key::Hosts)).detach();
         ntex::rt::spawn(watch::run(worker.clone(), watch::Key::Text)).detach();
@@ -382,7 +383,7 @@
         let server = serve(&process, listener)
             .map_err(|reason| StartError::Listen { address: http, reason })?;
         ::log::info!(http:% = http, peer:% = peer; "listening");
-        Ok(Self { process, http, peer, server })
+        Ok(Self { process, http, peer, server, peers })
     }
 
     /// Where callers connect.
@@ -395,6 +396,16 @@
         self.peer
     }
 
+    /// Stops listening to peers, so that a replacement may take the address at once.
+    async fn free_peer_address(&mut self) {
+        let (confirm, confirmed) = oneshot::channel();
+        let (idle, _) = oneshot::channel();
+        let peers = std::mem::replace(&mut self.peers, idle);
+        if peers.send(confirm).is_ok() {
+            let _ = confirmed.await;
+        }
+    }
+
     /// Serves until SIGTERM or SIGINT, then drains.
     pub async fn run_until_signal(self) {
         let term = signal(SignalKind::terminate());
@@ -417,7 +428,7 @@
     ///
     /// The server's own graceful stop cut a streaming response after 0.1 s in a trial, so it runs
     /// only once nothing is in progress.
-    pub async fn drain(self) {
+    pub async fn drain(mut self) {
         let process = &self.process;
         process.leaving.store(true, Ordering::Release);
         process.control.leave(process.clock.now());
@@ -427,22 +438,28 @@
             ntex::time::sleep(DRAIN_POLL).await;
         }
         self.process.stopped.store(true, Ordering::Release);
+        self.free_peer_address().await;
         self.server.stop(true).await;
         ::log::info!("stopped");
     }
 }
 
 /// Begins to listen to peers and to speak with them.
-fn join(process: &Arc<Process>, listener: TcpListener, own: SocketAddr) -> io::Result<()> {
+fn join(
+    process: &Arc<Process>,
+    listener: TcpListener,
+    own: SocketAddr,
+) -> io::Result<oneshot::Sender<oneshot::Sender<()>>> {
     let settings = &process.settings;
     let credentials = Credentials { host: settings.host.clone(), key: settings.peer_key.clone() };
     let (sender, events) = mpsc::channel(fleet::BACKLOG);
     let links = Links::open(credentials, sender);
     let listener = peer::listener(listener)?;
-    ntex::rt::spawn(Arc::clone(&links).listen(listener)).detach();
+    let (stop, stopped) = oneshot::channel();
+    ntex::rt::spawn(Arc::clone(&links).listen(listener, stopped)).detach();
     ntex::rt::spawn(fleet::seek(Arc::clone(process), Arc::clone(&links), own)).detach();
     ntex::rt::spawn(fleet::run(Arc::clone(process), links, events)).detach();
-    Ok(())
+    Ok(stop)
 }
 
 async fn tick(process: Arc<Process>) {
