Let the stand-in engine report only what it still runs

Cause: through a daemon `latency` never had more than about a hundred of 250 streams at work (first token p50 6.8 s). The stand-in engine counted ended generations as running and held no memory for any, so the gate took them for streams of other entries and left them room.

Change: a report names the generations that have not ended and the tokens that they hold; the memory it names can be set, and `latency` sets it so large that no stream waits for room, since its matter is the daemon's own work.

Ruled out: the pace bound (none is set until gaps grow), the workspace's limits (none in that text), the memory named by the report (raised to a billion tokens, nothing changed).

--- a/crates/bench/src/bin/latency.rs
+++ b/crates/bench/src/bin/latency.rs
@@ -22,6 +22,10 @@
 /// Engine processes, so that no engine is the bottleneck.
 const ENGINES: usize = 3;
 
+/// Tokens of memory of an engine: so much that no stream waits for room, since what is measured
+/// is the daemon's own work and not its decisions.
+const MEMORY: &str = "1000000000";
+
 /// Threads that play callers.
 const CALLERS: usize = 3;
 
@@ -226,7 +230,10 @@
     let between = flags.between_us.to_string();
     let (_platform, platform) = fireflyhoist_harness::standin("platform", &[]);
     let (_engines, engines): (Vec<_>, Vec<_>) = (0..ENGINES)
-        .map(|_| fireflyhoist_harness::standin("engine", &["--between-us", &between]))
+        .map(|_| {
+            let flags = ["--between-us", &between, "--memory", MEMORY];
+            fireflyhoist_harness::standin("engine", &flags)
+        })
         .unzip();
     let entry = fireflyhoist_harness::entry_with("bench-1", "hala-a", platform, flags.workers);
     let hosts = fireflyhoist_harness::host_list(&[&entry]);
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -94,7 +94,8 @@
 
 /// An engine with this many microseconds from token to token.
 pub(crate) fn paced(micros: u64) -> (Running, Arc<Engine>) {
-    let pace = Pace { first: Duration::from_millis(2), between: Duration::from_micros(micros) };
+    let between = Duration::from_micros(micros);
+    let pace = Pace { first: Duration::from_millis(2), between, ..Pace::default() };
     Engine::bind(ANY, pace).expect("engine")
 }
 
--- a/crates/demo/src/fleet.rs
+++ b/crates/demo/src/fleet.rs
@@ -8,6 +8,7 @@
 
 use derive_more::{Display, Error, From};
 use fireflyhoist_daemon::{Daemon, Settings, SettingsError, StartError};
+use fireflyhoist_policy::unit::Tokens;
 use fireflyhoist_standin::Running;
 use fireflyhoist_standin::engine::{Engine, Pace};
 use fireflyhoist_standin::plain::Plain;
@@ -19,7 +20,11 @@
 const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// Slow enough to watch, fast enough for a page of 60 lines in a few seconds.
-const PACE: Pace = Pace { first: Duration::from_millis(50), between: Duration::from_millis(15) };
+const PACE: Pace = Pace {
+    first: Duration::from_millis(50),
+    between: Duration::from_millis(15),
+    memory: Tokens::new(100_000),
+};
 
 /// The hosts of the daemons and their failure domains.
 const HOSTS: [(&str, &str); 3] = [("brno-1", "hala-a"), ("brno-2", "hala-b"), ("brno-3", "hala-c")];
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -25,6 +25,12 @@
 use crate::script::Script;
 use crate::serve;
 
+/// Bytes of prompt for one token.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Memory of an engine of the users' size.
+const MEMORY: Tokens = Tokens::new(100_000);
+
 /// How fast the engine works.
 #[derive(Clone, Debug)]
 pub struct Pace {
@@ -32,11 +38,13 @@
     pub first: Duration,
     /// From each token to the next.
     pub between: Duration,
+    /// Tokens of memory that load reports name; a fixed pace never fills it.
+    pub memory: Tokens,
 }
 
 impl Default for Pace {
     fn default() -> Self {
-        Self { first: Duration::from_millis(5), between: Duration::from_millis(2) }
+        Self { first: Duration::from_millis(5), between: Duration::from_millis(2), memory: MEMORY }
     }
 }
 
@@ -196,15 +204,25 @@
         }
     }
 
+    /// Tokens that a run holds in memory, or `None` where it has ended or is unknown.
+    fn held(&self, generation: id::Generation) -> Option<u64> {
+        let ready = self.ready(generation)?;
+        let runs = self.runs.lock();
+        let run = runs.get(&generation)?;
+        let prompt = run.prompt.len() as u64 / BYTES_PER_TOKEN;
+        (ready < run.script.len()).then_some(prompt + ready)
+    }
+
     fn load(&self) -> Load {
         if let Some(batching) = &self.batching {
             return Load { age_ms: 0, report: batching.report() };
         }
-        let runs = self.runs.lock();
-        let running = runs.values().filter(|run| !run.cancelled).count();
+        let generations: Vec<id::Generation> = self.runs.lock().keys().copied().collect();
+        let held: Vec<u64> = generations.into_iter().filter_map(|id| self.held(id)).collect();
         let report = Report {
-            capacity: Tokens::new(100_000),
-            running: u32::try_from(running).unwrap_or(u32::MAX),
+            capacity: self.pace.memory,
+            used: Tokens::new(held.iter().sum()),
+            running: u32::try_from(held.len()).unwrap_or(u32::MAX),
             ..Report::default()
         };
         Load { age_ms: 0, report }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
+use fireflyhoist_policy::unit::Tokens;
 use fireflyhoist_standin::batch::Shape;
 use fireflyhoist_standin::engine::{Engine, Pace};
 use fireflyhoist_standin::plain::Plain;
@@ -27,6 +28,9 @@
         /// Microseconds between tokens.
         #[bpaf(argument("US"), fallback(2000))]
         between_us: u64,
+        /// Tokens of memory that load reports name.
+        #[bpaf(argument("TOKENS"), fallback(100_000))]
+        memory: u64,
     },
     /// A model engine that batches continuously in a memory of limited size.
     #[bpaf(command)]
@@ -70,10 +74,11 @@
 
 async fn run(role: Role) -> io::Result<()> {
     let running = match role {
-        Role::Engine { listen, first_ms, between_us } => {
+        Role::Engine { listen, first_ms, between_us, memory } => {
             let first = Duration::from_millis(first_ms);
             let between = Duration::from_micros(between_us);
-            Engine::bind(listen, Pace { first, between })?.0
+            let memory = Tokens::new(memory);
+            Engine::bind(listen, Pace { first, between, memory })?.0
         }
         Role::Batching { listen, memory, step_us } => {
             let shape = Shape { memory, base: step_us as f64, ..Shape::default() };
