Answer those who wait for a service that a new text removes

Cause: a lane that left the process's table was polled no more, so a request that waited in it heard nothing, not even at its deadline: a silently swallowed request. Found in a read-through.

Change: a lane that is removed refuses its waiters at once (`ran: no`, with when to come back) and takes them out of its gate; what was sent goes on. Weights and objective go from the text to each gate whenever either changes.

Ruled out: polling removed lanes until they are empty, which would make the waiters wait for engines that no text names.

The weights and the objective have no test through HTTP.

--- a/crates/daemon/src/process/lane.rs
+++ b/crates/daemon/src/process/lane.rs
@@ -2,11 +2,11 @@
 //!
 //! A lane is a shard of the process's state: services never wait for one another's lock.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
-use fireflyhoist_policy::gate::{Ask, Gate, Outcome, Refusal, Report, Verdict};
+use fireflyhoist_policy::gate::{Ask, Gate, Outcome, Reason, Refusal, Report, Verdict};
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::unit::Tokens;
 use parking_lot::Mutex;
@@ -15,6 +15,10 @@
 
 use crate::process::clock::Clock;
 
+/// When a caller whose service was removed may ask again: a text that brings the service back
+/// takes seconds to be in force.
+const CLOSED_RETRY: Duration = Duration::from_secs(10);
+
 /// The gate of one service and its waiters.
 #[derive(Debug)]
 pub(crate) struct Lane {
@@ -38,6 +42,31 @@
         self.poll();
     }
 
+    /// Takes over what the text says: the weights of workspaces, and the time between tokens that
+    /// the service's callers are promised.
+    pub(crate) fn set_terms(&self, weights: &BTreeMap<id::Workspace, f64>, between: Duration) {
+        let mut state = self.state.lock();
+        state.gate.set_weights(weights.clone());
+        state.gate.set_between(between);
+    }
+
+    /// Answers all who wait: the service is no longer in the text.
+    ///
+    /// Guards against requests that are silently swallowed: a lane that is out of the process's
+    /// table is polled no more, so its waiters would hear nothing, not even at their deadlines.
+    /// What has been sent goes on to its end.
+    pub(crate) fn close(&self) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        let waiters = std::mem::take(&mut state.waiters);
+        for (request, waiter) in waiters {
+            state.gate.finish(now, request, Outcome::Cancelled);
+            let refusal = Refusal { reason: Reason::NoTarget, retry_after: CLOSED_RETRY };
+            // A waiter that is gone needs no answer.
+            let _ = waiter.send(Verdict::Refuse(refusal));
+        }
+    }
+
     /// Tells how many entries the published list names, and which of them this one is.
     pub(crate) fn set_entries(&self, entries: usize, own: Option<usize>) {
         self.state.lock().gate.set_entries(self.clock.now(), entries, own);
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -300,12 +300,22 @@
             hosts.hosts.iter().filter(|h| h.entry.is_some()).map(|h| &h.name).collect();
         entries.sort();
         let own = entries.iter().position(|name| **name == self.settings.host);
+        let weights = snapshot.text.workspaces.iter();
+        let weights = weights.map(|w| (w.name.clone(), f64::from(w.weight))).collect();
         let mut lanes = self.lanes.write();
-        lanes.retain(|name, _| snapshot.text.service(name).is_some());
+        lanes.retain(|name, lane| {
+            let kept = snapshot.text.service(name).is_some();
+            if !kept {
+                lane.close();
+            }
+            kept
+        });
         self.burn.retain(|name| snapshot.text.service(name).is_some());
         for service in &snapshot.text.services {
             let usable = service.targets.iter().filter(|t| !self.control.is_leaving(&t.host));
             let lane = lanes.entry(service.name.clone()).or_insert_with(|| Lane::open(self.clock));
+            let between = Duration::from_millis(service.objective.between_tokens_ms);
+            lane.set_terms(&weights, between);
             lane.set_entries(entries.len(), own);
             lane.set_targets(usable.map(|t| t.name.clone()).collect());
         }
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -213,6 +213,11 @@
         self.queue.set_weights(weights);
     }
 
+    /// Sets the time between tokens that live callers are promised.
+    pub fn set_between(&mut self, between: Duration) {
+        self.settings.between = between;
+    }
+
     /// Replaces the targets; requests already sent to a removed one go on until they finish.
     pub fn set_targets(&mut self, now: Time, targets: Vec<id::Target>) {
         self.slots.iter_mut().for_each(|slot| slot.listed = false);
