--- a/crates/bench/src/bin/latency.rs
+++ b/crates/bench/src/bin/latency.rs
@@ -45,6 +45,9 @@
     /// Microseconds between the tokens of a stream.
     #[bpaf(argument("US"), fallback(10_000))]
     between_us: u64,
+    /// Streams opened in a second; an engine of the users' size begins about seven.
+    #[bpaf(argument("N"), fallback(60))]
+    opens: usize,
     /// Worker threads of the daemon.
     #[bpaf(argument("N"), fallback(1))]
     workers: usize,
@@ -136,11 +139,10 @@
     sample.whole += usize::from(seen == tokens);
 }
 
-/// One caller thread: opens its streams spread over a second and reads them all.
-fn caller(ways: Vec<Way>, tokens: u64) -> Sample {
+/// One caller thread: opens its streams one after another and reads them all.
+fn caller(ways: Vec<Way>, tokens: u64, spread: Duration) -> Sample {
     ntex::rt::System::new("caller", ntex::rt::DefaultRuntime).block_on(async move {
         let client = fireflyhoist_harness::client().await;
-        let spread = Duration::from_secs(1) / ways.len().max(1) as u32;
         let streams = ways.into_iter().enumerate().map(async |(number, way)| {
             ntex::time::sleep(spread * number as u32).await;
             let mut sample = Sample::open();
@@ -153,14 +155,15 @@
     })
 }
 
-fn run(ways: &[Way], tokens: u64) -> Sample {
+fn run(ways: &[Way], tokens: u64, opens: usize) -> Sample {
     let begun = Instant::now();
     let share = ways.len().div_ceil(CALLERS);
+    let spread = Duration::from_secs(CALLERS as u64) / opens.max(1) as u32;
     let threads: Vec<_> = ways
         .chunks(share)
         .map(|ways| {
             let ways = ways.to_vec();
-            thread::spawn(move || caller(ways, tokens))
+            thread::spawn(move || caller(ways, tokens, spread))
         })
         .collect();
     let mut total = Sample::open();
@@ -245,13 +248,14 @@
     ));
     let at_rest = resident(&entry.process);
     let ways = |way: &dyn Fn(usize) -> Way| (0..flags.streams).map(way).collect::<Vec<_>>();
-    let direct = run(&ways(&|n| Way::Direct(engines[n % ENGINES])), flags.tokens);
+    let direct = run(&ways(&|n| Way::Direct(engines[n % ENGINES])), flags.tokens, flags.opens);
     let before = cpu(&entry.process);
     let through = thread::spawn({
         let ways = ways(&|_| Way::Through(entry.http));
-        move || run(&ways, flags.tokens)
+        move || run(&ways, flags.tokens, flags.opens)
     });
-    thread::sleep(Duration::from_secs(2));
+    let all_open = Duration::from_secs((flags.streams / flags.opens.max(1)) as u64);
+    thread::sleep(all_open + Duration::from_secs(1));
     let loaded = resident(&entry.process);
     let through = through.join().expect("the run ends");
     let used = cpu(&entry.process) - before;
--- a/crates/daemon/src/process/lane.rs
+++ b/crates/daemon/src/process/lane.rs
@@ -155,9 +155,14 @@
         self.target.as_ref().expect("a pass handed out names its target")
     }
 
-    pub(crate) fn progress(&self, produced: Tokens) {
+    /// Tells the gate how far the answer has come; `started` where this is news of its first
+    /// token, which makes the way free for the next prompt.
+    pub(crate) fn progress(&self, produced: Tokens, started: bool) {
         let now = self.lane.clock.now();
         self.lane.state.lock().gate.progress(now, self.request, produced);
+        if started {
+            self.lane.poll();
+        }
     }
 
     pub(crate) fn finish(mut self, outcome: Outcome) {
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -192,13 +192,15 @@
             if progress.preemptions > 0 {
                 self.watch.preempted();
             }
-            if progress.ended || produced >= noted + PROGRESS_EVERY {
+            // The first token is told at once: until then the gate sends this engine no other prompt.
+            let started = before == 0 && produced > 0;
+            if started || progress.ended || produced >= noted + PROGRESS_EVERY {
                 noted = produced;
                 if let Some(permit) = &mut self.permit {
                     permit.spend(produced);
                 }
                 if let Some(pass) = &self.attempt.pass {
-                    pass.progress(Tokens::new(produced));
+                    pass.progress(Tokens::new(produced), started);
                 }
             }
             if progress.ended {
