Keep the port of a stand-in that a test has taken away

Cause: a landing failed in `a_lookup_outlives_its_connection:: target_gone`: an empty reply where the other target's was due. The port of the target that had been taken away was free again, so a server of another test in the same process could get it and answer in its place.

Change: stand-ins and links bind a second socket to their port that does not listen; after a kill the system refuses connections there, and the port is given to nobody.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod order;
 pub mod plain;
 pub mod platform;
+mod port;
 pub mod script;
 mod serve;
 
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -5,13 +5,16 @@
 //! other than those chosen, such as load reports, pass untouched until the target is gone.
 
 use std::io::{self, Read, Write};
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use tokio::net::TcpSocket;
+
+use crate::port;
 
 /// How far an exchange has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,6 +61,7 @@
 struct State {
     target: SocketAddr,
     address: SocketAddr,
+    _held: TcpSocket,
     plan: Option<Plan>,
     chosen: fn(&str) -> bool,
     strikes: AtomicUsize,
@@ -77,10 +81,11 @@
         plan: Option<Plan>,
         chosen: fn(&str) -> bool,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let (socket, held) = port::hold(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         let state = Arc::new(State {
             target,
-            address: listener.local_addr()?,
+            address: held.local_addr()?,
+            _held: held,
             plan,
             chosen,
             strikes: AtomicUsize::new(0),
@@ -93,6 +98,7 @@
             state.gone.store(true, Ordering::Release);
             return Ok(link);
         }
+        let listener = port::listen(socket)?;
         thread::spawn(move || accept(&listener, &state));
         Ok(link)
     }
--- a/crates/standin/src/serve.rs
+++ b/crates/standin/src/serve.rs
@@ -1,16 +1,21 @@
 //! What every stand-in shares: listening on loopback and a handle to end it.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
+use std::sync::Arc;
 
 use ntex::server::Server;
 use ntex::web::{self, HttpServer, ServiceConfig};
+use tokio::net::TcpSocket;
+
+use crate::port;
 
 /// A running stand-in.
 #[derive(Clone, Debug)]
 pub struct Running {
     address: SocketAddr,
     server: Server,
+    _held: Arc<TcpSocket>,
 }
 
 impl Running {
@@ -30,8 +35,9 @@
 where
     F: Fn(&mut ServiceConfig) + Send + Clone + 'static,
 {
-    let listener = TcpListener::bind(listen)?;
-    let address = listener.local_addr()?;
+    let (socket, held) = port::hold(listen)?;
+    let address = held.local_addr()?;
+    let listener = port::listen(socket)?;
     let server = HttpServer::new(async move || {
         let routes = routes.clone();
         web::App::new().configure(move |config: &mut ServiceConfig| routes(config))
@@ -40,5 +46,5 @@
     .disable_signals()
     .listen(listener)?
     .run();
-    Ok(Running { address, server })
+    Ok(Running { address, server, _held: Arc::new(held) })
 }
