Split the gate into what it composes, its switches and its placement

Change: `gate/settings.rs` and `gate/place.rs` take the switches and the choice of targets with the figures they rest on; no line of logic changed.

Ruled out: a struct of its own for placement; it reads most of the gate's fields.

--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -5,6 +5,9 @@
 //! composes: each decision stands in a module of its own, which names the load pattern that it
 //! answers. `docs/DECISIONS.md` has the runs.
 
+mod place;
+mod settings;
+
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -16,7 +19,7 @@
 use crate::id;
 use crate::length::{Book, Mark};
 use crate::outlier::{Detector, Ejection, Sample};
-use crate::placement::{self, Candidate};
+use crate::placement::Candidate;
 use crate::queue::{BOUND, Item, Queue};
 use crate::retry;
 use crate::room::Growth;
@@ -26,24 +29,11 @@
 use crate::unit::Tokens;
 use crate::usage::Usage;
 
+pub use settings::Settings;
+
 /// A prompt token costs an engine a twentieth of a generated one: prompts are computed in bulk.
 const PROMPT_WORK: f64 = 0.05;
 
-/// Part of every engine that a heavy workspace leaves to the others. An entry's share of it must
-/// hold one ordinary answer, or the reserve is free and yet nobody may take it.
-const RESERVE: f64 = 0.36;
-
-/// How many times an entry's equal part of all that is held a workspace must hold there to be
-/// heavy. Without it two ordinary workspaces that share an entry take turns at being heavy.
-const FLOOR: f64 = 1.3;
-
-/// The same, where the whole reserve is left.
-const FULL: f64 = 1.6;
-
-/// Streams that one entry may have at a live engine before their first token: each prompt holds
-/// back every stream of the engine while it is computed.
-const UNSTARTED: u32 = 1;
-
 /// From sending to the first token; kept off a caller's patience when its wait is foretold.
 const START: Duration = Duration::from_millis(500);
 
@@ -59,58 +49,9 @@
 /// sample after another: one sample an answer takes a minute to judge an engine of twelve.
 const JUDGED: u64 = 16;
 
-/// Prompts below so many tokens are computed in about 3 ms, less than one step of an engine, so
-/// they go where the load is least and not where they were met before.
-const AFFINE: u64 = 64;
-
 /// Tokens that the largest engine is taken to hold before any has reported.
 const UNREPORTED: u64 = 100;
 
-/// How often targets' weights are read from the detector.
-const WEIGHTS: Duration = Duration::from_millis(200);
-
-/// Which mechanisms decide; benches and tests switch one off to show what it is there for.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// The time between tokens that live callers are promised.
-    pub between: Duration,
-    /// Predict memory instead of sending whatever is asked.
-    pub room: bool,
-    /// Predict lengths instead of reserving the limit.
-    pub length: bool,
-    /// Divide free room among the entries.
-    pub share: bool,
-    /// Serve workspaces in fair turns.
-    pub fair: bool,
-    /// Keep a slice of memory from heavy workspaces.
-    pub reserve: bool,
-    /// Refuse on arrival what would miss its deadline.
-    pub refuse: bool,
-    /// Bound streams and unstarted prompts of live engines.
-    pub pace: bool,
-    /// Send prompts to where their beginning is cached.
-    pub affinity: bool,
-    /// Leave out slow and failing targets.
-    pub outlier: bool,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            between: Duration::from_millis(57),
-            room: true,
-            length: true,
-            share: true,
-            fair: true,
-            reserve: true,
-            refuse: true,
-            pace: true,
-            affinity: true,
-            outlier: true,
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Running {
     slot: usize,
@@ -431,88 +372,6 @@
         Some(refuse(rng, Reason::Deadline, late - patience))
     }
 
-    /// Reads anew how far each target is trusted.
-    fn weigh(&mut self, now: Time) {
-        if now.since(self.weighed) < WEIGHTS {
-            return;
-        }
-        self.weighed = now;
-        let listed = self.slots.iter().filter(|slot| slot.listed);
-        self.held = listed.map(|slot| slot.room.holdings().1).sum();
-        if !self.settings.outlier {
-            return;
-        }
-        for (target, weight) in self.detector.weights(now) {
-            if let Some(at) = self.index.get(target) {
-                self.slots[*at].weight = weight;
-            }
-        }
-    }
-
-    /// How far a workspace stands above this entry's equal part of all that is held, from 0 to 1.
-    fn weight_above(&self, workspace: &id::Workspace) -> f64 {
-        let part = self.held / self.entries.0.max(1) as f64;
-        if !self.usage.is_heavy(workspace, FLOOR * part) {
-            return 0.0;
-        }
-        let parts = self.usage.held(workspace) / part.max(1.0);
-        ((parts - FLOOR) / (FULL - FLOOR)).clamp(0.0, 1.0)
-    }
-
-    /// A lookup goes out at once, whatever the generations do.
-    fn place_lookup(&mut self, now: Time, rng: &mut impl Rng, ask: &Ask) -> Option<usize> {
-        let sends = self.sends;
-        self.collect(|slot| {
-            let up = slot.is_up(now) && Some(&slot.name) != ask.avoid.as_ref();
-            up.then(|| slot.load(sends))
-        });
-        if self.candidates.is_empty() {
-            // Better a target in doubt than no answer.
-            self.collect(|slot| slot.listed.then_some(0.0));
-        }
-        placement::choose(rng, placement::NO_PREFIX, &self.candidates).map(|at| self.fitting[at])
-    }
-
-    /// The target for a generation, where one has room.
-    fn place(&mut self, now: Time, rng: &mut impl Rng, ask: &Ask, curve: &Curve) -> Option<usize> {
-        let settings = self.settings.clone();
-        let sends = self.sends;
-        let live = ask.class == Class::Live;
-        let reserve = match settings.reserve && live {
-            true => RESERVE * self.weight_above(&ask.workspace),
-            false => 0.0,
-        };
-        let live = settings.pace && live;
-        self.collect(|slot| {
-            if !slot.is_up(now) || Some(&slot.name) == ask.avoid.as_ref() {
-                return None;
-            }
-            let (share, part) = (slot.share, slot.share.get(now));
-            if live && (slot.unstarted >= UNSTARTED || !slot.has_pace(now, part)) {
-                return None;
-            }
-            let (own, total) = slot.room.holdings();
-            let claim = slot.room.claim(now, ask.class, part, share.kept(now, own, total), reserve);
-            let fits = !settings.room || slot.room.fits(ask.class, &claim, curve);
-            fits.then(|| slot.load(sends))
-        });
-        let worth = settings.affinity && ask.prompt.get() >= AFFINE;
-        let prefix = if worth { ask.prefix } else { placement::NO_PREFIX };
-        placement::choose(rng, prefix, &self.candidates).map(|at| self.fitting[at])
-    }
-
-    /// Lists the targets that `load` takes, each with its load.
-    fn collect(&mut self, load: impl Fn(&Slot) -> Option<f64>) {
-        self.candidates.clear();
-        self.fitting.clear();
-        for (at, slot) in self.slots.iter().enumerate() {
-            if let Some(load) = load(slot) {
-                self.candidates.push(Candidate { key: slot.key, load, weight: slot.weight });
-                self.fitting.push(at);
-            }
-        }
-    }
-
     fn send(&mut self, now: Time, at: usize, ask: Ask, work: f64) -> Verdict {
         let curve = self.curve(&ask, 0);
         let slot = &mut self.slots[at];
--- /dev/null
+++ b/crates/policy/src/gate/settings.rs
@@ -0,0 +1,45 @@
+//! The switches of a gate's mechanisms.
+
+use std::time::Duration;
+
+/// Which mechanisms decide; benches and tests switch one off to show what it is there for.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The time between tokens that live callers are promised.
+    pub between: Duration,
+    /// Predict memory instead of sending whatever is asked.
+    pub room: bool,
+    /// Predict lengths instead of reserving the limit.
+    pub length: bool,
+    /// Divide free room among the entries.
+    pub share: bool,
+    /// Serve workspaces in fair turns.
+    pub fair: bool,
+    /// Keep a slice of memory from heavy workspaces.
+    pub reserve: bool,
+    /// Refuse on arrival what would miss its deadline.
+    pub refuse: bool,
+    /// Bound streams and unstarted prompts of live engines.
+    pub pace: bool,
+    /// Send prompts to where their beginning is cached.
+    pub affinity: bool,
+    /// Leave out slow and failing targets.
+    pub outlier: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            between: Duration::from_millis(57),
+            room: true,
+            length: true,
+            share: true,
+            fair: true,
+            reserve: true,
+            refuse: true,
+            pace: true,
+            affinity: true,
+            outlier: true,
+        }
+    }
+}
