Tell an answer that was reset from one that ended

Ruled out: judging by the error of its payload stream, since none is ever raised. Now: hyper's HTTP/1 connection, one for each exchange, closed by aborting its task.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -1,18 +1,32 @@
 //! One request to a target or the registry and its response, with every failure told apart.
+//!
+//! Each exchange has a connection of its own, which is closed after it. A pool was weighed: a
+//! pooled connection may be closing or silent as the request is written, which leaves the fate of a
+//! request that may not be repeated unknown, and bytes that belong to nobody may lie on it.
+//! `docs/PLATFORM.md` has what a new connection costs.
+//!
+//! The server library's own client was ruled out: it takes a response without a length for one
+//! without a body, and its pool opens connections to one address one after the other.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use futures_util::StreamExt;
-use ntex::client::{Client, ClientResponse};
-use ntex::http::error::PayloadError;
-use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use ntex::http::{HeaderMap, Method, Payload, StatusCode};
+use futures_util::future::{AbortHandle, abortable};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use ntex::http::header::HeaderValue;
+use ntex::http::{HeaderMap, Method, StatusCode};
 use ntex::time::timeout;
 use ntex::util::{Bytes, BytesMut};
+use tokio::net::TcpStream;
 
-use crate::connection::client::{fresh, unwritten};
+/// How long opening a connection may take. A hundred round trips between failure domains, and less
+/// than half of the shortest patience in use: what is not connected by then goes elsewhere, which
+/// is safe, since no byte was written.
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Why an exchange brought no whole response.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -32,7 +46,7 @@
 }
 
 impl Failure {
-    fn broken(error: &dyn std::error::Error) -> Self {
+    fn broken(error: &(impl std::error::Error + ?Sized)) -> Self {
         Self::Broken { reason: error.to_string() }
     }
 }
@@ -46,53 +60,91 @@
     pub(crate) body: Bytes,
 }
 
+/// Closes the connection of an exchange when its response is dropped.
+///
+/// The failure: a caller leaves and its target goes on working, since the library reads a response
+/// to its end in a task of its own. Aborting that task closes the socket at once.
+#[derive(Debug)]
+struct Connection(AbortHandle);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// Sends a request over a connection of its own and waits for the head of its response.
 pub(crate) async fn send(
-    client: &Client,
     address: SocketAddr,
     outgoing: Outgoing,
     within: Duration,
 ) -> Result<Response, Failure> {
-    let mut request = fresh(client, outgoing.method, address, &outgoing.path);
-    for (name, value) in &outgoing.headers {
-        request.headers_mut().append(name.clone(), value.clone());
+    let connected = timeout(CONNECT_TIMEOUT.min(within), TcpStream::connect(address)).await;
+    let Ok(Ok(stream)) = connected else { return Err(Failure::Unreached) };
+    // Small requests must not wait for the acknowledgement of earlier packets.
+    let _ = stream.set_nodelay(true);
+    timeout(within, exchange(stream, outgoing)).await.unwrap_or(Err(Failure::Late))
+}
+
+async fn exchange(stream: TcpStream, outgoing: Outgoing) -> Result<Response, Failure> {
+    let shaken = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, driver) = shaken.map_err(|error| Failure::broken(&error))?;
+    let (driver, handle) = abortable(driver);
+    let connection = Connection(handle);
+    ntex::rt::spawn(async move {
+        // Its failures reach the response as well.
+        let _ = driver.await;
+    })
+    .detach();
+    let request = request(outgoing).map_err(|error| Failure::broken(&error))?;
+    let response = sender.send_request(request).await;
+    let (head, body) = response.map_err(|error| Failure::broken(&error))?.into_parts();
+    let mut headers = HeaderMap::with_capacity(head.headers.len());
+    for (name, value) in &head.headers {
+        if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
+            headers.append(name.clone(), value);
+        }
     }
-    let request = request.no_decompress();
-    match timeout(within, request.send_body(outgoing.body)).await {
-        Ok(Ok(response)) => Ok(Response::open(response)),
-        Ok(Err(error)) if unwritten(&error) => Err(Failure::Unreached),
-        Ok(Err(error)) => Err(Failure::broken(&error)),
-        Err(()) => Err(Failure::Late),
+    Ok(Response { status: head.status, headers, body, _connection: connection })
+}
+
+fn request(outgoing: Outgoing) -> Result<hyper::Request<Full<hyper::body::Bytes>>, hyper::http::Error> {
+    let body = hyper::body::Bytes::copy_from_slice(&outgoing.body);
+    let mut request = hyper::Request::builder()
+        .method(outgoing.method)
+        .uri(outgoing.path)
+        .header(hyper::header::CONNECTION, "close");
+    for (name, value) in &outgoing.headers {
+        request = request.header(name, value.as_bytes());
     }
+    request.body(Full::new(body))
 }
 
 /// A response whose body is still to be read.
+#[derive(Debug)]
 pub(crate) struct Response {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    payload: Payload,
-    /// Whether the body ends with the connection.
-    unframed: bool,
+    body: Incoming,
+    _connection: Connection,
 }
 
 impl Response {
-    fn open(response: ClientResponse) -> Self {
-        let headers = response.headers().clone();
-        let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-        let payload = response.take_payload();
-        Self { status: response.status(), headers, payload, unframed: !framed }
-    }
-
     /// The next bytes of the body, or `None` at its orderly end.
     ///
     /// The failure: a body without a length ends with its connection, and one that was reset on
     /// the way looks complete. Only an orderly close counts as its end.
     pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
-        match self.payload.next().await {
-            Some(Ok(bytes)) => Ok(Some(bytes)),
-            None => Ok(None),
-            Some(Err(PayloadError::Incomplete(None))) if self.unframed => Ok(None),
-            Some(Err(error)) => Err(Failure::broken(&error)),
+        loop {
+            match self.body.frame().await {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => return Ok(Some(Bytes::copy_from_slice(&data))),
+                    // Trailers say nothing that the caller asked for.
+                    Err(_) => {}
+                },
+                Some(Err(error)) => return Err(Failure::broken(&error)),
+                None => return Ok(None),
+            }
         }
     }
 
@@ -111,14 +163,13 @@
 
 /// Calls for a whole small reply, as the registry and engines give them.
 pub(crate) async fn call(
-    client: &Client,
     address: SocketAddr,
     outgoing: Outgoing,
     within: Duration,
     limit: usize,
 ) -> Result<(StatusCode, Bytes), Failure> {
     let exchanged = async {
-        let mut response = send(client, address, outgoing, within).await?;
+        let mut response = send(address, outgoing, within).await?;
         let body = response.whole(limit).await?;
         Ok((response.status, body))
     };
--- a/crates/gateway/src/connection/mod.rs
+++ b/crates/gateway/src/connection/mod.rs
@@ -1,6 +1,5 @@
 //! What lives as long as a connection: calls to targets and the registry, links between entries.
 
-pub(crate) mod client;
 pub(crate) mod exchange;
 pub(crate) mod frame;
 pub(crate) mod link;
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -59,9 +59,6 @@
     /// Signals can't be received.
     #[display("signals can't be received ({_0}); see the limits of the process")]
     Signal(io::Error),
-    /// The HTTP client can't be built.
-    #[display("the HTTP client can't be built; see the limits of the process")]
-    Client,
 }
 
 /// A running gateway.
@@ -89,7 +86,7 @@
         })?;
         let fleet = Fleet::spawn(Arc::clone(&process), peers);
         let server = serve::bind::<P>(&process, &fleet)?;
-        follow::spawn::<P>(&process, &fleet).await.ok_or(StartError::Client)?;
+        follow::spawn::<P>(&process, &fleet);
         let lanes = Arc::clone(&process);
         ntex::rt::spawn(async move {
             loop {
--- a/crates/gateway/src/process/serve.rs
+++ b/crates/gateway/src/process/serve.rs
@@ -38,7 +38,7 @@
     let own = Arc::clone(process);
     let callers = builder
         .bind("callers", settings.callers, async move |_| {
-            let worker = Worker::open(Arc::clone(&own)).await;
+            let worker = Worker::open(Arc::clone(&own));
             HttpService::h1(async move |request: Request| {
                 Ok::<_, io::Error>(request::serve::<P>(&worker, request).await)
             })
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -82,7 +82,6 @@
     extra: &Extra,
 ) -> Result<Response, Ended> {
     let Some(target) = worker.process.target(id) else { return Err(Ended::Unrun("gone")) };
-    let Some(client) = worker.client.as_ref() else { return Err(Ended::Unrun("no client")) };
     let left = inquiry.left(worker.process.clock.now());
     let stamp = Stamp {
         instance: &target.instance,
@@ -99,7 +98,7 @@
         headers: stamped::<P>(&inquiry.headers, &stamp),
         body: inquiry.body.clone(),
     };
-    let response = exchange::send(client, target.address, outgoing, left).await;
+    let response = exchange::send(target.address, outgoing, left).await;
     let response = response.map_err(|failure| Ended::of(&failure))?;
     let reply = P::reply(response.status, &response.headers);
     if reply.misdirected {
--- a/crates/gateway/src/request/carry.rs
+++ b/crates/gateway/src/request/carry.rs
@@ -159,7 +159,7 @@
     let request = inquiry.facts.request.clone();
     let copy = match trip.way {
         Way::Switch => Some(Copy { at: trip.address, name: request }),
-        Way::Move { from } => Some(move_run::<P>(worker, inquiry, from, trip.address).await?),
+        Way::Move { from } => Some(move_run::<P>(inquiry, from, trip.address).await?),
         Way::Again => None,
     };
     let extra = Extra {
@@ -176,24 +176,21 @@
 
 /// Copies a run while it goes on, then stops it and copies the rest.
 async fn move_run<P: Platform>(
-    worker: &Worker,
     inquiry: &Inquiry,
     from: SocketAddr,
     to: SocketAddr,
 ) -> Result<Copy, Ended> {
-    move_once::<P>(worker, inquiry, from, to, false).await?;
-    let name = move_once::<P>(worker, inquiry, from, to, true).await?;
+    move_once::<P>(inquiry, from, to, false).await?;
+    let name = move_once::<P>(inquiry, from, to, true).await?;
     Ok(Copy { at: from, name })
 }
 
 async fn move_once<P: Platform>(
-    worker: &Worker,
     inquiry: &Inquiry,
     from: SocketAddr,
     to: SocketAddr,
     last: bool,
 ) -> Result<smol_str::SmolStr, Ended> {
-    let Some(client) = worker.client.as_ref() else { return Err(Ended::Unrun("no client")) };
     for _ in 0..MOVE_TRIES {
         let call = P::move_run(&inquiry.facts.request, to, last);
         let mut headers = HeaderMap::new();
@@ -207,7 +204,7 @@
             headers,
             body: Bytes::from(call.body),
         };
-        let called = exchange::call(client, from, outgoing, MOVE_TIMEOUT, MAX_REPLY).await;
+        let called = exchange::call(from, outgoing, MOVE_TIMEOUT, MAX_REPLY).await;
         let Ok((status, body)) = called else { return Err(Ended::Unknown("move broken")) };
         match P::moved(status, &body) {
             Moved::Copied { name } => return Ok(name),
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -10,7 +10,6 @@
 pub(crate) mod sse;
 pub(crate) mod stream;
 
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,7 +19,6 @@
 use fireflyhoist_policy::route::{Kind, Route, Service, Table};
 use fireflyhoist_policy::time::Time;
 use futures_util::StreamExt;
-use ntex::client::Client;
 use ntex::http::header::HOST;
 use ntex::http::{HeaderMap, Method, Payload, Request, Response};
 use ntex::io::IoRef;
@@ -28,7 +26,6 @@
 use ntex::util::{Bytes, BytesMut};
 use smol_str::SmolStr;
 
-use crate::connection::client;
 use crate::platform::{Facts, Platform};
 use crate::process::lane::Lane;
 use crate::process::state::{Process, millis};
@@ -46,16 +43,11 @@
 #[derive(Clone)]
 pub(crate) struct Worker {
     pub(crate) process: Arc<Process>,
-    pub(crate) client: Rc<Option<Client>>,
 }
 
 impl Worker {
-    pub(crate) async fn open(process: Arc<Process>) -> Self {
-        let client = client::open().await;
-        if client.is_none() {
-            log::error!("no HTTP client; every request is refused");
-        }
-        Self { process, client: Rc::new(client) }
+    pub(crate) fn open(process: Arc<Process>) -> Self {
+        Self { process }
     }
 }
 
--- a/crates/gateway/src/version/follow.rs
+++ b/crates/gateway/src/version/follow.rs
@@ -10,14 +10,12 @@
 
 use derive_more::{Display, Error};
 use fireflyhoist_policy::lease::{Change, Target};
-use ntex::client::Client;
 use ntex::http::{HeaderMap, Method, StatusCode};
 use ntex::time::{sleep, timeout};
 use ntex::util::Bytes;
 use rand::Rng;
 use smol_str::SmolStr;
 
-use crate::connection::client;
 use crate::connection::exchange::{self, Failure, Outgoing};
 use crate::platform::{DecodeError, Item, Page, Platform, What};
 use crate::process::fleet::Fleet;
@@ -65,26 +63,23 @@
     Forgotten,
 }
 
-/// Begins to follow; `None` where the client can't be built.
-pub(crate) async fn spawn<P: Platform>(process: &Arc<Process>, fleet: &Arc<Fleet>) -> Option<()> {
+/// Begins to follow.
+pub(crate) fn spawn<P: Platform>(process: &Arc<Process>, fleet: &Arc<Fleet>) {
     for what in [What::Text, What::Targets] {
         let follower = Follower {
             process: Arc::clone(process),
             fleet: Arc::clone(fleet),
-            client: client::open().await?,
             address: process.settings.registry,
             what,
             failures: 0,
         };
         ntex::rt::spawn(follower.run::<P>()).detach();
     }
-    Some(())
 }
 
 struct Follower {
     process: Arc<Process>,
     fleet: Arc<Fleet>,
-    client: Client,
     address: SocketAddr,
     what: What,
     failures: usize,
@@ -130,7 +125,7 @@
     async fn call(&mut self, path: String, within: Duration) -> Result<Bytes, CallError> {
         let (method, headers) = (Method::GET, HeaderMap::new());
         let outgoing = Outgoing { method, path, headers, body: Bytes::new() };
-        let called = exchange::call(&self.client, self.address, outgoing, within, MAX_REPLY).await;
+        let called = exchange::call(self.address, outgoing, within, MAX_REPLY).await;
         self.process.metrics.registry_call();
         let (status, body) = called.map_err(CallError::Exchange)?;
         match status {
