--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -36,7 +36,6 @@
 use crate::connection::peer::{self, Links};
 use crate::process::burn::Recorder;
 use crate::process::clock::Clock;
-use fireflyhoist_gateway::Lane;
 use crate::process::limits::Limits;
 use crate::process::member::Control;
 use crate::process::metrics::Metrics;
@@ -44,6 +43,7 @@
 use crate::process::tickets::Tickets;
 use crate::request;
 use crate::version::{Snapshot, watch};
+use fireflyhoist_gateway::Lane;
 
 /// How often a drain looks whether requests are still in progress.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
--- a/crates/daemon/src/request/completion.rs
+++ b/crates/daemon/src/request/completion.rs
@@ -24,7 +24,6 @@
 
 use crate::connection::engine::Site;
 use crate::process::clock::unix_s;
-use fireflyhoist_gateway::{Lane, Pass};
 use crate::process::limits::Permit;
 use crate::process::{Open, Worker};
 use crate::request::body::Body;
@@ -32,6 +31,7 @@
 use crate::request::relay::{Attempt, Job, Relay};
 use crate::request::{entries, refuse};
 use crate::version::Snapshot;
+use fireflyhoist_gateway::{Lane, Pass};
 
 /// The most tokens of an answer where the caller names no bound.
 const DEFAULT_MAX_TOKENS: u64 = 65_536;
--- a/crates/daemon/src/request/plain/repeatable.rs
+++ b/crates/daemon/src/request/plain/repeatable.rs
@@ -19,12 +19,12 @@
 use ntex::web::{HttpResponse, types};
 
 use crate::connection::{fresh, unwritten};
-use fireflyhoist_gateway::Pass;
 use crate::process::{Open, Worker};
 use crate::request::body::Body;
 use crate::request::plain::message::{Message, Upload, end_to_end, patience};
 use crate::request::plain::{MAX_BODY, address, ask};
 use crate::request::refuse;
+use fireflyhoist_gateway::Pass;
 
 /// Tries in all; the gate's retry budget bounds them further when many fail at once.
 const MAX_TRIES: u32 = 3;
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -20,11 +20,11 @@
 
 use crate::connection::engine::{self, Link, Site};
 use crate::process::burn::Watch;
-use fireflyhoist_gateway::{Lane, Pass};
 use crate::process::limits::Permit;
 use crate::process::{Open, Worker};
 use crate::request::outlet::{Gone, Head, Outlet};
 use crate::request::refuse;
+use fireflyhoist_gateway::{Lane, Pass};
 
 /// Tokens between two notes to the gate; each takes the lane's lock.
 const PROGRESS_EVERY: u64 = 16;
--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use ntex::http::header::HeaderValue;
+use ntex::http::header::{HOST, HeaderValue};
 use ntex::http::{HeaderMap, Method, StatusCode};
 use ntex::time::timeout;
 use ntex::util::{Bytes, BytesMut};
@@ -83,10 +83,14 @@
     let Ok(Ok(stream)) = connected else { return Err(Failure::Unreached) };
     // Small requests must not wait for the acknowledgement of earlier packets.
     let _ = stream.set_nodelay(true);
-    timeout(within, exchange(stream, outgoing)).await.unwrap_or(Err(Failure::Late))
+    timeout(within, exchange(stream, address, outgoing)).await.unwrap_or(Err(Failure::Late))
 }
 
-async fn exchange(stream: TcpStream, outgoing: Outgoing) -> Result<Response, Failure> {
+async fn exchange(
+    stream: TcpStream,
+    address: SocketAddr,
+    mut outgoing: Outgoing,
+) -> Result<Response, Failure> {
     let shaken = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, driver) = shaken.map_err(|error| Failure::broken(&error))?;
     let (driver, handle) = abortable(driver);
@@ -96,6 +100,11 @@
         let _ = driver.await;
     })
     .detach();
+    if !outgoing.headers.contains_key(HOST)
+        && let Ok(host) = HeaderValue::try_from(address.to_string())
+    {
+        outgoing.headers.insert(HOST, host);
+    }
     let request = request(outgoing).map_err(|error| Failure::broken(&error))?;
     let response = sender.send_request(request).await;
     let (head, body) = response.map_err(|error| Failure::broken(&error))?.into_parts();
@@ -108,7 +117,9 @@
     Ok(Response { status: head.status, headers, body, _connection: connection })
 }
 
-fn request(outgoing: Outgoing) -> Result<hyper::Request<Full<hyper::body::Bytes>>, hyper::http::Error> {
+fn request(
+    outgoing: Outgoing,
+) -> Result<hyper::Request<Full<hyper::body::Bytes>>, hyper::http::Error> {
     let body = hyper::body::Bytes::copy_from_slice(&outgoing.body);
     let mut request = hyper::Request::builder()
         .method(outgoing.method)
--- a/crates/gateway/src/connection/link.rs
+++ b/crates/gateway/src/connection/link.rs
@@ -188,8 +188,9 @@
 
 async fn connect(
     address: SocketAddr,
-) -> Option<impl Stream<Item = Result<Message, tokio_tungstenite::tungstenite::Error>> + Sink<Message> + Unpin>
-{
+) -> Option<
+    impl Stream<Item = Result<Message, tokio_tungstenite::tungstenite::Error>> + Sink<Message> + Unpin,
+> {
     let stream = TcpStream::connect(address).await.ok()?;
     let _ = stream.set_nodelay(true);
     let url = format!("ws://{address}/peer");
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -81,9 +81,8 @@
     pub async fn bind<P: Platform>(settings: Settings, path: PathBuf) -> Result<Self, StartError> {
         let process = Process::open(settings).ok_or(StartError::Metrics)?;
         let peers = bound(process.settings.peers)?;
-        let peers = tokio::net::TcpListener::from_std(peers).map_err(|reason| {
-            StartError::Bind { address: process.settings.peers, reason }
-        })?;
+        let peers = tokio::net::TcpListener::from_std(peers)
+            .map_err(|reason| StartError::Bind { address: process.settings.peers, reason })?;
         let fleet = Fleet::spawn(Arc::clone(&process), peers);
         let server = serve::bind::<P>(&process, &fleet)?;
         follow::spawn::<P>(&process, &fleet);
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -75,7 +75,8 @@
 
     /// Takes over settings that may change; returns whether any did.
     pub(crate) fn reload(&self, settings: Settings) -> bool {
-        let changed = *self.bounds.read() != settings.bounds || *self.seeds.read() != settings.seeds;
+        let changed =
+            *self.bounds.read() != settings.bounds || *self.seeds.read() != settings.seeds;
         *self.bounds.write() = settings.bounds;
         *self.seeds.write() = settings.seeds;
         changed
@@ -125,9 +126,7 @@
     fn open_lanes(&self, table: &Table) {
         let mut lanes = self.lanes.write();
         for service in &table.text().services {
-            lanes.entry(service.name.clone()).or_insert_with(|| {
-                Lane::of(self.clock, self.terms())
-            });
+            lanes.entry(service.name.clone()).or_insert_with(|| Lane::of(self.clock, self.terms()));
         }
     }
 
--- a/crates/gateway/src/request/pump.rs
+++ b/crates/gateway/src/request/pump.rs
@@ -307,4 +307,3 @@
         None => std::future::pending().await,
     }
 }
-
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -23,7 +23,8 @@
 pub(crate) async fn serve<P: Platform>(worker: &Worker, inquiry: Inquiry, open: Open) -> Response {
     let inquiry = Rc::new(inquiry);
     let left = inquiry.left(worker.process.clock.now());
-    let mut run = Run { worker, inquiry: Rc::clone(&inquiry), open: Some(open), sent: 0, flying: false };
+    let mut run =
+        Run { worker, inquiry: Rc::clone(&inquiry), open: Some(open), sent: 0, flying: false };
     let finished = {
         let deadline = sleep(left);
         tokio::pin!(deadline);
--- a/crates/gateway/src/version/follow.rs
+++ b/crates/gateway/src/version/follow.rs
@@ -194,8 +194,8 @@
                 Change::Gone(_) => None,
             })
             .collect();
-        let listed = self.what == What::Targets
-            && self.process.list_targets(revision, targets, "registry");
+        let listed =
+            self.what == What::Targets && self.process.list_targets(revision, targets, "registry");
         self.share(listed, changed);
     }
 
