Copy answers from an engine that leaves one at a time

Now: a queue for each leaving engine, kept by one entry; longest rest first; same failure domain first.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -148,11 +148,12 @@
     pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
             match self.body.frame().await {
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => return Ok(Some(Bytes::copy_from_slice(&data))),
+                Some(Ok(frame)) => {
                     // Trailers say nothing that the caller asked for.
-                    Err(_) => {}
-                },
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(Bytes::copy_from_slice(&data)));
+                    }
+                }
                 Some(Err(error)) => return Err(Failure::broken(&error)),
                 None => return Ok(None),
             }
--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -6,8 +6,10 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::Target;
 use fireflyhoist_policy::route::Text;
+use fireflyhoist_policy::turn::Ask;
 use fireflyhoist_policy::unit::Tokens;
 use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
 
 /// The largest frame that is read; a text of a megabyte fits with room to spare.
 pub(crate) const MAX_FRAME: usize = 8 << 20;
@@ -71,6 +73,27 @@
         /// All that are listed.
         targets: Vec<Target>,
     },
+    /// An answer waits to be copied from an engine whose queue the receiver keeps.
+    TurnAsk {
+        /// The engine.
+        engine: id::Target,
+        /// The answer.
+        ask: Ask,
+    },
+    /// It is the turn of an answer of the receiver.
+    Turn {
+        /// The engine.
+        engine: id::Target,
+        /// The answer's request.
+        request: SmolStr,
+    },
+    /// A turn is over, or not wanted any more.
+    TurnDone {
+        /// The engine.
+        engine: id::Target,
+        /// The answer's request.
+        request: SmolStr,
+    },
 }
 
 /// Bytes that are no frame.
--- a/crates/gateway/src/process/fleet.rs
+++ b/crates/gateway/src/process/fleet.rs
@@ -12,14 +12,17 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::rendezvous;
 use fireflyhoist_policy::time::Time;
+use fireflyhoist_policy::turn::Ask;
 use ntex::time::sleep;
 use parking_lot::Mutex;
+use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
 
 use crate::connection::frame::{Beat, Frame, Member};
 use crate::connection::link::{Event, Links};
 use crate::process::state::Process;
+use crate::process::turn::Desk;
 
 /// Time between heartbeats. What is held at each engine is at most this old plus the way, so that
 /// two entries rarely fill the same room; a prompt takes longer to be read.
@@ -62,6 +65,7 @@
     beats: Mutex<HashMap<id::Host, (Member, Option<Beat>)>>,
     wanted: Mutex<HashMap<SocketAddr, Wanted>>,
     changed: Notify,
+    pub(crate) desk: Desk,
 }
 
 impl Fleet {
@@ -84,10 +88,12 @@
             beats: Mutex::default(),
             wanted: Mutex::default(),
             changed: Notify::new(),
+            desk: Desk::default(),
         });
         ntex::rt::spawn(Arc::clone(&fleet).look()).detach();
         ntex::rt::spawn(Arc::clone(&fleet).listen(receiver)).detach();
         ntex::rt::spawn(Arc::clone(&fleet).beat_on()).detach();
+        ntex::rt::spawn(Desk::run(Arc::clone(&fleet))).detach();
         fleet
     }
 
@@ -122,6 +128,40 @@
         ranked.iter().take(WATCHERS).any(|host| **host == self.own.host)
     }
 
+    pub(crate) fn now(&self) -> Time {
+        self.process.clock.now()
+    }
+
+    pub(crate) fn host(&self) -> &id::Host {
+        &self.own.host
+    }
+
+    /// The entry that keeps the queue of an engine that leaves.
+    pub(crate) fn keeper(&self, engine: &id::Target) -> id::Host {
+        let mut hosts: Vec<id::Host> = self.beats.lock().keys().cloned().collect();
+        hosts.push(self.own.host.clone());
+        let ranked = rendezvous::rank(engine.as_str(), &hosts, |host| host.as_str());
+        ranked.first().map_or_else(|| self.own.host.clone(), |host| (*host).clone())
+    }
+
+    /// Sends a frame to an entry, this one included.
+    pub(crate) fn tell(&self, host: &id::Host, frame: &Frame) {
+        if *host == self.own.host {
+            self.take(host, frame.clone());
+        } else {
+            self.links.send(host, frame);
+        }
+    }
+
+    pub(crate) fn ask_turn(&self, keeper: &id::Host, engine: &id::Target, ask: Ask) {
+        self.tell(keeper, &Frame::TurnAsk { engine: engine.clone(), ask });
+    }
+
+    pub(crate) fn grant(&self, entry: &id::Host, engine: &id::Target, request: &SmolStr) {
+        let frame = Frame::Turn { engine: engine.clone(), request: request.clone() };
+        self.tell(entry, &frame);
+    }
+
     /// Waits until entries come or go.
     pub(crate) async fn changed(&self) {
         self.changed.notified().await;
@@ -191,6 +231,9 @@
             Frame::Text(text) => {
                 self.process.adopt(*text, "peer");
             }
+            Frame::TurnAsk { engine, ask } => self.desk.ask(self, &engine, ask),
+            Frame::Turn { engine, request } => self.desk.grant(&engine, &request),
+            Frame::TurnDone { engine, request } => self.desk.done(&engine, &request),
             Frame::Targets { revision, targets } => {
                 self.process.list_targets(revision, targets, "peer");
             }
--- a/crates/gateway/src/process/lane.rs
+++ b/crates/gateway/src/process/lane.rs
@@ -2,7 +2,7 @@
 //!
 //! A lane is a shard of the process's state: services never wait for one another's lock.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -197,10 +197,11 @@
         self.request
     }
 
-    /// Where the answer's memory is best copied or moved; see [`Gate::refuge`].
-    pub fn refuge(&self, avoid: &[id::Target]) -> Option<id::Target> {
+    /// Where the answer's memory is best copied or moved; see [`Gate::refuges`].
+    pub fn refuges(&self, near: &BTreeSet<id::Target>, reserve: f64) -> Vec<id::Target> {
         let now = self.lane.clock.now();
-        self.lane.state.lock().gate.refuge(now, &mut rand::rng(), self.request, avoid)
+        let mut state = self.lane.state.lock();
+        state.gate.refuges(now, &mut rand::rng(), self.request, near, reserve)
     }
 
     /// Notes that the answer goes on at another target.
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod serve;
 pub(crate) mod settings;
 pub(crate) mod state;
+pub(crate) mod turn;
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
--- a/crates/gateway/src/process/serve.rs
+++ b/crates/gateway/src/process/serve.rs
@@ -35,10 +35,10 @@
     let settings = &process.settings;
     let builder = ntex::server::build().workers(WORKERS).backlog(ACCEPT_QUEUE).disable_signals();
     let failed = |address: SocketAddr| move |reason| StartError::Bind { address, reason };
-    let own = Arc::clone(process);
+    let (own, known) = (Arc::clone(process), Arc::clone(fleet));
     let callers = builder
         .bind("callers", settings.callers, async move |_| {
-            let worker = Worker::open(Arc::clone(&own));
+            let worker = Worker::open(Arc::clone(&own), Arc::clone(&known));
             HttpService::h1(async move |request: Request| {
                 Ok::<_, io::Error>(request::serve::<P>(&worker, request).await)
             })
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -1,6 +1,6 @@
 //! The state that all requests of a process share, in shards under locks of their own.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -216,6 +216,14 @@
         self.leases.lock().is_ready(id)
     }
 
+    /// The other targets of a target's failure domain.
+    pub(crate) fn neighbours(&self, id: &id::Target) -> BTreeSet<id::Target> {
+        let leases = self.leases.lock();
+        let Some(own) = leases.get(id) else { return BTreeSet::new() };
+        let near = leases.all().filter(|t| t.domain == own.domain && t.id != own.id);
+        near.map(|target| target.id.clone()).collect()
+    }
+
     pub(crate) fn targets(&self) -> (u64, Vec<Target>) {
         let leases = self.leases.lock();
         (leases.revision(), leases.all().cloned().collect())
--- a/crates/gateway/src/request/carry.rs
+++ b/crates/gateway/src/request/carry.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::unit::Tokens;
 use ntex::http::{HeaderMap, StatusCode};
 use ntex::time::sleep;
 use ntex::util::Bytes;
@@ -19,6 +21,7 @@
 use crate::platform::{Copy, Moved, Platform};
 use crate::process::lane::Pass;
 use crate::process::state::Process;
+use crate::process::turn::Turn;
 use crate::request::attempt::{self, Ended, Extra};
 use crate::request::{Inquiry, Worker};
 
@@ -27,6 +30,9 @@
 /// less.
 const WORTH_A_COPY: u64 = 64;
 
+/// Part of an engine's memory that copies leave to answers.
+const BACKUP_RESERVE: f64 = 0.3;
+
 /// How long one move may take: a second for a full memory on an idle link, and what queues before.
 const MOVE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -36,6 +42,9 @@
 /// Tries of a move before it is given up.
 const MOVE_TRIES: u32 = 8;
 
+/// Engines that are asked to take one answer before it waits for its turn again.
+const MOVE_PLACES: usize = 3;
+
 /// The largest reply to a move.
 const MAX_REPLY: usize = 64 << 10;
 
@@ -54,14 +63,17 @@
         worker: &Worker,
         inquiry: &Inquiry,
         pass: &Pass,
-        avoid: &[id::Target],
+        at: &id::Target,
     ) -> Option<Self> {
         let backups = inquiry.service.engine.as_ref().is_some_and(|engine| engine.backups);
         let expected = inquiry.facts.guess.unwrap_or(inquiry.facts.limit);
         if !backups || expected.get() < WORTH_A_COPY {
             return None;
         }
-        let target = worker.process.target(&pass.refuge(avoid)?)?;
+        let near = worker.process.neighbours(at);
+        let refuges = pass.refuges(&near, BACKUP_RESERVE);
+        let refuge = refuges.into_iter().find(|refuge| refuge != at)?;
+        let target = worker.process.target(&refuge)?;
         let process = Arc::clone(&worker.process);
         let mut backup = Self { process, target: target.id, address: target.address, tokens: 0 };
         backup.grow(inquiry.facts.prompt.get());
@@ -97,7 +109,9 @@
     /// By moving its memory from this engine.
     Move {
         /// Where it runs now.
-        from: SocketAddr,
+        from: Target,
+        /// Tokens that it is expected to produce still.
+        left: Tokens,
     },
     /// By a new run after the last event.
     Again,
@@ -116,8 +130,8 @@
 /// One try to carry an answer on.
 pub(crate) struct Trip {
     pub(crate) way: Way,
-    pub(crate) to: id::Target,
-    pub(crate) address: SocketAddr,
+    /// Engines that may take it, the best first.
+    pub(crate) to: Vec<Target>,
     /// A copy of the answer at the next engine begins with it.
     pub(crate) backup: Option<Backup>,
     /// The last event that the caller was sent; it grows while a move is under way.
@@ -156,20 +170,50 @@
     inquiry: &Inquiry,
     trip: Trip,
 ) -> Result<Arrived, Ended> {
-    let request = inquiry.facts.request.clone();
-    let copy = match trip.way {
-        Way::Switch => Some(Copy { at: trip.address, name: request }),
-        Way::Move { from } => Some(move_run::<P>(inquiry, from, trip.address).await?),
-        Way::Again => None,
-    };
+    let request = &inquiry.facts.request;
+    let Some(first) = trip.to.first().cloned() else { return Err(Ended::Unrun("nowhere")) };
+    match trip.way {
+        Way::Switch => {
+            let copy = Copy { at: first.address, name: request.clone() };
+            resume::<P>(worker, inquiry, &first, Some(copy), trip.backup, &trip.last).await
+        }
+        Way::Move { from, left } => {
+            let turn = Turn::wait(&worker.fleet, &from.id, request, left).await;
+            let (to, copy) = move_run::<P>(inquiry, &from, &trip.to).await?;
+            // What is left of the move is between the two engines' links no more.
+            drop(turn);
+            let last = &trip.last;
+            let copy = Some(copy);
+            match resume::<P>(worker, inquiry, &to, copy.clone(), trip.backup, last).await {
+                // The source that stopped still has everything.
+                Err(Ended::Unrun(_)) => {
+                    resume::<P>(worker, inquiry, &from, copy, None, last).await
+                }
+                result => result,
+            }
+        }
+        Way::Again => resume::<P>(worker, inquiry, &first, None, trip.backup, &trip.last).await,
+    }
+}
+
+/// Sends the request again so that it goes on after the last event delivered.
+async fn resume<P: Platform>(
+    worker: &Worker,
+    inquiry: &Inquiry,
+    to: &Target,
+    copy: Option<Copy>,
+    backup: Option<Backup>,
+    last: &Cell<Option<u64>>,
+) -> Result<Arrived, Ended> {
+    let backup = backup.filter(|backup| backup.target() != &to.id);
     let extra = Extra {
-        backup: trip.backup.as_ref().map(Backup::address),
+        backup: backup.as_ref().map(Backup::address),
         copy,
-        last_event: trip.last.get(),
+        last_event: last.get(),
     };
-    let response = attempt::begin::<P>(worker, inquiry, &trip.to, &extra).await?;
+    let response = attempt::begin::<P>(worker, inquiry, &to.id, &extra).await?;
     match response.status {
-        StatusCode::OK => Ok(Arrived { to: trip.to, backup: trip.backup, response }),
+        StatusCode::OK => Ok(Arrived { to: to.id.clone(), backup, response }),
         _ => Err(Ended::Unknown("refused")),
     }
 }
@@ -177,12 +221,21 @@
 /// Copies a run while it goes on, then stops it and copies the rest.
 async fn move_run<P: Platform>(
     inquiry: &Inquiry,
-    from: SocketAddr,
-    to: SocketAddr,
-) -> Result<Copy, Ended> {
-    move_once::<P>(inquiry, from, to, false).await?;
-    let name = move_once::<P>(inquiry, from, to, true).await?;
-    Ok(Copy { at: from, name })
+    from: &Target,
+    to: &[Target],
+) -> Result<(Target, Copy), Ended> {
+    let mut ended = Ended::Unrun("nowhere");
+    for to in to.iter().take(MOVE_PLACES) {
+        match move_once::<P>(inquiry, from.address, to.address, false).await {
+            Ok(_) => {
+                let name = move_once::<P>(inquiry, from.address, to.address, true).await?;
+                return Ok((to.clone(), Copy { at: from.address, name }));
+            }
+            Err(Ended::Unrun("no room")) => ended = Ended::Unrun("no room"),
+            Err(other) => return Err(other),
+        }
+    }
+    Err(ended)
 }
 
 async fn move_once<P: Platform>(
@@ -210,7 +263,7 @@
             Moved::Copied { name } => return Ok(name),
             Moved::Busy => sleep(BUSY_PAUSE).await,
             Moved::NoRun => return Err(Ended::Unknown("no run")),
-            Moved::Refused { .. } => return Err(Ended::Unknown("move refused")),
+            Moved::Refused { .. } => return Err(Ended::Unrun("no room")),
         }
     }
     Err(Ended::Unknown("move busy"))
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -27,6 +27,7 @@
 use smol_str::SmolStr;
 
 use crate::platform::{Facts, Platform};
+use crate::process::fleet::Fleet;
 use crate::process::lane::Lane;
 use crate::process::state::{Process, millis};
 
@@ -43,11 +44,12 @@
 #[derive(Clone)]
 pub(crate) struct Worker {
     pub(crate) process: Arc<Process>,
+    pub(crate) fleet: Arc<Fleet>,
 }
 
 impl Worker {
-    pub(crate) fn open(process: Arc<Process>) -> Self {
-        Self { process }
+    pub(crate) fn open(process: Arc<Process>, fleet: Arc<Fleet>) -> Self {
+        Self { process, fleet }
     }
 }
 
--- a/crates/gateway/src/request/pump.rs
+++ b/crates/gateway/src/request/pump.rs
@@ -8,6 +8,7 @@
 use std::task::{Context, Poll};
 
 use fireflyhoist_policy::gate::Outcome;
+use fireflyhoist_policy::lease::Target;
 use fireflyhoist_policy::unit::Tokens;
 use futures_util::future::{Fuse, FutureExt};
 use futures_util::{Stream, pin_mut};
@@ -217,22 +218,42 @@
         }
         let engine = self.inquiry.service.engine.as_ref()?;
         let (moves, resumable) = (engine.moves, self.inquiry.route.kind.is_idempotent());
+        let process = &self.worker.process;
         let (way, to) = if let Some(backup) = self.backup.take_if(|_| !self.switched) {
             self.switched = true;
-            (Way::Switch, backup.target().clone())
+            (Way::Switch, vec![process.target(backup.target())?])
         } else if self.upstream.is_some() && moves {
-            let from = self.worker.process.target(self.pass.target())?.address;
-            (Way::Move { from }, self.pass.refuge(&[])?)
+            let from = process.target(self.pass.target())?;
+            (Way::Move { from, left: self.left() }, self.refuges())
         } else if self.upstream.is_none() && resumable {
-            (Way::Again, self.pass.refuge(&[])?)
+            (Way::Again, self.refuges())
         } else {
             return None;
         };
+        let first = to.first()?.id.clone();
         self.trips += 1;
-        let address = self.worker.process.target(&to)?.address;
-        let avoid = [to.clone()];
-        let backup = Backup::choose(&self.worker, &self.inquiry, &self.pass, &avoid);
-        Some(Trip { way, to, address, backup, last: Rc::clone(&self.last) })
+        let backup = Backup::choose(&self.worker, &self.inquiry, &self.pass, &first);
+        Some(Trip { way, to, backup, last: Rc::clone(&self.last) })
+    }
+
+    fn refuges(&self) -> Vec<Target> {
+        let process = &self.worker.process;
+        let near = process.neighbours(self.pass.target());
+        let refuges = self.pass.refuges(&near, 0.0);
+        refuges.iter().filter_map(|refuge| process.target(refuge)).collect()
+    }
+
+    /// Tokens that the answer is expected to hold still: by the caller's guess, or where it has
+    /// passed that, a third of what it has, since long answers tend to go on.
+    fn left(&self) -> Tokens {
+        let produced = self.produced();
+        let guess = self.inquiry.facts.guess.unwrap_or(self.inquiry.facts.limit).get();
+        Tokens::new(guess.saturating_sub(produced).max(produced / 3))
+    }
+
+    fn produced(&self) -> u64 {
+        let engine = self.inquiry.service.engine.as_ref();
+        self.events * engine.map_or(1, |engine| u64::from(engine.tokens_per_event))
     }
 
     fn take(&mut self, arrived: Result<Arrived, Ended>) {
@@ -283,9 +304,7 @@
     }
 
     fn progress(&mut self) {
-        let engine = self.inquiry.service.engine.as_ref();
-        let each = engine.map_or(1, |engine| u64::from(engine.tokens_per_event));
-        let produced = self.events * each;
+        let produced = self.produced();
         self.pass.progress(Tokens::new(produced), self.events == 1);
         if let Some(backup) = &mut self.backup {
             backup.grow(self.inquiry.facts.prompt.get() + produced);
--- a/crates/policy/src/gate/carry.rs
+++ b/crates/policy/src/gate/carry.rs
@@ -4,9 +4,10 @@
 //! two after a notice, with several answers on each. Without a place chosen ahead every answer
 //! there is cut, and its prompt and all that was generated is lost.
 
+use std::collections::BTreeSet;
+
 use rand::Rng;
 
-use crate::ask::Class;
 use crate::gate::Gate;
 use crate::id;
 use crate::time::Time;
@@ -34,37 +35,38 @@
         })
     }
 
-    /// The target to which a running answer's memory is best copied or moved.
+    /// Targets to which a running answer's memory is best copied or moved, the best first.
     ///
-    /// It is the one with most room among those that are up and trusted, since what is copied must
-    /// fit there until the answer ends. `None` where no other target can hold it.
-    pub fn refuge(
+    /// They are those with most room among the targets that are up and trusted, since what is
+    /// copied must fit there until the answer ends. Those in `near` go before others: a copy to
+    /// another failure domain takes twice as long, and the engine's link is what is short. `reserve`
+    /// of each target's memory is left to answers.
+    pub fn refuges(
         &mut self,
         now: Time,
         rng: &mut impl Rng,
         request: id::Request,
-        avoid: &[id::Target],
-    ) -> Option<id::Target> {
+        near: &BTreeSet<id::Target>,
+        reserve: f64,
+    ) -> Vec<id::Target> {
         self.weigh(now);
-        let running = self.running.get(&request)?;
+        let Some(running) = self.running.get(&request) else { return Vec::new() };
         let (own, curve, class) = (running.slot, running.curve, running.ask.class);
-        let mut best: Option<(f64, usize)> = None;
+        let mut fitting: Vec<(bool, f64, &id::Target)> = Vec::new();
         for (at, slot) in self.slots.iter().enumerate() {
-            if at == own || !slot.is_up(now) || avoid.contains(&slot.name) {
+            if at == own || !slot.is_up(now) {
                 continue;
             }
-            let (_, total) = slot.room.holdings();
-            let claim = slot.room.claim(now, class, 1.0, 1.0, 0.0);
-            if class != Class::Lookup && !slot.room.fits(class, &claim, &curve) {
+            let claim = slot.room.claim(now, class, 1.0, 1.0, reserve);
+            if !slot.room.fits(class, &claim, &curve) {
                 continue;
             }
             // A little chance, so that answers of several entries don't all choose the same one.
-            let cost = total * rng.random_range(0.9..1.1);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, at));
-            }
+            let cost = slot.room.holdings().1 * rng.random_range(0.9..1.1);
+            fitting.push((!near.contains(&slot.name), cost, &slot.name));
         }
-        best.map(|(_, at)| self.slots[at].name.clone())
+        fitting.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        fitting.into_iter().map(|(_, _, name)| name.clone()).collect()
     }
 
     /// Notes that a running answer goes on at another target.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,6 +33,7 @@
 mod slot;
 pub mod ticket;
 pub mod time;
+pub mod turn;
 pub mod unit;
 pub mod usage;
 pub mod version;
