Move answers of engines whose entry is gone, to places that are drawn

Cause: three in ten engines that leave say so only by their entry's removal; their address was forgotten with it, so nothing could be copied. Places were refused by a prediction that keeps two standard deviations free, and all copies went to the one engine that was just added.

--- a/crates/gateway/src/process/lane.rs
+++ b/crates/gateway/src/process/lane.rs
@@ -198,7 +198,7 @@
     }
 
     /// Where the answer's memory is best copied or moved; see [`Gate::refuges`].
-    pub fn refuges(&self, near: &BTreeSet<id::Target>, reserve: f64) -> Vec<id::Target> {
+    pub fn refuges(&self, near: &BTreeSet<id::Target>, reserve: Option<f64>) -> Vec<id::Target> {
         let now = self.lane.clock.now();
         let mut state = self.lane.state.lock();
         state.gate.refuges(now, &mut rand::rng(), self.request, near, reserve)
--- a/crates/gateway/src/request/carry.rs
+++ b/crates/gateway/src/request/carry.rs
@@ -20,7 +20,7 @@
 use crate::connection::exchange::{self, Outgoing, Response};
 use crate::platform::{Copy, Moved, Platform};
 use crate::process::lane::Pass;
-use crate::process::state::Process;
+use crate::process::state::{Process, millis};
 use crate::process::turn::Turn;
 use crate::request::attempt::{self, Ended, Extra};
 use crate::request::{Inquiry, Worker};
@@ -71,7 +71,7 @@
             return None;
         }
         let near = worker.process.neighbours(at);
-        let refuges = pass.refuges(&near, BACKUP_RESERVE);
+        let refuges = pass.refuges(&near, Some(BACKUP_RESERVE));
         let refuge = refuges.into_iter().find(|refuge| refuge != at)?;
         let target = worker.process.target(&refuge)?;
         let process = Arc::clone(&worker.process);
@@ -178,17 +178,23 @@
             resume::<P>(worker, inquiry, &first, Some(copy), trip.backup, &trip.last).await
         }
         Way::Move { from, left } => {
+            let began = worker.process.clock.now();
             let turn = Turn::wait(&worker.fleet, &from.id, request, left).await;
-            let (to, copy) = move_run::<P>(inquiry, &from, &trip.to).await?;
+            let turned = worker.process.clock.now();
+            let moved = move_run::<P>(inquiry, &from, &trip.to).await;
+            log::info!(
+                request = request.as_str(), from:% = from.id, left:% = left,
+                waited_ms = millis(turned.since(began)),
+                moved_ms = millis(worker.process.clock.now().since(turned)); "moved"
+            );
+            let (to, copy) = moved?;
             // What is left of the move is between the two engines' links no more.
             drop(turn);
             let last = &trip.last;
             let copy = Some(copy);
             match resume::<P>(worker, inquiry, &to, copy.clone(), trip.backup, last).await {
                 // The source that stopped still has everything.
-                Err(Ended::Unrun(_)) => {
-                    resume::<P>(worker, inquiry, &from, copy, None, last).await
-                }
+                Err(Ended::Unrun(_)) => resume::<P>(worker, inquiry, &from, copy, None, last).await,
                 result => result,
             }
         }
@@ -206,11 +212,8 @@
     last: &Cell<Option<u64>>,
 ) -> Result<Arrived, Ended> {
     let backup = backup.filter(|backup| backup.target() != &to.id);
-    let extra = Extra {
-        backup: backup.as_ref().map(Backup::address),
-        copy,
-        last_event: last.get(),
-    };
+    let extra =
+        Extra { backup: backup.as_ref().map(Backup::address), copy, last_event: last.get() };
     let response = attempt::begin::<P>(worker, inquiry, &to.id, &extra).await?;
     match response.status {
         StatusCode::OK => Ok(Arrived { to: to.id.clone(), backup, response }),
--- a/crates/gateway/src/request/pump.rs
+++ b/crates/gateway/src/request/pump.rs
@@ -239,7 +239,7 @@
     fn refuges(&self) -> Vec<Target> {
         let process = &self.worker.process;
         let near = process.neighbours(self.pass.target());
-        let refuges = self.pass.refuges(&near, 0.0);
+        let refuges = self.pass.refuges(&near, None);
         refuges.iter().filter_map(|refuge| process.target(refuge)).collect()
     }
 
--- a/crates/policy/src/gate/carry.rs
+++ b/crates/policy/src/gate/carry.rs
@@ -13,6 +13,17 @@
 use crate::time::Time;
 use crate::unit::Tokens;
 
+/// Load above which a target is no better for standing in the same failure domain: an answer of an
+/// ordinary length no longer fits.
+const FULL: f64 = 0.85;
+
+/// Load that counts as none when a place for a copy is drawn.
+///
+/// The failure: a target that was just added is empty, so every copy of every entry goes there, and
+/// they share its one link: moves that take 0.2 s took 1.5 s and more, and their engine was gone
+/// before. Places are drawn at random instead, an empty one a few times as often as a full one.
+const SLACK: f64 = 0.25;
+
 /// What one entry holds at one target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Holding {
@@ -39,15 +50,18 @@
     ///
     /// They are those with most room among the targets that are up and trusted, since what is
     /// copied must fit there until the answer ends. Those in `near` go before others: a copy to
-    /// another failure domain takes twice as long, and the engine's link is what is short. `reserve`
-    /// of each target's memory is left to answers.
+    /// another failure domain takes twice as long, and the engine's link is what is short.
+    ///
+    /// With a `reserve`, only targets are named where the answer fits until its end with that part
+    /// of their memory left to others. Without one, every target is: what the answer may grow to is
+    /// a guess, and an answer that is preempted there is late, where one that stays is lost.
     pub fn refuges(
         &mut self,
         now: Time,
         rng: &mut impl Rng,
         request: id::Request,
         near: &BTreeSet<id::Target>,
-        reserve: f64,
+        reserve: Option<f64>,
     ) -> Vec<id::Target> {
         self.weigh(now);
         let Some(running) = self.running.get(&request) else { return Vec::new() };
@@ -57,13 +71,15 @@
             if at == own || !slot.is_up(now) {
                 continue;
             }
-            let claim = slot.room.claim(now, class, 1.0, 1.0, reserve);
-            if !slot.room.fits(class, &claim, &curve) {
-                continue;
+            if let Some(reserve) = reserve {
+                let claim = slot.room.claim(now, class, 1.0, 1.0, reserve);
+                if !slot.room.fits(class, &claim, &curve) {
+                    continue;
+                }
             }
-            // A little chance, so that answers of several entries don't all choose the same one.
-            let cost = slot.room.holdings().1 * rng.random_range(0.9..1.1);
-            fitting.push((!near.contains(&slot.name), cost, &slot.name));
+            let cost = (slot.room.load() + SLACK) * rng.random_range(0.0..1.0);
+            let full = slot.room.load() > FULL;
+            fitting.push((full || !near.contains(&slot.name), cost, &slot.name));
         }
         fitting.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         fitting.into_iter().map(|(_, _, name)| name.clone()).collect()
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -68,7 +68,8 @@
 #[derive(Debug, Default)]
 pub struct Leases {
     live: BTreeMap<id::Target, Entry>,
-    left: BTreeMap<id::Target, Time>,
+    /// Targets that left, where they were known, and when.
+    left: BTreeMap<id::Target, (Option<Target>, Time)>,
     revision: u64,
     /// Until when entries may be missing unjustly.
     rejoin: Time,
@@ -121,7 +122,7 @@
 
     /// Drops what stayed missing; returns whether anything was.
     pub fn expire(&mut self, now: Time) -> bool {
-        self.left.retain(|_, since| now.since(*since) < REMEMBERED);
+        self.left.retain(|_, (_, since)| now.since(*since) < REMEMBERED);
         if now < self.rejoin {
             return false;
         }
@@ -139,14 +140,16 @@
         changed
     }
 
-    /// A target, while it is known.
+    /// A target that is listed, or was a short while ago: it may go on with what it has, and its
+    /// answers are still to be taken from it.
     pub fn get(&self, id: &id::Target) -> Option<&Target> {
-        self.live.get(id).map(|entry| &entry.target)
+        let live = self.live.get(id).map(|entry| &entry.target);
+        live.or_else(|| self.left.get(id).and_then(|(target, _)| target.as_ref()))
     }
 
     /// Whether a target takes new work.
     pub fn is_ready(&self, id: &id::Target) -> bool {
-        self.get(id).is_some_and(|target| target.state == State::Ready)
+        self.live.get(id).is_some_and(|entry| entry.target.state == State::Ready)
     }
 
     /// All targets known, those that drain included.
@@ -175,7 +178,7 @@
             target.state = State::Draining;
         }
         if target.state == State::Draining && known.is_none() {
-            self.left.insert(target.id, now);
+            self.left.insert(target.id.clone(), (Some(target), now));
             return false;
         }
         let changed = known != Some(&target);
@@ -199,7 +202,7 @@
     }
 
     fn remove(&mut self, now: Time, id: &id::Target) {
-        self.left.insert(id.clone(), now);
-        self.live.remove(id);
+        let target = self.live.remove(id).map(|entry| entry.target);
+        self.left.entry(id.clone()).or_insert((target, now));
     }
 }
--- a/crates/policy/src/turn.rs
+++ b/crates/policy/src/turn.rs
@@ -84,9 +84,10 @@
 
     /// Takes an answer into the queue of its engine.
     pub fn ask(&mut self, now: Time, engine: &id::Target, ask: Ask) {
-        let queue = self.queues.entry(engine.clone()).or_insert_with(|| {
-            Queue { since: now, ..Queue::default() }
-        });
+        let queue = self
+            .queues
+            .entry(engine.clone())
+            .or_insert_with(|| Queue { since: now, ..Queue::default() });
         queue.waiting.push(ask);
     }
 
