Let the strongest few of each failure domain carry the traffic

Each also watched the registry: 2,813 calls.

Ruled out: slower heartbeats for all (what is held is then older than a prompt takes to be read). Now: actives tell each other, leaves link to two of them and stand by; what is held is summed along the links.

--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -1,10 +1,11 @@
 //! What entries tell each other over their links.
 
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
 
 use derive_more::{Display, Error};
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::roster::Member;
 use fireflyhoist_policy::route::Text;
 use fireflyhoist_policy::turn::Ask;
 use fireflyhoist_policy::unit::Tokens;
@@ -14,17 +15,13 @@
 /// The largest frame that is read; a text of a megabyte fits with room to spare.
 pub(crate) const MAX_FRAME: usize = 8 << 20;
 
-/// An entry as it describes itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Member {
-    /// Its host.
-    pub(crate) host: id::Host,
-    /// Where it stands.
-    pub(crate) domain: id::Domain,
-    /// Where its peers link to it.
-    pub(crate) peers: SocketAddr,
-    /// Where callers connect.
-    pub(crate) callers: SocketAddr,
+/// A member that is alive, as one that has a link to it says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Presence {
+    /// The member.
+    pub(crate) member: Member,
+    /// Whether it takes new callers.
+    pub(crate) ready: bool,
 }
 
 /// What an entry holds at one target.
@@ -53,7 +50,7 @@
     pub(crate) targets: u64,
     /// Whether its latest call of the registry succeeded.
     pub(crate) registry: bool,
-    /// What it holds where.
+    /// What it answers for: all that it knows to be held, but for what the receiver told it.
     pub(crate) held: Vec<Held>,
 }
 
@@ -62,8 +59,8 @@
 pub(crate) enum Frame {
     /// The first frame of each end.
     Hello(Member),
-    /// Other entries that the sender has a link to.
-    Known(Vec<Member>),
+    /// The sender and the entries that it has a link to.
+    Alive(Vec<Presence>),
     /// The sender's state; it shows too that the link works.
     Beat(Beat),
     /// A text newer than the receiver's.
@@ -98,6 +95,31 @@
     },
 }
 
+impl Held {
+    /// Nothing held.
+    pub(crate) fn none(target: &id::Target) -> Self {
+        let zero = Tokens::default();
+        Self { target: target.clone(), tokens: zero, streams: 0, unread: zero, copies: zero }
+    }
+
+    /// Adds what another entry holds at the same target.
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.tokens += other.tokens;
+        self.streams += other.streams;
+        self.unread += other.unread;
+        self.copies += other.copies;
+    }
+}
+
+/// Adds up what several entries hold, target by target.
+pub(crate) fn sum<'a>(held: impl Iterator<Item = &'a Held>) -> Vec<Held> {
+    let mut sums: BTreeMap<id::Target, Held> = BTreeMap::new();
+    for one in held {
+        sums.entry(one.target.clone()).or_insert_with(|| Held::none(&one.target)).add(one);
+    }
+    sums.into_values().collect()
+}
+
 /// Bytes that are no frame.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[display("not a frame ({reason}); run the same release on every entry")]
--- a/crates/gateway/src/connection/link.rs
+++ b/crates/gateway/src/connection/link.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::roster::Member;
 use futures_util::{Sink, SinkExt, Stream, StreamExt};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
@@ -15,7 +16,7 @@
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
-use crate::connection::frame::{Frame, MAX_FRAME, Member};
+use crate::connection::frame::{Frame, MAX_FRAME};
 
 /// A link on which nothing came for this long is closed: three heartbeats.
 ///
@@ -65,11 +66,6 @@
         Arc::new(Self { own, events, open: Mutex::default(), next: AtomicU64::new(0) })
     }
 
-    /// The entries that have a link now.
-    pub(crate) fn members(&self) -> Vec<Member> {
-        self.open.lock().values().map(|link| link.member.clone()).collect()
-    }
-
     /// Whether some link leads to an address.
     pub(crate) fn reaches(&self, address: SocketAddr) -> bool {
         self.open.lock().values().any(|link| link.member.peers == address)
@@ -84,15 +80,21 @@
         }
     }
 
-    /// Sends a frame to all.
-    pub(crate) fn broadcast(&self, frame: &Frame) {
+    /// Sends a frame to several hosts.
+    pub(crate) fn send_all<'a>(&self, to: impl Iterator<Item = &'a id::Host>, frame: &Frame) {
         let bytes = Arc::new(frame.encode());
-        for link in self.open.lock().values() {
+        let open = self.open.lock();
+        for link in to.filter_map(|host| open.get(host)) {
             // As in `send`.
             let _ = link.frames.try_send(Arc::clone(&bytes));
         }
     }
 
+    /// Closes the link to a host.
+    pub(crate) fn close(&self, host: &id::Host) {
+        self.open.lock().remove(host);
+    }
+
     /// Links to the entry at an address, until the link ends.
     pub(crate) async fn dial(self: Arc<Self>, address: SocketAddr) {
         let connected = timeout(GREETING, connect(address)).await;
@@ -164,15 +166,14 @@
     }
 
     async fn forget(&self, host: &id::Host, number: u64) {
-        let newest = {
+        let last = {
             let mut open = self.open.lock();
-            let newest = open.get(host).is_some_and(|link| link.number == number);
-            if newest {
+            if open.get(host).is_some_and(|link| link.number == number) {
                 open.remove(host);
             }
-            newest
+            !open.contains_key(host)
         };
-        if newest {
+        if last {
             let _ = self.events.send(Event::Down(host.clone())).await;
         }
     }
--- a/crates/gateway/src/process/fleet.rs
+++ b/crates/gateway/src/process/fleet.rs
@@ -1,16 +1,18 @@
 //! What entries know of each other, and who watches the registry for the others.
 //!
-//! Every entry links to every other that it learns of: from its seeds, and from entries that tell
-//! whom they know. Whoever answers on a link is alive; no list decides it. `docs/PLATFORM.md` has
-//! the figures and the size at which links to all become too many.
+//! Whoever answers on a link is alive, and tells whom it has links to; no list decides it. Which of
+//! those alive carry the traffic and who links to whom is `policy::roster`'s to say. What is held
+//! at each target is summed along the links, each link carrying all that its sender knows but for
+//! what the receiver told it. `docs/PLATFORM.md` has the figures.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::rendezvous;
+use fireflyhoist_policy::roster::{self, Member};
 use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::turn::Ask;
 use ntex::time::sleep;
@@ -19,16 +21,19 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
 
-use crate::connection::frame::{Beat, Frame, Member};
+use crate::connection::frame::{Beat, Frame, Held, Presence};
 use crate::connection::link::{Event, Links};
 use crate::process::state::Process;
 use crate::process::turn::Desk;
 
-/// Time between heartbeats. What is held at each engine is at most this old plus the way, so that
-/// two entries rarely fill the same room; a prompt takes longer to be read.
+/// Time between heartbeats of actives. What is held at each engine is at most this old plus the
+/// way, so that two entries rarely fill the same room; a prompt takes longer to be read.
 const BEAT: Duration = Duration::from_millis(150);
 
-/// How often missing links are looked for.
+/// Heartbeats of actives for each one between an active and a leaf, which carries little traffic.
+const LEAF_BEATS: u32 = 2;
+
+/// How often links are looked at.
 const LOOK: Duration = Duration::from_millis(200);
 
 /// How long an entry waits for the other end to open their link before it does so itself. Of two
@@ -39,8 +44,14 @@
 /// Time between two tries to reach the same address.
 const AGAIN: Duration = Duration::from_millis(600);
 
-/// How long an entry without a link is remembered.
-const REMEMBERED: Duration = Duration::from_secs(30);
+/// How long seeds are dialled after the start whoever is linked: the first to answer may know few.
+const EARLY: Duration = Duration::from_secs(3);
+
+/// How often one seed is dialled later on, so that parts of a fleet that have lost each other meet.
+const REUNION: Duration = Duration::from_secs(3);
+
+/// How long a link that neither end has a use for is kept.
+const UNUSED: Duration = Duration::from_secs(3);
 
 /// Entries that watch the registry's targets for all: two, so that one may fail unnoticed.
 const WATCHERS: usize = 2;
@@ -48,12 +59,23 @@
 /// Events of links that wait to be handled.
 const BACKLOG: usize = 1_024;
 
-/// An address that a link should lead to.
-#[derive(Clone, Copy, Debug)]
-struct Wanted {
-    since: Time,
-    tried: Option<Time>,
-    linked: Time,
+/// An entry that has a link to this one.
+#[derive(Debug)]
+struct Peer {
+    member: Member,
+    beat: Option<Beat>,
+    /// Whom it says to be alive.
+    told: Vec<Presence>,
+    used: Time,
+}
+
+/// Who is alive and what part each plays, worked out anew when that changes.
+#[derive(Debug, Default)]
+struct View {
+    alive: Vec<Presence>,
+    actives: BTreeSet<id::Host>,
+    /// Actives that this entry links to, the first of which speaks for it where it is a leaf.
+    links: Vec<Member>,
 }
 
 /// The other entries, as far as they are known.
@@ -62,8 +84,11 @@
     process: Arc<Process>,
     links: Arc<Links>,
     own: Member,
-    beats: Mutex<HashMap<id::Host, (Member, Option<Beat>)>>,
-    wanted: Mutex<HashMap<SocketAddr, Wanted>>,
+    began: Time,
+    peers: Mutex<HashMap<id::Host, Peer>>,
+    view: Mutex<Arc<View>>,
+    /// When each address was last dialled, and since when its link is missing.
+    dialled: Mutex<HashMap<SocketAddr, (Time, Time)>>,
     changed: Notify,
     pub(crate) desk: Desk,
 }
@@ -75,6 +100,7 @@
         let own = Member {
             host: settings.host.clone(),
             domain: settings.domain.clone(),
+            power: settings.power,
             peers: settings.peers,
             callers: settings.callers,
         };
@@ -82,14 +108,17 @@
         let links = Links::open(own.clone(), events);
         ntex::rt::spawn(Arc::clone(&links).listen(listener)).detach();
         let fleet = Arc::new(Self {
+            began: process.clock.now(),
             process,
             links,
             own,
-            beats: Mutex::default(),
-            wanted: Mutex::default(),
+            peers: Mutex::default(),
+            view: Mutex::default(),
+            dialled: Mutex::default(),
             changed: Notify::new(),
             desk: Desk::default(),
         });
+        fleet.refresh();
         ntex::rt::spawn(Arc::clone(&fleet).look()).detach();
         ntex::rt::spawn(Arc::clone(&fleet).listen(receiver)).detach();
         ntex::rt::spawn(Arc::clone(&fleet).beat_on()).detach();
@@ -97,37 +126,49 @@
         fleet
     }
 
-    /// Entries that take callers now, this one included where it does.
+    /// Entries that callers should use now.
     pub(crate) fn ready(&self) -> Vec<Member> {
-        let beats = self.beats.lock();
-        let ready = |(member, beat): &(Member, Option<Beat>)| {
-            beat.as_ref().is_some_and(|beat| beat.ready).then(|| member.clone())
+        let view = self.view();
+        let serves = |presence: &&Presence| {
+            let own = presence.member.host == self.own.host;
+            let ready = if own { self.process.is_ready() } else { presence.ready };
+            ready && view.actives.contains(&presence.member.host)
         };
-        let mut members: Vec<Member> = beats.values().filter_map(ready).collect();
-        drop(beats);
-        if self.process.is_ready() {
-            members.push(self.own.clone());
+        let mut ready: Vec<Member> =
+            view.alive.iter().filter(serves).map(|p| p.member.clone()).collect();
+        if ready.is_empty() && self.process.is_ready() {
+            ready.push(self.own.clone());
         }
-        members.sort_by(|a, b| a.host.cmp(&b.host));
-        members
+        ready
     }
 
     /// Whether this entry is one of those that watch targets for all.
     ///
-    /// Each entry ranks those that it has links to, so an entry that is cut off from the others
+    /// Each ranks the actives that it has links to, so an entry that is cut off from the others
     /// finds itself first and watches on its own.
     pub(crate) fn is_watcher(&self) -> bool {
-        let beats = self.beats.lock();
-        let works = |(member, beat): &(Member, Option<Beat>)| {
-            beat.as_ref().is_some_and(|beat| beat.registry).then(|| member.host.clone())
-        };
-        let mut hosts: Vec<id::Host> = beats.values().filter_map(works).collect();
-        drop(beats);
+        let view = self.view();
+        let peers = self.peers.lock();
+        let works = |peer: &&Peer| peer.beat.as_ref().is_some_and(|beat| beat.registry);
+        let active = |peer: &&Peer| view.actives.contains(&peer.member.host);
+        let mut hosts: Vec<id::Host> =
+            peers.values().filter(active).filter(works).map(|p| p.member.host.clone()).collect();
+        drop(peers);
+        if !self.is_active() {
+            return hosts.is_empty();
+        }
         hosts.push(self.own.host.clone());
         let ranked = rendezvous::rank("targets", &hosts, |host| host.as_str());
         ranked.iter().take(WATCHERS).any(|host| **host == self.own.host)
     }
 
+    /// Whether enough peers would tell of a text that this entry misses.
+    pub(crate) fn is_covered(&self) -> bool {
+        let peers = self.peers.lock();
+        let works = |peer: &&Peer| peer.beat.as_ref().is_some_and(|beat| beat.registry);
+        peers.values().filter(works).count() >= 2
+    }
+
     pub(crate) fn now(&self) -> Time {
         self.process.clock.now()
     }
@@ -136,10 +177,16 @@
         &self.own.host
     }
 
-    /// The entry that keeps the queue of an engine that leaves.
+    /// The entry that keeps the queue of an engine that leaves, or that passes asks on to it.
     pub(crate) fn keeper(&self, engine: &id::Target) -> id::Host {
-        let mut hosts: Vec<id::Host> = self.beats.lock().keys().cloned().collect();
-        hosts.push(self.own.host.clone());
+        let view = self.view();
+        if !self.is_active() {
+            let primary = view.links.first();
+            return primary.map_or_else(|| self.own.host.clone(), |member| member.host.clone());
+        }
+        let peers = self.peers.lock();
+        let linked = |host: &&id::Host| peers.contains_key(*host) || **host == self.own.host;
+        let hosts: Vec<id::Host> = view.actives.iter().filter(linked).cloned().collect();
         let ranked = rendezvous::rank(engine.as_str(), &hosts, |host| host.as_str());
         ranked.first().map_or_else(|| self.own.host.clone(), |host| (*host).clone())
     }
@@ -167,31 +214,108 @@
         self.changed.notified().await;
     }
 
+    /// Tells the targets to all that have a link, after a change that this entry read.
+    pub(crate) fn share_targets(&self) {
+        let (revision, targets) = self.process.targets();
+        let peers: Vec<id::Host> = self.peers.lock().keys().cloned().collect();
+        self.links.send_all(peers.iter(), &Frame::Targets { revision, targets });
+    }
+
     /// Tells all entries this one's state.
     pub(crate) fn beat(&self) {
-        self.links.broadcast(&Frame::Beat(self.own_beat()));
+        self.beat_to_actives();
+        self.beat_to_leaves();
     }
 
-    /// Tells all entries the targets, after a change that this one read.
-    pub(crate) fn share_targets(&self) {
-        let (revision, targets) = self.process.targets();
-        self.links.broadcast(&Frame::Targets { revision, targets });
+    fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.lock())
+    }
+
+    fn is_active(&self) -> bool {
+        self.view().actives.contains(&self.own.host)
+    }
+
+    /// Works out anew who is alive and what part each plays.
+    fn refresh(&self) {
+        let own = Presence { member: self.own.clone(), ready: self.process.is_ready() };
+        let mut alive: BTreeMap<id::Host, Presence> = BTreeMap::new();
+        let peers = self.peers.lock();
+        for presence in peers.values().flat_map(|peer| &peer.told) {
+            alive.insert(presence.member.host.clone(), presence.clone());
+        }
+        // What this entry hears itself goes before what it is told.
+        for peer in peers.values() {
+            let ready = peer.beat.as_ref().is_some_and(|beat| beat.ready);
+            let presence = Presence { member: peer.member.clone(), ready };
+            alive.insert(peer.member.host.clone(), presence);
+        }
+        drop(peers);
+        alive.insert(self.own.host.clone(), own);
+        let alive: Vec<Presence> = alive.into_values().collect();
+        let members: Vec<Member> = alive.iter().map(|p| p.member.clone()).collect();
+        let actives = roster::actives(&members);
+        let links = roster::links(&self.own, &actives).into_iter().cloned().collect();
+        let actives = actives.into_iter().map(|member| member.host.clone()).collect();
+        *self.view.lock() = Arc::new(View { alive, actives, links });
     }
 
-    fn own_beat(&self) -> Beat {
+    fn own_beat(&self, held: Vec<Held>) -> Beat {
         Beat {
             ready: self.process.is_ready(),
             text: self.process.revision(),
             targets: self.process.targets_revision(),
             registry: self.process.registry_works(),
-            held: self.process.held(),
+            held,
+        }
+    }
+
+    /// The linked entries, parted into actives and leaves.
+    fn parted(&self) -> (Vec<id::Host>, Vec<id::Host>) {
+        let view = self.view();
+        let hosts: Vec<id::Host> = self.peers.lock().keys().cloned().collect();
+        hosts.into_iter().partition(|host| view.actives.contains(host))
+    }
+
+    fn beat_to_actives(&self) {
+        let (actives, _) = self.parted();
+        let view = self.view();
+        if self.is_active() {
+            // What leaves hold goes along; what other actives hold they tell themselves.
+            let held = self.process.held_with(|host| !view.actives.contains(host));
+            self.links.send_all(actives.iter(), &Frame::Beat(self.own_beat(held)));
+            return;
+        }
+        let primary = view.links.first().map(|member| &member.host);
+        for active in &actives {
+            // Told to one, or it would count twice.
+            let held = if Some(active) == primary { self.process.held() } else { Vec::new() };
+            self.links.send(active, &Frame::Beat(self.own_beat(held)));
+        }
+    }
+
+    fn beat_to_leaves(&self) {
+        let (_, leaves) = self.parted();
+        let (busy, idle): (Vec<id::Host>, Vec<id::Host>) =
+            leaves.into_iter().partition(|leaf| self.process.holds(leaf));
+        self.links.send_all(idle.iter(), &Frame::Beat(self.own_beat(Vec::new())));
+        for leaf in &busy {
+            let held = self.process.held_with(|host| host != leaf);
+            self.links.send(leaf, &Frame::Beat(self.own_beat(held)));
         }
     }
 
     async fn beat_on(self: Arc<Self>) {
+        let mut count: u32 = 0;
         loop {
             sleep(BEAT).await;
-            self.beat();
+            count = count.wrapping_add(1);
+            let leaf_turn = count.is_multiple_of(LEAF_BEATS);
+            if self.is_active() || leaf_turn {
+                self.beat_to_actives();
+            }
+            if leaf_turn {
+                self.beat_to_leaves();
+            }
             self.process.report();
         }
     }
@@ -208,41 +332,54 @@
 
     fn up(&self, member: Member) {
         ::log::info!(peer:% = member.host, address:% = member.peers; "peer linked");
-        self.want(member.peers);
         let host = member.host.clone();
-        self.beats.lock().insert(host.clone(), (member, None));
-        self.links.send(&host, &Frame::Known(self.links.members()));
-        self.links.send(&host, &Frame::Beat(self.own_beat()));
+        let peer = Peer { member, beat: None, told: Vec::new(), used: self.now() };
+        self.peers.lock().insert(host.clone(), peer);
+        self.refresh();
+        self.links.send(&host, &Frame::Alive(self.linked()));
+        self.links.send(&host, &Frame::Beat(self.own_beat(Vec::new())));
         self.changed.notify_waiters();
     }
 
     fn down(&self, host: &id::Host) {
         ::log::warn!(peer:% = host; "peer lost");
-        self.beats.lock().remove(host);
+        self.peers.lock().remove(host);
         self.process.set_other(host, None);
+        self.refresh();
         self.changed.notify_waiters();
     }
 
     fn take(&self, from: &id::Host, frame: Frame) {
         match frame {
             Frame::Hello(_) => {}
-            Frame::Known(members) => members.iter().for_each(|member| self.want(member.peers)),
+            Frame::Alive(told) => {
+                if let Some(peer) = self.peers.lock().get_mut(from) {
+                    peer.told = told;
+                }
+                self.refresh();
+            }
             Frame::Beat(beat) => self.take_beat(from, beat),
             Frame::Text(text) => {
                 self.process.adopt(*text, "peer");
             }
-            Frame::TurnAsk { engine, ask } => self.desk.ask(self, &engine, ask),
-            Frame::Turn { engine, request } => self.desk.grant(&engine, &request),
-            Frame::TurnDone { engine, request } => self.desk.done(&engine, &request),
-            Frame::Targets { revision, targets } => {
-                self.process.list_targets(revision, targets, "peer");
-            }
+            Frame::TurnAsk { engine, ask } => self.desk.ask(self, from, &engine, ask),
+            Frame::Turn { engine, request } => self.desk.grant(self, &engine, &request),
+            Frame::TurnDone { engine, request } => self.desk.done(self, &engine, &request),
+            Frame::Targets { revision, targets } => self.take_targets(revision, targets),
+        }
+    }
+
+    /// Takes in targets from a peer, and hands them on to those that know no other active.
+    fn take_targets(&self, revision: u64, targets: Vec<fireflyhoist_policy::lease::Target>) {
+        let frame = Frame::Targets { revision, targets: targets.clone() };
+        if self.process.list_targets(revision, targets, "peer") && self.is_active() {
+            let (_, leaves) = self.parted();
+            self.links.send_all(leaves.iter(), &frame);
         }
     }
 
     fn take_beat(&self, from: &id::Host, beat: Beat) {
-        let own = self.process.revision();
-        if beat.text < own
+        if beat.text < self.process.revision()
             && let Some(table) = self.process.table()
         {
             self.links.send(from, &Frame::Text(Box::new(table.text().clone())));
@@ -252,54 +389,112 @@
             self.links.send(from, &Frame::Targets { revision, targets });
         }
         self.process.set_other(from, Some(beat.held.clone()));
-        let mut beats = self.beats.lock();
-        let Some((_, known)) = beats.get_mut(from) else { return };
-        let news = known.as_ref().is_none_or(|old| old.registry != beat.registry);
-        *known = Some(beat);
-        drop(beats);
+        let mut peers = self.peers.lock();
+        let Some(peer) = peers.get_mut(from) else { return };
+        let differs = |old: &Beat| old.registry != beat.registry || old.ready != beat.ready;
+        let news = peer.beat.as_ref().is_none_or(differs);
+        peer.beat = Some(beat);
+        drop(peers);
         if news {
+            self.refresh();
             self.changed.notify_waiters();
         }
     }
 
-    fn want(&self, address: SocketAddr) {
-        if address == self.own.peers {
-            return;
-        }
-        let now = self.process.clock.now();
-        let wanted = Wanted { since: now, tried: None, linked: now };
-        self.wanted.lock().entry(address).or_insert(wanted);
+    /// This entry and those that it has links to.
+    fn linked(&self) -> Vec<Presence> {
+        let peers = self.peers.lock();
+        let presence = |peer: &Peer| Presence {
+            member: peer.member.clone(),
+            ready: peer.beat.as_ref().is_some_and(|beat| beat.ready),
+        };
+        let mut linked: Vec<Presence> = peers.values().map(presence).collect();
+        drop(peers);
+        linked.push(Presence { member: self.own.clone(), ready: self.process.is_ready() });
+        linked.sort_by(|a, b| a.member.host.cmp(&b.member.host));
+        linked
     }
 
-    /// Opens the links that are missing.
+    /// Opens the links that are missing, closes those of no use, and tells who is alive.
     async fn look(self: Arc<Self>) {
+        let mut told = Vec::new();
+        let mut reunion = self.now();
         loop {
-            self.process.seeds().into_iter().for_each(|seed| self.want(seed));
-            for address in self.missing() {
+            sleep(LOOK).await;
+            self.refresh();
+            let linked = self.linked();
+            if linked != told {
+                told = linked;
+                let peers: Vec<id::Host> = self.peers.lock().keys().cloned().collect();
+                self.links.send_all(peers.iter(), &Frame::Alive(told.clone()));
+            }
+            let mut wanted: Vec<SocketAddr> = self.view().links.iter().map(|m| m.peers).collect();
+            let now = self.now();
+            let alone = self.peers.lock().is_empty();
+            if alone || now.since(self.began) < EARLY {
+                wanted.extend(self.process.seeds());
+            } else if now.since(reunion) >= REUNION {
+                reunion = now;
+                wanted.extend(self.strange_seed());
+            }
+            for address in self.missing(wanted) {
                 ntex::rt::spawn(Arc::clone(&self.links).dial(address)).detach();
             }
-            sleep(LOOK).await;
+            self.close_unused();
         }
     }
 
-    fn missing(&self) -> Vec<SocketAddr> {
-        let now = self.process.clock.now();
+    /// A seed that nobody tells of.
+    fn strange_seed(&self) -> Option<SocketAddr> {
+        let view = self.view();
+        let known = |seed: &SocketAddr| view.alive.iter().any(|p| p.member.peers == *seed);
+        let strange: Vec<SocketAddr> =
+            self.process.seeds().into_iter().filter(|seed| !known(seed)).collect();
+        let draw: usize = rand::random_range(0..strange.len().max(1));
+        strange.get(draw).copied()
+    }
+
+    fn missing(&self, wanted: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        let now = self.now();
         let mut missing = Vec::new();
-        let mut wanted = self.wanted.lock();
-        wanted.retain(|_, of| now.since(of.linked) < REMEMBERED);
-        for (address, of) in wanted.iter_mut() {
-            if self.links.reaches(*address) {
-                of.linked = now;
-                of.since = now;
+        let mut dialled = self.dialled.lock();
+        dialled.retain(|address, _| wanted.contains(address));
+        for address in wanted {
+            if address == self.own.peers {
+                continue;
+            }
+            if self.links.reaches(address) {
+                dialled.remove(&address);
                 continue;
             }
-            let first = self.own.peers < *address;
-            let due = first || now.since(of.since) >= COURTESY;
-            if due && of.tried.is_none_or(|tried| now.since(tried) >= AGAIN) {
-                of.tried = Some(now);
-                missing.push(*address);
+            let first = !dialled.contains_key(&address);
+            let (tried, since) = *dialled.entry(address).or_insert((now, now));
+            let turn = self.own.peers < address || now.since(since) >= COURTESY;
+            if turn && (first || now.since(tried) >= AGAIN) {
+                dialled.insert(address, (now, since));
+                missing.push(address);
             }
         }
         missing
     }
+
+    /// Closes links that neither end has a use for, such as those to seeds after the start.
+    fn close_unused(&self) {
+        let (view, now) = (self.view(), self.now());
+        let active = self.is_active();
+        let mut peers = self.peers.lock();
+        let mut unused = Vec::new();
+        for (host, peer) in peers.iter_mut() {
+            let theirs = view.actives.contains(host);
+            let leaf = active && !theirs && peer.member.domain == self.own.domain;
+            let linked = view.links.iter().any(|member| member.host == *host);
+            if linked || leaf || (active && theirs) {
+                peer.used = now;
+            } else if now.since(peer.used) >= UNUSED {
+                unused.push(host.clone());
+            }
+        }
+        drop(peers);
+        unused.iter().for_each(|host| self.links.close(host));
+    }
 }
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -37,6 +37,8 @@
     pub peers: SocketAddr,
     /// Where its metrics are read.
     pub metrics: SocketAddr,
+    /// How much this host can carry, in cores; callers go to the strongest of each failure domain.
+    pub power: f64,
     /// Entries to link to first; they may be gone.
     pub seeds: Vec<SocketAddr>,
     /// The registry of texts and targets.
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use fireflyhoist_policy::gate::{self, Report};
+use fireflyhoist_policy::gate::{self, Holding, Report};
 use fireflyhoist_policy::lease::{Change, Leases, Target};
 use fireflyhoist_policy::retry;
 use fireflyhoist_policy::route::{Table, Text};
@@ -14,7 +14,7 @@
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
 
-use crate::connection::frame::Held;
+use crate::connection::frame::{Held, sum};
 use crate::process::clock::Clock;
 use crate::process::lane::{Lane, View};
 use crate::process::metrics::Metrics;
@@ -250,26 +250,24 @@
 
     /// What this entry holds at each target.
     pub(crate) fn held(&self) -> Vec<Held> {
-        let mut held: HashMap<id::Target, Held> = HashMap::new();
-        let empty = |target: &id::Target| Held {
-            target: target.clone(),
-            tokens: Tokens::default(),
-            streams: 0,
-            unread: Tokens::default(),
-            copies: Tokens::default(),
-        };
         let lanes: Vec<Arc<Lane>> = self.lanes.read().values().cloned().collect();
+        let mut held: Vec<Held> = Vec::new();
         for holding in lanes.iter().flat_map(|lane| lane.holdings()) {
-            let of = held.entry(holding.target.clone()).or_insert_with(|| empty(&holding.target));
-            of.tokens = holding.tokens;
-            of.streams = holding.streams;
-            of.unread = holding.unread;
+            let Holding { target, tokens, streams, unread } = holding;
+            held.push(Held { target, tokens, streams, unread, copies: Tokens::default() });
         }
         for (target, tokens) in self.copies.lock().iter() {
-            let of = held.entry(target.clone()).or_insert_with(|| empty(target));
-            of.copies = Tokens::new(*tokens);
+            held.push(Held { copies: Tokens::new(*tokens), ..Held::none(target) });
         }
-        held.into_values().collect()
+        sum(held.iter())
+    }
+
+    /// What this entry and those that `with` picks of the others hold.
+    pub(crate) fn held_with(&self, with: impl Fn(&id::Host) -> bool) -> Vec<Held> {
+        let own = self.held();
+        let others = self.others.lock();
+        let picked = others.iter().filter(|(host, _)| with(host)).flat_map(|(_, held)| held);
+        sum(own.iter().chain(picked))
     }
 
     /// Takes in what another entry holds; `None` where it is gone.
@@ -281,6 +279,11 @@
         };
     }
 
+    /// Whether an entry has told that it holds anything.
+    pub(crate) fn holds(&self, host: &id::Host) -> bool {
+        self.others.lock().get(host).is_some_and(|held| !held.is_empty())
+    }
+
     /// Tells the gates what all entries together hold at each engine.
     pub(crate) fn report(&self) {
         let Some(table) = self.table() else { return };
--- a/crates/gateway/src/process/turn.rs
+++ b/crates/gateway/src/process/turn.rs
@@ -22,32 +22,54 @@
 /// How often queues are looked at while there are any.
 const POLL: Duration = Duration::from_millis(4);
 
-type Waiters = HashMap<(id::Target, SmolStr), oneshot::Sender<()>>;
+/// An answer in the queue of an engine.
+type Place = (id::Target, SmolStr);
 
 /// The queues kept here, and the answers of this entry that wait in any.
 #[derive(Debug, Default)]
 pub(crate) struct Desk {
     turns: Mutex<Turns>,
-    waiters: Mutex<Waiters>,
+    waiters: Mutex<HashMap<Place, oneshot::Sender<()>>>,
+    /// Asks of leaves that were passed on, and whose they are.
+    passed: Mutex<HashMap<Place, id::Host>>,
     asked: Notify,
 }
 
 impl Desk {
-    /// Takes in an ask, of this entry or another.
-    pub(crate) fn ask(&self, fleet: &Fleet, engine: &id::Target, ask: Ask) {
-        let now = fleet.now();
-        self.turns.lock().ask(now, engine, ask);
+    /// Takes in an ask, of this entry or another; a leaf's is passed on to the queue's keeper.
+    pub(crate) fn ask(&self, fleet: &Fleet, from: &id::Host, engine: &id::Target, mut ask: Ask) {
+        let keeper = fleet.keeper(engine);
+        if keeper != *fleet.host() && from != fleet.host() && ask.entry == *from {
+            let place = (engine.clone(), ask.request.clone());
+            self.passed.lock().insert(place, from.clone());
+            ask.entry = fleet.host().clone();
+            fleet.ask_turn(&keeper, engine, ask);
+            return;
+        }
+        self.turns.lock().ask(fleet.now(), engine, ask);
         self.asked.notify_one();
     }
 
-    pub(crate) fn done(&self, engine: &id::Target, request: &str) {
+    pub(crate) fn done(&self, fleet: &Fleet, engine: &id::Target, request: &SmolStr) {
+        let place = (engine.clone(), request.clone());
+        if self.passed.lock().remove(&place).is_some() {
+            let frame = Frame::TurnDone { engine: place.0, request: place.1 };
+            fleet.tell(&fleet.keeper(engine), &frame);
+            return;
+        }
         self.turns.lock().done(engine, request);
         self.asked.notify_one();
     }
 
-    /// Takes in that an answer of this entry has its turn.
-    pub(crate) fn grant(&self, engine: &id::Target, request: &SmolStr) {
-        let waiter = self.waiters.lock().remove(&(engine.clone(), request.clone()));
+    /// Takes in that an answer of this entry, or of a leaf that it speaks for, has its turn.
+    pub(crate) fn grant(&self, fleet: &Fleet, engine: &id::Target, request: &SmolStr) {
+        let place = (engine.clone(), request.clone());
+        let leaf = self.passed.lock().get(&place).cloned();
+        if let Some(leaf) = leaf {
+            fleet.grant(&leaf, engine, request);
+            return;
+        }
+        let waiter = self.waiters.lock().remove(&place);
         if let Some(waiter) = waiter {
             // One that stopped waiting has said so to the keeper of the queue.
             let _ = waiter.send(());
--- a/crates/gateway/src/request/entries.rs
+++ b/crates/gateway/src/request/entries.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use fireflyhoist_policy::roster::Member;
 use fireflyhoist_wire::caller::Entry;
 use ntex::http::{Request, Response};
 
-use crate::connection::frame::Member;
 use crate::platform::Platform;
 use crate::process::fleet::Fleet;
 
--- a/crates/gateway/src/version/follow.rs
+++ b/crates/gateway/src/version/follow.rs
@@ -29,6 +29,9 @@
 /// it stays near the bound within which a text must be in force; peers close the gap meanwhile.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 
+/// The same where peers would tell of what is missed: four in five calls less.
+const WATCH_COVERED: Duration = Duration::from_secs(12);
+
 /// How much longer than its wait a watch may take.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
@@ -159,8 +162,9 @@
     }
 
     async fn wait<P: Platform>(&mut self, revision: u64) -> Result<Page, CallError> {
-        let path = P::watch(self.what, revision, WATCH_WAIT);
-        let body = self.call(path, WATCH_WAIT + WATCH_SLACK).await?;
+        let wait = if self.fleet.is_covered() { WATCH_COVERED } else { WATCH_WAIT };
+        let path = P::watch(self.what, revision, wait);
+        let body = self.call(path, wait + WATCH_SLACK).await?;
         let page = P::news(self.what, &body).map_err(CallError::Decode)?;
         self.recovered();
         Ok(page)
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -79,6 +79,7 @@
         directory = "127.0.0.1:0"
         peers = "127.0.0.1:0"
         metrics = "127.0.0.1:0"
+        power = 1.0
         seeds = [{}]
         registry = "{registry}"
         [bounds]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod rendezvous;
 pub mod retry;
 pub mod room;
+pub mod roster;
 pub mod route;
 pub mod session;
 pub mod share;
--- /dev/null
+++ b/crates/policy/src/roster.rs
@@ -0,0 +1,89 @@
+//! Which entries carry the traffic, and who links to whom.
+//!
+//! **Load pattern.** Many small hosts stand beside a few larger ones, and traffic that a handful
+//! could carry. **Without this** every entry takes callers and tells every other what it holds: 80
+//! entries with seven heartbeats a second each spent a fifth of their processors on each other and
+//! half of what a day was worth was lost to it, while each served one answer at a time.
+//!
+//! **The way.** In each failure domain the strongest few are *active*: callers are sent to them, and
+//! they tell each other what they hold. The others link to two actives of their domain, from which
+//! they learn texts and targets, and stand ready to take an active's place: everyone ranks the
+//! members it knows to be alive in the same way, so nobody is elected.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id;
+use crate::rendezvous;
+
+/// Members up to which all are active: links among them are few enough, and each that callers may
+/// use is one more that can fail unnoticed.
+pub const SMALL: usize = 12;
+
+/// Actives of one failure domain at most; with five domains thirty entries link to each other.
+pub const MOST: usize = 6;
+
+/// Actives of one failure domain at least, so that one may fail unnoticed.
+pub const LEAST: usize = 2;
+
+/// Actives that an entry which is none links to.
+pub const PRIMARIES: usize = 2;
+
+/// The part of the strongest member's power that makes an active. Weaker ones would be loaded like
+/// it, since callers choose evenly, and slow down their share of the answers.
+const STRONG: f64 = 0.5;
+
+/// An entry as it describes itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its host.
+    pub host: id::Host,
+    /// Where it stands.
+    pub domain: id::Domain,
+    /// How much it can carry, in cores.
+    pub power: f64,
+    /// Where its peers link to it.
+    pub peers: SocketAddr,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+}
+
+/// The active members among those that are alive, by host.
+pub fn actives<'a>(alive: &'a [Member]) -> Vec<&'a Member> {
+    if alive.len() <= SMALL {
+        return alive.iter().collect();
+    }
+    let strongest = alive.iter().map(|member| member.power).fold(0.0, f64::max);
+    let mut domains: BTreeMap<&id::Domain, Vec<&'a Member>> = BTreeMap::new();
+    for member in alive {
+        domains.entry(&member.domain).or_default().push(member);
+    }
+    let mut actives = Vec::new();
+    for members in domains.into_values() {
+        let mut ranked = members;
+        ranked.sort_by(|a, b| {
+            let rank = |m: &Member| rendezvous::weight("active", m.host.as_str());
+            b.power.total_cmp(&a.power).then_with(|| rank(b).cmp(&rank(a)))
+        });
+        let strong = |m: &&&Member| m.power >= strongest * STRONG;
+        let count = ranked.iter().filter(strong).count().clamp(LEAST, MOST);
+        actives.extend(ranked.into_iter().take(count));
+    }
+    actives
+}
+
+/// The actives that a member links to: all where it is one itself, else two of its own domain, or
+/// of any where its own has none.
+pub fn links<'a>(own: &Member, actives: &[&'a Member]) -> Vec<&'a Member> {
+    if actives.iter().any(|active| active.host == own.host) {
+        return actives.iter().filter(|active| active.host != own.host).copied().collect();
+    }
+    let near: Vec<&'a Member> =
+        actives.iter().filter(|active| active.domain == own.domain).copied().collect();
+    let from = if near.is_empty() { actives.to_vec() } else { near };
+    // Each leaf ranks for itself, so that the leaves of a domain spread over its actives.
+    let ranked = rendezvous::rank(own.host.as_str(), &from, |active| active.host.as_str());
+    ranked.into_iter().take(PRIMARIES).copied().collect()
+}
