Serve first what can still begin on time, and short answers before long ones

The line was served in order of arrival, so nearly all began late, and long answers stood before short ones that hold an engine for a tenth of the time.

--- a/crates/bench/src/cost.rs
+++ b/crates/bench/src/cost.rs
@@ -140,6 +140,7 @@
         prompt: Tokens::new(500),
         limit: Tokens::new(4_096),
         prefix: workspace as u64 + 1,
+        objective: now + Duration::from_secs(30),
         deadline: now + Duration::from_secs(30),
         avoid: None,
     }
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -402,6 +402,7 @@
         prompt: Tokens::new(arrival.prompt),
         limit: Tokens::new(arrival.limit),
         prefix: arrival.prefix,
+        objective: arrival.at + arrival.patience,
         deadline: arrival.at + arrival.patience,
         avoid,
     }
--- a/crates/daemon/src/request/completion.rs
+++ b/crates/daemon/src/request/completion.rs
@@ -154,6 +154,7 @@
                 prompt: Tokens::new(completion.prompt.len() as u64 / BYTES_PER_TOKEN),
                 limit: Tokens::new(max_tokens),
                 prefix: placement::prefix(&completion.prompt),
+                objective: self.worker.process.clock.now() + patience,
                 deadline: self.worker.process.clock.now() + patience,
                 avoid: None,
             },
--- a/crates/daemon/src/request/plain/mod.rs
+++ b/crates/daemon/src/request/plain/mod.rs
@@ -77,6 +77,7 @@
         prompt: Tokens::default(),
         limit: Tokens::default(),
         prefix: 0,
+        objective: worker.process.clock.now() + message::patience(service),
         deadline: worker.process.clock.now() + message::patience(service),
         avoid: None,
     }
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -138,7 +138,7 @@
         };
         // Entries tell each other several times a second what they hold, so none has to keep to a
         // share of an old report.
-        gate::Settings { share: false, retries, ..gate::Settings::default() }
+        gate::Settings { share: false, charge_all: true, retries, ..gate::Settings::default() }
     }
 
     pub(crate) fn lane(&self, service: &id::Service) -> Option<Arc<Lane>> {
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -67,6 +67,8 @@
     pub(crate) path: String,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// When its answer should have begun.
+    pub(crate) objective: Time,
     pub(crate) deadline: Time,
     /// The caller's connection.
     pub(crate) io: Option<IoRef>,
@@ -80,8 +82,9 @@
     /// What the gate is asked for the first attempt.
     pub(crate) fn ask(&self, avoid: Option<id::Target>) -> Ask {
         let workspace = self.workspace.clone().unwrap_or_else(nobody);
+        let class = if carry::is_long(self) { Class::Overnight } else { Class::Live };
         let (class, limit) = match self.route.kind.is_stream() && self.service.engine.is_some() {
-            true => (Class::Live, self.facts.limit),
+            true => (class, self.facts.limit),
             false => (Class::Lookup, Default::default()),
         };
         Ask {
@@ -91,6 +94,7 @@
             prompt: self.facts.prompt,
             limit,
             prefix: fireflyhoist_policy::placement::NO_PREFIX,
+            objective: self.objective,
             deadline: self.deadline,
             avoid,
         }
@@ -185,6 +189,7 @@
         return Err(refuse::no_target(&facts.request));
     };
     let patience = facts.patience.unwrap_or(PATIENCE).min(route.timeout);
+    let objective = arrived + route.objective;
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
     Ok(Inquiry {
         rank: workspace.as_ref().and_then(|w| w.rank).unwrap_or(route.rank),
@@ -200,6 +205,7 @@
         service,
         lane,
         body,
+        objective,
         deadline: arrived + patience,
     })
 }
--- a/crates/policy/src/ask.rs
+++ b/crates/policy/src/ask.rs
@@ -36,6 +36,9 @@
     /// A generation whose whole answer is read the next day.
     #[display("overnight")]
     Overnight,
+    /// A generation that can no longer begin on time; it takes what others leave.
+    #[display("spare")]
+    Spare,
 }
 
 /// One request that asks to be served.
@@ -53,6 +56,8 @@
     pub limit: Tokens,
     /// A hash of the prompt's beginning, by which engines' prefix caches are met again.
     pub prefix: u64,
+    /// When its answer should have begun.
+    pub objective: Time,
     /// When an answer that has not begun is of no more use.
     pub deadline: Time,
     /// A target that just failed this request and should not be tried next.
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -201,7 +201,10 @@
         if !self.slots.iter().any(|slot| slot.listed) {
             return refuse(rng, Reason::NoTarget, RETRY.0);
         }
-        if again && ask.class != Class::Overnight && !self.retries.try_take() {
+        if again
+            && (ask.class != Class::Overnight || self.settings.charge_all)
+            && !self.retries.try_take()
+        {
             return refuse(rng, Reason::RetryBudget, RETRY.0);
         }
         if is_lookup(&ask) {
@@ -317,6 +320,7 @@
         }
         self.weigh(now);
         self.drain.pass(now, true);
+        self.queue.demote(now, START);
         let mut decided = Vec::new();
         for item in self.queue.expire(now) {
             let wait = self.drain.wait(self.queue.ahead(item.ask.class, &item.ask.workspace, 0.0));
--- a/crates/policy/src/gate/settings.rs
+++ b/crates/policy/src/gate/settings.rs
@@ -27,6 +27,8 @@
     pub affinity: bool,
     /// Leave out slow and failing targets.
     pub outlier: bool,
+    /// Charge second attempts of overnight answers as well, where operators bound them all.
+    pub charge_all: bool,
     /// How many second attempts this entry may make.
     pub retries: retry::Terms,
 }
@@ -44,6 +46,7 @@
             pace: true,
             affinity: true,
             outlier: true,
+            charge_all: false,
             retries: retry::Terms::default(),
         }
     }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -203,6 +203,31 @@
         self.take(class, &workspace, at)
     }
 
+    /// Puts generations that can no longer begin on time behind all others.
+    ///
+    /// **Load pattern** (`overload`): more is asked than fits for some seconds. **Without this** the
+    /// line is served in order of arrival, so once it is longer than the objective every answer
+    /// begins late, those that could have begun on time as well. A late answer is worth a sixth of
+    /// one that is on time to the users, but not nothing: it waits for room, and every eighth turn
+    /// is the lowest class's.
+    pub fn demote(&mut self, now: Time, lead: Duration) {
+        let mut late = Vec::new();
+        for (class, flows) in &self.classes {
+            if !matches!(class, Class::Live | Class::Overnight) {
+                continue;
+            }
+            let items = flows.values().flat_map(|flow| &flow.items);
+            let passed = items.filter(|item| item.ask.objective < now + lead);
+            late.extend(passed.map(|item| item.ask.request));
+        }
+        for request in late {
+            if let Some(mut item) = self.remove(request) {
+                item.ask.class = Class::Spare;
+                self.push(now, item, false);
+            }
+        }
+    }
+
     /// Takes out requests whose deadline has passed.
     pub fn expire(&mut self, now: Time) -> Vec<Item> {
         let mut expired = Vec::new();
--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -30,7 +30,7 @@
 
 /// Standard deviations that must fit for a class.
 fn sigmas(class: Class) -> f32 {
-    if class == Class::Overnight { SIGMAS } else { SIGMAS_LIVE }
+    if class >= Class::Overnight { SIGMAS } else { SIGMAS_LIVE }
 }
 
 /// The most that preemptions may raise the margin to.
--- a/crates/policy/tests/carry.rs
+++ b/crates/policy/tests/carry.rs
@@ -25,6 +25,7 @@
         prompt: Tokens::new(3_000),
         limit: Tokens::new(2_000),
         prefix: 0,
+        objective: Time::ZERO + Duration::from_secs(40),
         deadline: Time::ZERO + Duration::from_secs(40),
         avoid: None,
     }
--- a/crates/policy/tests/gate.rs
+++ b/crates/policy/tests/gate.rs
@@ -23,6 +23,7 @@
         prompt: Tokens::new(200),
         limit: Tokens::new(4_096),
         prefix: 0,
+        objective: now + Duration::from_secs(5),
         deadline: now + Duration::from_secs(5),
         avoid: None,
     }
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -17,6 +17,7 @@
         prompt: Tokens::new(10),
         limit: Tokens::new(1_000),
         prefix: 0,
+        objective: Time::ZERO + Duration::from_secs(60),
         deadline: Time::ZERO + Duration::from_secs(60),
         avoid: None,
     };
