Let what others hold decide as soon as it is heard

Cause: an entry told of a generation at its next heartbeat and weighed what it heard at its own next, so several entries filled the same room of an engine within 0.3 s.

--- a/crates/gateway/src/process/fleet.rs
+++ b/crates/gateway/src/process/fleet.rs
@@ -30,6 +30,12 @@
 /// way, so that two entries rarely fill the same room; a prompt takes longer to be read.
 const BEAT: Duration = Duration::from_millis(150);
 
+/// How soon the others hear of a generation that was sent; those sent meanwhile go along.
+///
+/// The failure: within one heartbeat several entries fill the same room of an engine, which then
+/// preempts what it began. A heartbeat of its own for each costs a few frames a second.
+const PROMPT: Duration = Duration::from_millis(15);
+
 /// Heartbeats of actives for each one between an active and a leaf, which carries little traffic.
 const LEAF_BEATS: u32 = 2;
 
@@ -307,7 +313,15 @@
     async fn beat_on(self: Arc<Self>) {
         let mut count: u32 = 0;
         loop {
-            sleep(BEAT).await;
+            let news = tokio::select! {
+                () = sleep(BEAT) => false,
+                () = self.process.sent() => true,
+            };
+            if news {
+                sleep(PROMPT).await;
+                self.beat_to_actives();
+                continue;
+            }
             count = count.wrapping_add(1);
             let leaf_turn = count.is_multiple_of(LEAF_BEATS);
             if self.is_active() || leaf_turn {
@@ -388,7 +402,9 @@
             let (revision, targets) = self.process.targets();
             self.links.send(from, &Frame::Targets { revision, targets });
         }
-        self.process.set_other(from, Some(beat.held.clone()));
+        if self.process.set_other(from, Some(beat.held.clone())) {
+            self.process.report();
+        }
         let mut peers = self.peers.lock();
         let Some(peer) = peers.get_mut(from) else { return };
         let differs = |old: &Beat| old.registry != beat.registry || old.ready != beat.ready;
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -12,7 +12,7 @@
 use fireflyhoist_policy::unit::Tokens;
 use fireflyhoist_policy::{id, lease};
 use parking_lot::{Mutex, RwLock};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::connection::frame::{Held, sum};
 use crate::process::clock::Clock;
@@ -46,6 +46,8 @@
     others: Mutex<HashMap<id::Host, Vec<Held>>>,
     /// Changes whenever targets do, so that running answers look whether theirs leaves.
     targets: watch::Sender<u64>,
+    /// Wakes the heartbeats when a generation was sent.
+    sent: Notify,
     registry: AtomicBool,
     leaving: AtomicBool,
     listed: AtomicBool,
@@ -65,6 +67,7 @@
             copies: Mutex::default(),
             others: Mutex::default(),
             targets: watch::channel(0).0,
+            sent: Notify::new(),
             registry: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             listed: AtomicBool::new(false),
@@ -216,6 +219,16 @@
         self.leases.lock().is_ready(id)
     }
 
+    /// Notes that a generation was sent, which the other entries should learn of soon.
+    pub(crate) fn note_sent(&self) {
+        self.sent.notify_one();
+    }
+
+    /// Waits until a generation was sent.
+    pub(crate) async fn sent(&self) {
+        self.sent.notified().await;
+    }
+
     /// The other targets of a target's failure domain.
     pub(crate) fn neighbours(&self, id: &id::Target) -> BTreeSet<id::Target> {
         let leases = self.leases.lock();
@@ -270,13 +283,17 @@
         sum(own.iter().chain(picked))
     }
 
-    /// Takes in what another entry holds; `None` where it is gone.
-    pub(crate) fn set_other(&self, host: &id::Host, held: Option<Vec<Held>>) {
+    /// Takes in what another entry holds, `None` where it is gone; returns whether that is new.
+    pub(crate) fn set_other(&self, host: &id::Host, held: Option<Vec<Held>>) -> bool {
         let mut others = self.others.lock();
+        if others.get(host) == held.as_ref() {
+            return false;
+        }
         match held {
             Some(held) => others.insert(host.clone(), held),
             None => others.remove(host),
         };
+        true
     }
 
     /// Whether an entry has told that it holds anything.
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -105,6 +105,7 @@
     async fn attempt<P: Platform>(&mut self, pass: Pass) -> Result<Response, Ended> {
         self.sent += 1;
         self.flying = true;
+        self.worker.process.note_sent();
         let backup = Backup::choose(self.worker, &self.inquiry, &pass, pass.target());
         let extra = Extra { backup: backup.as_ref().map(Backup::address), ..Extra::default() };
         let begun = attempt::begin::<P>(self.worker, &self.inquiry, pass.target(), &extra).await;
