Refuse truly where an idempotent request may have run, and avoid the target that just failed it

Every target had answered some request with an error of its own within the last second, which paused it, so the choice fell back to all of them, the one just tried included. A target's own error now counts for ejection only.

--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -41,7 +41,15 @@
 pub(crate) async fn serve<P: Platform>(worker: &Worker, inquiry: &Inquiry) -> Response {
     let request = &inquiry.facts.request;
     let left = inquiry.left(worker.process.clock.now());
-    let mut run = Run { worker, inquiry, sent: 0, unknown: false, refusal: None, kept: None };
+    let mut run = Run {
+        worker,
+        inquiry,
+        sent: 0,
+        unknown: false,
+        doubtful: false,
+        refusal: None,
+        kept: None,
+    };
     // Told apart when time is up: a request of which no attempt may have run may come again.
     let finished = {
         let deadline = sleep(left);
@@ -64,6 +72,8 @@
     sent: u32,
     /// Whether an attempt was sent whose fate is not known to be "not run".
     unknown: bool,
+    /// Whether an attempt ended without its fate being known.
+    doubtful: bool,
     refusal: Option<Refusal>,
     /// A failure that a target answered with, for the case that nothing better comes.
     kept: Option<Whole>,
@@ -126,7 +136,10 @@
                 None
             }
             Err(Ended::Unknown("late")) => Some(refuse::late(&self.inquiry.facts.request)),
-            Err(Ended::Unknown(_)) if self.is_safe() => None,
+            Err(Ended::Unknown(_)) if self.is_safe() => {
+                self.doubtful = true;
+                None
+            }
             Err(Ended::Unknown(_)) => Some(refuse::lost(&self.inquiry.facts.request)),
         }
     }
@@ -137,7 +150,7 @@
         if let Some(whole) = self.kept.take() {
             return respond(whole);
         }
-        if self.unknown && !self.is_safe() {
+        if self.doubtful {
             return refuse::lost(request);
         }
         let left = self.inquiry.left(self.worker.process.clock.now());
@@ -156,8 +169,9 @@
     let target = pass.target().clone();
     let result = fetch::<P>(worker, inquiry, &target).await;
     let outcome = match &result {
-        Ok(whole) if !whole.status.is_server_error() => Outcome::Whole,
-        _ => Outcome::Failed,
+        Ok(whole) if whole.status.is_server_error() => Outcome::Faulty,
+        Ok(_) => Outcome::Whole,
+        Err(_) => Outcome::Failed,
     };
     pass.finish(outcome);
     Done { target, result }
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -136,7 +136,7 @@
         response: &mut exchange::Response,
     ) -> Result<Response, Ended> {
         let failed = response.status.is_server_error();
-        pass.finish(if failed { Outcome::Failed } else { Outcome::Whole });
+        pass.finish(if failed { Outcome::Faulty } else { Outcome::Whole });
         let body = response.whole(MAX_ANSWER).await.map_err(|_| Ended::Unknown("cut"))?;
         let more = self.sent < self.inquiry.route.attempts;
         if failed && more && self.inquiry.route.kind.is_idempotent() {
--- a/crates/gateway/tests/answers.rs
+++ b/crates/gateway/tests/answers.rs
@@ -174,3 +174,19 @@
         assert_eq!((answer.status, answer.body.as_str()), (200, "hello"));
     }
 }
+
+/// A lookup is refused as not run although a target may have run it: both targets hung up after
+/// they had the request. A refusal that says that nothing ran must be true for every kind.
+#[ntex::test]
+async fn a_request_that_may_have_run_is_never_refused_as_unrun() {
+    let registry = Registry::open().await;
+    registry.publish(text(1, vec![route("web", Kind::Safe)]));
+    for name in ["t-1", "t-2"] {
+        let target = Standin::open(name, "web", |_| vec![Step::Reset]).await;
+        registry.put(target.listed.clone());
+    }
+    let gateway = gateway(&registry).await;
+    let answer = Request::new("POST", "/web/x").body("b").send(gateway.callers()).await;
+    assert_eq!(answer.status, 502);
+    assert!(answer.body.contains("\"ran\":\"unknown\""), "{}", answer.body);
+}
--- a/crates/policy/src/ask.rs
+++ b/crates/policy/src/ask.rs
@@ -127,6 +127,8 @@
     Whole,
     /// The target failed, refused or vanished.
     Failed,
+    /// The target answered with a failure of its own, which says little of the next request.
+    Faulty,
     /// The caller gave up.
     Cancelled,
 }
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -309,6 +309,7 @@
                 slot.pause(now);
                 self.detector.record(now, &slot.name, Sample::Failed);
             }
+            Outcome::Faulty => self.detector.record(now, &slot.name, Sample::Failed),
             Outcome::Cancelled => {}
         }
     }
--- a/crates/policy/src/gate/place.rs
+++ b/crates/policy/src/gate/place.rs
@@ -76,7 +76,14 @@
             up.then(|| slot.load(sends))
         });
         if self.candidates.is_empty() {
-            // Better a target in doubt than no answer.
+            // Better a target in doubt than no answer, and one that failed some other request than
+            // the one that has just failed this.
+            self.collect(|slot| {
+                let other = slot.listed && Some(&slot.name) != ask.avoid.as_ref();
+                other.then_some(0.0)
+            });
+        }
+        if self.candidates.is_empty() {
             self.collect(|slot| slot.listed.then_some(0.0));
         }
         placement::choose(rng, placement::NO_PREFIX, &self.candidates).map(|at| self.fitting[at])
--- a/crates/policy/tests/gate.rs
+++ b/crates/policy/tests/gate.rs
@@ -143,3 +143,46 @@
         prop_assert_eq!(told.len() as u128, asked);
     }
 }
+
+/// A search page fails twice at the same target while others are free: each of them had answered
+/// some request with an error of its own within the last second, so all were in doubt, and the one
+/// that had just hung up was drawn again.
+#[test]
+fn a_second_attempt_avoids_the_target_that_just_failed() {
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut gate = Gate::default();
+    let targets: Vec<id::Target> = (0..3).map(target).collect();
+    gate.set_targets(Time::ZERO, targets);
+    let now = Time::ZERO + Duration::from_secs(1);
+    let mut failed = None;
+    for number in 0..60 {
+        let first = Ask { avoid: failed.take(), ..ask(number, "w", Class::Lookup, now) };
+        let avoided = first.avoid.clone();
+        let verdict = gate.offer(now, &mut rng, first);
+        let Verdict::Send(at) = verdict else { continue };
+        assert_ne!(Some(&at), avoided.as_ref());
+        gate.finish(now, id::Request::new(number), Outcome::Failed);
+        if number % 2 == 0 {
+            failed = Some(at);
+        }
+    }
+}
+
+/// One target in eight answers with an error of its own; each such answer kept all lookups off it
+/// for a second, so that three targets were hardly ever free of doubt.
+#[test]
+fn an_error_of_its_own_does_not_pause_a_target() {
+    let mut rng = ChaCha8Rng::seed_from_u64(6);
+    let mut gate = Gate::default();
+    gate.set_targets(Time::ZERO, vec![target(0), target(1)]);
+    let now = Time::ZERO + Duration::from_secs(1);
+    let mut seen = std::collections::BTreeSet::new();
+    for number in 0..20 {
+        let verdict = gate.offer(now, &mut rng, ask(number, "w", Class::Lookup, now));
+        let Verdict::Send(at) = verdict else { panic!("{verdict:?}") };
+        let outcome = if number == 0 { Outcome::Faulty } else { Outcome::Whole };
+        seen.insert(at);
+        gate.finish(now, id::Request::new(number), outcome);
+    }
+    assert_eq!(seen.len(), 2);
+}
