--- a/crates/gateway/tests/support/registry.rs
+++ b/crates/gateway/tests/support/registry.rs
@@ -104,7 +104,10 @@
         let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
         self.state.lock().calls += 1;
         let mood = self.state.lock().mood;
+        // As strict as a registry may be: HTTP/1.1 wants the header.
+        let named = head.to_ascii_lowercase().contains("\r\nhost: ");
         let reply = match mood {
+            _ if !named => response(400, ""),
             Mood::Silent => std::future::pending().await,
             Mood::Busy => response(503, ""),
             Mood::Well => self.reply(&path).await,
