--- a/crates/gateway/src/process/log.rs
+++ b/crates/gateway/src/process/log.rs
@@ -30,3 +30,22 @@
         .try_apply();
     drop(started);
 }
+
+/// How long a process that ends waits for its last lines to be written.
+const LAST_LINES: std::time::Duration = std::time::Duration::from_millis(200);
+
+/// Gives the last lines a moment to be written.
+///
+/// The failure: whoever reads the output has stopped, and a process that drained in time hangs in
+/// its last log call until it is killed. The wait is bounded; the thread ends with the process.
+pub(crate) fn flush() {
+    let (done, flushed) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        log::logger().flush();
+        // Nobody waits any more where the time was up.
+        let _ = done.send(());
+    });
+    if flushed.recv_timeout(LAST_LINES).is_err() {
+        eprintln!("the last lines of the log were not written in time");
+    }
+}
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -180,7 +180,7 @@
             }
         }
         ::log::info!(open = self.process.open_requests(); "stopped");
-        ::log::logger().flush();
+        log::flush();
         // Every answer that could end has ended; waiting for idle connections would outlast the
         // grace.
         self.server.stop(false).await;
