--- a/crates/bench/src/cost.rs
+++ b/crates/bench/src/cost.rs
@@ -142,6 +142,7 @@
         prefix: workspace as u64 + 1,
         objective: now + Duration::from_secs(30),
         deadline: now + Duration::from_secs(30),
+        repeat: false,
         avoid: None,
     }
 }
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -404,6 +404,7 @@
         prefix: arrival.prefix,
         objective: arrival.at + arrival.patience,
         deadline: arrival.at + arrival.patience,
+        repeat: avoid.is_some(),
         avoid,
     }
 }
--- a/crates/daemon/src/request/completion.rs
+++ b/crates/daemon/src/request/completion.rs
@@ -156,6 +156,7 @@
                 prefix: placement::prefix(&completion.prompt),
                 objective: self.worker.process.clock.now() + patience,
                 deadline: self.worker.process.clock.now() + patience,
+                repeat: false,
                 avoid: None,
             },
             service: self.service.name.clone(),
--- a/crates/daemon/src/request/plain/mod.rs
+++ b/crates/daemon/src/request/plain/mod.rs
@@ -79,6 +79,7 @@
         prefix: 0,
         objective: worker.process.clock.now() + message::patience(service),
         deadline: worker.process.clock.now() + message::patience(service),
+        repeat: false,
         avoid: None,
     }
 }
--- a/crates/daemon/src/request/plain/ticketed.rs
+++ b/crates/daemon/src/request/plain/ticketed.rs
@@ -213,6 +213,7 @@
             let admitted = lane.admit(ask.clone()).await;
             let pass = admitted.map_err(|refusal| refuse::refusal(refusal, Ran::No))?;
             ask.avoid = Some(pass.target().clone());
+            ask.repeat = true;
             let Some(address) = address(service, pass.target()) else { continue };
             // Guards against a second write: a pooled connection may die between two calls, which
             // looks the same as dying after it carried this one. A connection of its own leaves
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -268,6 +268,7 @@
         loop {
             let mut ask = self.job.ask.clone();
             ask.avoid = Some(self.attempt.target.clone());
+            ask.repeat = true;
             ask.deadline = until;
             let Ok(admitted) = self.outlet.wait(self.lane.admit(ask)).await else {
                 return Ok(Err(Gone));
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use ntex::time::sleep;
+use ntex::time::{sleep, timeout};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::platform::Platform;
@@ -38,6 +38,9 @@
 /// written is on its way before it is killed.
 const MARGIN: Duration = Duration::from_millis(300);
 
+/// How long the server may take to stop; what it still holds ends with the process.
+const STOP: Duration = Duration::from_millis(100);
+
 /// How often waiting requests are looked at for deadlines that passed.
 const LANE_POLL: Duration = Duration::from_millis(20);
 
@@ -183,6 +186,8 @@
         log::flush();
         // Every answer that could end has ended; waiting for idle connections would outlast the
         // grace.
-        self.server.stop(false).await;
+        if timeout(STOP, self.server.stop(false)).await.is_err() {
+            ::log::warn!("the server did not stop in time; the process ends all the same");
+        }
     }
 }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -80,7 +80,7 @@
     }
 
     /// What the gate is asked for the first attempt.
-    pub(crate) fn ask(&self, avoid: Option<id::Target>) -> Ask {
+    pub(crate) fn ask(&self, avoid: Option<id::Target>, repeat: bool) -> Ask {
         let workspace = self.workspace.clone().unwrap_or_else(nobody);
         let class = if carry::is_long(self) { Class::Overnight } else { Class::Live };
         let (class, limit) = match self.route.kind.is_stream() && self.service.engine.is_some() {
@@ -97,6 +97,7 @@
             objective: self.objective,
             deadline: self.deadline,
             avoid,
+            repeat,
         }
     }
 
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -25,6 +25,10 @@
 /// well. A target that went silent then costs half of the objective, not the caller's patience.
 const HEDGE: f64 = 0.5;
 
+/// Targets that are found gone for one request before it is given up; each costs up to the time
+/// that opening a connection may take.
+const UNREACHED: u32 = 4;
+
 /// A whole answer of a target.
 struct Whole {
     status: StatusCode,
@@ -45,8 +49,10 @@
         worker,
         inquiry,
         sent: 0,
+        unreached: 0,
         unknown: false,
         doubtful: false,
+        arrived: false,
         refusal: None,
         kept: None,
     };
@@ -70,10 +76,14 @@
     worker: &'a Worker,
     inquiry: &'a Inquiry,
     sent: u32,
+    /// Connections that did not come about.
+    unreached: u32,
     /// Whether an attempt was sent whose fate is not known to be "not run".
     unknown: bool,
     /// Whether an attempt ended without its fate being known.
     doubtful: bool,
+    /// Whether an attempt arrived at a target.
+    arrived: bool,
     refusal: Option<Refusal>,
     /// A failure that a target answered with, for the case that nothing better comes.
     kept: Option<Whole>,
@@ -87,7 +97,7 @@
         let mut again = true;
         loop {
             if std::mem::take(&mut again) && self.may_send() {
-                match self.inquiry.lane.admit(self.inquiry.ask(avoid.clone())).await {
+                match self.inquiry.lane.admit(self.inquiry.ask(avoid.clone(), self.arrived)).await {
                     Ok(pass) => {
                         self.sent += 1;
                         self.unknown = true;
@@ -114,7 +124,8 @@
     }
 
     fn may_send(&self) -> bool {
-        self.sent < self.inquiry.route.attempts.max(1) && (!self.unknown || self.is_safe())
+        let more = self.sent < self.inquiry.route.attempts.max(1);
+        more && self.unreached <= UNREACHED && (!self.unknown || self.is_safe())
     }
 
     fn is_safe(&self) -> bool {
@@ -123,13 +134,21 @@
 
     /// Takes in how an attempt ended; returns the caller's answer where that is final.
     fn settle(&mut self, done: Done, last: bool) -> Option<Response> {
+        self.arrived |= !matches!(done.result, Err(Ended::Unrun(_)));
         match done.result {
             Ok(whole) if whole.status.is_server_error() && self.is_safe() => {
                 self.kept = Some(whole);
                 None
             }
             Ok(whole) => Some(respond(whole)),
-            Err(Ended::Unrun(_)) => {
+            Err(Ended::Unrun(why)) => {
+                if why == "unreached" {
+                    // Nothing was sent, so it does not count as an attempt.
+                    self.sent -= 1;
+                    self.unreached += 1;
+                } else {
+                    self.arrived = true;
+                }
                 if last && !self.is_safe() {
                     self.unknown = false;
                 }
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -26,8 +26,14 @@
         return refuse::leaving(&inquiry.facts.request);
     }
     let left = inquiry.left(worker.process.clock.now());
-    let mut run =
-        Run { worker, inquiry: Rc::clone(&inquiry), open: Some(open), sent: 0, flying: false };
+    let mut run = Run {
+        worker,
+        inquiry: Rc::clone(&inquiry),
+        open: Some(open),
+        sent: 0,
+        arrived: false,
+        flying: false,
+    };
     let finished = {
         let deadline = sleep(left);
         tokio::pin!(deadline);
@@ -48,6 +54,8 @@
     inquiry: Rc<Inquiry>,
     open: Option<Open>,
     sent: u32,
+    /// Whether an attempt arrived at a target.
+    arrived: bool,
     /// Whether an attempt is under way, or ended without its fate being known.
     flying: bool,
 }
@@ -56,7 +64,7 @@
     async fn play<P: Platform>(&mut self) -> Response {
         let mut avoid: Option<id::Target> = None;
         loop {
-            let ask = self.inquiry.ask(avoid.clone());
+            let ask = self.inquiry.ask(avoid.clone(), self.arrived);
             let pass = match self.inquiry.lane.admit(ask).await {
                 Ok(pass) => pass,
                 Err(refusal) => return self.refused(refusal),
@@ -78,6 +86,7 @@
         let request = &self.inquiry.facts.request;
         let more = self.sent < self.inquiry.route.attempts.max(1);
         let left = self.inquiry.left(self.worker.process.clock.now());
+        self.arrived |= *ended != Ended::Unrun("unreached");
         match ended {
             Ended::Unrun("unreached") => {
                 // Nothing was sent, so it does not count as an attempt.
--- a/crates/policy/src/ask.rs
+++ b/crates/policy/src/ask.rs
@@ -62,6 +62,8 @@
     pub deadline: Time,
     /// A target that just failed this request and should not be tried next.
     pub avoid: Option<id::Target>,
+    /// Whether an earlier attempt arrived at a target, so that this one draws on the retry budget.
+    pub repeat: bool,
 }
 
 /// What a target last said of itself, and how old that is.
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -197,7 +197,7 @@
     pub fn offer(&mut self, now: Time, rng: &mut impl Rng, ask: Ask) -> Verdict {
         self.weigh(now);
         self.drain.pass(now, !self.queue.is_empty());
-        let again = ask.avoid.is_some();
+        let again = ask.repeat;
         if !self.slots.iter().any(|slot| slot.listed) {
             return refuse(rng, Reason::NoTarget, RETRY.0);
         }
--- a/crates/policy/tests/carry.rs
+++ b/crates/policy/tests/carry.rs
@@ -27,6 +27,7 @@
         prefix: 0,
         objective: Time::ZERO + Duration::from_secs(40),
         deadline: Time::ZERO + Duration::from_secs(40),
+        repeat: false,
         avoid: None,
     }
 }
--- a/crates/policy/tests/gate.rs
+++ b/crates/policy/tests/gate.rs
@@ -25,6 +25,7 @@
         prefix: 0,
         objective: now + Duration::from_secs(5),
         deadline: now + Duration::from_secs(5),
+        repeat: false,
         avoid: None,
     }
 }
@@ -156,8 +157,9 @@
     let now = Time::ZERO + Duration::from_secs(1);
     let mut failed = None;
     for number in 0..60 {
-        let first = Ask { avoid: failed.take(), ..ask(number, "w", Class::Lookup, now) };
-        let avoided = first.avoid.clone();
+        let avoided = failed.take();
+        let repeat = avoided.is_some();
+        let first = Ask { avoid: avoided.clone(), repeat, ..ask(number, "w", Class::Lookup, now) };
         let verdict = gate.offer(now, &mut rng, first);
         let Verdict::Send(at) = verdict else { continue };
         assert_ne!(Some(&at), avoided.as_ref());
@@ -186,3 +188,20 @@
     }
     assert_eq!(seen.len(), 2);
 }
+
+/// Targets vanish and each request's first connection fails; the budget for repeats is soon spent,
+/// and requests that no target ever got are refused with others free. What arrived nowhere is no
+/// repeat.
+#[test]
+fn a_request_that_arrived_nowhere_draws_on_no_budget() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut gate = Gate::default();
+    gate.set_targets(Time::ZERO, (0..3).map(target).collect());
+    let now = Time::ZERO + Duration::from_secs(1);
+    for number in 0..100 {
+        let next = Ask { avoid: Some(target(0)), ..ask(number, "w", Class::Lookup, now) };
+        let verdict = gate.offer(now, &mut rng, next);
+        assert!(matches!(verdict, Verdict::Send(_)), "{number}: {verdict:?}");
+        gate.finish(now, id::Request::new(number), Outcome::Cancelled);
+    }
+}
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -19,6 +19,7 @@
         prefix: 0,
         objective: Time::ZERO + Duration::from_secs(60),
         deadline: Time::ZERO + Duration::from_secs(60),
+        repeat: false,
         avoid: None,
     };
     Item { ask, work }
