--- a/crates/gateway/src/process/fleet.rs
+++ b/crates/gateway/src/process/fleet.rs
@@ -148,11 +148,11 @@
         ready
     }
 
-    /// Whether this entry is one of those that watch targets for all.
+    /// Which of those that watch targets for all this entry is, from 0; `None` where it is none.
     ///
     /// Each ranks the actives that it has links to, so an entry that is cut off from the others
     /// finds itself first and watches on its own.
-    pub(crate) fn is_watcher(&self) -> bool {
+    pub(crate) fn watcher(&self) -> Option<usize> {
         let view = self.view();
         let peers = self.peers.lock();
         let works = |peer: &&Peer| peer.beat.as_ref().is_some_and(|beat| beat.registry);
@@ -161,11 +161,16 @@
             peers.values().filter(active).filter(works).map(|p| p.member.host.clone()).collect();
         drop(peers);
         if !self.is_active() {
-            return hosts.is_empty();
+            return hosts.is_empty().then_some(0);
         }
         hosts.push(self.own.host.clone());
         let ranked = rendezvous::rank("targets", &hosts, |host| host.as_str());
-        ranked.iter().take(WATCHERS).any(|host| **host == self.own.host)
+        ranked.iter().take(WATCHERS).position(|host| **host == self.own.host)
+    }
+
+    /// Whether others carry the traffic and would tell this entry what it misses.
+    pub(crate) fn is_standby(&self) -> bool {
+        !self.is_active() && !self.peers.lock().is_empty()
     }
 
     /// Whether enough peers would tell of a text that this entry misses.
--- a/crates/gateway/src/version/follow.rs
+++ b/crates/gateway/src/version/follow.rs
@@ -30,7 +30,7 @@
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
 
 /// The same where peers would tell of what is missed: four in five calls less.
-const WATCH_COVERED: Duration = Duration::from_secs(12);
+const WATCH_COVERED: Duration = Duration::from_secs(25);
 
 /// How much longer than its wait a watch may take.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
@@ -46,6 +46,13 @@
 /// How often an entry that doesn't watch looks whether it should.
 const RECHECK: Duration = Duration::from_millis(300);
 
+/// The same for the second watcher, which is there for the case that the first one fails.
+const SECOND_PAUSE: Duration = Duration::from_millis(400);
+
+/// How many times longer an entry that stands by waits after a failed call: those that carry the
+/// traffic tell it what they read, and eighty that ask a registry which is down are no help to it.
+const STANDBY: u32 = 6;
+
 /// The largest reply that is read.
 const MAX_REPLY: usize = 8 << 20;
 
@@ -102,10 +109,10 @@
     /// Follows changes until they can be followed no more.
     async fn watch<P: Platform>(&mut self, mut revision: u64) {
         loop {
-            if self.what == What::Targets && !self.fleet.is_watcher() {
+            if self.what == What::Targets && self.fleet.watcher().is_none() {
                 // Bounded, since a change between the question and the wait wakes nobody.
                 let _ = timeout(RECHECK, self.fleet.changed()).await;
-                if !self.fleet.is_watcher() {
+                if self.fleet.watcher().is_none() {
                     continue;
                 }
                 // What happened since the latest reading may be more than the registry keeps.
@@ -116,7 +123,8 @@
                     revision = revision.max(page.revision);
                     self.take(page);
                     if self.what == What::Targets {
-                        sleep(TARGETS_PAUSE).await;
+                        let first = self.fleet.watcher() == Some(0);
+                        sleep(if first { TARGETS_PAUSE } else { SECOND_PAUSE }).await;
                     }
                 }
                 Err(CallError::Forgotten) => return,
@@ -185,8 +193,8 @@
         let pause = PAUSES[self.failures.min(PAUSES.len() - 1)].clone();
         self.failures += 1;
         self.process.set_registry(false);
-        let pause = rand::rng().random_range(pause);
-        sleep(Duration::from_millis(pause)).await;
+        let pause = Duration::from_millis(rand::rng().random_range(pause));
+        sleep(if self.fleet.is_standby() { pause * STANDBY } else { pause }).await;
     }
 
     fn take_list(&self, revision: u64, items: Vec<Result<Item, DecodeError>>) {
