--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -4,7 +4,7 @@
 
 use derive_more::{Display, Error};
 use fireflyhoist_policy::id;
-use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::lease::{Change, Target};
 use fireflyhoist_policy::roster::Member;
 use fireflyhoist_policy::route::Text;
 use fireflyhoist_policy::turn::Ask;
@@ -72,6 +72,15 @@
         /// All that are listed.
         targets: Vec<Target>,
     },
+    /// What has changed of the targets.
+    Changes {
+        /// The revision at which the sender stood before.
+        since: u64,
+        /// The revision at which it stands now.
+        revision: u64,
+        /// What changed in between.
+        changes: Vec<Change>,
+    },
     /// An answer waits to be copied from an engine whose queue the receiver keeps.
     TurnAsk {
         /// The engine.
--- a/crates/gateway/src/process/fleet.rs
+++ b/crates/gateway/src/process/fleet.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::lease::Change;
 use fireflyhoist_policy::rendezvous;
 use fireflyhoist_policy::roster::{self, Member};
 use fireflyhoist_policy::time::Time;
@@ -59,6 +60,10 @@
 /// How long a link that neither end has a use for is kept.
 const UNUSED: Duration = Duration::from_secs(3);
 
+/// How long a peer may stand behind before it is told all: a few heartbeats, and a fraction of the
+/// two seconds within which a text or a target's leaving must be known.
+const LAG: Duration = Duration::from_millis(450);
+
 /// Entries that watch the registry's targets for all: two, so that one may fail unnoticed.
 const WATCHERS: usize = 2;
 
@@ -70,6 +75,8 @@
 struct Peer {
     member: Member,
     beat: Option<Beat>,
+    /// Since when it stands behind this entry.
+    behind: Option<Time>,
     /// Whom it says to be alive.
     told: Vec<Presence>,
     used: Time,
@@ -225,11 +232,15 @@
         self.changed.notified().await;
     }
 
-    /// Tells the targets to all that have a link, after a change that this entry read.
-    pub(crate) fn share_targets(&self) {
-        let (revision, targets) = self.process.targets();
+    /// Tells what changed of the targets to all that have a link.
+    ///
+    /// Changes go over the links and not the list: with 810 targets that is a hundred kilobytes, and
+    /// targets change several times a second. Whoever misses a change shows it by its revision and
+    /// is told the whole list.
+    pub(crate) fn share_changes(&self, since: u64, changes: Vec<Change>) {
+        let revision = self.process.targets_revision();
         let peers: Vec<id::Host> = self.peers.lock().keys().cloned().collect();
-        self.links.send_all(peers.iter(), &Frame::Targets { revision, targets });
+        self.links.send_all(peers.iter(), &Frame::Changes { since, revision, changes });
     }
 
     /// Tells all entries this one's state.
@@ -352,7 +363,7 @@
     fn up(&self, member: Member) {
         ::log::info!(peer:% = member.host, address:% = member.peers; "peer linked");
         let host = member.host.clone();
-        let peer = Peer { member, beat: None, told: Vec::new(), used: self.now() };
+        let peer = Peer { member, beat: None, behind: None, told: Vec::new(), used: self.now() };
         self.peers.lock().insert(host.clone(), peer);
         self.refresh();
         self.links.send(&host, &Frame::Alive(self.linked()));
@@ -384,28 +395,31 @@
             Frame::TurnAsk { engine, ask } => self.desk.ask(self, from, &engine, ask),
             Frame::Turn { engine, request } => self.desk.grant(self, &engine, &request),
             Frame::TurnDone { engine, request } => self.desk.done(self, &engine, &request),
-            Frame::Targets { revision, targets } => self.take_targets(revision, targets),
+            Frame::Targets { revision, targets } => {
+                self.process.list_targets(revision, targets, "peer");
+            }
+            Frame::Changes { since, revision, changes } => {
+                self.take_changes(since, revision, changes);
+            }
         }
     }
 
-    /// Takes in targets from a peer, and hands them on to those that know no other active.
-    fn take_targets(&self, revision: u64, targets: Vec<fireflyhoist_policy::lease::Target>) {
-        let frame = Frame::Targets { revision, targets: targets.clone() };
-        if self.process.list_targets(revision, targets, "peer") && self.is_active() {
+    /// Takes in changes from a peer, and hands them on to those that know no other active.
+    fn take_changes(&self, since: u64, revision: u64, changes: Vec<Change>) {
+        let own = self.process.targets_revision();
+        // Guards against a missed change: taking the new revision over would hide the gap, and the
+        // whole list would never be asked for.
+        let reached = if own >= since { revision } else { own };
+        let news = self.process.change_targets(reached, changes);
+        if !news.is_empty() && self.is_active() {
             let (_, leaves) = self.parted();
-            self.links.send_all(leaves.iter(), &frame);
+            self.links.send_all(leaves.iter(), &Frame::Changes { since, revision, changes: news });
         }
     }
 
     fn take_beat(&self, from: &id::Host, beat: Beat) {
-        if beat.text < self.process.revision()
-            && let Some(table) = self.process.table()
-        {
-            self.links.send(from, &Frame::Text(Box::new(table.text().clone())));
-        }
-        if beat.targets < self.process.targets_revision() {
-            let (revision, targets) = self.process.targets();
-            self.links.send(from, &Frame::Targets { revision, targets });
+        if self.lags(from, &beat) {
+            self.catch_up(from, &beat);
         }
         if self.process.set_other(from, Some(beat.held.clone())) {
             self.process.report();
@@ -422,6 +436,40 @@
         }
     }
 
+    /// Whether a peer has missed what this entry knows: at once where it knows nothing, else after
+    /// what is on its way has had time to arrive.
+    fn lags(&self, from: &id::Host, beat: &Beat) -> bool {
+        let (text, targets) = (self.process.revision(), self.process.targets_revision());
+        let behind = beat.text < text || beat.targets < targets;
+        let blank = (beat.text == 0 && text > 0) || (beat.targets == 0 && targets > 0);
+        let now = self.now();
+        let mut peers = self.peers.lock();
+        let Some(peer) = peers.get_mut(from) else { return false };
+        if !behind {
+            peer.behind = None;
+            return false;
+        }
+        let since = *peer.behind.get_or_insert(now);
+        let due = blank || now.since(since) >= LAG;
+        if due {
+            peer.behind = Some(now);
+        }
+        due
+    }
+
+    /// Tells a peer the text and the targets that it lacks.
+    fn catch_up(&self, peer: &id::Host, beat: &Beat) {
+        if beat.text < self.process.revision()
+            && let Some(table) = self.process.table()
+        {
+            self.links.send(peer, &Frame::Text(Box::new(table.text().clone())));
+        }
+        if beat.targets < self.process.targets_revision() {
+            let (revision, targets) = self.process.targets();
+            self.links.send(peer, &Frame::Targets { revision, targets });
+        }
+    }
+
     /// This entry and those that it has links to.
     fn linked(&self) -> Vec<Presence> {
         let peers = self.peers.lock();
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -182,21 +182,21 @@
         changed
     }
 
-    /// Takes in single changes of targets.
-    pub(crate) fn change_targets(&self, revision: u64, changes: Vec<Change>) -> bool {
+    /// Takes in single changes of targets; returns those that were news.
+    pub(crate) fn change_targets(&self, revision: u64, changes: Vec<Change>) -> Vec<Change> {
         let now = self.clock.now();
-        let mut changed = false;
+        let mut news = Vec::new();
         for change in changes {
-            let line = describe(&change);
-            if self.leases.lock().change(now, revision, change) {
+            if self.leases.lock().change(now, revision, change.clone()) {
+                let line = describe(&change);
                 ::log::info!(revision = revision, change = line.as_str(); "target changed");
-                changed = true;
+                news.push(change);
             }
         }
-        if changed {
+        if !news.is_empty() {
             self.refresh();
         }
-        changed
+        news
     }
 
     /// Notes that a target itself says that it leaves.
--- a/crates/gateway/src/version/follow.rs
+++ b/crates/gateway/src/version/follow.rs
@@ -208,13 +208,22 @@
             .collect();
         let listed =
             self.what == What::Targets && self.process.list_targets(revision, targets, "registry");
-        self.share(listed, changed);
+        // What a list changes is told by the next heartbeats: those that miss it are told all.
+        if listed || changed {
+            self.fleet.beat();
+        }
     }
 
     fn take(&self, page: Page) {
         let (targets, changed) = self.sort(page.items);
-        let listed = self.process.change_targets(page.revision, targets);
-        self.share(listed, changed);
+        let since = self.process.targets_revision();
+        let news = self.process.change_targets(page.revision, targets);
+        if !news.is_empty() {
+            self.fleet.share_changes(since, news);
+        }
+        if changed {
+            self.fleet.beat();
+        }
     }
 
     /// Puts texts in force and returns changes of targets.
@@ -232,13 +241,4 @@
         }
         (targets, adopted)
     }
-
-    fn share(&self, targets: bool, text: bool) {
-        if targets {
-            self.fleet.share_targets();
-        }
-        if targets || text {
-            self.fleet.beat();
-        }
-    }
 }
