--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! this crate. Modules are grouped by life span, as `docs/DESIGN.md` says.
 
 pub(crate) mod connection;
+pub mod header;
 pub mod native;
 pub mod platform;
 pub(crate) mod process;
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -11,11 +11,12 @@
 use fireflyhoist_wire::caller::{
     Entries, Entry, LAST_EVENT_HEADER, REQUEST_HEADER, WORKSPACE_HEADER,
 };
-use ntex::http::header::{AUTHORIZATION, CONNECTION, HeaderName, HeaderValue};
+use ntex::http::header::AUTHORIZATION;
 use ntex::http::{HeaderMap, Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::header::{number, set, text};
 use crate::platform::{
     Call, Copy, DecodeError, Dialect, Engines, Facts, Item, Moved, Page, Registry, Reply, Stamp,
     What,
@@ -55,20 +56,6 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Native {}
 
-fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok().map(str::trim)
-}
-
-fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
-    text(headers, name)?.parse().ok()
-}
-
-fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        headers.insert(HeaderName::from_static(name), value);
-    }
-}
-
 impl Dialect for Native {
     const READINESS: &'static str = "/readyz";
 
@@ -108,11 +95,9 @@
     }
 
     fn reply(status: StatusCode, headers: &HeaderMap) -> Reply {
-        let closing = text(headers, CONNECTION.as_str());
         Reply {
             request: text(headers, REQUEST_HEADER).map(SmolStr::from),
             declined: headers.contains_key(DECLINED_HEADER),
-            closing: closing.is_some_and(|value| value.eq_ignore_ascii_case("close")),
             misdirected: status == StatusCode::MISDIRECTED_REQUEST,
         }
     }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -68,8 +68,6 @@
     pub request: Option<SmolStr>,
     /// Whether the target says that it did not run it.
     pub declined: bool,
-    /// Whether the target says that it is about to leave.
-    pub closing: bool,
     /// Whether another instance answers at the target's address.
     pub misdirected: bool,
 }
@@ -164,7 +162,7 @@
 /// How a move ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Moved {
-    /// The copy is complete under this name, with so many events made.
+    /// The copy is complete.
     Copied {
         /// Its name at the engine that it left.
         name: SmolStr,
--- /dev/null
+++ b/crates/gateway/src/process/fleet/beat.rs
@@ -0,0 +1,150 @@
+//! Heartbeats: what an entry tells the others of itself, and what it makes of theirs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fireflyhoist_policy::id;
+use ntex::time::sleep;
+
+use crate::connection::frame::{Beat, Frame, Held};
+use crate::process::fleet::Fleet;
+
+/// Time between heartbeats of actives. What is held at each engine is at most this old plus the
+/// way, so that two entries rarely fill the same room; a prompt takes longer to be read.
+const BEAT: Duration = Duration::from_millis(150);
+
+/// How soon the others hear of a generation that was sent; those sent meanwhile go along.
+///
+/// The failure: within one heartbeat several entries fill the same room of an engine, which then
+/// preempts what it began. A heartbeat of its own for each costs a few frames a second.
+const PROMPT: Duration = Duration::from_millis(15);
+
+/// Heartbeats of actives for each one between an active and a leaf, which carries little traffic.
+const LEAF_BEATS: u32 = 2;
+
+/// How long a peer may stand behind before it is told all: a few heartbeats, and a fraction of the
+/// two seconds within which a text or a target's leaving must be known.
+const LAG: Duration = Duration::from_millis(450);
+
+impl Fleet {
+    /// Tells all entries this one's state.
+    pub(crate) fn beat(&self) {
+        self.beat_to_actives();
+        self.beat_to_leaves();
+    }
+
+    pub(super) fn own_beat(&self, held: Vec<Held>) -> Beat {
+        Beat {
+            ready: self.process.is_ready(),
+            text: self.process.revision(),
+            targets: self.process.targets_revision(),
+            registry: self.process.registry_works(),
+            held,
+        }
+    }
+
+    fn beat_to_actives(&self) {
+        let (actives, _) = self.parted();
+        let view = self.view();
+        if self.is_active() {
+            // What leaves hold goes along; what other actives hold they tell themselves.
+            let held = self.process.held_with(|host| !view.actives.contains(host));
+            self.links.send_all(actives.iter(), &Frame::Beat(self.own_beat(held)));
+            return;
+        }
+        let primary = view.links.first().map(|member| &member.host);
+        for active in &actives {
+            // Told to one, or it would count twice.
+            let held = if Some(active) == primary { self.process.held() } else { Vec::new() };
+            self.links.send(active, &Frame::Beat(self.own_beat(held)));
+        }
+    }
+
+    fn beat_to_leaves(&self) {
+        let (_, leaves) = self.parted();
+        let (busy, idle): (Vec<id::Host>, Vec<id::Host>) =
+            leaves.into_iter().partition(|leaf| self.process.holds(leaf));
+        self.links.send_all(idle.iter(), &Frame::Beat(self.own_beat(Vec::new())));
+        for leaf in &busy {
+            let held = self.process.held_with(|host| host != leaf);
+            self.links.send(leaf, &Frame::Beat(self.own_beat(held)));
+        }
+    }
+
+    pub(super) async fn beat_on(self: Arc<Self>) {
+        let mut count: u32 = 0;
+        loop {
+            let news = tokio::select! {
+                () = sleep(BEAT) => false,
+                () = self.process.sent() => true,
+            };
+            if news {
+                sleep(PROMPT).await;
+                self.beat_to_actives();
+                continue;
+            }
+            count = count.wrapping_add(1);
+            let leaf_turn = count.is_multiple_of(LEAF_BEATS);
+            if self.is_active() || leaf_turn {
+                self.beat_to_actives();
+            }
+            if leaf_turn {
+                self.beat_to_leaves();
+            }
+            self.process.report();
+        }
+    }
+
+    pub(super) fn take_beat(&self, from: &id::Host, beat: Beat) {
+        if self.lags(from, &beat) {
+            self.catch_up(from, &beat);
+        }
+        if self.process.set_other(from, Some(beat.held.clone())) {
+            self.process.report();
+        }
+        let mut peers = self.peers.lock();
+        let Some(peer) = peers.get_mut(from) else { return };
+        let differs = |old: &Beat| old.registry != beat.registry || old.ready != beat.ready;
+        let news = peer.beat.as_ref().is_none_or(differs);
+        peer.beat = Some(beat);
+        drop(peers);
+        if news {
+            self.refresh();
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Whether a peer has missed what this entry knows: at once where it knows nothing, else after
+    /// what is on its way has had time to arrive.
+    fn lags(&self, from: &id::Host, beat: &Beat) -> bool {
+        let (text, targets) = (self.process.revision(), self.process.targets_revision());
+        let behind = beat.text < text || beat.targets < targets;
+        let blank = (beat.text == 0 && text > 0) || (beat.targets == 0 && targets > 0);
+        let now = self.now();
+        let mut peers = self.peers.lock();
+        let Some(peer) = peers.get_mut(from) else { return false };
+        if !behind {
+            peer.behind = None;
+            return false;
+        }
+        let since = *peer.behind.get_or_insert(now);
+        let due = blank || now.since(since) >= LAG;
+        if due {
+            peer.behind = Some(now);
+        }
+        due
+    }
+
+    /// Tells a peer the text and the targets that it lacks.
+    fn catch_up(&self, peer: &id::Host, beat: &Beat) {
+        if beat.text < self.process.revision()
+            && let Some(table) = self.process.table()
+        {
+            self.links.send(peer, &Frame::Text(Box::new(table.text().clone())));
+        }
+        if beat.targets < self.process.targets_revision() {
+            let (revision, targets) = self.process.targets();
+            self.links.send(peer, &Frame::Targets { revision, targets });
+        }
+    }
+}
--- a/crates/gateway/src/process/fleet.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -5,6 +5,9 @@
 //! at each target is summed along the links, each link carrying all that its sender knows but for
 //! what the receiver told it. `docs/PLATFORM.md` has the figures.
 
+mod beat;
+mod look;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,54 +19,16 @@
 use fireflyhoist_policy::roster::{self, Member};
 use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::turn::Ask;
-use ntex::time::sleep;
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
 
-use crate::connection::frame::{Beat, Frame, Held, Presence};
+use crate::connection::frame::{Beat, Frame, Presence};
 use crate::connection::link::{Event, Links};
 use crate::process::state::Process;
 use crate::process::turn::Desk;
 
-/// Time between heartbeats of actives. What is held at each engine is at most this old plus the
-/// way, so that two entries rarely fill the same room; a prompt takes longer to be read.
-const BEAT: Duration = Duration::from_millis(150);
-
-/// How soon the others hear of a generation that was sent; those sent meanwhile go along.
-///
-/// The failure: within one heartbeat several entries fill the same room of an engine, which then
-/// preempts what it began. A heartbeat of its own for each costs a few frames a second.
-const PROMPT: Duration = Duration::from_millis(15);
-
-/// Heartbeats of actives for each one between an active and a leaf, which carries little traffic.
-const LEAF_BEATS: u32 = 2;
-
-/// How often links are looked at.
-const LOOK: Duration = Duration::from_millis(200);
-
-/// How long an entry waits for the other end to open their link before it does so itself. Of two
-/// the one with the lower address dials; without the order both dial at once and each closes the
-/// other's link.
-const COURTESY: Duration = Duration::from_millis(1_200);
-
-/// Time between two tries to reach the same address.
-const AGAIN: Duration = Duration::from_millis(600);
-
-/// How long seeds are dialled after the start whoever is linked: the first to answer may know few.
-const EARLY: Duration = Duration::from_secs(3);
-
-/// How often one seed is dialled later on, so that parts of a fleet that have lost each other meet.
-const REUNION: Duration = Duration::from_secs(3);
-
-/// How long a link that neither end has a use for is kept.
-const UNUSED: Duration = Duration::from_secs(3);
-
-/// How long a peer may stand behind before it is told all: a few heartbeats, and a fraction of the
-/// two seconds within which a text or a target's leaving must be known.
-const LAG: Duration = Duration::from_millis(450);
-
 /// Entries that watch the registry's targets for all: two, so that one may fail unnoticed.
 const WATCHERS: usize = 2;
 
@@ -187,6 +152,11 @@
         peers.values().filter(works).count() >= 2
     }
 
+    /// For how long callers may keep addresses at most.
+    pub(crate) fn entries_ttl(&self) -> Duration {
+        Duration::from_secs_f64(self.process.bounds().entries_ttl_s.max(0.0))
+    }
+
     pub(crate) fn now(&self) -> Time {
         self.process.clock.now()
     }
@@ -243,12 +213,6 @@
         self.links.send_all(peers.iter(), &Frame::Changes { since, revision, changes });
     }
 
-    /// Tells all entries this one's state.
-    pub(crate) fn beat(&self) {
-        self.beat_to_actives();
-        self.beat_to_leaves();
-    }
-
     fn view(&self) -> Arc<View> {
         Arc::clone(&self.view.lock())
     }
@@ -281,16 +245,6 @@
         *self.view.lock() = Arc::new(View { alive, actives, links });
     }
 
-    fn own_beat(&self, held: Vec<Held>) -> Beat {
-        Beat {
-            ready: self.process.is_ready(),
-            text: self.process.revision(),
-            targets: self.process.targets_revision(),
-            registry: self.process.registry_works(),
-            held,
-        }
-    }
-
     /// The linked entries, parted into actives and leaves.
     fn parted(&self) -> (Vec<id::Host>, Vec<id::Host>) {
         let view = self.view();
@@ -298,58 +252,6 @@
         hosts.into_iter().partition(|host| view.actives.contains(host))
     }
 
-    fn beat_to_actives(&self) {
-        let (actives, _) = self.parted();
-        let view = self.view();
-        if self.is_active() {
-            // What leaves hold goes along; what other actives hold they tell themselves.
-            let held = self.process.held_with(|host| !view.actives.contains(host));
-            self.links.send_all(actives.iter(), &Frame::Beat(self.own_beat(held)));
-            return;
-        }
-        let primary = view.links.first().map(|member| &member.host);
-        for active in &actives {
-            // Told to one, or it would count twice.
-            let held = if Some(active) == primary { self.process.held() } else { Vec::new() };
-            self.links.send(active, &Frame::Beat(self.own_beat(held)));
-        }
-    }
-
-    fn beat_to_leaves(&self) {
-        let (_, leaves) = self.parted();
-        let (busy, idle): (Vec<id::Host>, Vec<id::Host>) =
-            leaves.into_iter().partition(|leaf| self.process.holds(leaf));
-        self.links.send_all(idle.iter(), &Frame::Beat(self.own_beat(Vec::new())));
-        for leaf in &busy {
-            let held = self.process.held_with(|host| host != leaf);
-            self.links.send(leaf, &Frame::Beat(self.own_beat(held)));
-        }
-    }
-
-    async fn beat_on(self: Arc<Self>) {
-        let mut count: u32 = 0;
-        loop {
-            let news = tokio::select! {
-                () = sleep(BEAT) => false,
-                () = self.process.sent() => true,
-            };
-            if news {
-                sleep(PROMPT).await;
-                self.beat_to_actives();
-                continue;
-            }
-            count = count.wrapping_add(1);
-            let leaf_turn = count.is_multiple_of(LEAF_BEATS);
-            if self.is_active() || leaf_turn {
-                self.beat_to_actives();
-            }
-            if leaf_turn {
-                self.beat_to_leaves();
-            }
-            self.process.report();
-        }
-    }
-
     async fn listen(self: Arc<Self>, mut events: mpsc::Receiver<Event>) {
         while let Some(event) = events.recv().await {
             match event {
@@ -417,59 +319,6 @@
         }
     }
 
-    fn take_beat(&self, from: &id::Host, beat: Beat) {
-        if self.lags(from, &beat) {
-            self.catch_up(from, &beat);
-        }
-        if self.process.set_other(from, Some(beat.held.clone())) {
-            self.process.report();
-        }
-        let mut peers = self.peers.lock();
-        let Some(peer) = peers.get_mut(from) else { return };
-        let differs = |old: &Beat| old.registry != beat.registry || old.ready != beat.ready;
-        let news = peer.beat.as_ref().is_none_or(differs);
-        peer.beat = Some(beat);
-        drop(peers);
-        if news {
-            self.refresh();
-            self.changed.notify_waiters();
-        }
-    }
-
-    /// Whether a peer has missed what this entry knows: at once where it knows nothing, else after
-    /// what is on its way has had time to arrive.
-    fn lags(&self, from: &id::Host, beat: &Beat) -> bool {
-        let (text, targets) = (self.process.revision(), self.process.targets_revision());
-        let behind = beat.text < text || beat.targets < targets;
-        let blank = (beat.text == 0 && text > 0) || (beat.targets == 0 && targets > 0);
-        let now = self.now();
-        let mut peers = self.peers.lock();
-        let Some(peer) = peers.get_mut(from) else { return false };
-        if !behind {
-            peer.behind = None;
-            return false;
-        }
-        let since = *peer.behind.get_or_insert(now);
-        let due = blank || now.since(since) >= LAG;
-        if due {
-            peer.behind = Some(now);
-        }
-        due
-    }
-
-    /// Tells a peer the text and the targets that it lacks.
-    fn catch_up(&self, peer: &id::Host, beat: &Beat) {
-        if beat.text < self.process.revision()
-            && let Some(table) = self.process.table()
-        {
-            self.links.send(peer, &Frame::Text(Box::new(table.text().clone())));
-        }
-        if beat.targets < self.process.targets_revision() {
-            let (revision, targets) = self.process.targets();
-            self.links.send(peer, &Frame::Targets { revision, targets });
-        }
-    }
-
     /// This entry and those that it has links to.
     fn linked(&self) -> Vec<Presence> {
         let peers = self.peers.lock();
@@ -483,87 +332,4 @@
         linked.sort_by(|a, b| a.member.host.cmp(&b.member.host));
         linked
     }
-
-    /// Opens the links that are missing, closes those of no use, and tells who is alive.
-    async fn look(self: Arc<Self>) {
-        let mut told = Vec::new();
-        let mut reunion = self.now();
-        loop {
-            sleep(LOOK).await;
-            self.refresh();
-            let linked = self.linked();
-            if linked != told {
-                told = linked;
-                let peers: Vec<id::Host> = self.peers.lock().keys().cloned().collect();
-                self.links.send_all(peers.iter(), &Frame::Alive(told.clone()));
-            }
-            let mut wanted: Vec<SocketAddr> = self.view().links.iter().map(|m| m.peers).collect();
-            let now = self.now();
-            let alone = self.peers.lock().is_empty();
-            if alone || now.since(self.began) < EARLY {
-                wanted.extend(self.process.seeds());
-            } else if now.since(reunion) >= REUNION {
-                reunion = now;
-                wanted.extend(self.strange_seed());
-            }
-            for address in self.missing(wanted) {
-                ntex::rt::spawn(Arc::clone(&self.links).dial(address)).detach();
-            }
-            self.close_unused();
-        }
-    }
-
-    /// A seed that nobody tells of.
-    fn strange_seed(&self) -> Option<SocketAddr> {
-        let view = self.view();
-        let known = |seed: &SocketAddr| view.alive.iter().any(|p| p.member.peers == *seed);
-        let strange: Vec<SocketAddr> =
-            self.process.seeds().into_iter().filter(|seed| !known(seed)).collect();
-        let draw: usize = rand::random_range(0..strange.len().max(1));
-        strange.get(draw).copied()
-    }
-
-    fn missing(&self, wanted: Vec<SocketAddr>) -> Vec<SocketAddr> {
-        let now = self.now();
-        let mut missing = Vec::new();
-        let mut dialled = self.dialled.lock();
-        dialled.retain(|address, _| wanted.contains(address));
-        for address in wanted {
-            if address == self.own.peers {
-                continue;
-            }
-            if self.links.reaches(address) {
-                dialled.remove(&address);
-                continue;
-            }
-            let first = !dialled.contains_key(&address);
-            let (tried, since) = *dialled.entry(address).or_insert((now, now));
-            let turn = self.own.peers < address || now.since(since) >= COURTESY;
-            if turn && (first || now.since(tried) >= AGAIN) {
-                dialled.insert(address, (now, since));
-                missing.push(address);
-            }
-        }
-        missing
-    }
-
-    /// Closes links that neither end has a use for, such as those to seeds after the start.
-    fn close_unused(&self) {
-        let (view, now) = (self.view(), self.now());
-        let active = self.is_active();
-        let mut peers = self.peers.lock();
-        let mut unused = Vec::new();
-        for (host, peer) in peers.iter_mut() {
-            let theirs = view.actives.contains(host);
-            let leaf = active && !theirs && peer.member.domain == self.own.domain;
-            let linked = view.links.iter().any(|member| member.host == *host);
-            if linked || leaf || (active && theirs) {
-                peer.used = now;
-            } else if now.since(peer.used) >= UNUSED {
-                unused.push(host.clone());
-            }
-        }
-        drop(peers);
-        unused.iter().for_each(|host| self.links.close(host));
-    }
 }
--- a/crates/gateway/src/request/entries.rs
+++ b/crates/gateway/src/request/entries.rs
@@ -33,6 +33,6 @@
     if entries.is_empty() {
         return Response::ServiceUnavailable().finish();
     }
-    let body = P::entries(&entries, TTL);
+    let body = P::entries(&entries, TTL.min(fleet.entries_ttl()));
     Response::Ok().content_type("application/json").body(body)
 }
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -9,7 +9,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use ntex::http::{HeaderMap, Response, StatusCode};
-use ntex::time::sleep;
+use ntex::time::{sleep, timeout};
 use ntex::util::Bytes;
 
 use crate::platform::Platform;
@@ -57,14 +57,7 @@
         kept: None,
     };
     // Told apart when time is up: a request of which no attempt may have run may come again.
-    let finished = {
-        let deadline = sleep(left);
-        tokio::pin!(deadline);
-        tokio::select! {
-            response = run.play::<P>() => Some(response),
-            () = &mut deadline => None,
-        }
-    };
+    let finished = timeout(left, run.play::<P>()).await.ok();
     match finished {
         Some(response) => response,
         None if run.unknown => refuse::late(request),
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -5,7 +5,7 @@
 use fireflyhoist_policy::gate::{Outcome, Refusal};
 use fireflyhoist_policy::id;
 use ntex::http::{Response, StatusCode};
-use ntex::time::sleep;
+use ntex::time::timeout;
 
 use crate::connection::exchange;
 use crate::platform::Platform;
@@ -34,14 +34,7 @@
         arrived: false,
         flying: false,
     };
-    let finished = {
-        let deadline = sleep(left);
-        tokio::pin!(deadline);
-        tokio::select! {
-            response = run.play::<P>() => Some(response),
-            () = &mut deadline => None,
-        }
-    };
+    let finished = timeout(left, run.play::<P>()).await.ok();
     match finished {
         Some(response) => response,
         None if run.flying => refuse::late(&inquiry.facts.request),
