Charge the second send of a lookup that is under way

Cause, found by reading: a lookup whose target is silent for half of its objective goes to a second one as well, and since repeats are charged by what has arrived, this send was charged nothing, while a bound over all entries holds for it. It also might have gone to the silent target again. The budget's test was red before: 200 where 504 is due with an empty budget.

--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -71,9 +71,9 @@
     sent: u32,
     /// Connections that did not come about.
     unreached: u32,
-    /// Whether an attempt was sent whose fate is not known to be "not run".
+    /// Whether an attempt may be running, or have run.
     unknown: bool,
-    /// Whether an attempt ended without its fate being known.
+    /// Whether an attempt ended, and nobody knows whether it ran.
     doubtful: bool,
     /// Whether an attempt arrived at a target.
     arrived: bool,
@@ -90,8 +90,11 @@
         let mut again = true;
         loop {
             if std::mem::take(&mut again) && self.may_send() {
-                match self.inquiry.lane.admit(self.inquiry.ask(avoid.clone(), self.arrived)).await {
+                // One that is under way counts as arrived: it may be at its target by now.
+                let repeat = self.arrived || !pending.is_empty();
+                match self.inquiry.lane.admit(self.inquiry.ask(avoid.clone(), repeat)).await {
                     Ok(pass) => {
+                        avoid = Some(pass.target().clone());
                         self.sent += 1;
                         self.unknown = true;
                         pending.push(one::<P>(self.worker, self.inquiry, pass));
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -147,3 +147,55 @@
         assert!(text.starts_with("HTTP/1.1 200") && text.ends_with("hello"), "{text}");
     }
 }
+
+async fn mute_first(retry_burst: f64) -> (Gateway, Vec<Standin>, Registry) {
+    let registry = Registry::open().await;
+    let mut lookup = route("web", Kind::Safe);
+    lookup.objective = Duration::from_millis(200);
+    lookup.timeout = Duration::from_millis(900);
+    registry.publish(text(1, vec![lookup]));
+    let count = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let mut targets = Vec::new();
+    for name in ["t-1", "t-2"] {
+        let count = count.clone();
+        let script = move |_: &support::target::Seen| match count
+            .fetch_add(1, std::sync::atomic::Ordering::SeqCst)
+        {
+            0 => vec![Step::Hang],
+            _ => answer(200, "hello"),
+        };
+        targets.push(Standin::open(name, "web", script).await);
+    }
+    targets.iter().for_each(|target| registry.put(target.listed.clone()));
+    let mut settings = support::settings("entry-1", registry.address(), &[]);
+    settings.bounds.retry_burst = retry_burst;
+    settings.bounds.retry_ratio = 0.0;
+    let gateway = Gateway::bind::<fireflyhoist_gateway::native::Native>(settings, "none".into());
+    let gateway = gateway.await.expect("gateway");
+    support::until_ready(&gateway).await;
+    (gateway, targets, registry)
+}
+
+/// A search page hangs on a target that went mute while another is free. The lookup may run twice,
+/// so half of its objective later it goes to the other target as well, and never to the mute one
+/// again.
+#[ntex::test]
+async fn a_lookup_at_a_mute_target_goes_to_another_as_well() {
+    for _ in 0..6 {
+        let (gateway, targets, _registry) = mute_first(160.0).await;
+        let answer = Request::new("GET", "/web/x").send(gateway.callers()).await;
+        assert_eq!((answer.status, answer.body.as_str()), (200, "hello"));
+        assert!(answer.took < Duration::from_millis(500), "{:?}", answer.took);
+        assert!(targets.iter().all(|target| target.seen().len() == 1));
+    }
+}
+
+/// Targets slow down together, each lookup is sent twice, and the load that slowed them doubles: a
+/// second send draws on the budget that bounds repeats, also while the first is under way.
+#[ntex::test]
+async fn a_second_send_draws_on_the_retry_budget() {
+    let (gateway, targets, _registry) = mute_first(0.0).await;
+    let answer = Request::new("GET", "/web/x").send(gateway.callers()).await;
+    assert_eq!(answer.status, 504);
+    assert_eq!(targets.iter().map(|target| target.seen().len()).sum::<usize>(), 1);
+}
