Bound by route and budget how often an answer is begun anew

Cause, found by reading: a resumable answer whose engines break off was begun anew up to twelve times, past its route's attempts and without drawing on the retry budget. Answers that go on from a copy or a move are the same run and stay free.

--- a/crates/gateway/src/process/lane.rs
+++ b/crates/gateway/src/process/lane.rs
@@ -216,6 +216,11 @@
         state.gate.refuges(now, &mut rand::rng(), self.request, near, reserve)
     }
 
+    /// Whether the answer may be begun anew elsewhere; see [`Gate::try_repeat`].
+    pub fn try_repeat(&self) -> bool {
+        self.lane.state.lock().gate.try_repeat()
+    }
+
     /// Notes that the answer goes on at another target.
     pub fn transfer(&mut self, to: &id::Target) {
         let now = self.lane.clock.now();
--- a/crates/gateway/src/request/pump.rs
+++ b/crates/gateway/src/request/pump.rs
@@ -96,6 +96,8 @@
     last: Rc<Cell<Option<u64>>>,
     events: u64,
     trips: u32,
+    /// Runs that began at an engine and not from the memory of another.
+    runs: u32,
     /// The place where the way of a copy failed, so that it is not tried twice.
     switched: bool,
     pieces: mpsc::Sender<Piece>,
@@ -110,6 +112,7 @@
         pass: Pass,
         backup: Option<Backup>,
         upstream: Response,
+        runs: u32,
         open: Option<Open>,
     ) -> Body {
         let (pieces, receiver) = mpsc::channel(BACKLOG);
@@ -124,6 +127,7 @@
             last,
             events: 0,
             trips: 0,
+            runs,
             switched: false,
             pieces,
             _open: open,
@@ -237,7 +241,8 @@
         } else if self.upstream.is_some() && moves {
             let from = process.target(self.pass.target())?;
             (Way::Move { from, left: self.left() }, self.refuges())
-        } else if self.upstream.is_none() && resumable {
+        } else if self.upstream.is_none() && resumable && self.may_run_again() {
+            self.runs += 1;
             (Way::Again, self.refuges())
         } else {
             return None;
@@ -249,6 +254,11 @@
         Some(Trip { way, to, last: Rc::clone(&self.last) })
     }
 
+    /// Whether the route and the retry budget allow one more run.
+    fn may_run_again(&self) -> bool {
+        self.runs < self.inquiry.route.attempts && self.pass.try_repeat()
+    }
+
     fn refuges(&self) -> Vec<Target> {
         let process = &self.worker.process;
         let near = process.neighbours(self.pass.target());
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -125,9 +125,9 @@
         for (name, value) in &end_to_end(&response.headers) {
             head.header(name.clone(), value.clone());
         }
-        let open = self.open.take();
-        let inquiry = Rc::clone(&self.inquiry);
-        let body = Pump::spawn::<P>(self.worker.clone(), inquiry, pass, backup, response, open);
+        let (open, inquiry, worker) =
+            (self.open.take(), Rc::clone(&self.inquiry), self.worker.clone());
+        let body = Pump::spawn::<P>(worker, inquiry, pass, backup, response, self.sent, open);
         Ok(head.streaming(body))
     }
 
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -212,3 +212,25 @@
     assert!(answer.status == 200 && !answer.whole, "{answer:?}");
     assert!(answer.took < Duration::from_millis(900), "{:?}", answer.took);
 }
+
+/// Engines fail in the middle of every answer, each answer is begun again and again, and the load
+/// keeps them failing. A run that begins anew counts as an attempt of its route, and draws on the
+/// budget that bounds repeats.
+#[ntex::test]
+async fn an_answer_is_begun_anew_no_more_often_than_its_route_allows() {
+    let registry = registry(RESUMABLE).await;
+    let mut engines = Vec::new();
+    for name in ["e-1", "e-2", "e-3", "e-4"] {
+        let script = |seen: &Seen| {
+            let last = seen.header("last-event-id").and_then(|last| last.parse().ok());
+            let next = last.unwrap_or(0) + 1;
+            run(next, next, Step::Reset)
+        };
+        engines.push(Standin::open(name, "gen", script).await);
+    }
+    engines.iter().for_each(|engine| registry.put(engine.listed.clone()));
+    let gateway = gateway(&registry).await;
+    let answer = Request::stream("/gen/x", 20).body("b").send(gateway.callers()).await;
+    assert_eq!((answer.body, answer.whole), (events(1, 2), false));
+    assert_eq!(engines.iter().map(|engine| engine.seen().len()).sum::<usize>(), 2);
+}
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -227,6 +227,11 @@
         Verdict::Wait
     }
 
+    /// Whether a running request may be begun anew elsewhere; draws on the retry budget.
+    pub fn try_repeat(&mut self) -> bool {
+        self.retries.try_take()
+    }
+
     /// Notes that a running request has produced `produced` tokens in all, the latest just now.
     pub fn progress(&mut self, now: Time, request: id::Request, produced: Tokens) {
         let produced = produced.get();
