Show which guard tells an engine that its caller left

Cause: nine guards were switched off one by one in a clone to see their tests red. The abort of an exchange was not, in two tests, so its comment claimed what no run shows; what does the work is that the pump watches the caller's connection, for which there was no test between two events. That test is red with the watch off, green as it is.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -60,10 +60,11 @@
     pub(crate) body: Bytes,
 }
 
-/// Closes the connection of an exchange when its response is dropped.
+/// Closes the connection of an exchange when its response is dropped, so that a target learns at
+/// once that nobody waits.
 ///
-/// The failure: a caller leaves and its target goes on working, since the library reads a response
-/// to its end in a task of its own. Aborting that task closes the socket at once.
+/// The library closes it as well, as soon as it finds that nobody reads: the tests of callers that
+/// leave pass without this. It only makes the close independent of what is still unread.
 #[derive(Debug)]
 struct Connection(AbortHandle);
 
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -234,3 +234,27 @@
     assert_eq!((answer.body, answer.whole), (events(1, 2), false));
     assert_eq!(engines.iter().map(|engine| engine.seen().len()).sum::<usize>(), 2);
 }
+
+/// A member closes a page that is half there, and its engine, which is between two tokens, goes on
+/// generating for nobody: nothing is written to the caller that could fail. The engine's connection
+/// closes as soon as the caller's does.
+#[ntex::test]
+async fn an_engine_is_told_when_the_caller_leaves_between_two_events() {
+    let registry = registry(PAGE).await;
+    let script = |_: &Seen| vec![stream_head(), event(1), Step::Hang];
+    let engine = Standin::open("e-1", "gen", script).await;
+    registry.put(engine.listed.clone());
+    let gateway = gateway(&registry).await;
+    let mut caller = Request::stream("/gen/x", 20).body("b").open(gateway.callers()).await;
+    let mut got = String::new();
+    while !got.contains("id: 1\n") {
+        let mut bytes = [0; 1024];
+        let read = tokio::io::AsyncReadExt::read(&mut caller, &mut bytes).await.expect("bytes");
+        assert!(read > 0, "{got}");
+        got.push_str(&String::from_utf8_lossy(&bytes[..read]));
+    }
+    let left = tokio::time::Instant::now();
+    drop(caller);
+    eventually(async || !engine.closed().is_empty()).await;
+    assert!(left.elapsed() < Duration::from_millis(500), "{:?}", left.elapsed());
+}
