Take in targets again that lapsed while the registry hung

Cause: a watch that hung through an outage was answered with the removal of all targets; no call had failed, so no outage was known, and a removed name was ignored for a minute even when its target renewed the entry. Ruled out: that the store had lost the entries (raw entries logged in a scratch copy: they are back 0.4 to 1.2 s after its return, with higher renewals). Also: what was dropped after an outage now shows in the revision, so entries that do not watch learn of it.

--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -185,13 +185,10 @@
     /// Takes in single changes of targets; returns those that were news.
     pub(crate) fn change_targets(&self, revision: u64, changes: Vec<Change>) -> Vec<Change> {
         let now = self.clock.now();
-        let mut news = Vec::new();
-        for change in changes {
-            if self.leases.lock().change(now, revision, change.clone()) {
-                let line = describe(&change);
-                ::log::info!(revision = revision, change = line.as_str(); "target changed");
-                news.push(change);
-            }
+        let news = self.leases.lock().changes(now, revision, changes);
+        for change in &news {
+            let line = describe(change);
+            ::log::info!(revision = revision, change = line.as_str(); "target changed");
         }
         if !news.is_empty() {
             self.refresh();
--- a/crates/gateway/src/version/follow.rs
+++ b/crates/gateway/src/version/follow.rs
@@ -39,8 +39,9 @@
 /// call together.
 const PAUSES: [std::ops::Range<u64>; 3] = [100..200, 200..400, 400..700];
 
-/// The least time between two watches of targets. Their entries are renewed many times a second,
-/// each watch ends with the first, and every call is paid for.
+/// The least time between two watches of targets. Several change within some hundred milliseconds
+/// where engines are taken back together, each watch ends with the first, and every call is paid
+/// for. Renewals alone end none.
 const TARGETS_PAUSE: Duration = Duration::from_millis(80);
 
 /// How often an entry that doesn't watch looks whether it should.
--- a/crates/gateway/tests/support/target.rs
+++ b/crates/gateway/tests/support/target.rs
@@ -131,6 +131,7 @@
         address,
         domain: "hala-a".parse().expect("name"),
         state: State::Ready,
+        renewal: 1,
     }
 }
 
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -6,8 +6,15 @@
 //! an outage, what is missing stays usable until [`REJOIN`] has passed, in which live targets are
 //! listed again; what is still missing then is gone.
 //!
+//! An outage in which calls hang is noticed by nobody: the watch that waits through it is answered
+//! afterwards, with the removal of everything. So a reading that takes away more than half of the
+//! targets at once is taken for the end of an outage as well.
+//!
 //! A target that said that it drains never comes back under the same name, whatever an older
-//! reading says: readings of different sources overtake each other.
+//! reading says: readings of different sources overtake each other. One that was removed without a
+//! word comes back with a renewal newer than any seen before, since only a live target renews: it
+//! was cut off from the registry for longer than its lease, and without it a service whose targets
+//! all were so stays refused although they are free. `docs/INCIDENTS.md` has the day.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -27,6 +34,9 @@
 /// it: longer than any reading is old.
 const REMEMBERED: Duration = Duration::from_secs(60);
 
+/// The fewest targets that are taken for lapsed together: two may well leave at once.
+const LAPSED_TOGETHER: usize = 3;
+
 /// Whether a target takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -52,6 +62,17 @@
     pub domain: id::Domain,
     /// Whether it takes new work.
     pub state: State,
+    /// How many times it had renewed its entry when it was read; grows for as long as it lives.
+    #[serde(default)]
+    pub renewal: u64,
+}
+
+impl Target {
+    /// Whether two readings say the same but for renewals.
+    fn is_like(&self, other: &Self) -> bool {
+        let renewal = self.renewal;
+        *self == Self { renewal, ..other.clone() }
+    }
 }
 
 /// Something that a registry tells.
@@ -68,8 +89,7 @@
 #[derive(Debug, Default)]
 pub struct Leases {
     live: BTreeMap<id::Target, Entry>,
-    /// Targets that left, where they were known, and when.
-    left: BTreeMap<id::Target, (Option<Target>, Time)>,
+    left: BTreeMap<id::Target, Left>,
     revision: u64,
     /// Until when entries may be missing unjustly.
     rejoin: Time,
@@ -78,8 +98,25 @@
 #[derive(Debug)]
 struct Entry {
     target: Target,
-    /// Set while the registry lacks it shortly after an outage.
-    doubted: bool,
+    /// The revision of the reading that lacked it, shortly after an outage.
+    doubted: Option<u64>,
+}
+
+/// A target that left, as it was last known.
+#[derive(Debug)]
+struct Left {
+    target: Target,
+    since: Time,
+    /// The revision of the reading that lacked it.
+    revision: u64,
+}
+
+impl Left {
+    /// Whether a reading shows that it lives after all.
+    fn returns(&self, revision: u64, read: &Target) -> bool {
+        let silent = self.target.state == State::Ready && read.state == State::Ready;
+        silent && revision > self.revision && read.renewal > self.target.renewal
+    }
 }
 
 impl Leases {
@@ -96,39 +133,66 @@
     /// Takes in one change at a revision; returns whether anything is different now.
     pub fn change(&mut self, now: Time, revision: u64, change: Change) -> bool {
         let changed = match change {
-            Change::Put(target) => self.put(now, target),
-            Change::Gone(id) => self.miss(now, &id),
+            Change::Put(target) => self.put(now, revision, target),
+            Change::Gone(id) => self.miss(now, revision, &id),
         };
         self.note(revision, changed)
     }
 
+    /// Takes in all changes of one reading; returns those after which anything is different.
+    pub fn changes(&mut self, now: Time, revision: u64, changes: Vec<Change>) -> Vec<Change> {
+        let gone = changes.iter().filter_map(|change| match change {
+            Change::Gone(id) => Some(id),
+            Change::Put(_) => None,
+        });
+        let gone: Vec<&id::Target> = gone.collect();
+        self.doubt_if_most(now, &gone);
+        let news = changes.into_iter().filter(|change| self.change(now, revision, change.clone()));
+        news.collect()
+    }
+
     /// Takes in a whole list read at `revision`; returns whether anything is different now.
     pub fn list(&mut self, now: Time, revision: u64, targets: Vec<Target>) -> bool {
         if revision < self.revision {
             return false;
         }
         let listed: BTreeSet<id::Target> = targets.iter().map(|t| t.id.clone()).collect();
+        let known = self.live.keys();
+        let missing: Vec<id::Target> = known.filter(|id| !listed.contains(id)).cloned().collect();
+        self.doubt_if_most(now, &missing.iter().collect::<Vec<_>>());
         let mut changed = false;
         for target in targets {
-            changed |= self.put(now, target);
+            changed |= self.put(now, revision, target);
         }
-        let known = self.live.keys();
-        let missing: Vec<id::Target> = known.filter(|id| !listed.contains(id)).cloned().collect();
         for id in missing {
-            changed |= self.miss(now, &id);
+            changed |= self.miss(now, revision, &id);
         }
         self.note(revision, changed)
     }
 
+    /// Takes a reading for the end of an outage where it lacks most of the targets.
+    fn doubt_if_most(&mut self, now: Time, missing: &[&id::Target]) {
+        let ready = |id: &&&id::Target| self.is_ready(id);
+        let lapsed = missing.iter().filter(ready).count();
+        let all = self.all().filter(|target| target.state == State::Ready).count();
+        if lapsed >= LAPSED_TOGETHER && lapsed * 2 > all {
+            self.outage_over(now);
+        }
+    }
+
     /// Drops what stayed missing; returns whether anything was.
     pub fn expire(&mut self, now: Time) -> bool {
-        self.left.retain(|_, (_, since)| now.since(*since) < REMEMBERED);
+        self.left.retain(|_, left| now.since(left.since) < REMEMBERED);
         if now < self.rejoin {
             return false;
         }
-        let doubted = self.live.iter().filter(|(_, entry)| entry.doubted);
-        let late: Vec<id::Target> = doubted.map(|(id, _)| id.clone()).collect();
-        late.iter().for_each(|id| self.remove(now, id));
+        let doubted = self.live.iter().filter_map(|(id, entry)| Some((id.clone(), entry.doubted?)));
+        let late: Vec<(id::Target, u64)> = doubted.collect();
+        for (id, revision) in &late {
+            self.remove(now, *revision, id);
+            // Whoever has not read this itself learns from the revision that it stands behind.
+            self.note(*revision, true);
+        }
         !late.is_empty()
     }
 
@@ -144,7 +208,7 @@
     /// answers are still to be taken from it.
     pub fn get(&self, id: &id::Target) -> Option<&Target> {
         let live = self.live.get(id).map(|entry| &entry.target);
-        live.or_else(|| self.left.get(id).and_then(|(target, _)| target.as_ref()))
+        live.or_else(|| self.left.get(id).map(|left| &left.target))
     }
 
     /// Whether a target takes new work.
@@ -169,40 +233,48 @@
         changed
     }
 
-    fn put(&mut self, now: Time, mut target: Target) -> bool {
-        if self.left.contains_key(&target.id) {
-            return false;
+    fn put(&mut self, now: Time, revision: u64, mut target: Target) -> bool {
+        match self.left.get(&target.id) {
+            Some(left) if left.returns(revision, &target) => {
+                self.left.remove(&target.id);
+            }
+            Some(_) => return false,
+            None => {}
         }
         let known = self.live.get(&target.id).map(|entry| &entry.target);
         if known.is_some_and(|known| known.state == State::Draining) {
             target.state = State::Draining;
         }
         if target.state == State::Draining && known.is_none() {
-            self.left.insert(target.id.clone(), (Some(target), now));
+            self.left.insert(target.id.clone(), Left { target, since: now, revision });
             return false;
         }
-        let changed = known != Some(&target);
-        self.live.insert(target.id.clone(), Entry { target, doubted: false });
+        let changed = known.is_none_or(|known| !known.is_like(&target));
+        let renewal = known.map_or(0, |known| known.renewal);
+        target.renewal = target.renewal.max(renewal);
+        self.live.insert(target.id.clone(), Entry { target, doubted: None });
         changed
     }
 
     /// Takes in that the registry lacks an entry.
-    fn miss(&mut self, now: Time, id: &id::Target) -> bool {
+    fn miss(&mut self, now: Time, revision: u64, id: &id::Target) -> bool {
         match self.live.get_mut(id) {
             Some(entry) if now < self.rejoin && entry.target.state == State::Ready => {
-                entry.doubted = true;
+                entry.doubted = Some(revision);
                 false
             }
             Some(_) => {
-                self.remove(now, id);
+                self.remove(now, revision, id);
                 true
             }
             None => false,
         }
     }
 
-    fn remove(&mut self, now: Time, id: &id::Target) {
-        let target = self.live.remove(id).map(|entry| entry.target);
-        self.left.entry(id.clone()).or_insert((target, now));
+    fn remove(&mut self, now: Time, revision: u64, id: &id::Target) {
+        if let Some(entry) = self.live.remove(id) {
+            let left = Left { target: entry.target, since: now, revision };
+            self.left.entry(id.clone()).or_insert(left);
+        }
     }
 }
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -14,6 +14,7 @@
         address: "127.0.0.1:1".parse().expect("address"),
         domain: "hala-a".parse().expect("name"),
         state: State::Ready,
+        renewal: 1,
     }
 }
 
@@ -100,3 +101,64 @@
     assert!(!leases.change(at(10), 2, Change::Put(target("a"))));
     assert_eq!(leases.revision(), 1);
 }
+
+fn renewed(name: &str, renewal: u64) -> Target {
+    Target { renewal, ..target(name) }
+}
+
+/// Members are refused for a minute although every search target is free: the registry hung for
+/// five seconds, all entries lapsed, and the watch that had waited through it was answered with
+/// their removal. No call had failed, so nobody knew of an outage.
+#[test]
+fn what_lapsed_while_a_watch_hung_is_waited_for() {
+    let mut leases = Leases::default();
+    leases.list(at(0), 1, ["a", "b", "c", "d"].map(target).to_vec());
+    let gone = ["a", "b", "c", "d"].map(|name| Change::Gone(target(name).id));
+    assert!(leases.changes(at(9_000), 2, gone.to_vec()).is_empty());
+    assert_eq!(ready(&leases), ["a", "b", "c", "d"]);
+    leases.changes(at(10_000), 5, vec![Change::Put(renewed("b", 9))]);
+    assert!(leases.expire(at(9_000) + REJOIN));
+    assert_eq!(ready(&leases), ["b"]);
+}
+
+/// Two of many targets leave in one reading; work must not go on to them for seconds because an
+/// outage was suspected.
+#[test]
+fn a_few_that_leave_together_are_gone_at_once() {
+    let mut leases = Leases::default();
+    leases.list(at(0), 1, ["a", "b", "c", "d", "e", "f"].map(target).to_vec());
+    let gone = ["a", "b", "c"].map(|name| Change::Gone(target(name).id));
+    assert_eq!(leases.changes(at(10), 2, gone.to_vec()).len(), 3);
+    assert_eq!(ready(&leases), ["d", "e", "f"]);
+}
+
+/// A target is cut off from the registry for longer than its lease and is removed; when the cut
+/// heals it renews its entry and serves, but its name counted as that of one that left, and it got
+/// no work for a minute.
+#[test]
+fn one_that_was_removed_without_a_word_comes_back_with_a_newer_renewal() {
+    let mut leases = Leases::default();
+    leases.list(at(0), 1, vec![renewed("a", 3), target("b")]);
+    assert!(leases.change(at(10), 4, Change::Gone(target("a").id)));
+    assert!(!leases.change(at(20), 5, Change::Put(renewed("a", 3))), "an old renewal");
+    assert!(!leases.change(at(20), 4, Change::Put(renewed("a", 9))), "an older reading");
+    assert!(leases.change(at(30), 6, Change::Put(renewed("a", 9))));
+    assert_eq!(ready(&leases), ["a", "b"]);
+    assert!(leases.change(at(40), 7, Change::Put(draining("a"))));
+    assert!(leases.change(at(50), 8, Change::Gone(target("a").id)));
+    assert!(!leases.change(at(60), 9, Change::Put(renewed("a", 99))), "it had said that it drains");
+    assert_eq!(ready(&leases), ["b"]);
+}
+
+/// Entries that read no registry themselves go on sending to a target that is gone since an outage:
+/// the one that watches for them dropped it, but showed no newer revision than they had.
+#[test]
+fn dropping_what_stayed_missing_shows_in_the_revision() {
+    let mut leases = Leases::default();
+    leases.list(at(0), 1, vec![target("a"), target("b")]);
+    leases.outage_over(at(10));
+    leases.change(at(20), 5, Change::Gone(target("a").id));
+    assert_eq!(leases.revision(), 1);
+    assert!(leases.expire(at(10) + REJOIN));
+    assert_eq!(leases.revision(), 5);
+}
