--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -179,6 +179,11 @@
         Call { method: Method::POST, path: format!("/v1/runs/{request}/move"), body }
     }
 
+    fn drop_copy(name: &str) -> Call {
+        let path = format!("/v1/copies/{name}");
+        Call { method: Method::DELETE, path, body: Vec::new() }
+    }
+
     fn moved(status: StatusCode, body: &[u8]) -> Moved {
         let copied: Copied = serde_json::from_slice(body).unwrap_or_default();
         match (status, copied.copy) {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -183,7 +183,10 @@
     /// Copies a run's memory to another engine; `last` stops it first.
     fn move_run(request: &str, to: SocketAddr, last: bool) -> Call;
 
-    /// Reads the reply of such a call.
+    /// Frees a copy that nobody goes on from, at the engine that made or holds it.
+    fn drop_copy(name: &str) -> Call;
+
+    /// Reads the reply of a move.
     fn moved(status: StatusCode, body: &[u8]) -> Moved;
 }
 
--- a/crates/gateway/src/request/carry.rs
+++ b/crates/gateway/src/request/carry.rs
@@ -8,22 +8,19 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::Target;
 use fireflyhoist_policy::unit::Tokens;
-use ntex::http::{HeaderMap, StatusCode};
-use ntex::time::sleep;
-use ntex::util::Bytes;
+use ntex::http::StatusCode;
 
-use crate::connection::exchange::{self, Outgoing, Response};
-use crate::platform::{Copy, Moved, Platform};
+use crate::connection::exchange::Response;
+use crate::platform::{Copy, Platform};
 use crate::process::lane::Pass;
 use crate::process::state::{Process, millis};
 use crate::process::turn::Turn;
 use crate::request::attempt::{self, Ended, Extra};
-use crate::request::{Inquiry, Worker};
+use crate::request::{Inquiry, Worker, relocate};
 
 /// Answers expected to hold fewer tokens end within the notice that engines give, so a copy of
 /// them is never used: at 57 ms a token this is under two seconds, at the engines' own pace far
@@ -38,21 +35,6 @@
 /// 0.513, none 0.721 and 0.515. On a day of four crashes without notice 0.65 gave 0.881, none 0.837.
 const BACKUP_RESERVE: f64 = 0.65;
 
-/// How long one move may take: a second for a full memory on an idle link, and what queues before.
-const MOVE_TIMEOUT: Duration = Duration::from_secs(4);
-
-/// Time between tries where another call for the same run is under way.
-const BUSY_PAUSE: Duration = Duration::from_millis(40);
-
-/// Tries of a move before it is given up.
-const MOVE_TRIES: u32 = 8;
-
-/// Engines that are asked to take one answer before it waits for its turn again.
-const MOVE_PLACES: usize = 3;
-
-/// The largest reply to a move.
-const MAX_REPLY: usize = 64 << 10;
-
 /// Whether an answer is expected to outlast the notice that an engine or an entry gives.
 pub(crate) fn is_long(inquiry: &Inquiry) -> bool {
     inquiry.facts.guess.unwrap_or(inquiry.facts.limit).get() >= WORTH_A_COPY
@@ -187,22 +169,25 @@
             let began = worker.process.clock.now();
             let turn = Turn::wait(&worker.fleet, &from.id, request, left).await;
             let turned = worker.process.clock.now();
-            let moved = move_run::<P>(inquiry, &from, &trip.to).await;
+            let moved = relocate::move_run::<P>(inquiry, &from, &trip.to).await;
             log::info!(
                 request = request.as_str(), from:% = from.id, left:% = left,
                 waited_ms = millis(turned.since(began)),
                 moved_ms = millis(worker.process.clock.now().since(turned)); "moved"
             );
-            let (to, copy) = moved?;
+            let moved = moved?;
             // What is left of the move is between the two engines' links no more.
             drop(turn);
-            let last = &trip.last;
-            let copy = Some(copy);
-            match resume::<P>(worker, inquiry, &to, copy.clone(), last).await {
+            let (last, copy) = (&trip.last, Some(moved.copy.clone()));
+            let resumed = match resume::<P>(worker, inquiry, &moved.to, copy.clone(), last).await {
                 // The source that stopped still has everything.
                 Err(Ended::Unrun(_)) => resume::<P>(worker, inquiry, &from, copy, last).await,
                 result => result,
+            };
+            if resumed.is_ok() {
+                moved.used();
             }
+            resumed
         }
         Way::Again => resume::<P>(worker, inquiry, &first, None, &trip.last).await,
     }
@@ -223,54 +208,3 @@
         _ => Err(Ended::Unknown("refused")),
     }
 }
-
-/// Copies a run while it goes on, then stops it and copies the rest.
-async fn move_run<P: Platform>(
-    inquiry: &Inquiry,
-    from: &Target,
-    to: &[Target],
-) -> Result<(Target, Copy), Ended> {
-    let mut ended = Ended::Unrun("nowhere");
-    for to in to.iter().take(MOVE_PLACES) {
-        match move_once::<P>(inquiry, from.address, to.address, false).await {
-            Ok(_) => {
-                let name = move_once::<P>(inquiry, from.address, to.address, true).await?;
-                return Ok((to.clone(), Copy { at: from.address, name }));
-            }
-            Err(Ended::Unrun("no room")) => ended = Ended::Unrun("no room"),
-            Err(other) => return Err(other),
-        }
-    }
-    Err(ended)
-}
-
-async fn move_once<P: Platform>(
-    inquiry: &Inquiry,
-    from: SocketAddr,
-    to: SocketAddr,
-    last: bool,
-) -> Result<smol_str::SmolStr, Ended> {
-    for _ in 0..MOVE_TRIES {
-        let call = P::move_run(&inquiry.facts.request, to, last);
-        let mut headers = HeaderMap::new();
-        headers.insert(
-            ntex::http::header::CONTENT_TYPE,
-            ntex::http::header::HeaderValue::from_static("application/json"),
-        );
-        let outgoing = Outgoing {
-            method: call.method,
-            path: call.path,
-            headers,
-            body: Bytes::from(call.body),
-        };
-        let called = exchange::call(from, outgoing, MOVE_TIMEOUT, MAX_REPLY).await;
-        let Ok((status, body)) = called else { return Err(Ended::Unknown("move broken")) };
-        match P::moved(status, &body) {
-            Moved::Copied { name } => return Ok(name),
-            Moved::Busy => sleep(BUSY_PAUSE).await,
-            Moved::NoRun => return Err(Ended::Unknown("no run")),
-            Moved::Refused { .. } => return Err(Ended::Unrun("no room")),
-        }
-    }
-    Err(Ended::Unknown("move busy"))
-}
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod probe;
 pub(crate) mod pump;
 pub(crate) mod refuse;
+pub(crate) mod relocate;
 pub(crate) mod sse;
 pub(crate) mod stream;
 
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -258,3 +258,74 @@
     eventually(async || !engine.closed().is_empty()).await;
     assert!(left.elapsed() < Duration::from_millis(500), "{:?}", left.elapsed());
 }
+
+/// Plays a page at an engine that is taken back, of which one copy is made; `rest` answers the call
+/// that stops the run. Returns the caller's answer and all that both engines saw.
+async fn taken_back(
+    rest: impl Fn() -> Vec<Step> + Clone + Send + Sync + 'static,
+    end: Step,
+) -> (support::caller::Answer, Vec<Seen>) {
+    let registry = registry(PAGE).await;
+    let mut engines = Vec::new();
+    for name in ["e-1", "e-2"] {
+        let (rest, end) = (rest.clone(), end.clone());
+        let script = move |seen: &Seen| {
+            if seen.line().starts_with("POST /v1/runs/r-1/move") {
+                let asked: Move = serde_json::from_str(&seen.body).expect("a move");
+                let copied = Copied { copy: Some("c-1".into()) };
+                return match asked.last {
+                    true => rest(),
+                    false => answer(200, &serde_json::to_string(&copied).expect("JSON")),
+                };
+            }
+            if seen.line().starts_with("DELETE") {
+                return answer(200, "");
+            }
+            match (seen.header("fireflyhoist-copy"), seen.header("last-event-id")) {
+                // No copy was made as it grew.
+                (Some(copy), _) if copy.ends_with("/r-1") => declined(),
+                (Some(_), Some(last)) => {
+                    run(last.parse::<u64>().expect("a number") + 1, 40, stream_end())
+                }
+                _ => run(1, 30, end.clone()),
+            }
+        };
+        engines.push(Standin::open(name, "gen", script).await);
+    }
+    engines.iter().for_each(|engine| registry.put(engine.listed.clone()));
+    let gateway = gateway(&registry).await;
+    let callers = gateway.callers();
+    // Too large for a copy ahead, so that it has to be moved.
+    let request =
+        Request::stream("/gen/x", 500).header("fireflyhoist-prompt-tokens", "60000").body("b");
+    let answered = ntex::rt::spawn(async move { request.send(callers).await });
+    eventually(async || engines.iter().any(|engine| !engine.seen().is_empty())).await;
+    let first = engines.iter().find(|engine| !engine.seen().is_empty()).expect("one runs it");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    registry.put(first.draining());
+    let answer = answered.await.expect("an answer");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    (answer, engines.iter().flat_map(Standin::seen).collect())
+}
+
+/// A volunteer scans a page again although its memory was safe: the engine that was taken back had
+/// copied it, and was gone when the run was to be stopped for the rest. The page goes on from the
+/// part, and the next engine reads what that lacks.
+#[ntex::test]
+async fn a_page_goes_on_from_the_part_that_was_copied() {
+    let (answer, seen) = taken_back(|| vec![Step::Reset], Step::Reset).await;
+    assert_eq!((answer.status, answer.body, answer.whole), (200, events(1, 40), true));
+    let copies: Vec<&str> = seen.iter().filter_map(|s| s.header("fireflyhoist-copy")).collect();
+    assert!(copies.iter().any(|copy| copy.ends_with("/c-1")), "{copies:?}");
+    assert!(!seen.iter().any(|seen| seen.line().starts_with("DELETE")));
+}
+
+/// Pages are refused by engines with room: copies of answers that ended while they were moved keep
+/// it for seconds. The engine is told that the copy is not needed.
+#[ntex::test]
+async fn a_copy_that_nobody_needs_is_freed() {
+    let (answer, seen) = taken_back(|| answer(404, "{}"), stream_end()).await;
+    assert_eq!((answer.status, answer.body, answer.whole), (200, events(1, 30), true));
+    let freed = seen.iter().any(|seen| seen.line().starts_with("DELETE /v1/copies/c-1"));
+    assert!(freed, "{seen:?}");
+}
--- a/crates/policy/src/gate/carry.rs
+++ b/crates/policy/src/gate/carry.rs
@@ -24,6 +24,17 @@
 /// before. Places are drawn at random instead, an empty one a few times as often as a full one.
 const SLACK: f64 = 0.25;
 
+/// How well a target suits an answer that leaves its own, the best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    /// In the same failure domain, with room for an ordinary answer more.
+    Near,
+    /// Elsewhere, or nearly full.
+    Far,
+    /// Without room for what the answer holds now.
+    Full,
+}
+
 /// What one entry holds at one target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Holding {
@@ -57,7 +68,9 @@
     ///
     /// With a `reserve`, only targets are named where the answer fits until its end with that part
     /// of their memory left to others. Without one, every target is: what the answer may grow to is
-    /// a guess, and an answer that is preempted there is late, where one that stays is lost.
+    /// a guess, and an answer that is preempted there is late, where one that stays is lost. Those
+    /// where what it holds now does not fit come last: they refuse, and each refusal costs a part of
+    /// the notice.
     pub fn refuges(
         &mut self,
         now: Time,
@@ -69,7 +82,7 @@
         self.weigh(now);
         let Some(running) = self.running.get(&request) else { return Vec::new() };
         let (own, curve, class) = (running.slot, running.curve, running.ask.class);
-        let mut fitting: Vec<(bool, f64, &id::Target)> = Vec::new();
+        let mut fitting: Vec<(Rank, f64, &id::Target)> = Vec::new();
         for (at, slot) in self.slots.iter().enumerate() {
             if at == own || !slot.is_up(now) {
                 continue;
@@ -82,8 +95,13 @@
                 }
             }
             let cost = (slot.room.load() + SLACK) * rng.random_range(0.0..1.0);
-            let full = slot.room.load() > FULL;
-            fitting.push((full || !near.contains(&slot.name), cost, &slot.name));
+            let load = slot.room.load();
+            let rank = match slot.room.load_with(&curve) > 1.0 {
+                true => Rank::Full,
+                false if load <= FULL && near.contains(&slot.name) => Rank::Near,
+                false => Rank::Far,
+            };
+            fitting.push((rank, cost, &slot.name));
         }
         fitting.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         fitting.into_iter().map(|(_, _, name)| name.clone()).collect()
--- a/crates/policy/src/room.rs
+++ b/crates/policy/src/room.rs
@@ -245,6 +245,12 @@
         if self.capacity > 0.0 { held / self.capacity } else { f64::from(self.streams) }
     }
 
+    /// The same with one more answer; infinite where the memory's size is not known.
+    pub fn load_with(&self, curve: &Curve) -> f64 {
+        let held = f64::from(self.mine.now() + self.others.now() + curve.now());
+        if self.capacity > 0.0 { held / self.capacity } else { f64::INFINITY }
+    }
+
     /// This entry's curve.
     pub fn mine(&self) -> &Curve {
         &self.mine
--- a/crates/policy/tests/carry.rs
+++ b/crates/policy/tests/carry.rs
@@ -138,3 +138,22 @@
     let text = format!("{:?}", world.gate);
     assert!(!text.contains("\"e-0\"") && !text.contains("\"e-1996\""), "old names are kept");
 }
+
+/// A page is cut although an engine has room: each that was asked before it was full, refused, and
+/// took a part of the notice. Engines where the page does not fit now come last, even nearby ones.
+#[test]
+fn engines_without_room_come_last() {
+    let targets = names(0..8);
+    let mut world = World::open(&targets);
+    let own = world.send(1);
+    let others: Vec<id::Target> = targets.iter().filter(|t| **t != own).cloned().collect();
+    let (full, free) = others.split_at(5);
+    for target in full {
+        world.gate.report(world.now, target, &report(MEMORY - 1_000), Duration::ZERO);
+    }
+    for _ in 0..50 {
+        let refuges = world.refuges(full, None);
+        assert!(refuges[..2].iter().all(|refuge| free.contains(refuge)), "{refuges:?}");
+        assert_eq!(refuges.len(), 7);
+    }
+}
