Send callers of a leaving entry away until their addresses are new

Cause: a caller that is sent away from an entry that leaves may come back once. Ruled out: that the directory still named entries that leave (it omits them at once). Where no other entry takes callers, an answer that is expected to end within the grace is served.

--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -120,6 +120,11 @@
         ready
     }
 
+    /// Whether any other entry takes callers.
+    pub(crate) fn has_others(&self) -> bool {
+        self.ready().iter().any(|member| member.host != self.own.host)
+    }
+
     /// Which of those that watch targets for all this entry is, from 0; `None` where it is none.
     ///
     /// Each ranks the actives that it has links to, so an entry that is cut off from the others
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state.rs
@@ -1,14 +1,15 @@
 //! The state that all requests of a process share, in shards under locks of their own.
 
 use std::collections::{BTreeSet, HashMap};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use fireflyhoist_policy::gate::{self, Holding, Report};
 use fireflyhoist_policy::lease::{Change, Leases, Target};
 use fireflyhoist_policy::retry;
 use fireflyhoist_policy::route::{Table, Text};
+use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::unit::Tokens;
 use fireflyhoist_policy::{id, lease, placement};
 use parking_lot::{Mutex, RwLock};
@@ -51,7 +52,8 @@
     registry: AtomicBool,
     /// Whether its latest watch of targets succeeded.
     watching: AtomicBool,
-    leaving: AtomicBool,
+    /// Since when it leaves.
+    leaving: OnceLock<Time>,
     listed: AtomicBool,
     open: AtomicUsize,
 }
@@ -72,7 +74,7 @@
             sent: Notify::new(),
             registry: AtomicBool::new(false),
             watching: AtomicBool::new(false),
-            leaving: AtomicBool::new(false),
+            leaving: OnceLock::new(),
             listed: AtomicBool::new(false),
             open: AtomicUsize::new(0),
             settings,
@@ -369,11 +371,17 @@
 
     /// Takes no new callers from now on.
     pub(crate) fn leave(&self) {
-        self.leaving.store(true, Ordering::Release);
+        self.leaving.get_or_init(|| self.clock.now());
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Acquire)
+        self.leaving.get().is_some()
+    }
+
+    /// For how long it has been leaving, and how long it may still run.
+    pub(crate) fn leaving(&self) -> Option<(Duration, Duration)> {
+        let since = self.clock.now().since(*self.leaving.get()?);
+        Some((since, self.bounds().grace().saturating_sub(since)))
     }
 
     /// Whether callers are well served here: a text and targets are known, and it stays.
--- a/crates/gateway/src/request/carry.rs
+++ b/crates/gateway/src/request/carry.rs
@@ -37,7 +37,12 @@
 
 /// Whether an answer is expected to outlast the notice that an engine or an entry gives.
 pub(crate) fn is_long(inquiry: &Inquiry) -> bool {
-    inquiry.facts.guess.unwrap_or(inquiry.facts.limit).get() >= WORTH_A_COPY
+    expected(inquiry).get() >= WORTH_A_COPY
+}
+
+/// Tokens that an answer is expected to hold: its caller's guess, or the most that it asked for.
+pub(crate) fn expected(inquiry: &Inquiry) -> Tokens {
+    inquiry.facts.guess.unwrap_or(inquiry.facts.limit)
 }
 
 /// The engine that keeps a copy of an answer's memory as it grows, counted there while it does.
--- a/crates/gateway/src/request/pump.rs
+++ b/crates/gateway/src/request/pump.rs
@@ -270,7 +270,7 @@
     /// passed that, a third of what it has, since long answers tend to go on.
     fn left(&self) -> Tokens {
         let produced = self.produced();
-        let guess = self.inquiry.facts.guess.unwrap_or(self.inquiry.facts.limit).get();
+        let guess = carry::expected(&self.inquiry).get();
         Tokens::new(guess.saturating_sub(produced).max(produced / 3))
     }
 
--- a/crates/gateway/src/request/refuse.rs
+++ b/crates/gateway/src/request/refuse.rs
@@ -12,9 +12,6 @@
 /// milliseconds.
 const NOT_READY_RETRY: Duration = Duration::from_millis(400);
 
-/// When to come back where another entry serves the request at once.
-const ELSEWHERE_RETRY: Duration = Duration::from_millis(50);
-
 /// When to come back where no target is known to be up; replacements are listed within seconds.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(1_000);
 
@@ -52,9 +49,9 @@
 }
 
 /// A generation that would not end before this process does.
-pub(crate) fn leaving(request: &SmolStr) -> Response {
-    let detail = "this entry is leaving; ask another one";
-    respond(request, problem(503, "leaving", detail, Ran::No, Some(ELSEWHERE_RETRY)))
+pub(crate) fn leaving(request: &SmolStr, after: Duration) -> Response {
+    let detail = "this entry is leaving; ask which to use, and come back as told";
+    respond(request, problem(503, "leaving", detail, Ran::No, Some(after)))
 }
 
 /// The head names no host, or several.
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -1,8 +1,10 @@
 //! A generation: admitted, begun at an engine, and handed to its pump once its head is there.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use fireflyhoist_policy::gate::{Outcome, Refusal};
+use fireflyhoist_policy::handover::{self, Choice, Situation};
 use fireflyhoist_policy::id;
 use ntex::http::{Response, StatusCode};
 use ntex::time::timeout;
@@ -14,7 +16,7 @@
 use crate::request::attempt::{self, Ended, Extra, come_back};
 use crate::request::carry::{self, Backup};
 use crate::request::pump::Pump;
-use crate::request::{Inquiry, Worker, end_to_end, refuse};
+use crate::request::{Inquiry, Worker, end_to_end, entries, refuse};
 
 /// The largest answer without a stream that an engine may give: a refusal of its own.
 const MAX_ANSWER: usize = 1 << 20;
@@ -22,8 +24,10 @@
 /// Serves one generation; the answer goes on after this returns.
 pub(crate) async fn serve<P: Platform>(worker: &Worker, inquiry: Inquiry, open: Open) -> Response {
     let inquiry = Rc::new(inquiry);
-    if worker.process.is_leaving() && carry::is_long(&inquiry) {
-        return refuse::leaving(&inquiry.facts.request);
+    if carry::is_long(&inquiry)
+        && let Some(after) = sent_away(worker, &inquiry)
+    {
+        return refuse::leaving(&inquiry.facts.request, after);
     }
     let left = inquiry.left(worker.process.clock.now());
     let mut run = Run {
@@ -42,6 +46,17 @@
     }
 }
 
+/// When to come back where this entry leaves and the answer would not end here.
+fn sent_away(worker: &Worker, inquiry: &Inquiry) -> Option<Duration> {
+    let (since, left) = worker.process.leaving()?;
+    let others = worker.fleet.has_others();
+    let situation = Situation { others, since, left, fresh: entries::TTL };
+    match handover::choose(&situation, carry::expected(inquiry)) {
+        Choice::Serve => None,
+        Choice::ComeBack(after) => Some(after),
+    }
+}
+
 struct Run<'a> {
     worker: &'a Worker,
     inquiry: Rc<Inquiry>,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod drain;
 pub mod gate;
 pub mod handle;
+pub mod handover;
 pub mod hedge;
 pub mod id;
 pub mod lease;
--- /dev/null
+++ b/crates/policy/tests/handover.rs
@@ -0,0 +1,36 @@
+//! Pattern `rolling restart`: answers that are asked of an entry that leaves.
+
+use std::time::Duration;
+
+use fireflyhoist_policy::handover::{Choice, Situation, choose};
+use fireflyhoist_policy::unit::Tokens;
+use yare::parameterized;
+
+const FRESH: Duration = Duration::from_secs(1);
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A page is refused by three entries in a row and given up: all of them are being stopped, and the
+/// caller came back at once with the addresses that it still kept. It comes back when these are new.
+#[parameterized(
+    at_once = { 0, 1_050 },
+    a_little_later = { 400, 650 },
+    by_an_old_answer = { 2_500, 50 },
+)]
+fn a_caller_comes_back_with_new_addresses(since: u64, after: u64) {
+    let situation = Situation { others: true, since: ms(since), left: ms(7_000), fresh: FRESH };
+    assert_eq!(choose(&situation, Tokens::new(20)), Choice::ComeBack(ms(after)));
+}
+
+/// Every entry is stopped within two seconds, and all that is asked for meanwhile is refused. What
+/// is short enough to end in the grace is served; the rest comes back after the restart.
+#[parameterized(
+    short = { 200, Choice::Serve },
+    long = { 600, Choice::ComeBack(Duration::from_millis(7_700)) },
+)]
+fn without_another_entry_what_can_end_is_served(tokens: u64, choice: Choice) {
+    let situation = Situation { others: false, since: ms(500), left: ms(7_000), fresh: FRESH };
+    assert_eq!(choose(&situation, Tokens::new(tokens)), choice);
+}
