Tell the story of one request from the logs of entries

fireflyhoist explain ID FILE... puts the lines of a request in order, adds what the entry learned meanwhile of the targets that it used, and names the cause of how it ended.

--- a/crates/tool/src/flags.rs
+++ b/crates/tool/src/flags.rs
@@ -162,6 +162,29 @@
         )]
         format: Format,
     },
+    /// Tell what became of one request, from the logs of entries
+    #[bpaf(command)]
+    Explain {
+        /// `table` or `json`
+        #[bpaf(
+            long,
+            argument("FORMAT"),
+            fallback(Format::Table),
+            display_fallback,
+            complete(formats)
+        )]
+        format: Format,
+        /// The request's id
+        #[bpaf(positional("ID"))]
+        request: String,
+        /// Logs of entries, all that may have served it
+        #[bpaf(
+            positional("FILE"),
+            complete_shell(ShellComp::File { mask: None }),
+            some("name the logs of entries")
+        )]
+        files: Vec<PathBuf>,
+    },
     /// Send a prompt to a model service and print the answer as it arrives
     #[bpaf(command)]
     Ask {
--- a/crates/tool/src/lib.rs
+++ b/crates/tool/src/lib.rs
@@ -9,6 +9,7 @@
 pub(crate) mod diff;
 pub(crate) mod entries;
 pub(crate) mod error;
+pub mod explain;
 pub mod flags;
 pub(crate) mod fleet;
 pub(crate) mod paint;
@@ -40,6 +41,7 @@
             entries::run(&fleet, &workspace, format).await
         }
         Command::Burn { fleet, format } => burn::run(&fleet, format).await,
+        Command::Explain { format, request, files } => explain::run(&request, &files, format),
         Command::Ask { fleet, question } => ask::run(&fleet, question).await,
     }
 }
