--- a/crates/tool/src/explain.rs
+++ b/crates/tool/src/explain.rs
@@ -160,8 +160,6 @@
         .collect();
     let first = lines.iter().position(own).unwrap_or(lines.len());
     let last = lines.iter().rposition(own).map_or(first, |last| last + 1);
-    // A request's first line is written when its first attempt has ended, so what was learned
-    // shortly before may have happened while it waited.
     let between = lines[first..last].iter();
     between.filter(move |line| own(line) || line.concerns(&targets)).cloned()
 }
