--- /dev/null
+++ b/crates/soak/src/entry.rs
@@ -0,0 +1,75 @@
+//! Entry processes: their settings, and how they are started.
+
+use std::cell::{Cell, RefCell};
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use crate::PlayError;
+use crate::proxy::Proxy;
+
+/// Seconds that an entry has to drain.
+pub(crate) const GRACE_S: u64 = 4;
+
+/// An entry, whichever process runs as it.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) host: String,
+    pub(crate) settings: PathBuf,
+    pub(crate) callers: SocketAddr,
+    pub(crate) link: Proxy,
+    pub(crate) child: RefCell<Child>,
+    pub(crate) starts: Cell<u32>,
+    /// Whether somebody is ending or starting it just now.
+    pub(crate) busy: Cell<bool>,
+}
+
+/// The program, from the directory of the test or program that asks.
+fn program() -> PathBuf {
+    let asking = std::env::current_exe().expect("a program knows its own path");
+    let beside = asking.ancestors().skip(1).take(2).map(|d| d.join("fireflyhoist-gateway"));
+    beside.into_iter().find(|path| path.exists()).unwrap_or_else(|| "fireflyhoist-gateway".into())
+}
+
+/// Starts the program with its output in a file.
+pub(crate) fn start(host: &str, settings: &Path, log: &Path) -> Result<Child, PlayError> {
+    let log = File::create(log).map_err(PlayError::Report)?;
+    let mut command = Command::new(program());
+    command.arg("--settings").arg(settings).stdin(Stdio::null());
+    let child = command.stdout(log).stderr(Stdio::inherit()).spawn();
+    child.map_err(|error| PlayError::Program(std::io::Error::other(format!("{host}: {error}"))))
+}
+
+/// Writes an entry's settings and starts it.
+pub(crate) fn open(
+    nth: usize,
+    callers: SocketAddr,
+    peers: &[SocketAddr],
+    link: Proxy,
+    logs: &Path,
+) -> Result<Entry, PlayError> {
+    let host = format!("entry-{nth}");
+    let seeds: Vec<String> = peers.iter().take(3).map(|peer| format!("\"{peer}\"")).collect();
+    let (own, registry) = (peers[nth], link.address);
+    let settings = format!(
+        "host = \"{host}\"\ndomain = \"d-{}\"\ncallers = \"{callers}\"\n\
+         readiness = \"127.0.0.1:0\"\ndirectory = \"127.0.0.1:0\"\npeers = \"{own}\"\n\
+         metrics = \"127.0.0.1:0\"\npower = 1\nseeds = [{}]\nregistry = \"{registry}\"\n[bounds]\n\
+         grace_s = {GRACE_S}\nretry_ratio = 0.2\nretry_burst = 160\nentries_ttl_s = 5\n",
+        nth % 2,
+        seeds.join(",")
+    );
+    let path = logs.join(format!("{host}.toml"));
+    std::fs::write(&path, settings).map_err(PlayError::Report)?;
+    let child = start(&host, &path, &logs.join(format!("{host}-0.log")))?;
+    Ok(Entry {
+        host,
+        settings: path,
+        callers,
+        link,
+        child: RefCell::new(child),
+        starts: Cell::default(),
+        busy: Cell::default(),
+    })
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,10 +8,12 @@
 
 mod backend;
 mod caller;
+mod entry;
 mod ledger;
 mod plan;
 mod proxy;
 mod report;
+mod text;
 mod world;
 
 use std::fmt;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -1,33 +1,28 @@
 //! The processes, links and back ends of one run, and how faults are done to them.
 
 use std::cell::{Cell, RefCell};
-use std::fs::File;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::time::Duration;
 
 use fireflyhoist_policy::lease::{State, Target};
-use fireflyhoist_policy::route::{Bounds, Engine, Kind, Part, Route, Service, Text, Workspace};
-use fireflyhoist_policy::unit::{Bytes, Tokens};
 use fireflyhoist_standin::port::Reserved;
 use fireflyhoist_standin::registry::{Mood, Registry};
 use rustix::process::{Pid, Signal, kill_process};
-use smol_str::{SmolStr, format_smolstr};
+use smol_str::SmolStr;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
 use crate::backend::{Backend, Engines, SERVICES};
-use crate::caller::{self, KEY, TIMEOUT};
+use crate::caller::{self, TIMEOUT};
+use crate::entry::{self, Entry, GRACE_S};
 use crate::ledger::{Asked, Disturbed, Ledger, Probed};
 use crate::plan::{BACKENDS, CALM, Fault, LEAD, PROOF, Plan, Planned};
 use crate::proxy::{Mode, Proxy};
+use crate::text::text;
 use crate::{PlayError, Size};
 
-/// Seconds that an entry has to drain.
-const GRACE_S: u64 = 4;
-
 /// How long a target serves on after its leaving is known.
 const NOTICE: Duration = Duration::from_secs(2);
 
@@ -80,18 +75,6 @@
     }
 }
 
-#[derive(Debug)]
-struct Entry {
-    host: String,
-    settings: PathBuf,
-    callers: SocketAddr,
-    link: Proxy,
-    child: RefCell<Child>,
-    starts: Cell<u32>,
-    /// Whether somebody is ending or starting it just now.
-    busy: Cell<bool>,
-}
-
 /// Everything of one run.
 #[derive(Clone, Debug)]
 pub(crate) struct World {
@@ -108,74 +91,6 @@
     seen: Seen,
 }
 
-/// The program, from the directory of the test or program that asks.
-fn program() -> PathBuf {
-    let asking = std::env::current_exe().expect("a program knows its own path");
-    let beside = asking.ancestors().skip(1).take(2).map(|d| d.join("fireflyhoist-gateway"));
-    beside.into_iter().find(|path| path.exists()).unwrap_or_else(|| "fireflyhoist-gateway".into())
-}
-
-fn start(host: &str, settings: &Path, log: &Path) -> Result<Child, PlayError> {
-    let log = File::create(log).map_err(PlayError::Report)?;
-    let mut command = Command::new(program());
-    command.arg("--settings").arg(settings).stdin(Stdio::null());
-    let child = command.stdout(log).stderr(Stdio::inherit()).spawn();
-    child.map_err(|error| PlayError::Program(std::io::Error::other(format!("{host}: {error}"))))
-}
-
-fn text(version: u64) -> Text {
-    let names = [("look", Kind::Safe), ("send", Kind::Unsafe)];
-    let pages = [("page", false), ("again", true)]
-        .map(|(name, resumable)| (name, Kind::Stream { resumable }));
-    let versioned = format_smolstr!("v{version}");
-    let routes = names.into_iter().chain(pages).chain([(versioned.as_str(), Kind::Safe)]);
-    let route = |(name, kind): (&str, Kind)| Route {
-        name: name.into(),
-        host: "svc.example".into(),
-        prefix: format_smolstr!("/{name}/"),
-        kind,
-        timeout: TIMEOUT,
-        objective: Duration::from_secs(2),
-        gap: None,
-        rank: 0,
-        attempts: 2,
-        public: false,
-        parts: vec![Part { service: service(name).parse().expect("a name"), weight: 1 }],
-    };
-    let engine = || Engine {
-        slots: 32,
-        memory: Tokens::new(100_000),
-        tokens_per_event: 1,
-        moves: true,
-        backups: true,
-    };
-    let service = |name: &&str| Service {
-        name: name.parse().expect("a name"),
-        connections: 200,
-        engine: (**name == *"page").then(engine),
-    };
-    Text {
-        revision: version,
-        routes: routes.map(route).collect(),
-        services: SERVICES.iter().map(service).collect(),
-        workspaces: vec![Workspace {
-            id: "archive".parse().expect("a name"),
-            label: "Archive".into(),
-            keys: vec![KEY.into()],
-            rank: None,
-        }],
-        bounds: Bounds { body: Bytes::new(1 << 20) },
-    }
-}
-
-fn service(route: &str) -> &str {
-    match route {
-        "again" => "page",
-        "send" | "page" => route,
-        _ => "look",
-    }
-}
-
 impl World {
     /// Starts the registry, the back ends, and the entries.
     pub(crate) async fn open(size: Size, seed: u64, logs: &Path) -> Result<Self, PlayError> {
@@ -199,7 +114,7 @@
         let mut entries = Vec::new();
         for (nth, callers) in callers.iter().enumerate() {
             let link = Proxy::open(registry.address()).await;
-            entries.push(entry(nth, callers.address(), &peers, link, logs)?);
+            entries.push(entry::open(nth, callers.address(), &peers, link, logs)?);
         }
         let world = Self {
             entries: Rc::new(entries),
@@ -348,7 +263,7 @@
         sleep(RESTART).await;
         entry.starts.set(entry.starts.get() + 1);
         let log = self.logs.join(format!("{}-{}.log", entry.host, entry.starts.get()));
-        match start(&entry.host, &entry.settings, &log) {
+        match entry::start(&entry.host, &entry.settings, &log) {
             Ok(child) => *entry.child.borrow_mut() = child,
             Err(error) => eprintln!("soak: {error}"),
         }
@@ -476,35 +391,3 @@
         }
     }
 }
-
-fn entry(
-    nth: usize,
-    callers: SocketAddr,
-    peers: &[SocketAddr],
-    link: Proxy,
-    logs: &Path,
-) -> Result<Entry, PlayError> {
-    let host = format!("entry-{nth}");
-    let seeds: Vec<String> = peers.iter().take(3).map(|peer| format!("\"{peer}\"")).collect();
-    let (own, registry) = (peers[nth], link.address);
-    let settings = format!(
-        "host = \"{host}\"\ndomain = \"d-{}\"\ncallers = \"{callers}\"\n\
-         readiness = \"127.0.0.1:0\"\ndirectory = \"127.0.0.1:0\"\npeers = \"{own}\"\n\
-         metrics = \"127.0.0.1:0\"\npower = 1\nseeds = [{}]\nregistry = \"{registry}\"\n[bounds]\n\
-         grace_s = {GRACE_S}\nretry_ratio = 0.2\nretry_burst = 160\nentries_ttl_s = 5\n",
-        nth % 2,
-        seeds.join(",")
-    );
-    let path = logs.join(format!("{host}.toml"));
-    std::fs::write(&path, settings).map_err(PlayError::Report)?;
-    let child = start(&host, &path, &logs.join(format!("{host}-0.log")))?;
-    Ok(Entry {
-        host,
-        settings: path,
-        callers,
-        link,
-        child: RefCell::new(child),
-        starts: Cell::default(),
-        busy: Cell::default(),
-    })
-}
