Begin long answers on a leaving entry only in the first third of its grace

Cause, from reading the change: an answer that its caller guessed short and that began late in the grace would be cut with the process, where sending its caller away loses nothing.

--- a/crates/policy/src/handover.rs
+++ b/crates/policy/src/handover.rs
@@ -22,6 +22,10 @@
 /// too short, and one in five by more than this.
 const CAUTION: u64 = 2;
 
+/// The part of the grace in which long answers still begin. A guess may be wrong by any factor, and
+/// an answer that began late in the grace is cut although its caller could have been sent away.
+const EARLY: f64 = 1.0 / 3.0;
+
 /// Shortest time to come back: a round trip, and the caller's new connection.
 const SOON: Duration = Duration::from_millis(50);
 
@@ -58,7 +62,9 @@
         return Choice::ComeBack(stale + SOON);
     }
     let tokens = u32::try_from(expected.get().saturating_mul(CAUTION)).unwrap_or(u32::MAX);
-    match TOKEN.saturating_mul(tokens) < situation.left {
+    let grace = situation.since + situation.left;
+    let early = situation.since <= grace.mul_f64(EARLY);
+    match early && TOKEN.saturating_mul(tokens) < situation.left {
         true => Choice::Serve,
         false => Choice::ComeBack(situation.left + RESTART),
     }
--- a/crates/policy/tests/handover.rs
+++ b/crates/policy/tests/handover.rs
@@ -27,10 +27,12 @@
 /// Every entry is stopped within two seconds, and all that is asked for meanwhile is refused. What
 /// is short enough to end in the grace is served; the rest comes back after the restart.
 #[parameterized(
-    short = { 200, Choice::Serve },
-    long = { 600, Choice::ComeBack(Duration::from_millis(7_700)) },
+    short = { 200, 500, Choice::Serve },
+    long = { 600, 500, Choice::ComeBack(Duration::from_millis(7_700)) },
+    short_but_late_in_the_grace = { 20, 4_000, Choice::ComeBack(Duration::from_millis(4_200)) },
 )]
-fn without_another_entry_what_can_end_is_served(tokens: u64, choice: Choice) {
-    let situation = Situation { others: false, since: ms(500), left: ms(7_000), fresh: FRESH };
+fn without_another_entry_what_can_end_is_served(tokens: u64, since: u64, choice: Choice) {
+    let left = ms(7_500 - since);
+    let situation = Situation { others: false, since: ms(since), left, fresh: FRESH };
     assert_eq!(choose(&situation, Tokens::new(tokens)), choice);
 }
