Keep the three seeds that were red beside builds, and say what is known of them

Ruled out: that a process ended (none did), ports (reserved), the seed itself (313 clean three times right after). Seen: the machine waited 43 s in all for its disk, beside two builds. Not traced further: open.

--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -11,10 +11,15 @@
 ///   own fault; ports are reserved now.
 /// - 54: a question for an old text waited at a slow target while newer texts came into force, and its
 ///   answer counted as a text that went back. The check now goes by when a question was sent.
+/// - 313, 327, 341: entries that were started anew listened nowhere for the rest of the run. Open:
+///   `docs/PROOFS.md` has what is known.
 #[parameterized(
     short = { 1, 6 },
     ports_taken_twice = { 42, 15 },
     question_that_waited = { 54, 15 },
+    slow_start_313 = { 313, 10 },
+    slow_start_327 = { 327, 10 },
+    slow_start_341 = { 341, 10 },
 )]
 #[test_macro(ntex::test)]
 async fn promises_hold_under_faults(seed: u64, seconds: u64) {
