--- a/crates/tool/src/flags.rs
+++ b/crates/tool/src/flags.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::str::FromStr;
 
-use bpaf::{Bpaf, ShellComp};
+use bpaf::{Bpaf, Parser, ShellComp, long};
 use derive_more::{Display, Error};
 use fireflyhoist_policy::id;
 
@@ -37,6 +37,16 @@
     }
 }
 
+/// The flag that chooses a format, the same for every command that has one.
+fn format() -> impl Parser<Format> {
+    long("format")
+        .help("`table` or `json`")
+        .argument("FORMAT")
+        .complete(formats)
+        .fallback(Format::Table)
+        .display_fallback()
+}
+
 /// Where the fleet is found.
 #[derive(Clone, Debug, Bpaf)]
 pub struct Fleet {
@@ -117,14 +127,8 @@
         /// The fleet:
         #[bpaf(external(fleet))]
         fleet: Fleet,
-        /// `table` or `json`
-        #[bpaf(
-            long,
-            argument("FORMAT"),
-            fallback(Format::Table),
-            display_fallback,
-            complete(formats)
-        )]
+        /// How to print:
+        #[bpaf(external(format))]
         format: Format,
     },
     /// Show which addresses callers of a workspace should use
@@ -136,14 +140,8 @@
         /// The workspace
         #[bpaf(long, short, argument("NAME"), fallback("default".parse().expect("a name")))]
         workspace: id::Workspace,
-        /// `table` or `json`
-        #[bpaf(
-            long,
-            argument("FORMAT"),
-            fallback(Format::Table),
-            display_fallback,
-            complete(formats)
-        )]
+        /// How to print:
+        #[bpaf(external(format))]
         format: Format,
     },
     /// Show how fast each service spends what its objective lets go wrong
@@ -152,27 +150,15 @@
         /// The fleet:
         #[bpaf(external(fleet))]
         fleet: Fleet,
-        /// `table` or `json`
-        #[bpaf(
-            long,
-            argument("FORMAT"),
-            fallback(Format::Table),
-            display_fallback,
-            complete(formats)
-        )]
+        /// How to print:
+        #[bpaf(external(format))]
         format: Format,
     },
     /// Tell what became of one request, from the logs of entries
     #[bpaf(command)]
     Explain {
-        /// `table` or `json`
-        #[bpaf(
-            long,
-            argument("FORMAT"),
-            fallback(Format::Table),
-            display_fallback,
-            complete(formats)
-        )]
+        /// How to print:
+        #[bpaf(external(format))]
         format: Format,
         /// The request's id
         #[bpaf(positional("ID"))]
