--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -281,9 +281,17 @@
         self.entries[nth].busy.set(false);
     }
 
+    /// Signals an entry's process where it still runs.
+    ///
+    /// **Failure:** between the end of a process and the next one's start its number may be another
+    /// program's, which a reload would end. A child that is not yet waited for keeps its number.
     fn signal(&self, nth: usize, signal: Signal) {
-        let id = i32::try_from(self.entries[nth].child.borrow().id()).ok().and_then(Pid::from_raw);
-        // It may just have ended.
+        let mut child = self.entries[nth].child.borrow_mut();
+        if !matches!(child.try_wait(), Ok(None)) {
+            return;
+        }
+        let id = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
+        // It may end just now; its number is kept until it is waited for.
         let _ = id.map(|id| kill_process(id, signal));
     }
 
