Show large texts that come into force seconds late, failing

The scenario of the incident in the project's own words: two strong entries, twelve weak ones whose connections carry a third each of a narrow link, two texts one after the other; all at a tenth of the size to design for.

--- /dev/null
+++ b/crates/gateway/tests/large_texts.rs
@@ -0,0 +1,108 @@
+//! Texts that take a good part of what an entry's link carries.
+//!
+//! Everything is a tenth of what it is at the size to design for: texts of a hundred kilobytes
+//! stand for the megabyte that a text may have, and connections of 40 KB/s for a third each of a
+//! link of 10 Mbit/s, which leads to two actives and the registry.
+
+mod support;
+
+use std::time::Duration;
+
+use fireflyhoist_gateway::Gateway;
+use fireflyhoist_policy::route::{Kind, Route, Text};
+use fireflyhoist_standin::registry::Registry;
+use support::caller::Request;
+use support::narrow::Narrow;
+use support::{behind, eventually, of_power, route, until_ready};
+use tokio::time::{Instant, sleep};
+
+/// What one connection of a narrow host carries, in bytes a second.
+const RATE: u64 = 40_000;
+
+/// Within this time of its acknowledgement a text is in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+/// A text of so many routes, some 270 bytes each, to one service.
+fn text(revision: u64, routes: usize) -> Text {
+    let first = route("web", Kind::Unsafe);
+    let numbered = |nth: usize| Route {
+        name: format!("r-{nth}").into(),
+        prefix: format!("/web/{nth}/").into(),
+        ..first.clone()
+    };
+    let mut text = support::text(revision, vec![first.clone()]);
+    text.routes = (0..routes).map(numbered).collect();
+    text
+}
+
+/// Whether an entry knows the route with this number; without a target it can't be served.
+async fn knows(entry: &Gateway, nth: usize) -> bool {
+    let request = Request::new("POST", &format!("/web/{nth}/x")).body("b");
+    request.send(entry.callers()).await.status == 503
+}
+
+/// Two strong entries, and twelve weak ones that reach all else over narrow links.
+struct Fleet {
+    leaves: Vec<Gateway>,
+    actives: Vec<(Gateway, Narrow)>,
+    to_registry: Narrow,
+}
+
+impl Fleet {
+    /// Starts a fleet whose links are wide yet, and waits until all are linked.
+    async fn open(registry: &Registry) -> Self {
+        let to_registry = Narrow::to(registry.address());
+        let mut seeds = Vec::new();
+        let mut actives = Vec::new();
+        for nth in 0..2 {
+            let active = behind(registry.address(), &format!("active-{nth}"), &seeds, 1.0).await;
+            seeds.push(active.1.address());
+            actives.push(active);
+        }
+        let mut leaves = Vec::new();
+        for nth in 0..12 {
+            let name = format!("leaf-{nth}");
+            leaves.push(of_power(to_registry.address(), &name, &seeds, 0.1).await);
+        }
+        for entry in leaves.iter().chain(actives.iter().map(|(active, _)| active)) {
+            until_ready(entry).await;
+        }
+        // Links settle: seeds are dialled for three seconds.
+        sleep(Duration::from_secs(4)).await;
+        Self { leaves, actives, to_registry }
+    }
+
+    fn squeeze(&self) {
+        self.actives.iter().for_each(|(_, narrow)| narrow.squeeze(RATE));
+        self.to_registry.squeeze(RATE);
+    }
+
+    /// Links to the actives so far.
+    fn links(&self) -> usize {
+        self.actives.iter().map(|(_, narrow)| narrow.opened()).sum()
+    }
+}
+
+/// Callers are refused with 404 for a route that was published four seconds ago. Two texts of
+/// thousands of routes were published one right after the other. Each active sends the whole text
+/// to every leaf that lacks it, and again as long as it lacks it; two copies are more than the
+/// leaf's link carries before its links count as silent, so it closes them with what had arrived,
+/// dials others, and they begin anew. Played days show it: 148 links lost within a second, each
+/// leaf taking in five times what the two texts are.
+#[ntex::test]
+async fn large_texts_one_after_the_other_are_in_force_in_time() {
+    let registry = Registry::open().await;
+    registry.publish(text(1, 270));
+    let fleet = Fleet::open(&registry).await;
+    fleet.squeeze();
+    let links = fleet.links();
+    registry.publish(text(2, 400));
+    sleep(Duration::from_secs(1)).await;
+    registry.publish(text(3, 401));
+    let published = Instant::now();
+    for leaf in &fleet.leaves {
+        eventually(async || knows(leaf, 400).await).await;
+    }
+    assert!(published.elapsed() < IN_FORCE, "{:?}", published.elapsed());
+    assert_eq!(fleet.links(), links, "no link is lost for what it carries");
+}
