Move the transfer of sections beside the sections, and keep what had come when a peer is lost

Entries of the gateway need what the daemon has: one peer asked at a time, part by part. It moves to fireflyhoist-text, which both use, in place of a second copy. Two faults of it that the gateway would meet: a text from elsewhere ended every fetch and threw away what had come of a newer text; a peer that is lost was waited for two seconds. Ruled out: keeping sections of all texts, which grows without bound.

--- a/crates/daemon/src/process/member.rs
+++ b/crates/daemon/src/process/member.rs
@@ -14,13 +14,13 @@
 use fireflyhoist_policy::version::{
     Asked, Book, Readiness, Stamp, Standing, Verdict, Version, is_watcher, poll_interval,
 };
+use fireflyhoist_text::transfer::{Next, Transfer};
 use fireflyhoist_wire::peer::Frame;
 use fireflyhoist_wire::platform::{Host, Hosts, State};
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 
 use crate::process::settings::Settings;
-use crate::version::transfer::{Next, Transfer};
 
 /// What is to be done after the lock is released.
 #[derive(Debug)]
--- a/crates/daemon/src/version/mod.rs
+++ b/crates/daemon/src/version/mod.rs
@@ -1,7 +1,6 @@
 //! What lives as long as a version of the text is in force.
 
 mod listed;
-pub(crate) mod transfer;
 pub(crate) mod wanted;
 pub(crate) mod watch;
 
--- a/crates/policy/src/version/fetch.rs
+++ b/crates/policy/src/version/fetch.rs
@@ -47,6 +47,21 @@
         }
     }
 
+    /// Whether this neighbour is the one that is asked.
+    pub fn is_from(&self, neighbour: &id::Host) -> bool {
+        self.job.as_ref().is_some_and(|job| job.from == *neighbour)
+    }
+
+    /// A version came from elsewhere: a fetch of one that is no newer ends.
+    pub fn settle(&mut self, stamp: Stamp) {
+        self.job.take_if(|job| job.stamp <= stamp);
+    }
+
+    /// Whether any neighbour is asked.
+    pub fn is_open(&self) -> bool {
+        self.job.is_some()
+    }
+
     /// The fetch has ended, whole or in vain.
     pub fn end(&mut self) {
         self.job = None;
--- a/crates/policy/src/version/mod.rs
+++ b/crates/policy/src/version/mod.rs
@@ -84,6 +84,13 @@
     prefix: u64,
 }
 
+impl Stamp {
+    /// The least stamp of a revision, for what is announced by its revision alone.
+    pub fn least(revision: u64) -> Self {
+        Self { revision, prefix: 0 }
+    }
+}
+
 impl fmt::Display for Stamp {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}-{:012x}", self.revision, self.prefix >> 16)
--- a/crates/text/src/lib.rs
+++ b/crates/text/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod model;
 pub mod section;
 mod source;
+pub mod transfer;
 mod version;
 
 pub use check::MAX_TEXT;
--- a/crates/daemon/src/version/transfer.rs
+++ b/crates/text/src/transfer.rs
@@ -1,17 +1,27 @@
 //! Handing texts to peers and fetching them, section by section.
+//!
+//! One peer is asked at a time, for what is missing, and for the next part when one has come: what
+//! a narrow link carries is never more than one copy of what its host lacks, and other frames wait
+//! behind [`MAX_BATCH`] bytes at most. Whole texts that were sent unasked, and again while the last
+//! copy was on its way, starved the links of each other and of their heartbeats; see
+//! `docs/incidents/texts-late.md`.
 
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::version::{Fetch, Stamp, Version};
-use fireflyhoist_text::section::{Digest, Manifest, Store};
-use fireflyhoist_wire::peer::MAX_BATCH;
+
+use crate::section::{Digest, Manifest, Store};
+
+/// The most bytes of sections that one frame carries; one section is at most 16 KB. On a link of
+/// 10 Mbit/s a heartbeat waits 40 ms behind it.
+pub const MAX_BATCH: usize = 48 << 10;
 
 /// Sections asked for at once: a frame's worth at four kilobytes each.
 const ASKED_AT_ONCE: usize = 12;
 
 /// What to do next about a fetch.
 #[derive(Debug)]
-pub(crate) enum Next {
+pub enum Next {
     /// Nothing; a later heartbeat begins anew where need be.
     Nothing,
     /// Ask the same peer for these sections.
@@ -22,30 +32,48 @@
 
 /// The sections of the text in force, and of the one that is being fetched.
 #[derive(Debug, Default)]
-pub(crate) struct Transfer {
+pub struct Transfer {
     store: Store,
     held: Option<(Version, Manifest)>,
     fetch: Fetch,
     coming: Option<(Version, Manifest)>,
+    /// What the peer was asked for last.
+    asked: Vec<Digest>,
 }
 
 impl Transfer {
-    /// Keeps the sections of the text in force and forgets all others.
-    pub(crate) fn hold(&mut self, version: Version, source: &str) {
+    /// Keeps the sections of the text in force and of one that is being fetched, and forgets all
+    /// others. A fetch of a version that is no newer ends.
+    pub fn hold(&mut self, version: Version, source: &str) {
         let manifest = self.store.split(source);
-        self.store.retain(&[&manifest]);
+        self.fetch.settle(version.stamp());
+        if !self.fetch.is_open() {
+            self.coming = None;
+        }
+        let coming = self.coming.as_ref().map_or(&manifest, |(_, coming)| coming);
+        self.store.retain(&[&manifest, coming]);
         self.held = Some((version, manifest));
-        self.coming = None;
-        self.fetch.end();
+    }
+
+    /// The link to a peer is gone: a fetch from it ends, and what it brought is kept.
+    pub fn lost(&mut self, peer: &id::Host) {
+        if self.fetch.is_from(peer) {
+            self.give_up();
+        }
+    }
+
+    /// The version whose sections are kept.
+    pub fn version(&self) -> Option<Version> {
+        self.held.as_ref().map(|(version, _)| *version)
     }
 
     /// The version in force here and its sections.
-    pub(crate) fn manifest(&self) -> Option<(Version, Manifest)> {
+    pub fn manifest(&self) -> Option<(Version, Manifest)> {
         self.held.clone()
     }
 
     /// The sections of these digests, as many as fit in a frame.
-    pub(crate) fn sections(&self, digests: &[Digest]) -> Vec<String> {
+    pub fn sections(&self, digests: &[Digest]) -> Vec<String> {
         let mut bytes = 0;
         let held = digests.iter().filter_map(|digest| self.store.get(*digest));
         let fitting = held.take_while(|section| {
@@ -56,7 +84,7 @@
     }
 
     /// A peer announced a version that is wanted; whether to ask it for the manifest.
-    pub(crate) fn announced(&mut self, now: Time, from: &id::Host, stamp: Stamp) -> bool {
+    pub fn announced(&mut self, now: Time, from: &id::Host, stamp: Stamp) -> bool {
         let ask = self.fetch.announced(now, from, stamp);
         if ask {
             self.coming = None;
@@ -65,7 +93,7 @@
     }
 
     /// A peer answered with a manifest.
-    pub(crate) fn on_manifest(
+    pub fn on_manifest(
         &mut self,
         now: Time,
         from: &id::Host,
@@ -80,29 +108,22 @@
     }
 
     /// A peer answered with sections.
-    pub(crate) fn on_sections(
-        &mut self,
-        now: Time,
-        from: &id::Host,
-        sections: Vec<String>,
-    ) -> Next {
-        let Some((version, manifest)) = &self.coming else { return Next::Nothing };
+    pub fn on_sections(&mut self, now: Time, from: &id::Host, sections: Vec<String>) -> Next {
+        let Some((version, _)) = &self.coming else { return Next::Nothing };
         if !self.fetch.answered(now, from, version.stamp()) {
             return Next::Nothing;
         }
-        let missing = self.store.missing(manifest);
         // Only what was asked for is kept, or a faulty peer could fill the memory.
-        let wanted: Vec<String> = sections
-            .into_iter()
-            .filter(|section| missing.contains(&Digest::of(section.as_bytes())))
-            .collect();
-        if wanted.is_empty() {
+        for section in sections {
+            if self.asked.contains(&Digest::of(section.as_bytes())) {
+                self.store.insert(section.into_bytes());
+            }
+        }
+        // A peer that has a newer text meanwhile may lack all of it. What came from elsewhere counts.
+        if self.asked.iter().all(|digest| self.store.get(*digest).is_none()) {
             self.give_up();
             return Next::Nothing;
         }
-        for section in wanted {
-            self.store.insert(section.into_bytes());
-        }
         self.advance()
     }
 
@@ -111,6 +132,7 @@
         let mut missing = self.store.missing(manifest);
         if !missing.is_empty() {
             missing.truncate(ASKED_AT_ONCE);
+            self.asked.clone_from(&missing);
             return Next::Ask(missing);
         }
         let version = *version;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -12,9 +12,6 @@
 /// The largest frame in bytes that is read; a batch of sections or a large manifest with room.
 pub const MAX_FRAME: usize = 128 << 10;
 
-/// The most bytes of sections that one frame carries; one section is at most 16 KB.
-pub const MAX_BATCH: usize = 48 << 10;
-
 /// Why a frame is not taken.
 #[derive(Clone, Debug, Display, Error)]
 pub enum FrameError {
@@ -60,7 +57,8 @@
     },
     /// Please send these sections.
     WantSections(Vec<Digest>),
-    /// Sections, as many as fit in [`MAX_BATCH`]; none where the sender lacks them.
+    /// Sections, as many as fit in
+    /// [`MAX_BATCH`](fireflyhoist_text::transfer::MAX_BATCH); none where the sender lacks them.
     Sections(Vec<String>),
 }
 
