Let entries ask for a text by sections instead of sending it whole to whoever lacks it

Cause: each peer that knew a newer text sent it whole, and again each 450 ms for as long as the other lacked it, whether the last copy was on its way or not. Over links of 10 Mbit/s two copies of a text of 4,249 routes take longer than a link may be silent; links were closed with what had arrived, and the next peers began anew. The same for the list of targets. Now the receiver asks, one peer at a time, for the sections that it lacks. Ruled out: the registry's replies (calls were given up only after links were lost) and processors of weak hosts (1% of a core).

--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -7,14 +7,15 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::{Change, Target};
 use fireflyhoist_policy::roster::Member;
-use fireflyhoist_policy::route::Text;
 use fireflyhoist_policy::turn::Ask;
 use fireflyhoist_policy::unit::Tokens;
+use fireflyhoist_policy::version::Version;
+use fireflyhoist_text::section::{Digest, Manifest};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-/// The largest frame that is read; a text of a megabyte fits with room to spare.
-pub(crate) const MAX_FRAME: usize = 8 << 20;
+/// The largest frame that is read: ten thousand targets fit.
+pub(crate) const MAX_FRAME: usize = 2 << 20;
 
 /// A member that is alive, as one that has a link to it says.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -66,8 +67,22 @@
     Alive(Vec<Presence>),
     /// The sender's state; it shows too that the link works.
     Beat(Beat),
-    /// A text newer than the receiver's.
-    Text(Box<Text>),
+    /// Please tell which sections make the text in force at you.
+    WantManifest,
+    /// The sections of a text, in order.
+    Manifest {
+        /// Which text they make.
+        version: Version,
+        /// Its sections.
+        sections: Manifest,
+    },
+    /// Please send these sections.
+    WantSections(Vec<Digest>),
+    /// Sections, as many as fit in [`MAX_BATCH`](fireflyhoist_text::transfer::MAX_BATCH); none
+    /// where the sender lacks them.
+    Sections(Vec<String>),
+    /// Please send all targets.
+    WantTargets,
     /// All targets as of a revision.
     Targets {
         /// The registry's revision.
@@ -153,8 +168,9 @@
             Self::Hello(_) => "hello",
             Self::Alive(_) => "alive",
             Self::Beat(_) => "beat",
-            Self::Text(_) => "text",
-            Self::Targets { .. } => "targets",
+            Self::WantManifest | Self::Manifest { .. } => "manifest",
+            Self::WantSections(_) | Self::Sections(_) => "sections",
+            Self::WantTargets | Self::Targets { .. } => "targets",
             Self::Changes { .. } => "changes",
             Self::Refused { .. } => "refused",
             Self::TurnAsk { .. } | Self::Turn { .. } | Self::TurnDone { .. } => "turn",
--- a/crates/gateway/src/process/fleet/beat.rs
+++ b/crates/gateway/src/process/fleet/beat.rs
@@ -1,7 +1,6 @@
 //! Heartbeats: what an entry tells the others of itself, and what it makes of theirs.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use fireflyhoist_policy::heartbeat::{self, Schedule};
 use fireflyhoist_policy::id;
@@ -10,10 +9,6 @@
 use crate::connection::frame::{Beat, Frame, Held};
 use crate::process::fleet::Fleet;
 
-/// How long a peer may stand behind before it is told all: a few heartbeats, and a fraction of the
-/// two seconds within which a text or a target's leaving must be known.
-const LAG: Duration = Duration::from_millis(450);
-
 impl Fleet {
     /// Tells all entries this one's state.
     pub(crate) fn beat(&self) {
@@ -83,9 +78,7 @@
     }
 
     pub(super) fn take_beat(&self, from: &id::Host, beat: Beat) {
-        if self.lags(from, &beat) {
-            self.catch_up(from, &beat);
-        }
+        self.follow(from, &beat);
         if self.process.set_other(from, Some(beat.held.clone())) {
             self.process.report();
         }
@@ -100,38 +93,4 @@
             self.changed.notify_waiters();
         }
     }
-
-    /// Whether a peer has missed what this entry knows: at once where it knows nothing, else after
-    /// what is on its way has had time to arrive.
-    fn lags(&self, from: &id::Host, beat: &Beat) -> bool {
-        let (text, targets) = (self.process.revision(), self.process.targets_revision());
-        let behind = beat.text < text || beat.targets < targets;
-        let blank = (beat.text == 0 && text > 0) || (beat.targets == 0 && targets > 0);
-        let now = self.now();
-        let mut peers = self.peers.lock();
-        let Some(peer) = peers.get_mut(from) else { return false };
-        if !behind {
-            peer.behind = None;
-            return false;
-        }
-        let since = *peer.behind.get_or_insert(now);
-        let due = blank || now.since(since) >= LAG;
-        if due {
-            peer.behind = Some(now);
-        }
-        due
-    }
-
-    /// Tells a peer the text and the targets that it lacks.
-    fn catch_up(&self, peer: &id::Host, beat: &Beat) {
-        if beat.text < self.process.revision()
-            && let Some(table) = self.process.table()
-        {
-            self.links.send(peer, &Frame::Text(Box::new(table.text().clone())));
-        }
-        if beat.targets < self.process.targets_revision() {
-            let (revision, targets) = self.process.targets();
-            self.links.send(peer, &Frame::Targets { revision, targets });
-        }
-    }
 }
--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -6,6 +6,7 @@
 //! what the receiver told it. `docs/PLATFORM.md` has the figures.
 
 mod beat;
+mod catchup;
 mod look;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -21,6 +22,8 @@
 use fireflyhoist_policy::roster::{self, Member};
 use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::turn::Ask;
+use fireflyhoist_policy::version::Fetch;
+use fireflyhoist_text::transfer::Transfer;
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
@@ -34,6 +37,11 @@
 /// Entries that watch the registry's targets for all: two, so that one may fail unnoticed.
 const WATCHERS: usize = 2;
 
+/// How long a peer may be ahead before it is asked for what it knows: a few heartbeats, in which
+/// changes that are on their way arrive, and a fraction of the two seconds within which a text or a
+/// target's leaving must be known.
+const LAG: Duration = Duration::from_millis(450);
+
 /// Events of links that wait to be handled.
 const BACKLOG: usize = 1_024;
 
@@ -42,8 +50,8 @@
 struct Peer {
     member: Member,
     beat: Option<Beat>,
-    /// Since when it stands behind this entry.
-    behind: Option<Time>,
+    /// Since when it knows more than this entry.
+    ahead: Option<Time>,
     /// Whom it says to be alive.
     told: Vec<Presence>,
     used: Time,
@@ -69,6 +77,10 @@
     view: Mutex<Arc<View>>,
     /// When each address was last dialled, and since when its link is missing.
     dialled: Mutex<HashMap<SocketAddr, (Time, Time)>>,
+    /// Sections of texts, those on their way here included.
+    texts: Mutex<Transfer>,
+    /// Which peer is asked for all targets.
+    lists: Mutex<Fetch>,
     changed: Notify,
     pub(crate) desk: Desk,
 }
@@ -95,6 +107,8 @@
             peers: Mutex::default(),
             view: Mutex::default(),
             dialled: Mutex::default(),
+            texts: Mutex::default(),
+            lists: Mutex::default(),
             changed: Notify::new(),
             desk: Desk::default(),
         });
@@ -288,7 +302,7 @@
     fn up(&self, member: Member) {
         ::log::info!(peer:% = member.host, address:% = member.peers; "peer linked");
         let host = member.host.clone();
-        let peer = Peer { member, beat: None, behind: None, told: Vec::new(), used: self.now() };
+        let peer = Peer { member, beat: None, ahead: None, told: Vec::new(), used: self.now() };
         self.peers.lock().insert(host.clone(), peer);
         self.refresh();
         self.links.send(&host, &Frame::Alive(self.linked()));
@@ -302,6 +316,7 @@
             byte_ms = millis(loss.byte_ago), partial_bytes = loss.partial; "peer lost"
         );
         self.peers.lock().remove(host);
+        self.ask_others(host);
         self.process.set_other(host, None);
         self.refresh();
         self.changed.notify_waiters();
@@ -317,9 +332,11 @@
                 self.refresh();
             }
             Frame::Beat(beat) => self.take_beat(from, beat),
-            Frame::Text(text) => {
-                self.process.adopt(*text, "peer");
-            }
+            Frame::WantManifest => self.send_manifest(from),
+            Frame::Manifest { version, sections } => self.take_manifest(from, version, sections),
+            Frame::WantSections(digests) => self.send_sections(from, &digests),
+            Frame::Sections(sections) => self.take_sections(from, sections),
+            Frame::WantTargets => self.send_targets(from),
             Frame::TurnAsk { engine, ask } => self.desk.ask(self, from, &engine, ask),
             Frame::Turn { engine, request } => self.desk.grant(self, &engine, &request),
             Frame::TurnDone { engine, request } => self.desk.done(self, &engine, &request),
@@ -327,6 +344,7 @@
                 self.process.note_refused(print, Duration::from_millis(age_ms));
             }
             Frame::Targets { revision, targets } => {
+                self.lists.lock().end();
                 self.process.list_targets(revision, targets, "peer");
             }
             Frame::Changes { since, revision, changes } => {
--- a/crates/gateway/src/version/mod.rs
+++ b/crates/gateway/src/version/mod.rs
@@ -2,3 +2,4 @@
 
 pub(crate) mod follow;
 pub(crate) mod report;
+pub(crate) mod source;
--- /dev/null
+++ b/crates/gateway/src/version/source.rs
@@ -0,0 +1,71 @@
+//! Texts as lines, in which form entries hand them to each other.
+//!
+//! One line a service, workspace and route: sections are cut between lines, so that a change of one
+//! route moves the sections around its line and no others. See `fireflyhoist_text::section`.
+
+use derive_more::{Display, Error};
+use fireflyhoist_policy::route::{Bounds, Route, Service, Text, Workspace};
+use serde::{Deserialize, Serialize};
+
+/// One line of a text, which is written from borrowed parts and read into owned ones.
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Line<S, W, R> {
+    /// The first line.
+    Head {
+        revision: u64,
+        bounds: Bounds,
+    },
+    Service(S),
+    Workspace(W),
+    Route(R),
+}
+
+type Read = Line<Service, Workspace, Route>;
+
+/// Lines that are no text.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub(crate) enum SourceError {
+    /// A line can't be read.
+    #[display("line {number} is unreadable ({reason}); run the same release on every entry")]
+    Line { number: usize, reason: String },
+    /// It does not begin with the head.
+    #[display("no head in the first line; run the same release on every entry")]
+    Headless,
+}
+
+/// Writes a text; equal texts give equal bytes on every entry.
+pub(crate) fn write(text: &Text) -> String {
+    let head = Line::Head { revision: text.revision, bounds: text.bounds };
+    let services = text.services.iter().map(Line::Service);
+    let workspaces = text.workspaces.iter().map(Line::Workspace);
+    let routes = text.routes.iter().map(Line::Route);
+    let mut source = String::new();
+    for line in std::iter::once(head).chain(services).chain(workspaces).chain(routes) {
+        source.push_str(&serde_json::to_string(&line).expect("names, numbers and lists are JSON"));
+        source.push('\n');
+    }
+    source
+}
+
+/// Reads what [`write`] wrote.
+pub(crate) fn read(source: &str) -> Result<Text, SourceError> {
+    let mut lines = source.lines().zip(1..).map(|(line, number)| {
+        let line = serde_json::from_str::<Read>(line);
+        line.map_err(|error| SourceError::Line { number, reason: error.to_string() })
+    });
+    let Some(Line::Head { revision, bounds }) = lines.next().transpose()? else {
+        return Err(SourceError::Headless);
+    };
+    let (services, workspaces, routes) = (Vec::new(), Vec::new(), Vec::new());
+    let mut text = Text { revision, routes, services, workspaces, bounds };
+    for line in lines {
+        match line? {
+            Line::Head { .. } => return Err(SourceError::Headless),
+            Line::Service(service) => text.services.push(service),
+            Line::Workspace(workspace) => text.workspaces.push(workspace),
+            Line::Route(route) => text.routes.push(route),
+        }
+    }
+    Ok(text)
+}
