Judge links by the bytes that move on them, not by whole frames

Cause: a link counted as silent when no whole frame had come for 0.9 s, and as stuck when one frame took longer than a second to be written. On a narrow link a heartbeat waits behind a large frame longer than that while bytes arrive all the time; the link was closed, and what had come of the frame was lost. Ruled out: longer limits, which notice a dead link later and are too short for the next larger frame. Before: large_texts_one_after_the_other_are_in_force_in_time fails after 10 s, with texts by sections as well.

--- a/crates/gateway/src/connection/link.rs
+++ b/crates/gateway/src/connection/link.rs
@@ -12,7 +12,7 @@
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, timeout};
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
@@ -20,16 +20,18 @@
 use crate::connection::tally::{Tallied, Tally};
 use crate::connection::traffic::Traffic;
 
-/// A link on which nothing came for this long is closed: three heartbeats.
+/// A link on which no byte came for this long is closed: three heartbeats.
 ///
 /// The failure: something between two ends lost track of their connection, and whoever waits on it
-/// waits for good, while new connections work.
+/// waits for good, while new connections work. Bytes count and not whole frames: a heartbeat that
+/// waits behind a large frame on a narrow link is no silence, and a link that is closed for it
+/// loses what had arrived and begins anew.
 pub(crate) const SILENT: Duration = Duration::from_millis(900);
 
 /// How long connecting and greeting may take together.
 const GREETING: Duration = Duration::from_millis(900);
 
-/// How long one frame may take to be written before the link counts as stuck.
+/// How long a write may stand still before the link counts as stuck.
 const WRITE: Duration = Duration::from_secs(1);
 
 /// Frames that wait for one link; more are dropped, since heartbeats repeat what they say.
@@ -63,7 +65,7 @@
 pub(crate) enum Reason {
     /// Nothing came for [`SILENT`].
     Silent,
-    /// A frame took longer than [`WRITE`] to be written.
+    /// No byte of a frame could be written for [`WRITE`].
     Stuck,
     /// This end closed it, or has a newer one.
     Closed,
@@ -182,7 +184,7 @@
     {
         let (mut sink, mut source) = socket.split();
         let hello = Arc::new(Frame::Hello(self.own.clone()).encode());
-        if !written(&mut sink, &hello).await {
+        if !written(&mut sink, &tally, &hello).await {
             return;
         }
         let first = timeout(GREETING, read(&mut source, &self.traffic)).await;
@@ -197,31 +199,31 @@
         self.open.lock().insert(host.clone(), link);
         let _ = self.events.send(Event::Up(member)).await;
         let mut heard = Instant::now();
-        let mut whole = tally.get().bytes;
+        let mut whole = tally.get().received;
         let reason = loop {
             tokio::select! {
                 frame = outgoing.recv() => match frame {
-                    Some(bytes) if written(&mut sink, &bytes).await => {}
+                    Some(bytes) if written(&mut sink, &tally, &bytes).await => {}
                     Some(_) => break Reason::Stuck,
                     None => break Reason::Closed,
                 },
                 frame = read(&mut source, &self.traffic) => match frame {
                     Some(frame) => {
                         heard = Instant::now();
-                        whole = tally.get().bytes;
+                        whole = tally.get().received;
                         let _ = self.events.send(Event::Frame(host.clone(), frame)).await;
                     }
                     None => break Reason::Ended,
                 },
-                () = sleep_until(heard + SILENT) => break Reason::Silent,
+                () = tally.silent(SILENT) => break Reason::Silent,
             }
         };
-        let arrived = tally.get();
+        let moved = tally.get();
         let loss = Loss {
             reason,
             frame_ago: heard.elapsed(),
-            byte_ago: arrived.at.elapsed(),
-            partial: arrived.bytes.saturating_sub(whole),
+            byte_ago: moved.received_at.elapsed(),
+            partial: moved.received.saturating_sub(whole),
         };
         self.forget(&host, number, loss).await;
     }
@@ -285,10 +287,13 @@
     }
 }
 
-async fn written<S>(sink: &mut S, bytes: &Arc<Vec<u8>>) -> bool
+async fn written<S>(sink: &mut S, tally: &Tally, bytes: &Arc<Vec<u8>>) -> bool
 where
     S: Sink<Message> + Unpin,
 {
     let message = Message::binary(bytes.as_ref().clone());
-    matches!(timeout(WRITE, sink.send(message)).await, Ok(Ok(())))
+    tokio::select! {
+        sent = sink.send(message) => sent.is_ok(),
+        () = tally.stuck(WRITE) => false,
+    }
 }
