Give up a reply of the registry when it pauses, not when it is large

A call of the list had 1.5 s, a watch 0.7 s beyond its wait; a text of a megabyte needs 1.1 s on an idle link of 10 Mbit/s as the registry encodes it. Ruled out: longer limits, which notice a lost reply too late. Before: a_large_text_arrives_over_a_narrow_link_to_the_registry fails, its entry never gets ready within 10 s. After: it passes. a_large_text_arrives_over_a_narrow_link_to_a_peer, new beside it, passes since texts go by sections and links are judged by bytes.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -115,7 +115,7 @@
             headers.append(name.clone(), value);
         }
     }
-    Ok(Response { status: head.status, headers, body, _connection: connection })
+    Ok(Response { status: head.status, headers, body, pause: None, _connection: connection })
 }
 
 fn request(
@@ -138,6 +138,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     body: Incoming,
+    /// The longest time that a part of the body may take to come.
+    pause: Option<Duration>,
     _connection: Connection,
 }
 
@@ -148,7 +150,13 @@
     /// the way looks complete. Only an orderly close counts as its end.
     pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
-            match self.body.frame().await {
+            let frame = match self.pause {
+                None => self.body.frame().await,
+                Some(pause) => {
+                    timeout(pause, self.body.frame()).await.map_err(|()| Failure::Late)?
+                }
+            };
+            match frame {
                 Some(Ok(frame)) => {
                     // Trailers say nothing that the caller asked for.
                     if let Ok(data) = frame.into_data() {
@@ -174,17 +182,34 @@
     }
 }
 
-/// Calls for a whole small reply, as the registry and engines give them.
+/// Calls for a whole small reply, as engines give them.
 pub(crate) async fn call(
     address: SocketAddr,
     outgoing: Outgoing,
     within: Duration,
     limit: usize,
 ) -> Result<(StatusCode, Bytes), Failure> {
-    let exchanged = async {
-        let mut response = send(address, outgoing, within).await?;
-        let body = response.whole(limit).await?;
-        Ok((response.status, body))
-    };
-    timeout(within, exchanged).await.unwrap_or(Err(Failure::Late))
+    timeout(within, fetch(address, outgoing, within, within, limit))
+        .await
+        .unwrap_or(Err(Failure::Late))
+}
+
+/// Calls for a reply that may be large: it begins within `begin`, and goes on after pauses of at
+/// most `pause`.
+///
+/// **Failure:** a limit on the whole is a limit on the size. Over a narrow link a text takes longer
+/// than any limit that notices a lost reply in time; it is given up nearly whole, read again from
+/// the start, and its entry never gets ready. **Guard:** bytes that keep coming are no reason to
+/// give up; `limit` bounds the whole.
+pub(crate) async fn fetch(
+    address: SocketAddr,
+    outgoing: Outgoing,
+    begin: Duration,
+    pause: Duration,
+    limit: usize,
+) -> Result<(StatusCode, Bytes), Failure> {
+    let mut response = send(address, outgoing, begin).await?;
+    response.pause = Some(pause);
+    let body = response.whole(limit).await?;
+    Ok((response.status, body))
 }
--- a/crates/gateway/src/version/follow.rs
+++ b/crates/gateway/src/version/follow.rs
@@ -23,10 +23,14 @@
 use crate::process::fleet::Fleet;
 use crate::process::state::{Process, millis};
 
-/// How long one list call may take: the registry answers in milliseconds, a slow one within some
-/// hundreds.
+/// Within which time the reply to a list call begins: the registry answers in milliseconds, a slow
+/// one within some hundreds.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The longest pause within a reply. Lost packets are sent again within some hundred milliseconds;
+/// a connection that fell silent shows as soon as on a link between entries.
+const REPLY_PAUSE: Duration = Duration::from_millis(900);
+
 /// How long a watch waits for changes. A lost answer is noticed after this and [`WATCH_SLACK`], so
 /// it stays near the bound within which a text must be in force; peers close the gap meanwhile.
 const WATCH_WAIT: Duration = Duration::from_millis(2_500);
@@ -39,7 +43,7 @@
 /// a calm day of the two smaller deployments it costs some 20 calls.
 const WATCH_TARGETS: Duration = Duration::from_secs(1);
 
-/// How much longer than its wait a watch may take.
+/// How much later than after its wait the reply to a watch may begin.
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 
 /// Pauses after failed calls, in milliseconds; each is drawn from its range so that entries don't
@@ -161,11 +165,11 @@
         }
     }
 
-    async fn call(&mut self, path: String, within: Duration) -> Result<Bytes, CallError> {
+    async fn call(&mut self, path: String, begin: Duration) -> Result<Bytes, CallError> {
         self.asked = self.process.clock.now();
         let (method, headers) = (Method::GET, HeaderMap::new());
         let outgoing = Outgoing { method, path, headers, body: Bytes::new() };
-        let called = exchange::call(self.address, outgoing, within, MAX_REPLY).await;
+        let called = exchange::fetch(self.address, outgoing, begin, REPLY_PAUSE, MAX_REPLY).await;
         self.process.metrics.registry_call();
         let (status, body) = called.map_err(CallError::Exchange)?;
         match status {
--- a/crates/gateway/tests/large_texts.rs
+++ b/crates/gateway/tests/large_texts.rs
@@ -10,10 +10,11 @@
 
 use fireflyhoist_gateway::Gateway;
 use fireflyhoist_policy::route::{Kind, Route, Text};
-use fireflyhoist_standin::registry::Registry;
+use fireflyhoist_standin::registry::{Mood, Registry};
 use support::caller::Request;
 use support::narrow::Narrow;
-use support::{behind, eventually, of_power, route, until_ready};
+use support::target::{Standin, answer};
+use support::{behind, eventually, of_power, route, unready, until_ready};
 use tokio::time::{Instant, sleep};
 
 /// What one connection of a narrow host carries, in bytes a second.
@@ -106,3 +107,35 @@
     assert!(published.elapsed() < IN_FORCE, "{:?}", published.elapsed());
     assert_eq!(fleet.links(), links, "no link is lost for what it carries");
 }
+
+/// An entry starts behind a narrow link and never gets ready: its text takes longer to arrive than
+/// the call that reads it may take, so it is given up nearly whole and read again from the start.
+/// Bytes that keep coming are no reason to give up.
+#[ntex::test]
+async fn a_large_text_arrives_over_a_narrow_link_to_the_registry() {
+    let registry = Registry::open().await;
+    registry.publish(text(1, 400));
+    let narrow = Narrow::to(registry.address());
+    narrow.squeeze(RATE);
+    let entry = unready(narrow.address(), "entry-1", &[]).await;
+    until_ready(&entry).await;
+    assert!(knows(&entry, 399).await);
+}
+
+/// The same while the registry is away, with one peer that has the text.
+#[ntex::test]
+async fn a_large_text_arrives_over_a_narrow_link_to_a_peer() {
+    let registry = Registry::open().await;
+    registry.publish(text(1, 400));
+    let target = Standin::open("t-1", "web", |_| answer(200, "web")).await;
+    registry.put(target.listed.clone());
+    let (first, narrow) = behind(registry.address(), "entry-1", &[], 1.0).await;
+    until_ready(&first).await;
+    narrow.squeeze(RATE);
+    let away = Registry::open().await;
+    away.set_mood(Mood::Silent);
+    let second = unready(away.address(), "entry-2", &[first.peers()]).await;
+    until_ready(&second).await;
+    let request = Request::new("POST", "/web/399/x").body("b");
+    assert_eq!(request.send(second.callers()).await.status, 200);
+}
