Let the soak narrow, silence and reset links between entries, with large texts

Why: neither tests nor the soak had a link between entries with any fault, nor a text of more than a few routes; so the incident's fault could not show.

--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -18,7 +18,10 @@
     pub(crate) host: String,
     pub(crate) settings: PathBuf,
     pub(crate) callers: SocketAddr,
+    /// Its way to the registry.
     pub(crate) link: Proxy,
+    /// The way of others to it, where links between entries have faults.
+    pub(crate) peers: Option<Proxy>,
     pub(crate) child: RefCell<Child>,
     pub(crate) starts: Cell<u32>,
     /// Whether somebody is ending or starting it just now.
@@ -57,21 +60,38 @@
     }
 }
 
+/// Where an entry is reached, and what it reaches.
+pub(crate) struct Place {
+    pub(crate) callers: SocketAddr,
+    /// Where it listens for other entries.
+    pub(crate) listen: SocketAddr,
+    pub(crate) peers: Option<Proxy>,
+    pub(crate) link: Proxy,
+}
+
+impl Place {
+    /// Where other entries link to it.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.peers.as_ref().map_or(self.listen, |proxy| proxy.address)
+    }
+}
+
 /// Writes an entry's settings and starts it.
 pub(crate) fn open(
     nth: usize,
-    callers: SocketAddr,
-    peers: &[SocketAddr],
-    link: Proxy,
+    place: Place,
+    seeds: &[SocketAddr],
     logs: &Path,
 ) -> Result<Entry, PlayError> {
     let host = format!("entry-{nth}");
-    let seeds: Vec<String> = peers.iter().take(3).map(|peer| format!("\"{peer}\"")).collect();
-    let (own, registry) = (peers[nth], link.address);
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    let own = place.address();
+    let Place { callers, listen, peers, link } = place;
+    let registry = link.address;
     let settings = format!(
         "host = \"{host}\"\ndomain = \"d-{}\"\ncallers = \"{callers}\"\n\
          readiness = \"127.0.0.1:0\"\ndirectory = \"127.0.0.1:0\"\npeers = \"{own}\"\n\
-         metrics = \"127.0.0.1:0\"\npower = 1\nseeds = [{}]\nregistry = \"{registry}\"\n[bounds]\n\
+         peers_listen = \"{listen}\"\nmetrics = \"127.0.0.1:0\"\npower = 1\nseeds = [{}]\nregistry = \"{registry}\"\n[bounds]\n\
          grace_s = {GRACE_S}\nretry_ratio = 0.2\nretry_burst = 160\nentries_ttl_s = 5\n",
         nth % 2,
         seeds.join(",")
@@ -84,6 +104,7 @@
         settings: path,
         callers,
         link,
+        peers,
         child: RefCell::new(child),
         starts: Cell::default(),
         busy: Cell::default(),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! A seed gives a plan: which fault, when, for how long. Processes are not deterministic, so a report
 //! has the plan, the timeline and the evidence. The programs run on loopback; what they reach of the
-//! registry and of targets goes through proxies that cut, delay, reset and silence. Only processes
+//! registry, of targets and, where asked for, of each other goes through proxies that cut, delay, narrow,
+//! reset and silence. Only processes
 //! that a run started are ever signalled, by their handles.
 
 mod backend;
@@ -33,6 +34,9 @@
     pub seconds: u64,
     /// Entry processes.
     pub processes: usize,
+    /// Whether links between entries have faults and texts are large. Off, a seed's plan is the one
+    /// that it had before there were such faults.
+    pub links: bool,
 }
 
 /// Why a run can't be played.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -22,6 +22,8 @@
     /// Entry processes in each.
     #[bpaf(argument("N"), fallback(4))]
     processes: usize,
+    /// Faults of links between entries, and large texts, as well.
+    links: bool,
     /// Where logs, timelines and plots of seeds that failed are kept.
     #[bpaf(argument("DIR"), fallback(PathBuf::from("target/soak")))]
     report: PathBuf,
@@ -37,7 +39,7 @@
             return ExitCode::from(if wrong { 2 } else { 0 });
         }
     };
-    let size = Size { seconds: flags.seconds, processes: flags.processes };
+    let size = Size { seconds: flags.seconds, processes: flags.processes, links: flags.links };
     let mut failed = 0;
     for seed in flags.seed..flags.seed + flags.seeds {
         let verdict = match play(seed, size, &flags.report).await {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -61,6 +61,12 @@
     Delay(usize),
     /// A target runs what it is asked and loses every other answer.
     Lose(usize),
+    /// Every link of an entry carries little: those of others to it, and its own to the registry.
+    Narrow(usize),
+    /// The links of others to an entry fall silent.
+    Hush(usize),
+    /// The links of others to an entry are reset.
+    ResetPeers(usize),
 }
 
 /// A fault at its time.
@@ -93,10 +99,38 @@
             }
             at += Duration::from_millis(rng.random_range(300..1_800));
         }
+        if size.links {
+            faults.extend(of_links(seed, size, end));
+            faults.sort_by_key(|planned| planned.at);
+        }
         Self { faults, end: end + Duration::from_secs(4) }
     }
 }
 
+/// Faults of links between entries, and texts one after the other while links are narrow. They have a
+/// source of their own, so that all else of the seed stays as it is without them.
+fn of_links(seed: u64, size: Size, end: Duration) -> Vec<Planned> {
+    let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+    let (mut at, mut faults) = (LEAD, Vec::new());
+    while at < end {
+        let span = Duration::from_millis(rng.random_range(1_000..5_000));
+        let entry = rng.random_range(0..size.processes);
+        let fault = match rng.random_range(0..6) {
+            0..3 => Fault::Narrow(entry),
+            3 => Fault::Hush(entry),
+            4 => Fault::ResetPeers(entry),
+            _ => Fault::Publish,
+        };
+        faults.push(Planned { at, span, fault });
+        if matches!(fault, Fault::Narrow(_)) {
+            let soon = at + Duration::from_millis(rng.random_range(0..800));
+            faults.push(Planned { at: soon, span, fault: Fault::Publish });
+        }
+        at += Duration::from_millis(rng.random_range(500..2_500));
+    }
+    faults
+}
+
 fn fault(rng: &mut ChaCha8Rng, entries: usize) -> Fault {
     let entry = rng.random_range(0..entries);
     let target = rng.random_range(0..3 * BACKENDS);
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,4 +1,4 @@
-//! A loopback link that can be cut, cut one way, delayed and reset.
+//! A loopback link that can be cut, cut one way, delayed, narrowed and reset.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -23,8 +23,14 @@
     OneWay,
     /// Passes them on a quarter of a second late.
     Late,
+    /// Each connection carries [`PART`] bytes in [`HOLD`] each way.
+    Narrow,
 }
 
+/// Bytes that a connection in [`Mode::Narrow`] carries in [`HOLD`]: 200 KB/s, so that a large text of a
+/// run takes most of the time in which it must be in force.
+const PART: usize = 4_000;
+
 /// How late a link in [`Mode::Late`] is: half of the shortest route's patience here.
 const LATE: Duration = Duration::from_millis(250);
 
@@ -116,7 +122,9 @@
 ) {
     let mut bytes = vec![0; 16 << 10];
     loop {
-        let count = match from.read(&mut bytes).await {
+        let narrow = shared.mode.get() == Mode::Narrow;
+        let part = if narrow { PART } else { bytes.len() };
+        let count = match from.read(&mut bytes[..part]).await {
             Ok(count) => count,
             Err(_) => return,
         };
@@ -128,6 +136,10 @@
                     sleep(LATE).await;
                     break;
                 }
+                Mode::Narrow => {
+                    sleep(HOLD).await;
+                    break;
+                }
                 Mode::OneWay | Mode::Open => break,
             }
         }
--- a/crates/soak/src/text.rs
+++ b/crates/soak/src/text.rs
@@ -9,6 +9,21 @@
 use crate::backend::SERVICES;
 use crate::caller::{KEY, TIMEOUT};
 
+/// Routes that a large text has beside those in use: 330 KB as entries and the registry write it.
+const FILLER: usize = 1_000;
+
+/// A text of a version with a thousand routes more.
+pub(crate) fn large(version: u64) -> Text {
+    let mut text = text(version);
+    let first = text.routes[0].clone();
+    text.routes.extend((0..FILLER).map(|nth| Route {
+        name: format_smolstr!("filler-{nth}"),
+        prefix: format_smolstr!("/filler/{nth}/"),
+        ..first.clone()
+    }));
+    text
+}
+
 /// The text of a version, which has one route that no other version has.
 pub(crate) fn text(version: u64) -> Text {
     let names = [("look", Kind::Safe), ("send", Kind::Unsafe)];
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -16,12 +16,11 @@
 
 use crate::backend::{Backend, Engines, SERVICES};
 use crate::caller::{self, TIMEOUT};
-use crate::entry::{self, Entry, GRACE_S};
+use crate::entry::{self, Entry, GRACE_S, Place};
 use crate::ledger::{Asked, Disturbed, Ledger, Probed};
 use crate::plan::{BACKENDS, CALM, Fault, LEAD, PROOF, Plan, Planned};
 use crate::proxy::{Mode, Proxy};
-use crate::text::text;
-use crate::{PlayError, Size};
+use crate::{PlayError, Size, text};
 
 /// How long a target serves on after its leaving is known.
 const NOTICE: Duration = Duration::from_secs(2);
@@ -90,6 +89,7 @@
     engines: Rc<Engines>,
     registry: Registry,
     version: Rc<Cell<u64>>,
+    large: bool,
     logs: PathBuf,
     seed: u64,
     seen: Seen,
@@ -114,11 +114,17 @@
             ports.push(Reserved::open().map_err(PlayError::Program)?);
         }
         let (peers, callers) = ports.split_at(size.processes);
-        let peers: Vec<SocketAddr> = peers.iter().map(Reserved::address).collect();
-        let mut entries = Vec::new();
-        for (nth, callers) in callers.iter().enumerate() {
+        let mut places = Vec::new();
+        for (callers, listen) in callers.iter().zip(peers) {
+            let (callers, listen) = (callers.address(), listen.address());
             let link = Proxy::open(registry.address()).await;
-            entries.push(entry::open(nth, callers.address(), &peers, link, logs)?);
+            let peers = if size.links { Some(Proxy::open(listen).await) } else { None };
+            places.push(Place { callers, listen, peers, link });
+        }
+        let seeds: Vec<SocketAddr> = places.iter().take(3).map(Place::address).collect();
+        let mut entries = Vec::new();
+        for (nth, place) in places.into_iter().enumerate() {
+            entries.push(entry::open(nth, place, &seeds, logs)?);
         }
         let world = Self {
             entries: Rc::new(entries),
@@ -129,6 +135,7 @@
             engines,
             registry,
             version: Rc::default(),
+            large: size.links,
             logs: logs.to_owned(),
             seed,
             seen,
@@ -176,6 +183,7 @@
     fn publish(&self) {
         self.version.set(self.version.get() + 1);
         let published = (self.seen.now(), self.version.get());
+        let text = if self.large { text::large } else { text::text };
         self.registry.publish(text(self.version.get()));
         self.seen.ledger.borrow_mut().published.push(published);
     }
@@ -216,6 +224,16 @@
                 self.backends[slot].borrow().set_losing(false);
             }
             Fault::Delay(slot) => self.target_link(slot, Mode::Late, span).await,
+            Fault::Narrow(nth) => {
+                // No disturbance: what an entry owes, it owes on a narrow link as well.
+                self.entries[nth].link.set_mode(Mode::Narrow);
+                self.peers(nth, Mode::Narrow, span).await;
+                self.entries[nth].link.set_mode(Mode::Open);
+            }
+            Fault::Hush(nth) => self.peers(nth, Mode::Silent, span).await,
+            Fault::ResetPeers(nth) => {
+                self.entries[nth].peers.iter().for_each(Proxy::reset);
+            }
         }
     }
 
@@ -320,6 +338,13 @@
         self.entries[nth].link.set_mode(Mode::Open);
     }
 
+    /// Does something to the links of others to an entry.
+    async fn peers(&self, nth: usize, mode: Mode, span: Duration) {
+        self.entries[nth].peers.iter().for_each(|proxy| proxy.set_mode(mode));
+        sleep(span).await;
+        self.entries[nth].peers.iter().for_each(|proxy| proxy.set_mode(Mode::Open));
+    }
+
     async fn target_link(&self, slot: usize, mode: Mode, span: Duration) {
         self.proxies[slot].set_mode(mode);
         sleep(span).await;
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -24,7 +24,19 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_under_faults(seed: u64, seconds: u64) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak");
-    let verdict = play(seed, Size { seconds, processes: 3 }, &report).await.expect("it plays");
+    let size = Size { seconds, processes: 3, links: false };
+    let verdict = play(seed, size, &report).await.expect("it plays");
+    assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
+    assert!(verdict.served() > 50, "{verdict}");
+}
+
+/// The same while links between entries are narrowed, silenced and reset and texts are large.
+#[parameterized(short = { 1, 6 })]
+#[test_macro(ntex::test)]
+async fn promises_hold_on_poor_links(seed: u64, seconds: u64) {
+    let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-links");
+    let size = Size { seconds, processes: 3, links: true };
+    let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
 }
