Say what peers tell each other about texts once, and part the shared state by what it holds

The daemon's and the gateway's frames named the same four messages, and each took them apart by itself. They are one type beside the transfer that answers them.

--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -11,6 +11,7 @@
 use fireflyhoist_standin::fleet::{Fleet, published};
 use fireflyhoist_text::Text;
 use fireflyhoist_text::section::Store;
+use fireflyhoist_text::transfer;
 use fireflyhoist_wire::peer::{self, Frame};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -137,7 +138,8 @@
     let missing = store.missing(&wanted);
     let bytes: usize = missing.iter().filter_map(|digest| next.get(*digest)).map(<[u8]>::len).sum();
     let version = Version::of(2, &changed);
-    let frame = peer::encode(&Frame::Manifest { version, sections: wanted }).len();
+    let frame =
+        peer::encode(&Frame::Text(transfer::Message::Manifest { version, sections: wanted })).len();
     let change = (frame + bytes) as f64;
     println!(
         "text_bytes={} valid={valid} parse_s={parse:.3} split_s={split:.3} sections={} \
--- a/crates/daemon/src/process/member.rs
+++ b/crates/daemon/src/process/member.rs
@@ -96,22 +96,8 @@
         let mut state = self.state.lock();
         match frame {
             Frame::Member(message) => state.member(now, from, message),
-            Frame::WantManifest => {
-                let manifest = state.transfer.manifest();
-                let answer =
-                    manifest.map(|(version, sections)| Frame::Manifest { version, sections });
-                state.reply(from, answer)
-            }
-            Frame::Manifest { version, sections } => {
-                let next = state.transfer.on_manifest(now, from, version, sections);
-                state.next(from, next)
-            }
-            Frame::WantSections(digests) => {
-                let answer = Frame::Sections(state.transfer.sections(&digests));
-                state.reply(from, Some(answer))
-            }
-            Frame::Sections(sections) => {
-                let next = state.transfer.on_sections(now, from, sections);
+            Frame::Text(message) => {
+                let next = state.transfer.take(now, from, message);
                 state.next(from, next)
             }
             // Only the first frames of a link may be these.
@@ -245,9 +231,8 @@
             }
             if self.book.wants(stamp) {
                 self.readiness.announced(stamp);
-                if self.transfer.announced(now, from, stamp) {
-                    steps.extend(self.reply(from, Some(Frame::WantManifest)));
-                }
+                let ask = self.transfer.announced(now, from, stamp);
+                steps.extend(self.reply(from, ask.map(Frame::Text)));
             }
         }
         let actions = self.membership.receive(now, from, message);
@@ -258,7 +243,7 @@
     fn next(&self, from: &id::Host, next: Next) -> Vec<Step> {
         match next {
             Next::Nothing => Vec::new(),
-            Next::Ask(digests) => self.reply(from, Some(Frame::WantSections(digests))),
+            Next::Say(message) => self.reply(from, Some(Frame::Text(message))),
             Next::Whole(version, source) => vec![Step::Text { version, source }],
         }
     }
--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -9,8 +9,7 @@
 use fireflyhoist_policy::roster::Member;
 use fireflyhoist_policy::turn::Ask;
 use fireflyhoist_policy::unit::Tokens;
-use fireflyhoist_policy::version::Version;
-use fireflyhoist_text::section::{Digest, Manifest};
+use fireflyhoist_text::transfer::Message;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -67,20 +66,8 @@
     Alive(Vec<Presence>),
     /// The sender's state; it shows too that the link works.
     Beat(Beat),
-    /// Please tell which sections make the text in force at you.
-    WantManifest,
-    /// The sections of a text, in order.
-    Manifest {
-        /// Which text they make.
-        version: Version,
-        /// Its sections.
-        sections: Manifest,
-    },
-    /// Please send these sections.
-    WantSections(Vec<Digest>),
-    /// Sections, as many as fit in [`MAX_BATCH`](fireflyhoist_text::transfer::MAX_BATCH); none
-    /// where the sender lacks them.
-    Sections(Vec<String>),
+    /// About texts and their sections.
+    Text(Message),
     /// Please send all targets.
     WantTargets,
     /// All targets as of a revision.
@@ -168,8 +155,7 @@
             Self::Hello(_) => "hello",
             Self::Alive(_) => "alive",
             Self::Beat(_) => "beat",
-            Self::WantManifest | Self::Manifest { .. } => "manifest",
-            Self::WantSections(_) | Self::Sections(_) => "sections",
+            Self::Text(_) => "text",
             Self::WantTargets | Self::Targets { .. } => "targets",
             Self::Changes { .. } => "changes",
             Self::Refused { .. } => "refused",
--- a/crates/gateway/src/process/fleet/catchup.rs
+++ b/crates/gateway/src/process/fleet/catchup.rs
@@ -12,8 +12,7 @@
 
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::version::{Stamp, Version};
-use fireflyhoist_text::section::{Digest, Manifest};
-use fireflyhoist_text::transfer::Next;
+use fireflyhoist_text::transfer::{Message, Next};
 
 use crate::connection::frame::{Beat, Frame};
 use crate::process::fleet::{Fleet, LAG};
@@ -49,8 +48,9 @@
     fn want_text(&self, from: &id::Host, revision: u64) {
         // What the text in force and the new one share is not asked for.
         self.hold_text();
-        if self.texts.lock().announced(self.now(), from, Stamp::least(revision)) {
-            self.links.send(from, &Frame::WantManifest);
+        let ask = self.texts.lock().announced(self.now(), from, Stamp::least(revision));
+        if let Some(message) = ask {
+            self.links.send(from, &Frame::Text(message));
         }
     }
 
@@ -71,38 +71,19 @@
         }
     }
 
-    pub(super) fn send_manifest(&self, to: &id::Host) {
-        self.hold_text();
-        let manifest = self.texts.lock().manifest();
-        if let Some((version, sections)) = manifest {
-            self.links.send(to, &Frame::Manifest { version, sections });
-        }
-    }
-
-    pub(super) fn send_sections(&self, to: &id::Host, digests: &[Digest]) {
-        let sections = self.texts.lock().sections(digests);
-        self.links.send(to, &Frame::Sections(sections));
-    }
-
     pub(super) fn send_targets(&self, to: &id::Host) {
         let (revision, targets) = self.process.targets();
         self.links.send(to, &Frame::Targets { revision, targets });
     }
 
-    pub(super) fn take_manifest(&self, from: &id::Host, version: Version, sections: Manifest) {
-        let next = self.texts.lock().on_manifest(self.now(), from, version, sections);
-        self.advance(from, next);
-    }
-
-    pub(super) fn take_sections(&self, from: &id::Host, sections: Vec<String>) {
-        let next = self.texts.lock().on_sections(self.now(), from, sections);
-        self.advance(from, next);
-    }
-
-    fn advance(&self, from: &id::Host, next: Next) {
+    pub(super) fn take_message(&self, from: &id::Host, message: Message) {
+        if message == Message::WantManifest {
+            self.hold_text();
+        }
+        let next = self.texts.lock().take(self.now(), from, message);
         match next {
             Next::Nothing => {}
-            Next::Ask(digests) => self.links.send(from, &Frame::WantSections(digests)),
+            Next::Say(message) => self.links.send(from, &Frame::Text(message)),
             Next::Whole(version, whole) => self.take_text(from, version, &whole),
         }
     }
--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -332,10 +332,7 @@
                 self.refresh();
             }
             Frame::Beat(beat) => self.take_beat(from, beat),
-            Frame::WantManifest => self.send_manifest(from),
-            Frame::Manifest { version, sections } => self.take_manifest(from, version, sections),
-            Frame::WantSections(digests) => self.send_sections(from, &digests),
-            Frame::Sections(sections) => self.take_sections(from, sections),
+            Frame::Text(message) => self.take_message(from, message),
             Frame::WantTargets => self.send_targets(from),
             Frame::TurnAsk { engine, ask } => self.desk.ask(self, from, &engine, ask),
             Frame::Turn { engine, request } => self.desk.grant(self, &engine, &request),
--- a/crates/gateway/src/process/state.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -1,25 +1,27 @@
 //! The state that all requests of a process share, in shards under locks of their own.
 
-use std::collections::{BTreeSet, HashMap};
+mod holdings;
+mod targets;
+
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use fireflyhoist_policy::comeback::{Ledger, Print};
-use fireflyhoist_policy::gate::{self, Holding, Report};
-use fireflyhoist_policy::lease::{Change, Leases, Target};
+use fireflyhoist_policy::gate;
+use fireflyhoist_policy::lease::Leases;
 use fireflyhoist_policy::newcomer::Order;
 use fireflyhoist_policy::retry;
 use fireflyhoist_policy::route::{Table, Text};
 use fireflyhoist_policy::time::Time;
-use fireflyhoist_policy::unit::Tokens;
-use fireflyhoist_policy::{id, lease, placement};
+use fireflyhoist_policy::{id, placement};
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
 
-use crate::connection::frame::{Held, sum};
+use crate::connection::frame::Held;
 use crate::process::clock::Clock;
-use crate::process::lane::{Lane, View};
+use crate::process::lane::Lane;
 use crate::process::metrics::Metrics;
 use crate::process::settings::{Bounds, Settings};
 
@@ -182,80 +184,6 @@
         self.lanes.read().get(service).cloned()
     }
 
-    pub(crate) fn poll_lanes(&self) {
-        self.lanes.read().values().for_each(|lane| lane.poll());
-        let now = self.clock.now();
-        if self.leases.lock().expire(now) {
-            ::log::info!("targets still missing after an outage are gone");
-            self.refresh();
-        }
-    }
-
-    /// Hands the targets known now to the lanes and wakes running answers.
-    fn refresh(&self) {
-        let lanes = self.lanes.read();
-        let mut leases = self.leases.lock();
-        for target in leases.take_restarted() {
-            lanes.values().for_each(|lane| lane.restarted(&target));
-        }
-        for (service, lane) in lanes.iter() {
-            lane.set_targets(leases.ready(service).map(|target| target.id.clone()).collect());
-        }
-        drop(leases);
-        drop(lanes);
-        self.targets.send_modify(|count| *count += 1);
-    }
-
-    /// Takes in a list of all targets.
-    pub(crate) fn list_targets(&self, revision: u64, targets: Vec<Target>, source: &str) -> bool {
-        let now = self.clock.now();
-        self.listed.store(true, Ordering::Release);
-        let count = targets.len();
-        let changed = self.leases.lock().list(now, revision, targets);
-        if changed {
-            ::log::info!(revision = revision, listed = count, source = source; "targets listed");
-            self.refresh();
-        }
-        changed
-    }
-
-    /// Takes in single changes of targets; returns those that were news.
-    pub(crate) fn change_targets(&self, revision: u64, changes: Vec<Change>) -> Vec<Change> {
-        let now = self.clock.now();
-        let news = self.leases.lock().changes(now, revision, changes);
-        for change in &news {
-            let line = describe(change);
-            ::log::info!(revision = revision, change = line.as_str(); "target changed");
-        }
-        if !news.is_empty() {
-            self.refresh();
-        }
-        news
-    }
-
-    /// Notes that a target itself says that it leaves; returns what is to be told to others.
-    pub(crate) fn target_leaves(&self, target: &id::Target) -> Option<Change> {
-        let left = {
-            let mut leases = self.leases.lock();
-            leases.leave(target).then(|| leases.get(target).cloned())?
-        };
-        ::log::info!(target:% = target; "target says that it leaves");
-        self.refresh();
-        left.map(Change::Put)
-    }
-
-    pub(crate) fn outage_over(&self) {
-        self.leases.lock().outage_over(self.clock.now());
-    }
-
-    pub(crate) fn target(&self, id: &id::Target) -> Option<Target> {
-        self.leases.lock().get(id).cloned()
-    }
-
-    pub(crate) fn is_target_ready(&self, id: &id::Target) -> bool {
-        self.leases.lock().is_ready(id)
-    }
-
     /// Notes that a generation was sent, which the other entries should learn of soon.
     pub(crate) fn note_sent(&self) {
         self.sent.notify_one();
@@ -277,111 +205,6 @@
         self.refused.lock().since(self.clock.now(), print)
     }
 
-    /// The other targets of a target's failure domain.
-    pub(crate) fn neighbours(&self, id: &id::Target) -> BTreeSet<id::Target> {
-        let leases = self.leases.lock();
-        let Some(own) = leases.get(id) else { return BTreeSet::new() };
-        let near = leases.all().filter(|t| t.domain == own.domain && t.id != own.id);
-        near.map(|target| target.id.clone()).collect()
-    }
-
-    pub(crate) fn targets(&self) -> (u64, Vec<Target>) {
-        let leases = self.leases.lock();
-        (leases.revision(), leases.all().cloned().collect())
-    }
-
-    pub(crate) fn targets_revision(&self) -> u64 {
-        self.leases.lock().revision()
-    }
-
-    /// Wakes whenever targets change.
-    pub(crate) fn watch_targets(&self) -> watch::Receiver<u64> {
-        self.targets.subscribe()
-    }
-
-    /// Counts tokens of a copy at the target that keeps it, or takes them off again.
-    pub(crate) fn count_copy(&self, target: &id::Target, before: u64, after: u64) {
-        let mut copies = self.copies.lock();
-        let kept = copies.entry(target.clone()).or_default();
-        *kept = (*kept + after).saturating_sub(before);
-        if *kept == 0 {
-            copies.remove(target);
-        }
-    }
-
-    /// What this entry holds at each target.
-    pub(crate) fn held(&self) -> Vec<Held> {
-        let lanes: Vec<Arc<Lane>> = self.lanes.read().values().cloned().collect();
-        let mut held: Vec<Held> = Vec::new();
-        for holding in lanes.iter().flat_map(|lane| lane.holdings()) {
-            let Holding { target, tokens, streams, unread } = holding;
-            held.push(Held { target, tokens, streams, unread, copies: Tokens::default() });
-        }
-        for (target, tokens) in self.copies.lock().iter() {
-            held.push(Held { copies: Tokens::new(*tokens), ..Held::none(target) });
-        }
-        sum(held.iter())
-    }
-
-    /// What this entry and those that `with` picks of the others hold.
-    pub(crate) fn held_with(&self, with: impl Fn(&id::Host) -> bool) -> Vec<Held> {
-        let own = self.held();
-        let others = self.others.lock();
-        let picked = others.iter().filter(|(host, _)| with(host)).flat_map(|(_, held)| held);
-        sum(own.iter().chain(picked))
-    }
-
-    /// Takes in what another entry holds, `None` where it is gone; returns whether that is new.
-    pub(crate) fn set_other(&self, host: &id::Host, held: Option<Vec<Held>>) -> bool {
-        let mut others = self.others.lock();
-        if others.get(host) == held.as_ref() {
-            return false;
-        }
-        match held {
-            Some(held) => others.insert(host.clone(), held),
-            None => others.remove(host),
-        };
-        true
-    }
-
-    /// Whether an entry has told that it holds anything.
-    pub(crate) fn holds(&self, host: &id::Host) -> bool {
-        self.others.lock().get(host).is_some_and(|held| !held.is_empty())
-    }
-
-    /// Tells the gates what all entries together hold at each engine.
-    pub(crate) fn report(&self) {
-        let Some(table) = self.table() else { return };
-        let mut sums: HashMap<id::Target, Sum> = HashMap::new();
-        for held in &self.held() {
-            sums.entry(held.target.clone()).or_default().add(held);
-        }
-        for held in self.others.lock().values().flatten() {
-            let sum = sums.entry(held.target.clone()).or_default();
-            sum.add(held);
-            sum.others_unread += held.unread.get();
-        }
-        for service in &table.text().services {
-            let (Some(engine), Some(lane)) = (&service.engine, self.lane(&service.name)) else {
-                continue;
-            };
-            let leases = self.leases.lock();
-            let views: Vec<View> = leases
-                .ready(&service.name)
-                .map(|target| {
-                    let sum = sums.get(&target.id).copied().unwrap_or_default();
-                    let (capacity, used) = (engine.memory, Tokens::new(sum.tokens));
-                    let report =
-                        Report { capacity, used, running: sum.streams, ..Report::default() };
-                    let unread = Tokens::new(sum.others_unread);
-                    View { target: target.id.clone(), report, unread }
-                })
-                .collect();
-            drop(leases);
-            lane.look(&views);
-        }
-    }
-
     /// Notes how the latest call of the registry went; logs each loss and return.
     pub(crate) fn set_registry(&self, works: bool) {
         if self.registry.swap(works, Ordering::AcqRel) != works {
@@ -437,21 +260,6 @@
     }
 }
 
-/// What all entries hold at one target.
-#[derive(Clone, Copy, Debug, Default)]
-struct Sum {
-    tokens: u64,
-    streams: u32,
-    others_unread: u64,
-}
-
-impl Sum {
-    fn add(&mut self, held: &Held) {
-        self.tokens += held.tokens.get() + held.copies.get();
-        self.streams += held.streams;
-    }
-}
-
 /// A request in progress; a drain waits for it.
 #[derive(Debug)]
 pub(crate) struct Open {
@@ -464,19 +272,6 @@
     }
 }
 
-fn describe(change: &Change) -> String {
-    match change {
-        Change::Put(target) => {
-            let state = match target.state {
-                lease::State::Ready => "ready",
-                lease::State::Draining => "draining",
-            };
-            format!("{} {state} at {}", target.id, target.address)
-        }
-        Change::Gone(id) => format!("{id} gone"),
-    }
-}
-
 /// Milliseconds for log lines.
 pub(crate) fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
--- /dev/null
+++ b/crates/gateway/src/process/state/targets.rs
@@ -0,0 +1,121 @@
+//! Targets as they are listed, change and leave.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+
+use fireflyhoist_policy::id;
+use fireflyhoist_policy::lease::{self, Change, Target};
+use tokio::sync::watch;
+
+use crate::process::state::Process;
+
+impl Process {
+    pub(crate) fn poll_lanes(&self) {
+        self.lanes.read().values().for_each(|lane| lane.poll());
+        let now = self.clock.now();
+        if self.leases.lock().expire(now) {
+            ::log::info!("targets still missing after an outage are gone");
+            self.refresh();
+        }
+    }
+
+    /// Hands the targets known now to the lanes and wakes running answers.
+    pub(super) fn refresh(&self) {
+        let lanes = self.lanes.read();
+        let mut leases = self.leases.lock();
+        for target in leases.take_restarted() {
+            lanes.values().for_each(|lane| lane.restarted(&target));
+        }
+        for (service, lane) in lanes.iter() {
+            lane.set_targets(leases.ready(service).map(|target| target.id.clone()).collect());
+        }
+        drop(leases);
+        drop(lanes);
+        self.targets.send_modify(|count| *count += 1);
+    }
+
+    /// Takes in a list of all targets.
+    pub(crate) fn list_targets(&self, revision: u64, targets: Vec<Target>, source: &str) -> bool {
+        let now = self.clock.now();
+        self.listed.store(true, Ordering::Release);
+        let count = targets.len();
+        let changed = self.leases.lock().list(now, revision, targets);
+        if changed {
+            ::log::info!(revision = revision, listed = count, source = source; "targets listed");
+            self.refresh();
+        }
+        changed
+    }
+
+    /// Takes in single changes of targets; returns those that were news.
+    pub(crate) fn change_targets(&self, revision: u64, changes: Vec<Change>) -> Vec<Change> {
+        let now = self.clock.now();
+        let news = self.leases.lock().changes(now, revision, changes);
+        for change in &news {
+            let line = describe(change);
+            ::log::info!(revision = revision, change = line.as_str(); "target changed");
+        }
+        if !news.is_empty() {
+            self.refresh();
+        }
+        news
+    }
+
+    /// Notes that a target itself says that it leaves; returns what is to be told to others.
+    pub(crate) fn target_leaves(&self, target: &id::Target) -> Option<Change> {
+        let left = {
+            let mut leases = self.leases.lock();
+            leases.leave(target).then(|| leases.get(target).cloned())?
+        };
+        ::log::info!(target:% = target; "target says that it leaves");
+        self.refresh();
+        left.map(Change::Put)
+    }
+
+    pub(crate) fn outage_over(&self) {
+        self.leases.lock().outage_over(self.clock.now());
+    }
+
+    pub(crate) fn target(&self, id: &id::Target) -> Option<Target> {
+        self.leases.lock().get(id).cloned()
+    }
+
+    pub(crate) fn is_target_ready(&self, id: &id::Target) -> bool {
+        self.leases.lock().is_ready(id)
+    }
+
+    /// The other targets of a target's failure domain.
+    pub(crate) fn neighbours(&self, id: &id::Target) -> BTreeSet<id::Target> {
+        let leases = self.leases.lock();
+        let Some(own) = leases.get(id) else { return BTreeSet::new() };
+        let near = leases.all().filter(|t| t.domain == own.domain && t.id != own.id);
+        near.map(|target| target.id.clone()).collect()
+    }
+
+    pub(crate) fn targets(&self) -> (u64, Vec<Target>) {
+        let leases = self.leases.lock();
+        (leases.revision(), leases.all().cloned().collect())
+    }
+
+    pub(crate) fn targets_revision(&self) -> u64 {
+        self.leases.lock().revision()
+    }
+
+    /// Wakes whenever targets change.
+    pub(crate) fn watch_targets(&self) -> watch::Receiver<u64> {
+        self.targets.subscribe()
+    }
+}
+
+fn describe(change: &Change) -> String {
+    match change {
+        Change::Put(target) => {
+            let state = match target.state {
+                lease::State::Ready => "ready",
+                lease::State::Draining => "draining",
+            };
+            format!("{} {state} at {}", target.id, target.address)
+        }
+        Change::Gone(id) => format!("{id} gone"),
+    }
+}
--- a/crates/text/src/transfer.rs
+++ b/crates/text/src/transfer.rs
@@ -9,6 +9,7 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::version::{Fetch, Stamp, Version};
+use serde::{Deserialize, Serialize};
 
 use crate::section::{Digest, Manifest, Store};
 
@@ -19,13 +20,32 @@
 /// Sections asked for at once: a frame's worth at four kilobytes each.
 const ASKED_AT_ONCE: usize = 12;
 
-/// What to do next about a fetch.
+/// What peers say to each other about texts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Message {
+    /// Please tell which sections make the text in force at you.
+    WantManifest,
+    /// The sections of a text, in order.
+    Manifest {
+        /// Which text they make.
+        version: Version,
+        /// Its sections.
+        sections: Manifest,
+    },
+    /// Please send these sections.
+    WantSections(Vec<Digest>),
+    /// Sections, as many as fit in [`MAX_BATCH`]; none where the sender lacks them.
+    Sections(Vec<String>),
+}
+
+/// What to do next after a message.
 #[derive(Debug)]
 pub enum Next {
     /// Nothing; a later heartbeat begins anew where need be.
     Nothing,
-    /// Ask the same peer for these sections.
-    Ask(Vec<Digest>),
+    /// Say this to the same peer.
+    Say(Message),
     /// The whole text has arrived and matches its version.
     Whole(Version, String),
 }
@@ -67,13 +87,34 @@
         self.held.as_ref().map(|(version, _)| *version)
     }
 
+    /// A peer announced a version that is wanted; what to say to it, where it is the one to ask.
+    pub fn announced(&mut self, now: Time, from: &id::Host, stamp: Stamp) -> Option<Message> {
+        self.fetch.announced(now, from, stamp).then(|| {
+            self.coming = None;
+            Message::WantManifest
+        })
+    }
+
+    /// Takes in what a peer says.
+    pub fn take(&mut self, now: Time, from: &id::Host, message: Message) -> Next {
+        match message {
+            Message::WantManifest => self.manifest(),
+            Message::Manifest { version, sections } => {
+                self.on_manifest(now, from, version, sections)
+            }
+            Message::WantSections(digests) => Next::Say(Message::Sections(self.sections(&digests))),
+            Message::Sections(sections) => self.on_sections(now, from, sections),
+        }
+    }
+
     /// The version in force here and its sections.
-    pub fn manifest(&self) -> Option<(Version, Manifest)> {
-        self.held.clone()
+    fn manifest(&self) -> Next {
+        let manifest = |(version, sections)| Next::Say(Message::Manifest { version, sections });
+        self.held.clone().map_or(Next::Nothing, manifest)
     }
 
     /// The sections of these digests, as many as fit in a frame.
-    pub fn sections(&self, digests: &[Digest]) -> Vec<String> {
+    fn sections(&self, digests: &[Digest]) -> Vec<String> {
         let mut bytes = 0;
         let held = digests.iter().filter_map(|digest| self.store.get(*digest));
         let fitting = held.take_while(|section| {
@@ -83,17 +124,8 @@
         fitting.filter_map(|section| String::from_utf8(section.to_vec()).ok()).collect()
     }
 
-    /// A peer announced a version that is wanted; whether to ask it for the manifest.
-    pub fn announced(&mut self, now: Time, from: &id::Host, stamp: Stamp) -> bool {
-        let ask = self.fetch.announced(now, from, stamp);
-        if ask {
-            self.coming = None;
-        }
-        ask
-    }
-
     /// A peer answered with a manifest.
-    pub fn on_manifest(
+    fn on_manifest(
         &mut self,
         now: Time,
         from: &id::Host,
@@ -108,7 +140,7 @@
     }
 
     /// A peer answered with sections.
-    pub fn on_sections(&mut self, now: Time, from: &id::Host, sections: Vec<String>) -> Next {
+    fn on_sections(&mut self, now: Time, from: &id::Host, sections: Vec<String>) -> Next {
         let Some((version, _)) = &self.coming else { return Next::Nothing };
         if !self.fetch.answered(now, from, version.stamp()) {
             return Next::Nothing;
@@ -133,7 +165,7 @@
         if !missing.is_empty() {
             missing.truncate(ASKED_AT_ONCE);
             self.asked.clone_from(&missing);
-            return Next::Ask(missing);
+            return Next::Say(Message::WantSections(missing));
         }
         let version = *version;
         let source = self.store.join(manifest).unwrap_or_default();
--- a/crates/text/tests/transfer.rs
+++ b/crates/text/tests/transfer.rs
@@ -5,7 +5,7 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::version::{Stamp, Version};
-use fireflyhoist_text::transfer::{MAX_BATCH, Next, Transfer};
+use fireflyhoist_text::transfer::{MAX_BATCH, Message, Next, Transfer};
 
 fn host(name: &str) -> id::Host {
     name.parse().expect("a name")
@@ -33,27 +33,32 @@
 }
 
 /// Answers what `to` asks `from` for, for at most so many rounds.
-fn carry(to: &mut Transfer, from: &Transfer, mut next: Next, rounds: usize) -> (Next, Sent) {
+fn carry(to: &mut Transfer, from: &mut Transfer, mut next: Next, rounds: usize) -> (Next, Sent) {
     let mut sent = Sent::default();
-    while let Next::Ask(digests) = &next {
+    while let Next::Say(asked @ Message::WantSections(_)) = &next {
         if sent.rounds == rounds {
             break;
         }
-        let sections = from.sections(digests);
+        let Next::Say(answer) = from.take(Time::ZERO, &host("to"), asked.clone()) else {
+            panic!("it answers");
+        };
+        let Message::Sections(sections) = &answer else { panic!("with sections") };
         let bytes = sections.iter().map(String::len).sum();
         sent =
             Sent { rounds: sent.rounds + 1, bytes: sent.bytes + bytes, most: sent.most.max(bytes) };
-        next = to.on_sections(Time::ZERO, &host("peer"), sections);
+        next = to.take(Time::ZERO, &host("peer"), answer);
     }
     (next, sent)
 }
 
 /// Begins to fetch what `from` holds.
-fn begin(to: &mut Transfer, from: &Transfer, peer: &str) -> Next {
-    let (version, manifest) = from.manifest().expect("it holds a text");
-    let announced = Stamp::least(version.revision());
-    assert!(to.announced(Time::ZERO, &host(peer), announced));
-    to.on_manifest(Time::ZERO, &host(peer), version, manifest)
+fn begin(to: &mut Transfer, from: &mut Transfer) -> Next {
+    let revision = from.version().expect("it holds a text").revision();
+    let ask = to.announced(Time::ZERO, &host("peer"), Stamp::least(revision));
+    let Next::Say(answer) = from.take(Time::ZERO, &host("to"), ask.expect("it asks")) else {
+        panic!("it answers");
+    };
+    to.take(Time::ZERO, &host("peer"), answer)
 }
 
 /// A change of one route moves the whole text of a megabyte to each of hundreds of hosts, and their
@@ -63,9 +68,9 @@
     let old = source(1, 4_000);
     let mut to = holding(&old);
     let new = source(2, 4_001);
-    let from = holding(&new);
-    let next = begin(&mut to, &from, "peer");
-    let (next, sent) = carry(&mut to, &from, next, usize::MAX);
+    let mut from = holding(&new);
+    let next = begin(&mut to, &mut from);
+    let (next, sent) = carry(&mut to, &mut from, next, usize::MAX);
     assert!(matches!(next, Next::Whole(version, whole) if version == new.0 && whole == new.1));
     assert!(sent.bytes < 40 << 10, "{} of {} bytes", sent.bytes, new.1.len());
 }
@@ -75,10 +80,10 @@
 #[test]
 fn a_text_comes_in_parts() {
     let new = source(2, 8_000);
-    let from = holding(&new);
+    let mut from = holding(&new);
     let mut to = Transfer::default();
-    let next = begin(&mut to, &from, "peer");
-    let (next, sent) = carry(&mut to, &from, next, usize::MAX);
+    let next = begin(&mut to, &mut from);
+    let (next, sent) = carry(&mut to, &mut from, next, usize::MAX);
     assert!(matches!(next, Next::Whole(_, whole) if whole == new.1));
     assert!(sent.most <= MAX_BATCH, "{}", sent.most);
     assert!(sent.bytes < new.1.len() * 11 / 10, "{} of {}", sent.bytes, new.1.len());
@@ -89,17 +94,17 @@
 #[test]
 fn what_had_come_is_kept_when_its_peer_is_lost() {
     let new = source(2, 8_000);
-    let from = holding(&new);
+    let mut from = holding(&new);
     let mut to = Transfer::default();
-    let next = begin(&mut to, &from, "peer");
-    let (next, first) = carry(&mut to, &from, next, 4);
-    assert!(matches!(next, Next::Ask(_)), "it is not whole yet");
+    let next = begin(&mut to, &mut from);
+    let (next, first) = carry(&mut to, &mut from, next, 4);
+    assert!(matches!(next, Next::Say(_)), "it is not whole yet");
     to.lost(&host("another"));
     let announced = Stamp::least(2);
-    assert!(!to.announced(Time::ZERO, &host("other"), announced), "the first is still asked");
+    assert_eq!(to.announced(Time::ZERO, &host("other"), announced), None, "one at a time");
     to.lost(&host("peer"));
-    let next = begin(&mut to, &from, "peer");
-    let (next, second) = carry(&mut to, &from, next, usize::MAX);
+    let next = begin(&mut to, &mut from);
+    let (next, second) = carry(&mut to, &mut from, next, usize::MAX);
     assert!(matches!(next, Next::Whole(_, whole) if whole == new.1));
     assert!(first.bytes + second.bytes < new.1.len() * 11 / 10);
 }
@@ -109,18 +114,18 @@
 #[test]
 fn a_text_from_elsewhere_ends_only_what_it_replaces() {
     let newest = source(3, 8_000);
-    let from = holding(&newest);
+    let mut from = holding(&newest);
     let mut to = Transfer::default();
-    let next = begin(&mut to, &from, "peer");
-    let (next, _) = carry(&mut to, &from, next, 4);
+    let next = begin(&mut to, &mut from);
+    let (next, _) = carry(&mut to, &mut from, next, 4);
     let (version, older) = source(2, 8_000);
     to.hold(version, &older);
-    let (next, _) = carry(&mut to, &from, next, usize::MAX);
+    let (next, _) = carry(&mut to, &mut from, next, usize::MAX);
     assert!(matches!(next, Next::Whole(version, _) if version == newest.0));
     let mut to = Transfer::default();
-    let next = begin(&mut to, &from, "peer");
+    let next = begin(&mut to, &mut from);
     to.hold(newest.0, &newest.1);
-    let Next::Nothing = carry(&mut to, &from, next, usize::MAX).0 else {
+    let Next::Nothing = carry(&mut to, &mut from, next, usize::MAX).0 else {
         panic!("what is held is not fetched");
     };
 }
@@ -129,9 +134,9 @@
 /// its patience any other is asked.
 #[test]
 fn a_peer_that_stops_is_replaced() {
-    let from = holding(&source(2, 8_000));
+    let mut from = holding(&source(2, 8_000));
     let mut to = Transfer::default();
-    let Next::Ask(_) = begin(&mut to, &from, "peer") else { panic!("it asks") };
+    let Next::Say(_) = begin(&mut to, &mut from) else { panic!("it asks") };
     let late = Time::ZERO + Duration::from_secs(2);
-    assert!(to.announced(late, &host("other"), Stamp::least(2)));
+    assert_eq!(to.announced(late, &host("other"), Stamp::least(2)), Some(Message::WantManifest));
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -4,8 +4,7 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::member::Message;
 use fireflyhoist_policy::member::proof::{Challenge, Proof};
-use fireflyhoist_policy::version::Version;
-use fireflyhoist_text::section::{Digest, Manifest};
+use fireflyhoist_text::transfer;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
@@ -46,20 +45,8 @@
     },
     /// About membership.
     Member(Message),
-    /// Please tell which sections make the text in force at you.
-    WantManifest,
-    /// The sections of a text, in order.
-    Manifest {
-        /// The version of the text.
-        version: Version,
-        /// Its sections.
-        sections: Manifest,
-    },
-    /// Please send these sections.
-    WantSections(Vec<Digest>),
-    /// Sections, as many as fit in
-    /// [`MAX_BATCH`](fireflyhoist_text::transfer::MAX_BATCH); none where the sender lacks them.
-    Sections(Vec<String>),
+    /// About texts and their sections.
+    Text(transfer::Message),
 }
 
 /// Encodes a frame.
