Tell a write that fails from one that stands still

Cause: both ended a link as 'stuck', so a peer that resets its connections looks like a link that carries nothing. Ruled out: a reason more; the other end did end it. links and large_texts pass after it (5 tests).

--- a/crates/gateway/src/connection/link.rs
+++ b/crates/gateway/src/connection/link.rs
@@ -69,7 +69,7 @@
     Stuck,
     /// This end closed it, or has a newer one.
     Closed,
-    /// The other end closed it, or sent what is no frame.
+    /// The other end closed or reset it, or sent what is no frame.
     Ended,
 }
 
@@ -184,7 +184,7 @@
     {
         let (mut sink, mut source) = socket.split();
         let hello = Arc::new(Frame::Hello(self.own.clone()).encode());
-        if !written(&mut sink, &tally, &hello).await {
+        if written(&mut sink, &tally, &hello).await.is_err() {
             return;
         }
         let first = timeout(GREETING, read(&mut source, &self.traffic)).await;
@@ -203,8 +203,11 @@
         let reason = loop {
             tokio::select! {
                 frame = outgoing.recv() => match frame {
-                    Some(bytes) if written(&mut sink, &tally, &bytes).await => {}
-                    Some(_) => break Reason::Stuck,
+                    Some(bytes) => {
+                        if let Err(reason) = written(&mut sink, &tally, &bytes).await {
+                            break reason;
+                        }
+                    }
                     None => break Reason::Closed,
                 },
                 frame = read(&mut source, &self.traffic) => match frame {
@@ -287,13 +290,13 @@
     }
 }
 
-async fn written<S>(sink: &mut S, tally: &Tally, bytes: &Arc<Vec<u8>>) -> bool
+async fn written<S>(sink: &mut S, tally: &Tally, bytes: &Arc<Vec<u8>>) -> Result<(), Reason>
 where
     S: Sink<Message> + Unpin,
 {
     let message = Message::binary(bytes.as_ref().clone());
     tokio::select! {
-        sent = sink.send(message) => sent.is_ok(),
-        () = tally.stuck(WRITE) => false,
+        sent = sink.send(message) => sent.map_err(|_| Reason::Ended),
+        () = tally.stuck(WRITE) => Err(Reason::Stuck),
     }
 }
