Show links that are closed for what their own end writes, failing

Seen, with printed times of writes and losses, one end writing lists of 250 KB to six others over 40 KB/s each: links closed as silent, their latest byte 1.3 to 1.5 s old, in the moment in which a write of as long ended; and links closed as stuck after a write had begun 1.4 to 1.9 s before, while the other end read 45 to 50 KB/s all the time. The first: one task reads and writes in turns. The second: a system takes no byte for sending until a third of what it holds is gone.

Ruled out: that the test's only thread had no turn, which showed at first with lists of a megabyte (all links lost within a millisecond, the same 1.04 s at both ends) and is no fault of links; the lists are smaller now. On loopback a system takes in two megabytes at once and no write waits; connections with packets of 1,400 bytes show it as it is on a network.

--- a/crates/gateway/tests/links.rs
+++ b/crates/gateway/tests/links.rs
@@ -2,10 +2,22 @@
 
 mod support;
 
+use std::time::Duration;
+
+use fireflyhoist_gateway::Gateway;
+use fireflyhoist_policy::lease::Target;
 use fireflyhoist_policy::route::Kind;
-use fireflyhoist_standin::registry::Registry;
+use fireflyhoist_standin::registry::{Mood, Registry};
 use support::caller::Request;
+use support::target::{Standin, answer};
 use support::{behind, eventually, route, text, unready, until_ready};
+use tokio::time::sleep;
+
+/// Whether the metrics of an entry have a line that begins so.
+async fn says(entry: &Gateway, what: &str) -> bool {
+    let page = Request::get("/metrics").send(entry.metrics()).await.body;
+    page.contains(&format!("fireflyhoist_{what}"))
+}
 
 /// An entry serves an old text and nobody can tell why: its links came and went. The metrics say
 /// how many ended for which reason, and what they carried by kind of frame.
@@ -16,12 +28,39 @@
     let (first, link) = behind(registry.address(), "entry-1", &[], 1.0).await;
     let second = unready(registry.address(), "entry-2", &[first.peers()]).await;
     until_ready(&second).await;
-    let says = async |what: &str| {
-        let page = Request::get("/metrics").send(second.metrics()).await.body;
-        page.contains(&format!("fireflyhoist_{what}"))
-    };
-    eventually(async || says(r#"link_bytes_total{frame="beat",way="received"}"#).await).await;
-    assert!(!says("links_lost_total{").await);
+    let beats = r#"link_bytes_total{frame="beat",way="received"}"#;
+    eventually(async || says(&second, beats).await).await;
+    assert!(!says(&second, "links_lost_total{").await);
     link.hold();
-    eventually(async || says(r#"links_lost_total{reason="silent"}"#).await).await;
+    eventually(async || says(&second, r#"links_lost_total{reason="silent"}"#).await).await;
+}
+
+/// A link is closed, as silent or as stuck, although bytes never ceased to come and to go on it. Its
+/// end writes a list that a narrow link takes seconds for. It reads nothing meanwhile, so that the
+/// latest byte which it has read is old in the end; and a system that took in a hundred kilobytes takes
+/// no more until a third of them are gone, which looks like a write that stands still. Printed times
+/// of writes and losses showed both.
+#[ntex::test]
+async fn a_link_is_not_closed_for_what_its_end_writes() {
+    // A quarter of a megabyte, of which the sockets between hold a part.
+    const TARGETS: usize = 2_500;
+    let registry = Registry::open().await;
+    registry.publish(text(1, vec![route("web", Kind::Unsafe)]));
+    let standin = Standin::open("t-0", "web", |_| answer(200, "web")).await;
+    for nth in 0..TARGETS {
+        let id = format!("t-{nth}").parse().expect("a name");
+        registry.put(Target { id, ..standin.listed.clone() });
+    }
+    let (first, narrow) = behind(registry.address(), "entry-1", &[], 1.0).await;
+    until_ready(&first).await;
+    narrow.small_packets();
+    narrow.squeeze(40_000);
+    let away = Registry::open().await;
+    away.set_mood(Mood::Silent);
+    let mut others = Vec::new();
+    for nth in 2..8 {
+        others.push(unready(away.address(), &format!("entry-{nth}"), &[first.peers()]).await);
+    }
+    sleep(Duration::from_secs(6)).await;
+    assert!(!says(&first, "links_lost_total{").await);
 }
--- a/crates/gateway/tests/support/narrow.rs
+++ b/crates/gateway/tests/support/narrow.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -17,6 +18,9 @@
 /// sender has written and not behind the proxy.
 const WINDOW: u32 = 8 << 10;
 
+/// Bytes in a packet where packets are small, as on an Ethernet.
+const SMALL: u32 = 1_400;
+
 /// A link to one address, whose connections each carry so many bytes a second towards whoever
 /// opened them.
 #[derive(Debug)]
@@ -30,6 +34,7 @@
     /// Bytes a second; 0 where nothing bounds it.
     rate: AtomicU64,
     held: AtomicBool,
+    small: AtomicBool,
     opened: AtomicUsize,
 }
 
@@ -68,6 +73,12 @@
         self.shared.held.store(true, Ordering::Relaxed);
     }
 
+    /// Carries small packets on connections from now on. A system takes in as many bytes for sending
+    /// as some packets hold, which on loopback is two megabytes and more; then no write ever waits.
+    pub(crate) fn small_packets(&self) {
+        self.shared.small.store(true, Ordering::Relaxed);
+    }
+
     /// Connections so far.
     pub(crate) fn opened(&self) -> usize {
         self.shared.opened.load(Ordering::Relaxed)
@@ -95,6 +106,9 @@
 async fn carry(shared: Arc<Shared>, near: TcpStream, to: SocketAddr) {
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.set_recv_buffer_size(WINDOW).expect("a small window");
+    if shared.small.load(Ordering::Relaxed) {
+        SockRef::from(&socket).set_tcp_mss(SMALL).expect("small packets");
+    }
     let Ok(far) = socket.connect(to).await else { return };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let (near_read, near_write) = near.into_split();
