Read links while they are written, and judge them by what comes alone

Cause: one task read a link and wrote it in turns. After a write of seconds the latest byte that it had read was old, and the link counted as silent. And a write that stood still for a second counted as stuck, while a system takes in no more bytes until a third of those that it holds are gone, which on a narrow link takes longer. Either way the transfer itself ends the link, and begins anew.

Ruled out that the limit on writes is needed: an end that gets nothing closes the link as silent, and its other end hears of that (asserted in the test of link metrics). With reading beside writing an end that waits to write sees silence as well.

Buys: links on which bytes keep moving stay.

--- a/crates/gateway/src/connection/link.rs
+++ b/crates/gateway/src/connection/link.rs
@@ -25,15 +25,12 @@
 /// The failure: something between two ends lost track of their connection, and whoever waits on it
 /// waits for good, while new connections work. Bytes count and not whole frames: a heartbeat that
 /// waits behind a large frame on a narrow link is no silence, and a link that is closed for it
-/// loses what had arrived and begins anew.
+/// loses what had arrived and begins anew. Both ends judge by what comes, and by nothing else.
 pub(crate) const SILENT: Duration = Duration::from_millis(900);
 
 /// How long connecting and greeting may take together.
 const GREETING: Duration = Duration::from_millis(900);
 
-/// How long a write may stand still before the link counts as stuck.
-const WRITE: Duration = Duration::from_secs(1);
-
 /// Frames that wait for one link; more are dropped, since heartbeats repeat what they say.
 const BACKLOG: usize = 64;
 
@@ -65,8 +62,6 @@
 pub(crate) enum Reason {
     /// Nothing came for [`SILENT`].
     Silent,
-    /// No byte of a frame could be written for [`WRITE`].
-    Stuck,
     /// This end closed it, or has a newer one.
     Closed,
     /// The other end closed or reset it, or sent what is no frame.
@@ -78,13 +73,36 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Silent => "silent",
-            Self::Stuck => "stuck",
             Self::Closed => "closed",
             Self::Ended => "ended",
         }
     }
 }
 
+/// When the latest whole frame came on a link.
+struct Heard {
+    at: Instant,
+    /// Bytes that had come by then.
+    received: u64,
+}
+
+impl Heard {
+    fn now(tally: &Tally) -> Self {
+        Self { at: Instant::now(), received: tally.get().received }
+    }
+
+    /// What is to be said of a link that ends for this reason.
+    fn loss(&self, reason: Reason, tally: &Tally) -> Loss {
+        let arrived = tally.get();
+        Loss {
+            reason,
+            frame_ago: self.at.elapsed(),
+            byte_ago: arrived.received_at.elapsed(),
+            partial: arrived.received.saturating_sub(self.received),
+        }
+    }
+}
+
 /// All links of one entry.
 #[derive(Debug)]
 pub(crate) struct Links {
@@ -183,52 +201,60 @@
         S: Stream<Item = Result<Message, E>> + Sink<Message> + Unpin,
     {
         let (mut sink, mut source) = socket.split();
-        let hello = Arc::new(Frame::Hello(self.own.clone()).encode());
-        if written(&mut sink, &tally, &hello).await.is_err() {
-            return;
-        }
-        let first = timeout(GREETING, read(&mut source, &self.traffic)).await;
-        let Ok(Some(Frame::Hello(member))) = first else { return };
+        let Some(member) = self.greet(&mut sink, &mut source).await else { return };
         let host = member.host.clone();
-        if host == self.own.host {
-            return;
-        }
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let (frames, mut outgoing) = mpsc::channel(BACKLOG);
+        let (frames, outgoing) = mpsc::channel(BACKLOG);
         let link = Link { number, member: member.clone(), frames };
         self.open.lock().insert(host.clone(), link);
         let _ = self.events.send(Event::Up(member)).await;
-        let mut heard = Instant::now();
-        let mut whole = tally.get().received;
-        let reason = loop {
-            tokio::select! {
-                frame = outgoing.recv() => match frame {
-                    Some(bytes) => {
-                        if let Err(reason) = written(&mut sink, &tally, &bytes).await {
-                            break reason;
-                        }
-                    }
-                    None => break Reason::Closed,
-                },
-                frame = read(&mut source, &self.traffic) => match frame {
-                    Some(frame) => {
-                        heard = Instant::now();
-                        whole = tally.get().received;
-                        let _ = self.events.send(Event::Frame(host.clone(), frame)).await;
-                    }
-                    None => break Reason::Ended,
-                },
-                () = tally.silent(SILENT) => break Reason::Silent,
-            }
+        let mut heard = Heard::now(&tally);
+        // Reading goes on while a frame is written, and comes first: what waits to be read is no
+        // silence. Writing has no limit of its own: a system takes bytes in lumps, some of them after
+        // seconds on a narrow link, and an end that gets none closes the link as silent.
+        let reason = tokio::select! {
+            biased;
+            reason = self.read_all(&host, &mut source, &tally, &mut heard) => reason,
+            reason = write_all(&mut sink, outgoing) => reason,
+            () = tally.silent(SILENT) => Reason::Silent,
         };
-        let moved = tally.get();
-        let loss = Loss {
-            reason,
-            frame_ago: heard.elapsed(),
-            byte_ago: moved.received_at.elapsed(),
-            partial: moved.received.saturating_sub(whole),
+        self.forget(&host, number, heard.loss(reason, &tally)).await;
+    }
+
+    /// Says who this end is, and returns who the other one is; `None` where it is this entry itself,
+    /// or does not say.
+    async fn greet<S, R, E>(&self, sink: &mut S, source: &mut R) -> Option<Member>
+    where
+        S: Sink<Message> + Unpin,
+        R: Stream<Item = Result<Message, E>> + Unpin,
+    {
+        let hello = Arc::new(Frame::Hello(self.own.clone()).encode());
+        let greeted = async {
+            write(sink, &hello).await.ok()?;
+            read(source, &self.traffic).await
         };
-        self.forget(&host, number, loss).await;
+        match timeout(GREETING, greeted).await {
+            Ok(Some(Frame::Hello(member))) if member.host != self.own.host => Some(member),
+            _ => None,
+        }
+    }
+
+    /// Hands on frames until none can be read any more.
+    async fn read_all<R, E>(
+        &self,
+        host: &id::Host,
+        source: &mut R,
+        tally: &Tally,
+        heard: &mut Heard,
+    ) -> Reason
+    where
+        R: Stream<Item = Result<Message, E>> + Unpin,
+    {
+        while let Some(frame) = read(source, &self.traffic).await {
+            *heard = Heard::now(tally);
+            let _ = self.events.send(Event::Frame(host.clone(), frame)).await;
+        }
+        Reason::Ended
     }
 
     async fn forget(&self, host: &id::Host, number: u64, loss: Loss) {
@@ -290,13 +316,22 @@
     }
 }
 
-async fn written<S>(sink: &mut S, tally: &Tally, bytes: &Arc<Vec<u8>>) -> Result<(), Reason>
+/// Writes the frames that are queued until no more can be.
+async fn write_all<S>(sink: &mut S, mut frames: mpsc::Receiver<Arc<Vec<u8>>>) -> Reason
 where
     S: Sink<Message> + Unpin,
 {
-    let message = Message::binary(bytes.as_ref().clone());
-    tokio::select! {
-        sent = sink.send(message) => sent.map_err(|_| Reason::Ended),
-        () = tally.stuck(WRITE) => Err(Reason::Stuck),
+    while let Some(bytes) = frames.recv().await {
+        if write(sink, &bytes).await.is_err() {
+            return Reason::Ended;
+        }
     }
+    Reason::Closed
+}
+
+async fn write<S>(sink: &mut S, bytes: &Arc<Vec<u8>>) -> Result<(), S::Error>
+where
+    S: Sink<Message> + Unpin,
+{
+    sink.send(Message::binary(bytes.as_ref().clone())).await
 }
--- a/crates/gateway/src/connection/tally.rs
+++ b/crates/gateway/src/connection/tally.rs
@@ -1,4 +1,4 @@
-//! A socket that knows when bytes last moved on it.
+//! A socket that knows when bytes last came on it.
 
 use std::io;
 use std::pin::Pin;
@@ -10,41 +10,29 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, sleep_until};
 
-/// What has moved on a socket so far.
+/// What has come on a socket so far.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Moved {
+pub(crate) struct Arrived {
     /// When the latest bytes came; when it was opened, where none did.
     pub(crate) received_at: Instant,
     /// How many have come in all.
     pub(crate) received: u64,
-    /// When the latest bytes were taken for sending; when it was opened, where none were.
-    pub(crate) sent_at: Instant,
 }
 
-/// Reads [`Moved`] while its socket is in use elsewhere.
+/// Reads [`Arrived`] while its socket is in use elsewhere.
 #[derive(Clone, Debug)]
-pub(crate) struct Tally(Arc<Mutex<Moved>>);
+pub(crate) struct Tally(Arc<Mutex<Arrived>>);
 
 impl Tally {
-    /// What has moved so far.
-    pub(crate) fn get(&self) -> Moved {
+    /// What has come so far.
+    pub(crate) fn get(&self) -> Arrived {
         *self.0.lock()
     }
 
     /// Waits until no byte has come for `span`.
     pub(crate) async fn silent(&self, span: Duration) {
-        self.idle(span, |moved| moved.received_at).await;
-    }
-
-    /// Waits until no byte has been taken for sending for `span`, which begins now at the earliest.
-    pub(crate) async fn stuck(&self, span: Duration) {
-        let began = Instant::now();
-        self.idle(span, |moved| moved.sent_at.max(began)).await;
-    }
-
-    async fn idle(&self, span: Duration, since: impl Fn(Moved) -> Instant) {
         loop {
-            let end = since(self.get()) + span;
+            let end = self.get().received_at + span;
             if Instant::now() >= end {
                 return;
             }
@@ -53,7 +41,7 @@
     }
 }
 
-/// A socket that counts what moves.
+/// A socket that counts what comes.
 #[derive(Debug)]
 pub(crate) struct Tallied<S> {
     socket: S,
@@ -64,8 +52,8 @@
     /// Counts from now on; the tally is read by whoever judges the connection.
     pub(crate) fn open(socket: S) -> (Self, Tally) {
         let now = Instant::now();
-        let moved = Moved { received_at: now, received: 0, sent_at: now };
-        let tally = Tally(Arc::new(Mutex::new(moved)));
+        let arrived = Arrived { received_at: now, received: 0 };
+        let tally = Tally(Arc::new(Mutex::new(arrived)));
         (Self { socket, tally: tally.clone() }, tally)
     }
 }
@@ -80,9 +68,9 @@
         ready!(Pin::new(&mut self.socket).poll_read(context, buffer))?;
         let count = buffer.filled().len() - before;
         if count > 0 {
-            let mut moved = self.tally.0.lock();
-            moved.received_at = Instant::now();
-            moved.received += count as u64;
+            let mut arrived = self.tally.0.lock();
+            arrived.received_at = Instant::now();
+            arrived.received += count as u64;
         }
         Poll::Ready(Ok(()))
     }
@@ -94,9 +82,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let count = ready!(Pin::new(&mut self.socket).poll_write(context, bytes))?;
-        self.tally.0.lock().sent_at = Instant::now();
-        Poll::Ready(Ok(count))
+        Pin::new(&mut self.socket).poll_write(context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/gateway/tests/links.rs
+++ b/crates/gateway/tests/links.rs
@@ -33,6 +33,8 @@
     assert!(!says(&second, "links_lost_total{").await);
     link.hold();
     eventually(async || says(&second, r#"links_lost_total{reason="silent"}"#).await).await;
+    // The end that only wrote hears of it from the other.
+    eventually(async || says(&first, r#"links_lost_total{reason="ended"}"#).await).await;
 }
 
 /// A link is closed, as silent or as stuck, although bytes never ceased to come and to go on it. Its
