Part the soak's world by what it does, and note what is seen in a module of its own

Back ends and callers imported the world for the book alone, which the world imports them for; that circle is gone.

--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -26,7 +26,7 @@
 
 use crate::ledger::Kind;
 use crate::proxy::Proxy;
-use crate::world::Seen;
+use crate::seen::Seen;
 
 /// Time between two events of a stream.
 const EVENT: Duration = Duration::from_millis(15);
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -16,7 +16,7 @@
 
 use crate::backend::{length, path};
 use crate::ledger::{Asked, End, Kind};
-use crate::world::Seen;
+use crate::seen::Seen;
 
 /// The key that callers show.
 pub(crate) const KEY: &str = "k-1";
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,8 +4,7 @@
 //! A seed gives a plan: which fault, when, for how long. Processes are not deterministic, so a report
 //! has the plan, the timeline and the evidence. The programs run on loopback; what they reach of the
 //! registry, of targets and, where asked for, of each other goes through proxies that cut, delay, narrow,
-//! reset and silence. Only processes
-//! that a run started are ever signalled, by their handles.
+//! reset and silence. Only processes that a run started are ever signalled, by their handles.
 
 mod backend;
 mod caller;
@@ -14,6 +13,7 @@
 mod plan;
 mod proxy;
 mod report;
+mod seen;
 mod text;
 mod world;
 
--- /dev/null
+++ b/crates/soak/src/seen.rs
@@ -0,0 +1,89 @@
+//! What was seen in one run.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use tokio::time::Instant;
+
+use crate::ledger::{Asked, Disturbed, Ledger, Probed};
+
+/// What everyone in a run notes what they see in.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    began: Instant,
+    over: Rc<Cell<bool>>,
+    ledger: Rc<RefCell<Ledger>>,
+}
+
+impl Seen {
+    /// Begins now.
+    pub(crate) fn open() -> Self {
+        Self { began: Instant::now(), over: Rc::default(), ledger: Rc::default() }
+    }
+
+    pub(crate) fn now(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    pub(crate) fn is_over(&self) -> bool {
+        self.over.get()
+    }
+
+    pub(crate) fn ran(&self, request: &SmolStr, run: u64) {
+        self.ledger.borrow_mut().runs.entry(request.clone()).or_default().insert(run);
+    }
+
+    pub(crate) fn arrived(&self, request: &SmolStr, target: &SmolStr) {
+        let arrival = (request.clone(), target.clone(), self.now());
+        self.ledger.borrow_mut().arrivals.push(arrival);
+    }
+
+    pub(crate) fn asked(&self, asked: Asked) {
+        self.ledger.borrow_mut().asked.push(asked);
+    }
+
+    /// Notes that an entry, or where there is none all, owe no bound for a while.
+    pub(crate) fn disturbed(&self, entry: Option<usize>, span: Duration) {
+        let from = self.now();
+        self.ledger.borrow_mut().disturbed.push(Disturbed { entry, from, to: from + span });
+    }
+
+    /// Notes that a version of the text is published.
+    pub(crate) fn published(&self, version: u64) {
+        let published = (self.now(), version);
+        self.ledger.borrow_mut().published.push(published);
+    }
+
+    pub(crate) fn probed(&self, probed: Probed) {
+        self.ledger.borrow_mut().probed.push(probed);
+    }
+
+    /// Notes that an entry ended by itself.
+    pub(crate) fn exited(&self, entry: usize) {
+        let exit = (self.now(), entry);
+        self.ledger.borrow_mut().exits.push(exit);
+    }
+
+    /// Notes when a target's leaving is known, once.
+    pub(crate) fn left(&self, instance: SmolStr) {
+        let at = self.now();
+        self.ledger.borrow_mut().left.entry(instance).or_insert(at);
+    }
+
+    /// Notes that no fault acts any more.
+    pub(crate) fn calmed(&self) {
+        self.ledger.borrow_mut().calm = self.now();
+    }
+
+    /// The run is over, for whoever looks.
+    pub(crate) fn end(&self) {
+        self.over.set(true);
+    }
+
+    /// Everything that was noted.
+    pub(crate) fn take(&self) -> Ledger {
+        self.ledger.take()
+    }
+}
