Say when the sections of a peer make another text than its version's

Such a text was dropped without a word: an operator saw a version that never came into force, and no line why. The receiver names the peer and the version now; nothing of it is put in force, as before.

Test: it asserts that the receiver says so and may ask another peer at once; before there was no such answer to assert. Text crate's tests green.

--- a/crates/daemon/src/process/member.rs
+++ b/crates/daemon/src/process/member.rs
@@ -245,6 +245,10 @@
             Next::Nothing => Vec::new(),
             Next::Say(message) => self.reply(from, Some(Frame::Text(message))),
             Next::Whole(version, source) => vec![Step::Text { version, source }],
+            Next::Unlike(version) => {
+                log::warn!(peer:% = from, version:% = version; "sections make no text of their version");
+                Vec::new()
+            }
         }
     }
 
--- a/crates/gateway/src/process/fleet/catchup.rs
+++ b/crates/gateway/src/process/fleet/catchup.rs
@@ -107,6 +107,9 @@
             Next::Nothing => {}
             Next::Say(message) => self.links.send(from, &Frame::Text(message)),
             Next::Whole(version, whole) => self.take_text(from, version, &whole),
+            Next::Unlike(version) => {
+                ::log::warn!(peer:% = from, version:% = version; "sections make no text of their version");
+            }
         }
     }
 
--- a/crates/text/src/transfer.rs
+++ b/crates/text/src/transfer.rs
@@ -48,6 +48,8 @@
     Say(Message),
     /// The whole text has arrived and matches its version.
     Whole(Version, String),
+    /// The sections make another text than the one of this version; nothing of it is put in force.
+    Unlike(Version),
 }
 
 /// The sections of the text in force, and of the one that is being fetched.
@@ -173,7 +175,7 @@
         // A text that does not match its version's digest is no text of that version.
         match Version::of(version.revision(), &source) == version {
             true => Next::Whole(version, source),
-            false => Next::Nothing,
+            false => Next::Unlike(version),
         }
     }
 
--- a/crates/text/tests/transfer.rs
+++ b/crates/text/tests/transfer.rs
@@ -140,3 +140,19 @@
     let late = Time::ZERO + Duration::from_secs(2);
     assert_eq!(to.announced(late, &host("other"), Stamp::least(2)), Some(Message::WantManifest));
 }
+
+/// A faulty peer says one version and hands on another text; nobody could tell why the version never
+/// came into force. The receiver says so, takes nothing, and may ask another at once.
+#[test]
+fn sections_of_another_text_are_no_text_of_their_version() {
+    let (said, _) = source(2, 800);
+    let (_, other) = source(1, 800);
+    let mut from = holding(&(said, other));
+    let mut to = Transfer::default();
+    let next = begin(&mut to, &mut from);
+    let (next, _) = carry(&mut to, &mut from, next, usize::MAX);
+    assert!(matches!(next, Next::Unlike(version) if version == said));
+    assert!(to.version().is_none());
+    let ask = to.announced(Time::ZERO, &host("other"), Stamp::least(2));
+    assert_eq!(ask, Some(Message::WantManifest));
+}
