Tell a target that ended under a run from a connection that broke off

Now each run that breaks off is followed by one connection to its target, and written down with the request's print (workspace, path and body in 64 bits) and the target's fate; counted in fireflyhoist_broken_runs. Measured: crates/gateway/tests/broken.rs, five cases; nothing is decided by it yet.

--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus::{Registry, TextEncoder};
 
 use crate::connection::traffic::Traffic;
+use crate::request::broken::Fate;
 
 /// Bounds of latency histograms in seconds, close together around the objectives in use.
 const BOUNDS: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.5, 1.0, 1.8, 5.0, 15.0, 60.0];
@@ -23,6 +24,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    broken: Counter<u64>,
     carried: Counter<u64>,
     calls: Counter<u64>,
     first: Histogram<f64>,
@@ -52,6 +54,10 @@
         Some(Self {
             requests: counter("fireflyhoist.requests", "Requests by kind and status"),
             attempts: counter("fireflyhoist.attempts", "Attempts at targets by outcome"),
+            broken: counter(
+                "fireflyhoist.broken_runs",
+                "Runs that broke off, by what became of the target",
+            ),
             carried: counter("fireflyhoist.carried", "Answers carried to another target, by way"),
             calls: counter("fireflyhoist.registry_calls", "Calls of the registry"),
             first: meter
@@ -78,6 +84,10 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    pub(crate) fn broken(&self, fate: Fate) {
+        self.broken.add(1, &[KeyValue::new("target", fate.to_string())]);
+    }
+
     pub(crate) fn carried(&self, way: &'static str) {
         self.carried.add(1, &[KeyValue::new("way", way)]);
     }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -9,7 +9,7 @@
 use crate::connection::exchange::{self, Failure, Outgoing, Response};
 use crate::platform::{Copy, Platform, Stamp};
 use crate::process::state::millis;
-use crate::request::{Inquiry, URGENCY, Worker};
+use crate::request::{Inquiry, URGENCY, Worker, broken};
 
 /// Why an attempt brought no answer that could go to the caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -99,7 +99,12 @@
         body: inquiry.body.clone(),
     };
     let response = exchange::send(target.address, outgoing, left).await;
-    let response = response.map_err(|failure| Ended::of(&failure))?;
+    let response = response.map_err(|failure| {
+        if matches!(failure, Failure::Broken { .. }) {
+            broken::Run::of(worker, inquiry, &target).spawn();
+        }
+        Ended::of(&failure)
+    })?;
     let reply = P::reply(response.status, &response.headers);
     if reply.misdirected {
         worker.process.target_leaves(id);
--- /dev/null
+++ b/crates/gateway/src/request/broken.rs
@@ -0,0 +1,82 @@
+//! Runs that break off: whether their target ended, or only the connection to it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use derive_more::Display;
+use fireflyhoist_policy::comeback::Print;
+use fireflyhoist_policy::lease::Target;
+use ntex::time::timeout;
+use smol_str::SmolStr;
+use tokio::net::TcpStream;
+
+use crate::connection::exchange::CONNECT_TIMEOUT;
+use crate::process::state::Process;
+use crate::request::{Inquiry, Worker};
+
+/// What became of a target at which a run broke off.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum Fate {
+    /// It takes connections.
+    #[display("lives")]
+    Lives,
+    /// It was known to leave.
+    #[display("leaving")]
+    Leaving,
+    /// It takes no connection any more, or has started again.
+    #[display("ended")]
+    Ended,
+}
+
+/// A run that broke off.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    process: Arc<Process>,
+    request: SmolStr,
+    print: Print,
+    target: Target,
+    /// Whether the target took new work until then.
+    ready: bool,
+}
+
+impl Run {
+    /// The run of a request at a target as it was listed when the run began.
+    pub(crate) fn of(worker: &Worker, inquiry: &Inquiry, target: &Target) -> Self {
+        let process = Arc::clone(&worker.process);
+        let ready = process.is_target_ready(&target.id);
+        let (request, print) = (inquiry.facts.request.clone(), inquiry.print);
+        Self { process, request, print, target: target.clone(), ready }
+    }
+
+    /// Finds out in the background what became of the target.
+    pub(crate) fn spawn(self) {
+        ntex::rt::spawn(async move { self.note(self.fate().await) }).detach();
+    }
+
+    /// Notes that the target has ended, where that is known already.
+    pub(crate) fn ended(&self) {
+        self.note(Fate::Ended);
+    }
+
+    async fn fate(&self) -> Fate {
+        if !self.ready {
+            return Fate::Leaving;
+        }
+        match answers(self.target.address).await {
+            true => Fate::Lives,
+            false => Fate::Ended,
+        }
+    }
+
+    fn note(&self, fate: Fate) {
+        self.process.metrics.broken(fate);
+        log::info!(
+            request = self.request.as_str(), print:% = self.print, target:% = self.target.id,
+            fate:% = fate; "run broke off"
+        );
+    }
+}
+
+async fn answers(address: SocketAddr) -> bool {
+    matches!(timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_)))
+}
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! What lives as long as a request.
 
 pub(crate) mod attempt;
+pub(crate) mod broken;
 pub(crate) mod carry;
 pub(crate) mod entries;
 pub(crate) mod plain;
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -12,10 +12,11 @@
 use ntex::time::{sleep, timeout};
 use ntex::util::Bytes;
 
+use crate::connection::exchange::Failure;
 use crate::platform::Platform;
 use crate::process::lane::Pass;
 use crate::request::attempt::{self, Ended, Extra, come_back};
-use crate::request::{Inquiry, Worker, end_to_end, refuse};
+use crate::request::{Inquiry, Worker, broken, end_to_end, refuse};
 
 /// The largest answer that is held. Answers are held until they are whole, since only then is one
 /// that breaks off known from one that is complete, and may be fetched again.
@@ -197,8 +198,14 @@
     inquiry: &Inquiry,
     target: &id::Target,
 ) -> Result<Whole, Ended> {
+    let listed = worker.process.target(target).ok_or(Ended::Unrun("gone"))?;
     let mut response = attempt::begin::<P>(worker, inquiry, target, &Extra::default()).await?;
-    let body = response.whole(MAX_ANSWER).await.map_err(|_| Ended::Unknown("cut"))?;
+    let body = response.whole(MAX_ANSWER).await.map_err(|failure| {
+        if matches!(failure, Failure::Broken { .. }) {
+            broken::Run::of(worker, inquiry, &listed).spawn();
+        }
+        Ended::Unknown("cut")
+    })?;
     Ok(Whole { status: response.status, headers: response.headers, body })
 }
 
--- a/crates/gateway/src/request/pump.rs
+++ b/crates/gateway/src/request/pump.rs
@@ -24,7 +24,7 @@
 use crate::request::attempt::Ended;
 use crate::request::carry::{self, Arrived, Backup, Trip, Way};
 use crate::request::sse::Splitter;
-use crate::request::{Inquiry, Worker};
+use crate::request::{Inquiry, Worker, broken};
 
 /// Pieces that wait for a slow caller before its engine is held back as well.
 const BACKLOG: usize = 32;
@@ -207,7 +207,7 @@
                         }
                     }
                     None if self.is_whole() => return End::Whole,
-                    None => self.upstream = None,
+                    None => self.broke_off(),
                 },
                 _ = targets.changed() => self.look_at_engines(),
                 () = sleep(SILENCE), if self.backup.is_some() => silent = true,
@@ -215,6 +215,14 @@
         }
     }
 
+    /// The run ended without its end.
+    fn broke_off(&mut self) {
+        self.upstream = None;
+        if let Some(at) = &self.at {
+            broken::Run::of(&self.worker, &self.inquiry, at).spawn();
+        }
+    }
+
     /// Whether the answer must go on elsewhere: its engine leaves, or its run ended unfinished.
     fn wants_to_go(&self) -> bool {
         match &self.upstream {
@@ -322,7 +330,9 @@
                 "run lost, its engine has started again"
             );
             self.upstream = None;
-            self.at = None;
+            if let Some(at) = self.at.take() {
+                broken::Run::of(&self.worker, &self.inquiry, &at).ended();
+            }
         }
     }
 
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -16,7 +16,7 @@
 use crate::request::attempt::{self, Ended, Extra, come_back};
 use crate::request::carry::{self, Backup};
 use crate::request::pump::Pump;
-use crate::request::{Inquiry, Worker, end_to_end, entries, refuse};
+use crate::request::{Inquiry, Worker, broken, end_to_end, entries, refuse};
 
 /// The part of its patience that a caller spends at most before it comes back: it needs the rest
 /// for the answer.
@@ -176,8 +176,14 @@
         response: &mut exchange::Response,
     ) -> Result<Response, Ended> {
         let failed = response.status.is_server_error();
+        let listed = self.worker.process.target(pass.target());
         pass.finish(if failed { Outcome::Faulty } else { Outcome::Whole });
-        let body = response.whole(MAX_ANSWER).await.map_err(|_| Ended::Unknown("cut"))?;
+        let body = response.whole(MAX_ANSWER).await.map_err(|_| {
+            if let Some(target) = &listed {
+                broken::Run::of(self.worker, &self.inquiry, target).spawn();
+            }
+            Ended::Unknown("cut")
+        })?;
         let more = self.sent < self.inquiry.route.attempts;
         if failed && more && self.inquiry.route.kind.is_idempotent() {
             return Err(Ended::Unknown("failed"));
--- /dev/null
+++ b/crates/gateway/tests/broken.rs
@@ -0,0 +1,58 @@
+//! Runs that break off, and what is known of their targets.
+
+mod support;
+
+use fireflyhoist_gateway::Gateway;
+use fireflyhoist_policy::route::Kind;
+use fireflyhoist_standin::registry::Registry;
+use support::caller::Request;
+use support::target::{Standin, Step, answer, event, stream_head};
+use support::{eventually, gateway, route, text};
+use yare::parameterized;
+
+const SAFE: Kind = Kind::Safe;
+const PAGE: Kind = Kind::Stream { resumable: false };
+
+async fn count(gateway: &Gateway, fate: &str) -> String {
+    let page = Request::get("/metrics").send(gateway.metrics()).await.body;
+    let start = format!("fireflyhoist_broken_runs_total{{target=\"{fate}\"}} ");
+    let found = page.lines().find_map(|line| line.strip_prefix(start.as_str()).map(str::to_owned));
+    found.unwrap_or_default()
+}
+
+/// Guards against a target that ended being taken for one whose connection was reset.
+#[parameterized(
+    ends_before_its_head = { SAFE, vec![Step::End], "ended" },
+    ends_within_a_stream = { PAGE, vec![stream_head(), event(1), Step::End], "ended" },
+    resets_before_its_head = { SAFE, vec![Step::Reset], "lives" },
+    resets_within_a_stream = { PAGE, vec![stream_head(), event(1), Step::Reset], "lives" },
+)]
+#[test_macro(ntex::test)]
+async fn a_target_that_ended_is_told_from_one_that_lives(
+    kind: Kind,
+    script: Vec<Step>,
+    fate: &'static str,
+) {
+    let registry = Registry::open().await;
+    registry.publish(text(1, vec![route("web", kind)]));
+    let target = Standin::open("t-1", "web", move |_| script.clone()).await;
+    registry.put(target.listed.clone());
+    let gateway = gateway(&registry).await;
+    let _ = Request::stream("/web/x", 20).body("b").send(gateway.callers()).await;
+    eventually(async || !count(&gateway, fate).await.is_empty()).await;
+}
+
+/// Guards against a target with a failure of its own being counted as one that broke off.
+#[ntex::test]
+async fn an_answer_of_failure_breaks_nothing_off() {
+    let registry = Registry::open().await;
+    registry.publish(text(1, vec![route("web", Kind::Unsafe)]));
+    let target = Standin::open("t-1", "web", |_| answer(500, "no")).await;
+    registry.put(target.listed.clone());
+    let gateway = gateway(&registry).await;
+    let answer = Request::new("POST", "/web/x").body("b").send(gateway.callers()).await;
+    assert_eq!(answer.status, 500);
+    for fate in ["ended", "lives", "leaving"] {
+        assert_eq!(count(&gateway, fate).await, "");
+    }
+}
--- a/crates/gateway/tests/support/target.rs
+++ b/crates/gateway/tests/support/target.rs
@@ -8,6 +8,7 @@
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep};
 
 /// One step of a script.
@@ -23,6 +24,8 @@
     Hang,
     /// Resets the connection.
     Reset,
+    /// Ends the target: its listener and every connection close.
+    End,
 }
 
 /// A request as the target got it.
@@ -56,6 +59,8 @@
     pub(crate) listed: Target,
     seen: Arc<Mutex<Vec<Seen>>>,
     closed: Arc<Mutex<Vec<Instant>>>,
+    /// The listener and the connections, until the target ends.
+    tasks: Arc<Mutex<Vec<AbortHandle>>>,
 }
 
 impl Standin {
@@ -66,22 +71,41 @@
         script: impl Fn(&Seen) -> Vec<Step> + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        Self::on(listener, name, service, script)
+    }
+
+    /// The same on a listener that is there.
+    pub(crate) fn on(
+        listener: TcpListener,
+        name: &str,
+        service: &str,
+        script: impl Fn(&Seen) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
         let address = listener.local_addr().expect("bound");
         let own = Self {
             listed: listed(name, service, address),
             seen: Arc::default(),
             closed: Arc::default(),
+            tasks: Arc::default(),
         };
         let script: Script = Arc::new(script);
         let served = own.clone();
-        tokio::task::spawn_local(async move {
+        let accepting = tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::task::spawn_local(served.clone().serve(stream, Arc::clone(&script)));
+                let serving = served.clone().serve(stream, Arc::clone(&script));
+                let serving = tokio::task::spawn_local(serving).abort_handle();
+                served.tasks.lock().push(serving);
             }
         });
+        own.tasks.lock().push(accepting.abort_handle());
         own
     }
 
+    /// Ends at once: nothing listens any more, and every connection closes.
+    pub(crate) fn end(&self) {
+        self.tasks.lock().drain(..).for_each(|task| task.abort());
+    }
+
     /// Requests that came so far.
     pub(crate) fn seen(&self) -> Vec<Seen> {
         self.seen.lock().clone()
@@ -123,6 +147,11 @@
                     stream.set_zero_linger().expect("a socket option");
                     return;
                 }
+                Step::End => {
+                    stream.set_zero_linger().expect("a socket option");
+                    self.end();
+                    return;
+                }
             }
         }
         let _ = stream.shutdown().await;
