Show a request that ends one target after another, failing

A caller asks the same again, with a new id and at any entry; stand-ins end as they run it and come back at their address under another name.

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub(crate) mod caller;
+pub(crate) mod mortal;
 pub(crate) mod narrow;
 pub(crate) mod target;
 
--- /dev/null
+++ b/crates/gateway/tests/support/mortal.rs
@@ -0,0 +1,53 @@
+//! A target that ends under some requests and comes back at its address under another name.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use fireflyhoist_standin::registry::Registry;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use super::target::{Seen, Standin, Step};
+
+/// From the end of a target until the next one starts at its address.
+const RESTART: Duration = Duration::from_millis(200);
+
+/// What all targets of a test saw.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Toll {
+    ends: Arc<AtomicUsize>,
+}
+
+impl Toll {
+    /// How many targets have ended.
+    pub(crate) fn ends(&self) -> usize {
+        self.ends.load(Ordering::SeqCst)
+    }
+}
+
+/// Keeps a target up at one address; `script` says what each start does.
+pub(crate) fn spawn(
+    registry: &Arc<Registry>,
+    toll: &Toll,
+    name: &'static str,
+    script: impl Fn(&Seen) -> Vec<Step> + Clone + Send + Sync + 'static,
+) {
+    let (registry, toll) = (Arc::clone(registry), toll.clone());
+    tokio::task::spawn_local(async move {
+        let mut address = "127.0.0.1:0".parse().expect("an address");
+        for start in 0.. {
+            let listener = TcpListener::bind(address).await.expect("its port");
+            address = listener.local_addr().expect("bound");
+            let name = format!("{name}-{start}");
+            let target = Standin::on(listener, &name, "gen", script.clone());
+            registry.put(target.listed.clone());
+            while !target.is_over() {
+                sleep(Duration::from_millis(5)).await;
+            }
+            toll.ends.fetch_add(1, Ordering::SeqCst);
+            registry.remove(&target.listed);
+            sleep(RESTART).await;
+        }
+    });
+}
--- a/crates/gateway/tests/support/target.rs
+++ b/crates/gateway/tests/support/target.rs
@@ -106,6 +106,11 @@
         self.tasks.lock().drain(..).for_each(|task| task.abort());
     }
 
+    /// Whether it has ended.
+    pub(crate) fn is_over(&self) -> bool {
+        self.tasks.lock().is_empty()
+    }
+
     /// Requests that came so far.
     pub(crate) fn seen(&self) -> Vec<Seen> {
         self.seen.lock().clone()
