Explain why a request is held back

Cause: the ends that hold a request back happened under other request ids, mostly at other entries; its own lines tell of a refusal only. `explain` now follows the request's print through all logs and names how many targets ended. Measured: a_request_that_is_held_back_is_explained_by_what_it_ended; without following the print the lines of t-1 are missing from the story.

--- a/crates/tool/src/explain.rs
+++ b/crates/tool/src/explain.rs
@@ -112,10 +112,19 @@
 impl Story {
     /// Tells the story of `request` from logs, each with the name that it is shown by.
     pub fn tell(request: &str, logs: &[(SmolStr, String)]) -> Option<Self> {
+        let parsed: Vec<(&SmolStr, Vec<Line>)> = logs
+            .iter()
+            .map(|(log, text)| (log, text.lines().filter_map(Line::parse).collect()))
+            .collect();
+        let all = parsed.iter().flat_map(|(_, lines)| lines);
+        let prints: BTreeSet<String> = all
+            .filter(|line| line.is_of(request))
+            .filter_map(|line| line.get("print").map(str::to_owned))
+            .collect();
         let mut steps = Vec::new();
-        for (log, text) in logs {
-            let lines: Vec<Line> = text.lines().filter_map(Line::parse).collect();
-            steps.extend(of_log(request, &lines).map(|line| Step { log: log.clone(), line }));
+        for (log, lines) in &parsed {
+            let found = of_log(request, &prints, lines);
+            steps.extend(found.into_iter().map(|line| Step { log: (*log).clone(), line }));
         }
         // Stable: what one entry wrote stays in its order even where its clock went back.
         steps.sort_by(|a, b| match a.log == b.log {
@@ -148,8 +157,9 @@
     }
 }
 
-/// The lines of one log that belong to a request, and what was learned between them.
-fn of_log<'a>(request: &'a str, lines: &'a [Line]) -> impl Iterator<Item = Line> + 'a {
+/// The lines of one log that belong to a request, what was learned between them, and how the same
+/// request broke off before under other names.
+fn of_log(request: &str, prints: &BTreeSet<String>, lines: &[Line]) -> Vec<Line> {
     let own = |line: &Line| line.is_of(request);
     let targets: BTreeSet<String> = lines
         .iter()
@@ -160,8 +170,13 @@
         .collect();
     let first = lines.iter().position(own).unwrap_or(lines.len());
     let last = lines.iter().rposition(own).map_or(first, |last| last + 1);
-    let between = lines[first..last].iter();
-    between.filter(move |line| own(line) || line.concerns(&targets)).cloned()
+    let between = first..last;
+    let told = |(at, line): &(usize, &Line)| {
+        let again = line.event == "run broke off"
+            && line.get("print").is_some_and(|print| prints.contains(print));
+        own(line) || again || (between.contains(at) && line.concerns(&targets))
+    };
+    lines.iter().enumerate().filter(told).map(|(_, line)| line.clone()).collect()
 }
 
 /// Names the cause by the last lines; `None` where there is no line at all.
@@ -192,7 +207,12 @@
     }
     if let Some(refused) = last("refused") {
         let reason = text(refused, "reason");
-        let why = refusal(&reason);
+        let why = match last("held back") {
+            Some(held) if reason == "ends-targets" => {
+                format!("{} targets ended while they ran the same request", text(held, "ends"))
+            }
+            _ => refusal(&reason).to_owned(),
+        };
         let attempt = last("attempt").map_or_else(
             || "it was sent to no target".to_owned(),
             |line| {
@@ -256,6 +276,7 @@
         "queue-full" => "too many requests waited at the entry",
         "deadline" => "it could not have begun within its time",
         "past-objective" => "it could no longer begin on time, and no room was left over",
+        "ends-targets" => "targets ended while they ran the same request",
         "workspace-limit" => "its workspace had used its share",
         "retry-budget" => "another attempt would have passed the bound on repeats",
         other => other,
--- a/crates/tool/tests/explain.rs
+++ b/crates/tool/tests/explain.rs
@@ -123,3 +123,22 @@
     let cause = story.cause();
     assert!(cause.contains("no longer begin on time") && cause.contains("sent to no target"));
 }
+
+/// Guards against a caller who is held back being told of nothing but a refusal: what ended stands in
+/// other entries' logs, under other requests' names.
+#[test]
+fn a_request_that_is_held_back_is_explained_by_what_it_ended() {
+    let broke = |request: &str, print: &str, target: &str| {
+        format!(
+            "message=\"run broke off\" request={request} print={print} target={target} fate=ended ends=1"
+        )
+    };
+    let other = line(1, &broke("r-8", "a1", "t-1")) + &line(2, &broke("r-9", "b2", "t-2"));
+    let own = line(5, "message=\"held back\" request=r-1 print=a1 decision=refused ends=4")
+        + &line(5, "message=refused request=r-1 status=503 reason=ends-targets");
+    let logs = [("entry-1".into(), other), ("entry-2".into(), own)];
+    let story = Story::tell("r-1", &logs).expect("a story");
+    assert!(story.cause().contains("4 targets ended while they ran the same"), "{}", story.cause());
+    let told = serde_json::to_string(&story).expect("JSON");
+    assert!(told.contains("t-1") && !told.contains("t-2"), "{told}");
+}
