Let one entry decide questions of several kinds for all

Cause: only trials could be asked of the entry that a key names; other bounds over all entries need the same way. The question is a type of its own now; who decides, passing on for leaves, timeouts and refusals stand once. Measured: crates/gateway/tests/poison.rs green, no change of what is decided.

--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -77,6 +77,22 @@
     pub(crate) held: Vec<Held>,
 }
 
+/// What one entry decides for all.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Question {
+    /// May a request that is held back be tried? With what the sender knows of it.
+    Trial(poison::Record),
+}
+
+impl Question {
+    /// What decides which entry answers.
+    pub(crate) fn key(&self) -> String {
+        match self {
+            Self::Trial(record) => record.print.to_string(),
+        }
+    }
+}
+
 /// One message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Frame {
@@ -117,18 +133,18 @@
     },
     /// Requests under which targets ended, as far as that is news.
     Poison(Vec<poison::Record>),
-    /// May a request that is held back be tried?
-    TrialAsk {
-        /// The sender's number for this question.
+    /// Something that the receiver decides for all entries.
+    Ask {
+        /// The sender's number for the question.
         ask: u64,
-        /// What the sender knows of the request.
-        record: poison::Record,
+        /// What is asked.
+        question: Question,
     },
-    /// The answer to such a question.
-    Trial {
+    /// The answer to a question.
+    Answer {
         /// The receiver's number for the question.
         ask: u64,
-        /// After how many milliseconds to ask again; `None` where the trial is granted.
+        /// After how many milliseconds to ask again; `None` where it is granted.
         wait_ms: Option<u64>,
     },
     /// An answer waits to be copied from an engine whose queue the receiver keeps.
@@ -203,7 +219,8 @@
             Self::WantTargets | Self::Targets { .. } => "targets",
             Self::Changes { .. } => "changes",
             Self::Refused { .. } => "refused",
-            Self::Poison(_) | Self::TrialAsk { .. } | Self::Trial { .. } => "poison",
+            Self::Poison(_) => "poison",
+            Self::Ask { .. } | Self::Answer { .. } => "question",
             Self::TurnAsk { .. } | Self::Turn { .. } | Self::TurnDone { .. } => "turn",
         }
     }
--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -7,6 +7,7 @@
 
 mod beat;
 mod catchup;
+mod grant;
 mod look;
 mod poison;
 
@@ -37,7 +38,7 @@
 use crate::connection::frame::{Beat, Frame};
 use crate::connection::link::{Event, Links, Loss};
 use crate::process::fleet::catchup::{Ahead, Encoded};
-use crate::process::fleet::poison::Trials;
+use crate::process::fleet::grant::Questions;
 use crate::process::state::{Process, millis};
 use crate::process::turn::Desk;
 
@@ -95,7 +96,7 @@
     /// The list that others were sent last.
     encoded: Mutex<Option<Encoded>>,
     changed: Notify,
-    trials: Trials,
+    questions: Questions,
     pub(crate) desk: Desk,
 }
 
@@ -127,7 +128,7 @@
             lists: Mutex::default(),
             encoded: Mutex::default(),
             changed: Notify::new(),
-            trials: Trials::default(),
+            questions: Questions::default(),
             desk: Desk::default(),
         });
         fleet.refresh();
@@ -418,8 +419,8 @@
             Frame::Text(message) => self.take_message(from, message),
             Frame::WantTargets => self.send_targets(from),
             Frame::Poison(records) => self.take_poison(from, records),
-            Frame::TrialAsk { ask, record } => self.take_trial_ask(from, ask, record),
-            Frame::Trial { ask, wait_ms } => self.take_trial(ask, wait_ms),
+            Frame::Ask { ask, question } => self.take_question(from, ask, question),
+            Frame::Answer { ask, wait_ms } => self.take_answer(ask, wait_ms),
             Frame::TurnAsk { engine, ask } => self.desk.ask(self, from, &engine, ask),
             Frame::Turn { engine, request } => self.desk.grant(self, &engine, &request),
             Frame::TurnDone { engine, request } => self.desk.done(self, &engine, &request),
--- a/crates/gateway/src/request/held.rs
+++ b/crates/gateway/src/request/held.rs
@@ -6,6 +6,7 @@
 use ntex::http::Response;
 
 use crate::connection::exchange::CONNECT_TIMEOUT;
+use crate::connection::frame::Question;
 use crate::process::state::millis;
 use crate::request::{Inquiry, Worker, refuse};
 
@@ -36,7 +37,8 @@
         Verdict::Clear => None,
         Verdict::Refuse(wait) => Some(wait),
         Verdict::Trial => {
-            let wait = worker.fleet.ask_trial(inquiry.print).await;
+            let record = worker.process.poison_record(inquiry.print)?;
+            let wait = worker.fleet.ask(Question::Trial(record)).await;
             if wait.is_none() {
                 inquiry.trial.set(true);
                 note(worker, inquiry, "tried", Duration::ZERO);
