Read the limits that targets name, and write them down

The adapter reads the limit from each answer; a limit that is named, changed or gone is one log line, and fireflyhoist_limited_targets counts them. What cannot be read says nothing about the limit before; an answer without one lifts a limit only where its request was sent after that was named. Nothing is decided by it yet.

--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use fireflyhoist_policy::intake::Said;
 use fireflyhoist_policy::lease;
 use fireflyhoist_policy::route::Text;
 use fireflyhoist_policy::unit::Tokens;
@@ -38,6 +39,8 @@
 pub const BACKUP_HEADER: &str = "fireflyhoist-backup";
 /// `ADDRESS/NAME` of the copy that a run goes on from.
 pub const COPY_HEADER: &str = "fireflyhoist-copy";
+/// Requests a second that a target in need takes, of all entries together.
+pub const TAKES_HEADER: &str = "fireflyhoist-takes-per-s";
 /// Set by a target that did not run a request.
 pub const DECLINED_HEADER: &str = "fireflyhoist-declined";
 
@@ -99,6 +102,7 @@
             request: text(headers, REQUEST_HEADER).map(SmolStr::from),
             declined: headers.contains_key(DECLINED_HEADER),
             misdirected: status == StatusCode::MISDIRECTED_REQUEST,
+            limit: text(headers, TAKES_HEADER).map(Said::parse).unwrap_or_default(),
         }
     }
 
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use fireflyhoist_policy::intake::Said;
 use fireflyhoist_policy::lease;
 use fireflyhoist_policy::route::Text;
 use fireflyhoist_policy::unit::Tokens;
@@ -62,7 +63,7 @@
 }
 
 /// What a target's response says about the request.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Reply {
     /// The request that it answers, where it says so.
     pub request: Option<SmolStr>,
@@ -70,6 +71,8 @@
     pub declined: bool,
     /// Whether another instance answers at the target's address.
     pub misdirected: bool,
+    /// What the target says it takes.
+    pub limit: Said,
 }
 
 /// Headers of requests and responses.
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -16,6 +16,19 @@
 /// Bounds of latency histograms in seconds, close together around the objectives in use.
 const BOUNDS: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.5, 1.0, 1.8, 5.0, 15.0, 60.0];
 
+/// What gauges show.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Now {
+    /// Requests in progress.
+    pub(crate) open: usize,
+    /// The revision of the text in force.
+    pub(crate) revision: u64,
+    /// Requests known to end their targets.
+    pub(crate) held: usize,
+    /// Targets that name a limit.
+    pub(crate) limited: usize,
+}
+
 /// The metrics of one process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -30,6 +43,7 @@
     calls: Counter<u64>,
     first: Histogram<f64>,
     suspects: Gauge<u64>,
+    limited: Gauge<u64>,
     open: Gauge<u64>,
     revision: Gauge<u64>,
     traffic: Traffic,
@@ -72,6 +86,7 @@
                 .with_description("From a request's arrival to the head of its answer, by kind")
                 .with_boundaries(BOUNDS.to_vec())
                 .build(),
+            limited: gauge("fireflyhoist.limited_targets", "Targets that name a limit"),
             suspects: gauge("fireflyhoist.held_requests", "Requests known to end their targets"),
             open: gauge("fireflyhoist.open_requests", "Requests in progress"),
             revision: gauge("fireflyhoist.revision", "Revision of the text in force"),
@@ -112,11 +127,12 @@
         &self.traffic
     }
 
-    /// All metrics in the text format.
-    pub(crate) fn page(&self, open: usize, revision: u64, suspects: usize) -> String {
-        self.suspects.record(suspects as u64, &[]);
-        self.open.record(open as u64, &[]);
-        self.revision.record(revision, &[]);
+    /// All metrics in the text format, with what is read of the process now.
+    pub(crate) fn page(&self, now: Now) -> String {
+        self.open.record(now.open as u64, &[]);
+        self.revision.record(now.revision, &[]);
+        self.suspects.record(now.held as u64, &[]);
+        self.limited.record(now.limited as u64, &[]);
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_else(|error| {
             ::log::warn!(error:% = error; "metrics can't be written");
             String::new()
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -1,6 +1,7 @@
 //! The state that all requests of a process share, in shards under locks of their own.
 
 mod holdings;
+mod intake;
 mod poison;
 mod targets;
 
@@ -11,6 +12,7 @@
 
 use fireflyhoist_policy::comeback::{Ledger, Print};
 use fireflyhoist_policy::gate;
+use fireflyhoist_policy::intake::Book;
 use fireflyhoist_policy::lease::Leases;
 use fireflyhoist_policy::newcomer::Order;
 use fireflyhoist_policy::retry;
@@ -68,6 +70,8 @@
     refused: Mutex<Ledger>,
     /// Requests under which targets ended.
     poison: Poison,
+    /// What targets say they take.
+    intake: Mutex<Book>,
     /// What other entries hold, by entry.
     others: Mutex<HashMap<id::Host, Vec<Held>>>,
     /// Changes whenever targets do, so that running answers look whether theirs leaves.
@@ -99,6 +103,7 @@
             copies: Mutex::default(),
             refused: Mutex::default(),
             poison: Poison::default(),
+            intake: Mutex::default(),
             others: Mutex::default(),
             targets: watch::channel(0).0,
             sent: Notify::new(),
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -101,6 +101,7 @@
         headers: stamped::<P>(&inquiry.headers, &stamp),
         body: inquiry.body.clone(),
     };
+    let sent = worker.process.clock.now();
     let response = exchange::send(target.address, outgoing, left).await;
     let response = response.map_err(|failure| {
         if matches!(failure, Failure::Broken { .. }) {
@@ -109,6 +110,9 @@
         Ended::of(&failure)
     })?;
     let reply = P::reply(response.status, &response.headers);
+    if !reply.misdirected {
+        worker.process.note_limit(&target, sent, reply.limit);
+    }
     if reply.misdirected {
         worker.process.target_leaves(id);
         return Err(Ended::Unrun("misdirected"));
--- a/crates/gateway/src/request/probe.rs
+++ b/crates/gateway/src/request/probe.rs
@@ -3,6 +3,7 @@
 use ntex::http::{Request, Response};
 
 use crate::platform::Platform;
+use crate::process::metrics::Now;
 use crate::process::state::Process;
 
 /// Whether callers should come here.
@@ -18,7 +19,11 @@
 
 /// The metrics of this process.
 pub(crate) fn metrics(process: &Process) -> Response {
-    let (open, held) = (process.open_requests(), process.held_back());
-    let page = process.metrics.page(open, process.revision(), held);
+    let page = process.metrics.page(Now {
+        open: process.open_requests(),
+        revision: process.revision(),
+        held: process.held_back(),
+        limited: process.limited_targets(),
+    });
     Response::Ok().content_type("text/plain; version=0.0.4").body(page)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod heartbeat;
 pub mod hedge;
 pub mod id;
+pub mod intake;
 mod late;
 pub mod lease;
 pub mod ledger;
