Play the drill of many chance ends over twenty seeds, the same each time

Cause: what_meets_many_ends_by_chance_is_mostly_served failed once: it iterated a hash set, so each run was another draw, and its bound on what is lost for good was judged on some twenty requests. Traced to that; the seed is now part of the plan, sets are ordered, and the bounds, unchanged, are judged on twenty seeds.

--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -74,12 +74,17 @@
 /// Guards against a drill in which a target ends each second refusing more than a few, or for good.
 #[test]
 fn what_meets_many_ends_by_chance_is_mostly_served() {
-    let plan = Plan { poison_asks: 0.0, series: 6, targets: 12, rate: 60.0, ..Plan::default() };
-    let seen = World::open(plan).play();
-    let share = seen.refused as f64 / seen.asked as f64;
-    println!("{} of {} refused ({share:.4}), at most {:?}", seen.refused, seen.asked, seen.longest);
-    assert!(share < 0.01, "{seen:?}");
-    assert!(seen.lost * 10 < seen.refused, "{seen:?}");
+    let (mut asked, mut refused, mut lost, mut longest) = (0, 0, 0, Duration::ZERO);
+    for seed in 0..20 {
+        let plan =
+            Plan { poison_asks: 0.0, series: 6, targets: 12, rate: 60.0, seed, ..Plan::default() };
+        let seen = World::open(plan).play();
+        (asked, refused, lost) = (asked + seen.asked, refused + seen.refused, lost + seen.lost);
+        longest = longest.max(seen.longest);
+    }
+    let share = refused as f64 / asked as f64;
+    println!("{refused} of {asked} refused ({share:.4}), {lost} for good, at most {longest:?}");
+    assert!(share < 0.01 && lost * 10 < refused);
 }
 
 /// Guards against another caller, or another body, being held back for a poison.
--- a/crates/policy/tests/support/poisoned.rs
+++ b/crates/policy/tests/support/poisoned.rs
@@ -1,7 +1,7 @@
 //! A fleet before targets that some requests end, in virtual time.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::time::Duration;
 
 use fireflyhoist_policy::comeback::Print;
@@ -67,6 +67,7 @@
     /// How often the target of one request after another ends by chance.
     pub(crate) series: usize,
     pub(crate) seconds: u64,
+    pub(crate) seed: u64,
 }
 
 impl Default for Plan {
@@ -80,6 +81,7 @@
             cut: false,
             series: 0,
             seconds: 60,
+            seed: 7,
         }
     }
 }
@@ -138,7 +140,7 @@
     members: Vec<Ledger>,
     names: Vec<(usize, String)>,
     /// When each target is up, its start, and what runs there.
-    targets: Vec<(Time, u64, HashSet<usize>)>,
+    targets: Vec<(Time, u64, BTreeSet<usize>)>,
     runs: BTreeMap<usize, Run>,
     /// Request 0 is the poison.
     requests: Vec<Request>,
@@ -156,9 +158,9 @@
     pub(crate) fn open(plan: Plan) -> Self {
         let members = (0..plan.members).map(|_| Ledger::default()).collect();
         let names = (0..plan.members).map(|nth| (nth, format!("entry-{nth}"))).collect();
-        let targets = (0..plan.targets).map(|nth| (Time::ZERO, nth as u64, HashSet::new()));
+        let targets = (0..plan.targets).map(|nth| (Time::ZERO, nth as u64, BTreeSet::new()));
         Self {
-            rng: ChaCha8Rng::seed_from_u64(7),
+            rng: ChaCha8Rng::seed_from_u64(plan.seed),
             now: Time::ZERO,
             events: BinaryHeap::new(),
             sequence: 0,
@@ -300,7 +302,7 @@
 
     fn send(&mut self, request: usize, member: usize) {
         let now = self.now;
-        let up = |(_, (from, _, runs)): &(usize, &(Time, u64, HashSet<usize>))| {
+        let up = |(_, (from, _, runs)): &(usize, &(Time, u64, BTreeSet<usize>))| {
             *from <= now && runs.len() < self.plan.slots
         };
         let up: Vec<usize> = self.targets.iter().enumerate().filter(up).map(|(n, _)| n).collect();
