Keep the limits that targets name over all entries together

Callers saw: nothing yet; a target in need got 51 requests in four seconds where 35 are allowed, as many as before it named its limit. Before a request goes to a target that names one, its entry asks the entry that keeps the target's bucket (by rendezvous, as for trials), which grants it or says when to ask again, one after the other. What is not granted goes to other targets; where none takes more it is refused at once (targets-limited). Resumed, switched and moved runs ask too; calls that move a run are counted. Each side of a partition takes its part of the entries alive in the last five minutes, and three tenths more.

--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -5,6 +5,7 @@
 use derive_more::{Display, Error};
 use fireflyhoist_policy::comeback::Print;
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::intake;
 use fireflyhoist_policy::lease::{Change, Target};
 use fireflyhoist_policy::poison;
 use fireflyhoist_policy::presence::Update;
@@ -82,6 +83,8 @@
 pub(crate) enum Question {
     /// May a request that is held back be tried? With what the sender knows of it.
     Trial(poison::Record),
+    /// May a request be sent to a target that names a limit? With what the sender knows of it.
+    Send(intake::Word),
 }
 
 impl Question {
@@ -89,6 +92,7 @@
     pub(crate) fn key(&self) -> String {
         match self {
             Self::Trial(record) => record.print.to_string(),
+            Self::Send(word) => word.target.to_string(),
         }
     }
 }
@@ -133,6 +137,10 @@
     },
     /// Requests under which targets ended, as far as that is news.
     Poison(Vec<poison::Record>),
+    /// Limits that targets named, as far as that is news.
+    Limits(Vec<intake::Word>),
+    /// A request was sent to a target that names a limit without asking for leave.
+    Spent(intake::Word),
     /// Something that the receiver decides for all entries.
     Ask {
         /// The sender's number for the question.
@@ -220,6 +228,7 @@
             Self::Changes { .. } => "changes",
             Self::Refused { .. } => "refused",
             Self::Poison(_) => "poison",
+            Self::Limits(_) | Self::Spent(_) => "limits",
             Self::Ask { .. } | Self::Answer { .. } => "question",
             Self::TurnAsk { .. } | Self::Turn { .. } | Self::TurnDone { .. } => "turn",
         }
--- a/crates/gateway/src/process/fleet/beat.rs
+++ b/crates/gateway/src/process/fleet/beat.rs
@@ -32,6 +32,7 @@
 
     fn beat_to_actives(&self) {
         self.share_poison();
+        self.share_limits();
         let (actives, _) = self.parted();
         let view = self.view();
         let endings = self.process.take_endings();
--- a/crates/gateway/src/process/fleet/grant.rs
+++ b/crates/gateway/src/process/fleet/grant.rs
@@ -16,9 +16,6 @@
 use crate::process::fleet::Fleet;
 use crate::process::state::millis;
 
-/// How long the entry that decides may take to answer: a hundred round trips.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// When to come back where that entry did not answer.
 const UNANSWERED: Duration = Duration::from_secs(1);
 
@@ -65,7 +62,7 @@
 
 impl Fleet {
     /// Asks the entry that decides; `Some` says how long to wait instead.
-    pub(crate) async fn ask(&self, question: Question) -> Option<Duration> {
+    pub(crate) async fn ask(&self, question: Question, within: Duration) -> Option<Duration> {
         let keeper = self.keeper(&question.key());
         if keeper == *self.host() {
             return self.decide(&question);
@@ -74,7 +71,7 @@
         let ask = self.questions.add(Waiter::Own(sender));
         let key = question.key();
         self.links.send(&keeper, &Frame::Ask { ask, question });
-        let answer = timeout(ANSWER_TIMEOUT, receiver).await;
+        let answer = timeout(within, receiver).await;
         self.questions.take(ask);
         match answer {
             Ok(Ok(wait)) => wait,
@@ -96,6 +93,7 @@
         }
         match &question {
             Question::Trial(record) => self.take_poison(from, vec![record.clone()]),
+            Question::Send(word) => self.take_limits(from, vec![word.clone()]),
         }
         let wait = self.decide(&question);
         self.links.send(from, &Frame::Answer { ask, wait_ms: wait.map(millis) });
@@ -120,6 +118,7 @@
                 Verdict::Clear | Verdict::Trial => None,
                 Verdict::Refuse(wait) => Some(wait),
             },
+            Question::Send(word) => self.process.try_send(&word.target),
         }
     }
 }
--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod beat;
 mod catchup;
 mod grant;
+mod intake;
 mod look;
 mod poison;
 
@@ -352,6 +353,7 @@
         }
         drop(peers);
         alive.insert(self.own.host.clone(), own);
+        self.process.set_alive(alive.len());
         let alive: Vec<Presence> = alive.into_values().collect();
         let members: Vec<Member> = alive.iter().map(|p| p.member.clone()).collect();
         let actives = roster::actives(&members);
@@ -395,6 +397,7 @@
         self.tell_alive(&host);
         self.beat_first(&host);
         self.tell_poison(&host);
+        self.tell_limits(&host);
         self.changed.notify_waiters();
     }
 
@@ -419,6 +422,8 @@
             Frame::Text(message) => self.take_message(from, message),
             Frame::WantTargets => self.send_targets(from),
             Frame::Poison(records) => self.take_poison(from, records),
+            Frame::Limits(words) => self.take_limits(from, words),
+            Frame::Spent(word) => self.take_spent(from, word),
             Frame::Ask { ask, question } => self.take_question(from, ask, question),
             Frame::Answer { ask, wait_ms } => self.take_answer(ask, wait_ms),
             Frame::TurnAsk { engine, ask } => self.desk.ask(self, from, &engine, ask),
--- a/crates/gateway/src/process/lane.rs
+++ b/crates/gateway/src/process/lane.rs
@@ -174,6 +174,11 @@
         Some(format_smolstr!("{}; tried again in {left} s", ejection.cause))
     }
 
+    /// Sends nothing more to a target for some time; see [`Gate::close`].
+    pub fn close_target(&self, target: &id::Target, wait: Duration) {
+        self.state.lock().gate.close(self.clock.now(), target, wait);
+    }
+
     /// Whether targets have room to take over what others hold; see [`Gate::has_refuge`].
     pub fn has_refuge(&self) -> bool {
         self.state.lock().gate.has_refuge()
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -39,6 +39,7 @@
     attempts: Counter<u64>,
     broken: Counter<u64>,
     held: Counter<u64>,
+    kept_off: Counter<u64>,
     carried: Counter<u64>,
     calls: Counter<u64>,
     first: Histogram<f64>,
@@ -74,6 +75,10 @@
                 "fireflyhoist.broken_runs",
                 "Runs that broke off, by what became of the target",
             ),
+            kept_off: counter(
+                "fireflyhoist.limited_sends",
+                "Requests for targets that name a limit, by decision",
+            ),
             held: counter(
                 "fireflyhoist.held_back",
                 "Requests under which targets ended, by decision",
@@ -110,6 +115,10 @@
         self.broken.add(1, &[KeyValue::new("target", fate.to_string())]);
     }
 
+    pub(crate) fn limited(&self, decision: &'static str) {
+        self.kept_off.add(1, &[KeyValue::new("decision", decision)]);
+    }
+
     pub(crate) fn held(&self, decision: &'static str) {
         self.held.add(1, &[KeyValue::new("decision", decision)]);
     }
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -12,7 +12,7 @@
 
 use fireflyhoist_policy::comeback::{Ledger, Print};
 use fireflyhoist_policy::gate;
-use fireflyhoist_policy::intake::Book;
+use fireflyhoist_policy::intake::{Book, Keeper};
 use fireflyhoist_policy::lease::Leases;
 use fireflyhoist_policy::newcomer::Order;
 use fireflyhoist_policy::retry;
@@ -72,6 +72,8 @@
     poison: Poison,
     /// What targets say they take.
     intake: Mutex<Book>,
+    /// What may still be sent to those, where this entry decides.
+    keeper: Mutex<Keeper>,
     /// What other entries hold, by entry.
     others: Mutex<HashMap<id::Host, Vec<Held>>>,
     /// Changes whenever targets do, so that running answers look whether theirs leaves.
@@ -104,6 +106,7 @@
             refused: Mutex::default(),
             poison: Poison::default(),
             intake: Mutex::default(),
+            keeper: Mutex::default(),
             others: Mutex::default(),
             targets: watch::channel(0).0,
             sent: Notify::new(),
--- a/crates/gateway/src/process/state/targets.rs
+++ b/crates/gateway/src/process/state/targets.rs
@@ -55,7 +55,7 @@
         for (service, lane) in lanes.iter() {
             lane.set_targets(leases.ready(service).map(|target| target.id.clone()).collect());
         }
-        self.intake.lock().keep(|id| leases.get(id));
+        self.keep_limits(&leases);
         drop(leases);
         drop(lanes);
         self.targets.send_modify(|count| *count += 1);
--- /dev/null
+++ b/crates/gateway/src/request/admit.rs
@@ -0,0 +1,70 @@
+//! Leave to send a request to a target: of the gate, of the target's limit, and of what it did before.
+
+use std::time::Duration;
+
+use fireflyhoist_policy::gate::Refusal;
+use fireflyhoist_policy::id;
+use fireflyhoist_policy::lease::Target;
+
+use crate::connection::frame::Question;
+use crate::process::lane::Pass;
+use crate::request::{Inquiry, Worker, held};
+
+/// How long the entry that keeps a target's bucket may take to answer: some twenty round trips.
+const SEND_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Why a request is not sent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Stop {
+    /// The gate refuses it.
+    Refused(Refusal),
+    /// It is held back for so long.
+    Held(Duration),
+}
+
+/// Waits for leave to send a request; `repeat` where an earlier attempt arrived somewhere.
+pub(crate) async fn admit(
+    worker: &Worker,
+    inquiry: &Inquiry,
+    avoid: Option<&id::Target>,
+    mut repeat: bool,
+) -> Result<Pass, Stop> {
+    loop {
+        let ask = inquiry.ask(avoid.cloned(), repeat);
+        let pass = inquiry.lane.admit(ask).await.map_err(Stop::Refused)?;
+        if let Some(wait) = over_limit(worker, pass.target()).await {
+            inquiry.lane.close_target(pass.target(), wait);
+            // It has drawn on the retry budget.
+            repeat = false;
+            continue;
+        }
+        return match held::wait(worker, inquiry).await {
+            Some(wait) => Err(Stop::Held(wait)),
+            None => Ok(pass),
+        };
+    }
+}
+
+/// For how long a target takes no more; `None` where a request may be sent to it now.
+pub(crate) async fn over_limit(worker: &Worker, target: &id::Target) -> Option<Duration> {
+    let word = worker.process.limit_word(target)?;
+    let wait = worker.fleet.ask(Question::Send(word), SEND_TIMEOUT).await;
+    worker.process.metrics.limited(if wait.is_some() { "elsewhere" } else { "sent" });
+    wait
+}
+
+/// Of targets in the order in which they suit, those that take a request: all that name no limit, or
+/// else the first that grants one.
+pub(crate) async fn within_limits(worker: &Worker, targets: Vec<Target>) -> Vec<Target> {
+    let limited = |target: &Target| worker.process.limit_word(&target.id).is_some();
+    let (limited, free): (Vec<Target>, Vec<Target>) = targets.into_iter().partition(limited);
+    if !free.is_empty() {
+        return free;
+    }
+    for target in limited {
+        if over_limit(worker, &target.id).await.is_none() {
+            return vec![target];
+        }
+    }
+    Vec::new()
+}
--- a/crates/gateway/src/request/carry.rs
+++ b/crates/gateway/src/request/carry.rs
@@ -7,11 +7,13 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::Target;
 use fireflyhoist_policy::unit::Tokens;
 use ntex::http::StatusCode;
+use ntex::time::sleep;
 
 use crate::connection::exchange::Response;
 use crate::platform::{Copy, Platform};
@@ -20,7 +22,7 @@
 use crate::process::state::millis;
 use crate::process::turn::Turn;
 use crate::request::attempt::{self, Ended, Extra};
-use crate::request::{Inquiry, Worker, held, relocate};
+use crate::request::{Inquiry, Worker, admit, held, relocate};
 
 /// Answers expected to hold fewer tokens end within the notice that engines give, so a copy of
 /// them is never used: at 57 ms a token this is under two seconds, at the engines' own pace far
@@ -35,6 +37,9 @@
 /// 0.513, none 0.721 and 0.515. On a day of four crashes without notice 0.65 gave 0.881, none 0.837.
 const BACKUP_RESERVE: f64 = 0.65;
 
+/// How long an answer waits that must go on elsewhere, where no engine takes more.
+const LIMITED_PAUSE: Duration = Duration::from_millis(150);
+
 /// Whether an answer is expected to outlast the notice that an engine or an entry gives.
 pub(crate) fn is_long(inquiry: &Inquiry) -> bool {
     expected(inquiry).get() >= WORTH_A_COPY
@@ -162,7 +167,12 @@
     trip: Trip,
 ) -> Result<Arrived, Ended> {
     let request = &inquiry.facts.request;
-    let Some(first) = trip.to.first().cloned() else { return Err(Ended::Unrun("nowhere")) };
+    let to = admit::within_limits(worker, trip.to).await;
+    let Some(first) = to.first().cloned() else {
+        // Tried again at once, all tries would be over before any of them takes more.
+        sleep(LIMITED_PAUSE).await;
+        return Err(Ended::Unrun("limited"));
+    };
     if !matches!(trip.way, Way::Move { .. }) && held::wait(worker, inquiry).await.is_some() {
         return Err(Ended::Unrun("held back"));
     }
@@ -175,7 +185,7 @@
             let began = worker.process.clock.now();
             let turn = Turn::wait(&worker.fleet, &from.id, request, left).await;
             let turned = worker.process.clock.now();
-            let moved = relocate::move_run::<P>(worker, inquiry, &from, &trip.to, held).await;
+            let moved = relocate::move_run::<P>(worker, inquiry, &from, &to, held).await;
             log::info!(
                 request = request.as_str(), from:% = from.id, left:% = left,
                 waited_ms = millis(turned.since(began)),
@@ -187,7 +197,10 @@
             let (last, copy) = (&trip.last, Some(moved.copy.clone()));
             let resumed = match resume::<P>(worker, inquiry, &moved.to, copy.clone(), last).await {
                 // The source that stopped still has everything.
-                Err(Ended::Unrun(_)) => resume::<P>(worker, inquiry, &from, copy, last).await,
+                Err(Ended::Unrun(_)) => {
+                    worker.fleet.spend(&from.id);
+                    resume::<P>(worker, inquiry, &from, copy, last).await
+                }
                 result => result,
             };
             let kept = resumed.is_ok().then(|| moved.used());
--- a/crates/gateway/src/request/held.rs
+++ b/crates/gateway/src/request/held.rs
@@ -10,6 +10,9 @@
 use crate::process::state::millis;
 use crate::request::{Inquiry, Worker, refuse};
 
+/// How long the entry that grants trials may take to answer: a hundred round trips.
+const TRIAL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Refuses a request that is held back, before it waits for anything.
 pub(crate) fn refused(worker: &Worker, inquiry: &Inquiry) -> Option<Response> {
     match worker.process.verdict(inquiry.print) {
@@ -38,7 +41,7 @@
         Verdict::Refuse(wait) => Some(wait),
         Verdict::Trial => {
             let record = worker.process.poison_record(inquiry.print)?;
-            let wait = worker.fleet.ask(Question::Trial(record)).await;
+            let wait = worker.fleet.ask(Question::Trial(record), TRIAL_TIMEOUT).await;
             if wait.is_none() {
                 inquiry.trial.set(true);
                 note(worker, inquiry, "tried", Duration::ZERO);
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! What lives as long as a request.
 
+pub(crate) mod admit;
 pub(crate) mod attempt;
 pub(crate) mod broken;
 pub(crate) mod carry;
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -15,6 +15,7 @@
 use crate::connection::exchange::Failure;
 use crate::platform::Platform;
 use crate::process::lane::Pass;
+use crate::request::admit::{self, Stop};
 use crate::request::attempt::{self, Ended, Extra, come_back};
 use crate::request::{Inquiry, Worker, broken, end_to_end, held, refuse};
 
@@ -96,17 +97,15 @@
             if std::mem::take(&mut again) && self.may_send() {
                 // One that is under way counts as arrived: it may be at its target by now.
                 let repeat = self.arrived || !pending.is_empty();
-                match self.inquiry.lane.admit(self.inquiry.ask(avoid.clone(), repeat)).await {
-                    Ok(pass) => match held::wait(self.worker, self.inquiry).await {
-                        Some(wait) => self.held = Some(wait),
-                        None => {
-                            avoid = Some(pass.target().clone());
-                            self.sent += 1;
-                            self.unknown = true;
-                            pending.push(one::<P>(self.worker, self.inquiry, pass));
-                        }
-                    },
-                    Err(refusal) => self.refusal = Some(refusal),
+                match admit::admit(self.worker, self.inquiry, avoid.as_ref(), repeat).await {
+                    Ok(pass) => {
+                        avoid = Some(pass.target().clone());
+                        self.sent += 1;
+                        self.unknown = true;
+                        pending.push(one::<P>(self.worker, self.inquiry, pass));
+                    }
+                    Err(Stop::Held(wait)) => self.held = Some(wait),
+                    Err(Stop::Refused(refusal)) => self.refusal = Some(refusal),
                 }
             }
             let suspect = self.worker.process.ends(self.inquiry.print) > 0;
--- a/crates/gateway/src/request/relocate.rs
+++ b/crates/gateway/src/request/relocate.rs
@@ -100,8 +100,8 @@
     let mut ended = Ended::Unrun("nowhere");
     for to in to.iter().take(MOVE_PLACES) {
         let kept = Kept::open(&worker.process, &to.id, held.get());
-        match move_once::<P>(inquiry, from.address, to.address, false).await {
-            Ok(name) => return move_rest::<P>(inquiry, from, to, name, kept).await,
+        match move_once::<P>(worker, inquiry, from, to.address, false).await {
+            Ok(name) => return move_rest::<P>(worker, inquiry, from, to, name, kept).await,
             Err(Ended::Unrun("no room")) => ended = Ended::Unrun("no room"),
             Err(other) => return Err(other),
         }
@@ -111,6 +111,7 @@
 
 /// Stops a run of which a part is copied, and copies the rest.
 async fn move_rest<P: Platform>(
+    worker: &Worker,
     inquiry: &Inquiry,
     from: &Target,
     to: &Target,
@@ -123,7 +124,7 @@
         let copy = Copy { at: from.address, name };
         Relocated { to: to.clone(), copy, kept, unused }
     };
-    match move_once::<P>(inquiry, from.address, to.address, true).await {
+    match move_once::<P>(worker, inquiry, from, to.address, true).await {
         Ok(name) => Ok(relocated(name, unused)),
         Err(Ended::Unknown("move broken")) => {
             log::info!(request = inquiry.facts.request.as_str(); "goes on from a part");
@@ -141,14 +142,16 @@
 }
 
 async fn move_once<P: Platform>(
+    worker: &Worker,
     inquiry: &Inquiry,
-    from: SocketAddr,
+    from: &Target,
     to: SocketAddr,
     last: bool,
 ) -> Result<SmolStr, Ended> {
     for _ in 0..MOVE_TRIES {
+        worker.fleet.spend(&from.id);
         let call = P::move_run(&inquiry.facts.request, to, last);
-        let called = exchange::call(from, outgoing(call), MOVE_TIMEOUT, MAX_REPLY).await;
+        let called = exchange::call(from.address, outgoing(call), MOVE_TIMEOUT, MAX_REPLY).await;
         let (status, body): (StatusCode, Bytes) = called.map_err(|error| broken(&error))?;
         match P::moved(status, &body) {
             Moved::Copied { name } => return Ok(name),
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -13,6 +13,7 @@
 use crate::platform::Platform;
 use crate::process::lane::Pass;
 use crate::process::state::{Open, millis};
+use crate::request::admit::{self, Stop};
 use crate::request::attempt::{self, Ended, Extra, come_back};
 use crate::request::carry::{self, Backup};
 use crate::request::pump::Pump;
@@ -76,14 +77,13 @@
     async fn play<P: Platform>(&mut self) -> Response {
         let mut avoid: Option<id::Target> = None;
         loop {
-            let ask = self.inquiry.ask(avoid.clone(), self.arrived);
-            let pass = match self.inquiry.lane.admit(ask).await {
+            let inquiry = &self.inquiry;
+            let pass = match admit::admit(self.worker, inquiry, avoid.as_ref(), self.arrived).await
+            {
                 Ok(pass) => pass,
-                Err(refusal) => return self.refused(refusal),
+                Err(Stop::Held(wait)) => return self.held_back(wait),
+                Err(Stop::Refused(refusal)) => return self.refused(refusal),
             };
-            if let Some(wait) = held::wait(self.worker, &self.inquiry).await {
-                return self.held_back(wait);
-            }
             avoid = Some(pass.target().clone());
             self.note_placed(&pass);
             match self.attempt::<P>(pass).await {
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -239,7 +239,7 @@
         if is_lookup(&ask) {
             return match self.place_lookup(now, rng, &ask) {
                 Some(at) => self.send(now, at, ask, 0.0),
-                None => refuse(rng, Reason::NoTarget, RETRY.0),
+                None => self.nowhere(now, rng),
             };
         }
         let ask = self.classed(now, ask);
@@ -257,6 +257,23 @@
         Verdict::Wait
     }
 
+    /// Refuses where no target is up, or none takes more.
+    fn nowhere(&self, now: Time, rng: &mut impl Rng) -> Verdict {
+        let listed = self.slots.iter().filter(|slot| slot.listed);
+        let closed = listed.map(|slot| slot.closed(now)).filter(|left| !left.is_zero()).min();
+        match closed {
+            Some(left) => refuse(rng, Reason::Limited, left),
+            None => refuse(rng, Reason::NoTarget, RETRY.0),
+        }
+    }
+
+    /// Sends nothing more to a target for some time: it takes no more from all entries together.
+    pub fn close(&mut self, now: Time, target: &id::Target, wait: Duration) {
+        if let Some(at) = self.index.get(target) {
+            self.slots[*at].close(now + wait);
+        }
+    }
+
     /// The same request, among the late ones where it can't begin on time any more.
     fn classed(&self, now: Time, ask: Ask) -> Ask {
         let late = self.settings.late && ask.objective < now + START;
--- a/crates/policy/src/gate/place.rs
+++ b/crates/policy/src/gate/place.rs
@@ -81,12 +81,12 @@
             // Better a target in doubt than no answer, and one that failed some other request than
             // the one that has just failed this.
             self.collect(|slot| {
-                let other = slot.listed && Some(&slot.name) != ask.avoid.as_ref();
-                other.then_some(0.0)
+                let other = Some(&slot.name) != ask.avoid.as_ref();
+                (slot.listed && slot.closed(now).is_zero() && other).then_some(0.0)
             });
         }
         if self.candidates.is_empty() {
-            self.collect(|slot| slot.listed.then_some(0.0));
+            self.collect(|slot| (slot.listed && slot.closed(now).is_zero()).then_some(0.0));
         }
         let choices = self.settings.choices;
         let chosen = placement::choose(rng, placement::NO_PREFIX, &self.candidates, choices);
--- a/crates/policy/src/slot.rs
+++ b/crates/policy/src/slot.rs
@@ -59,6 +59,8 @@
     /// Since when it may be sent to, as one that came lately.
     pub(crate) arrival: Arrival,
     paused: Time,
+    /// Until when it takes no more requests of this entry.
+    closed: Time,
 }
 
 impl Slot {
@@ -78,6 +80,7 @@
             turn: 0,
             arrival,
             paused: Time::ZERO,
+            closed: Time::ZERO,
         }
     }
 
@@ -110,6 +113,16 @@
         self.paused = now + PAUSE;
     }
 
+    /// Sends nothing more before a time: the target takes no more until then.
+    pub(crate) fn close(&mut self, until: Time) {
+        self.closed = self.closed.max(until);
+    }
+
+    /// How long it takes no more; zero where it does.
+    pub(crate) fn closed(&self, now: Time) -> Duration {
+        self.closed.since(now)
+    }
+
     /// Its load, with a trace of how recently it was sent to: targets that are otherwise equal take
     /// turns, so that each of a nearly idle fleet goes on showing that it works.
     pub(crate) fn load(&self, sends: u64) -> f64 {
@@ -119,7 +132,7 @@
 
     /// Whether it may receive anything.
     pub(crate) fn is_up(&self, now: Time) -> bool {
-        self.listed && now >= self.paused && self.is_trusted()
+        self.listed && now >= self.paused.max(self.closed) && self.is_trusted()
     }
 
     /// Whether its weight bears one more stream. A target that returns from ejection is empty and
--- a/crates/policy/tests/gate.rs
+++ b/crates/policy/tests/gate.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use fireflyhoist_policy::gate::{Ask, Class, Gate, Outcome, Report, Settings, Verdict};
+use fireflyhoist_policy::gate::{Ask, Class, Gate, Outcome, Reason, Report, Settings, Verdict};
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::unit::Tokens;
@@ -205,3 +205,25 @@
         gate.finish(now, id::Request::new(number), Outcome::Cancelled);
     }
 }
+
+/// Guards against requests going to a target that takes no more, or waiting where none does.
+#[test]
+fn what_a_target_does_not_take_goes_to_others_or_is_refused() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut gate = gate(None);
+    let second = Duration::from_secs(1);
+    let lookup = |number| ask(number, "members", Class::Lookup, Time::ZERO);
+    gate.close(Time::ZERO, &target(0), second);
+    for number in 0..20 {
+        let verdict = gate.offer(Time::ZERO, &mut rng, lookup(number));
+        assert_eq!(verdict, Verdict::Send(target(1)));
+    }
+    gate.close(Time::ZERO, &target(1), second * 3);
+    let Verdict::Refuse(refusal) = gate.offer(Time::ZERO, &mut rng, lookup(30)) else {
+        panic!("it is sent");
+    };
+    assert_eq!(refusal.reason, Reason::Limited);
+    assert!(refusal.retry_after >= second && refusal.retry_after < second * 2, "{refusal:?}");
+    let later = Time::ZERO + second;
+    assert_eq!(gate.offer(later, &mut rng, lookup(31)), Verdict::Send(target(0)));
+}
--- a/crates/tool/src/explain.rs
+++ b/crates/tool/src/explain.rs
@@ -277,6 +277,7 @@
         "deadline" => "it could not have begun within its time",
         "past-objective" => "it could no longer begin on time, and no room was left over",
         "ends-targets" => "targets ended while they ran the same request",
+        "targets-limited" => "every target had named a limit and took no more",
         "workspace-limit" => "its workspace had used its share",
         "retry-budget" => "another attempt would have passed the bound on repeats",
         other => other,
--- a/crates/tool/tests/explain.rs
+++ b/crates/tool/tests/explain.rs
@@ -28,6 +28,7 @@
     deadline = { "message=refused request=r-1 status=503 reason=deadline", "could not have begun" },
     queue_full = { "message=refused request=r-1 status=503 reason=queue-full", "too many requests" },
     budget = { "message=refused request=r-1 status=503 reason=retry-budget", "bound on repeats" },
+    limited = { "message=refused request=r-1 status=503 reason=targets-limited", "had named a limit" },
     leaving = { "message=refused request=r-1 status=503 reason=leaving", "entry was leaving" },
     not_ready = { "message=refused request=r-1 status=503 reason=not-ready", "knew no text" },
     no_route = { "message=refused request=r-1 status=404 reason=no-route", "no route" },
