Count targets that were replaced before they were asked whether they live

Cause: whether a target ended is asked by one connection right after a run broke off. One that is replaced at its address by then, or stands behind something that takes connections for it, counted as alive, so a request that ends such targets was never held back. Runs that broke off at targets that seem to live are looked at again for ten seconds, whenever the list of targets changes: gone without having said that it leaves, or started again, is ended. Measured: a_target_that_is_replaced_at_once_has_ended, red without (no request held back after three such ends).

--- a/crates/gateway/src/process/state/poison.rs
+++ b/crates/gateway/src/process/state/poison.rs
@@ -1,12 +1,13 @@
 //! Requests under which targets ended, as this process knows them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use fireflyhoist_policy::comeback::Print;
-use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::lease::{Leases, Target};
 use fireflyhoist_policy::poison::{self, Incarnation, Ledger, Record, Verdict};
+use fireflyhoist_policy::time::Time;
 use ntex::time::timeout;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -16,10 +17,26 @@
 /// Records that an entry is sent when its link opens: some 100 KB.
 const FIRST: usize = 1_000;
 
+/// For how long a target at which a run broke off may still turn out to have ended: until its lease has
+/// run out or its next start is listed.
+const DOUBTED: Duration = Duration::from_secs(10);
+
+/// Runs that broke off at targets that took a connection right after, at most so many.
+const DOUBTS: usize = 1_024;
+
+/// A run that broke off at a target that seems to live.
+#[derive(Debug)]
+struct Doubt {
+    at: Time,
+    print: Print,
+    target: Target,
+}
+
 /// What is known, and which runs that broke off are still looked into.
 #[derive(Debug, Default)]
 pub(super) struct Poison {
     ledger: Mutex<Ledger>,
+    doubts: Mutex<VecDeque<Doubt>>,
     pending: Mutex<HashMap<Print, usize>>,
     settled: Notify,
 }
@@ -62,6 +79,33 @@
         ends
     }
 
+    /// Notes that a run broke off at a target that took a connection right after.
+    pub(crate) fn doubt(&self, print: Print, target: &Target) {
+        let mut doubts = self.poison.doubts.lock();
+        if doubts.len() >= DOUBTS {
+            doubts.pop_front();
+        }
+        doubts.push_back(Doubt { at: self.clock.now(), print, target: target.clone() });
+    }
+
+    /// Looks which of those targets have ended after all.
+    ///
+    /// Guards against a target that is replaced at its address before it is asked whether it lives.
+    pub(super) fn settle_doubts(&self, leases: &Leases) {
+        let now = self.clock.now();
+        let ended = |doubt: &Doubt| leases.has_ended(&doubt.target);
+        let mut doubts = self.poison.doubts.lock();
+        doubts.retain(|doubt| now.since(doubt.at) < DOUBTED);
+        let (over, kept) = doubts.drain(..).partition(ended);
+        *doubts = kept;
+        drop(doubts);
+        let over: VecDeque<Doubt> = over;
+        for Doubt { print, target, .. } in over {
+            let ends = self.note_end(print, &target);
+            ::log::info!(print:% = print, target:% = target.id, ends = ends; "target ended after all");
+        }
+    }
+
     /// Notes that a request was answered whole.
     pub(crate) fn note_whole(&self, print: Print) {
         self.poison.ledger.lock().note_whole(self.clock.now(), print);
--- a/crates/gateway/src/process/state/targets.rs
+++ b/crates/gateway/src/process/state/targets.rs
@@ -56,6 +56,7 @@
             lane.set_targets(leases.ready(service).map(|target| target.id.clone()).collect());
         }
         self.keep_limits(&leases);
+        self.settle_doubts(&leases);
         drop(leases);
         drop(lanes);
         self.targets.send_modify(|count| *count += 1);
--- a/crates/gateway/src/request/broken.rs
+++ b/crates/gateway/src/request/broken.rs
@@ -77,7 +77,11 @@
         self.process.metrics.broken(fate);
         let ends = match fate {
             Fate::Ended => self.process.note_end(self.print, &self.target),
-            Fate::Lives | Fate::Leaving => self.process.ends(self.print),
+            Fate::Lives => {
+                self.process.doubt(self.print, &self.target);
+                self.process.ends(self.print)
+            }
+            Fate::Leaving => self.process.ends(self.print),
         };
         log::info!(
             request = self.request.as_str(), print:% = self.print, target:% = self.target.id,
--- a/crates/gateway/tests/broken.rs
+++ b/crates/gateway/tests/broken.rs
@@ -6,7 +6,7 @@
 use fireflyhoist_policy::route::Kind;
 use fireflyhoist_standin::registry::Registry;
 use support::caller::Request;
-use support::target::{Standin, Step, answer, event, stream_head};
+use support::target::{Seen, Standin, Step, answer, event, listed, stream_head};
 use support::{eventually, gateway, route, text};
 use yare::parameterized;
 
@@ -56,3 +56,28 @@
         assert_eq!(count(&gateway, fate).await, "");
     }
 }
+
+/// Guards against a target that was replaced at its address being taken for one that lives.
+#[ntex::test]
+async fn a_target_that_is_replaced_at_once_has_ended() {
+    let registry = Registry::open().await;
+    registry.publish(text(1, vec![route("web", Kind::Unsafe)]));
+    let script = |_: &Seen| vec![Step::Reset];
+    let gateway = {
+        let first = Standin::open("t-0", "web", script).await;
+        registry.put(first.listed.clone());
+        gateway(&registry).await
+    };
+    let page = async || Request::get("/metrics").send(gateway.metrics()).await.body;
+    for nth in 0..3 {
+        let _ = Request::new("POST", "/web/x").body("b").send(gateway.callers()).await;
+        eventually(async || count(&gateway, "lives").await == (nth + 1).to_string()).await;
+        // The next start is listed, and the one before no more.
+        let next = Standin::open(&format!("t-{}", nth + 1), "web", script).await;
+        registry.put(next.listed.clone());
+        let old = listed(&format!("t-{nth}"), "web", next.listed.address);
+        registry.remove(&old);
+        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    }
+    eventually(async || page().await.contains("fireflyhoist_held_requests 1")).await;
+}
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -260,6 +260,15 @@
         live.or_else(|| self.left.get(id).map(|left| &left.target))
     }
 
+    /// Whether a target has ended without saying that it leaves: it is listed no more, or has started
+    /// again.
+    pub fn has_ended(&self, target: &Target) -> bool {
+        match self.live.get(&target.id) {
+            Some(entry) => entry.target.is_restart_of(target),
+            None => self.get(&target.id).is_none_or(|left| left.state != State::Draining),
+        }
+    }
+
     /// Whether a target takes new work.
     pub fn is_ready(&self, id: &id::Target) -> bool {
         self.live.get(id).is_some_and(|entry| entry.target.state == State::Ready)
