Hold back nothing that was answered whole within ten seconds

Cause: a request that many ask runs at each target, so each end counts for it as for the poison, and where it had more ends it explained the poison's away. An end counts for nothing where the request was answered whole up to ten seconds before, at any entry: entries remember what they answered, and say so when they hear of ends.

--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -9,7 +9,7 @@
 //! granted at once, and an end counts only for the request under which most targets ended.
 //! `docs/DECISIONS.md` has what that costs those that are innocent.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use derive_more::Display;
@@ -32,8 +32,11 @@
 /// How long a request that is held back is remembered after its last end or trial.
 pub const HELD: Duration = Duration::from_secs(24 * 3_600);
 
-/// How long it stays known that a request was answered whole: until what others noted before has
-/// arrived.
+/// How long after a whole answer ends count for nothing: a request that many ask runs at all targets,
+/// so whatever ends them, it ran there.
+pub const GOOD: Duration = Duration::from_secs(10);
+
+/// How long it stays known that a request was answered whole.
 const CLEARED: Duration = Duration::from_secs(30);
 
 /// When to come back while a trial is under way.
@@ -144,7 +147,7 @@
     /// Takes in an end; returns whether it is news.
     fn end(&mut self, incarnation: Incarnation, at: Time) -> bool {
         let known = self.has(incarnation);
-        let before = self.whole.is_some_and(|whole| at < whole);
+        let before = self.whole.is_some_and(|whole| at < whole + GOOD);
         if known || before || self.ends.len() >= ENDS {
             return false;
         }
@@ -158,7 +161,7 @@
             return false;
         }
         self.whole = Some(at);
-        self.ends.retain(|(_, end)| *end > at);
+        self.ends.retain(|(_, end)| *end > at + GOOD);
         self.trials = 0;
         true
     }
@@ -172,17 +175,33 @@
     order: BTreeSet<(bool, Time, Print)>,
     /// What others should hear of.
     news: BTreeSet<Print>,
+    /// Requests that were answered whole here within [`GOOD`], and when last.
+    good: HashMap<Print, Time>,
+    /// The same in the order in which they were noted.
+    goods: VecDeque<(Time, Print)>,
 }
 
 impl Ledger {
     /// Notes that a target ended while it ran a request; returns how many have.
     pub fn note_end(&mut self, now: Time, print: Print, incarnation: Incarnation) -> usize {
+        self.tell_good(now, print);
         self.change(now, print, |case| case.end(incarnation, now));
         self.cases.get(&print).map_or(0, |case| case.ends.len())
     }
 
-    /// Notes that a request was answered whole; it matters only to one under which a target ended.
+    /// Notes that a request was answered whole.
     pub fn note_whole(&mut self, now: Time, print: Print) {
+        self.good.insert(print, now);
+        self.goods.push_back((now, print));
+        while let Some((at, print)) = self.goods.front().copied() {
+            if self.goods.len() <= BOUND && now.since(at) < GOOD {
+                break;
+            }
+            self.goods.pop_front();
+            if self.good.get(&print) == Some(&at) {
+                self.good.remove(&print);
+            }
+        }
         if self.cases.get(&print).is_some_and(|case| !case.ends.is_empty()) {
             self.change(now, print, |case| case.clear(now));
         }
@@ -238,6 +257,9 @@
         let ago = |age: u64| now - Duration::from_millis(age);
         let mut changed = Vec::new();
         for record in records {
+            if !record.ends.is_empty() {
+                self.tell_good(now, record.print);
+            }
             let took = self.merge(now, record.print, |case| {
                 let mut news = record.whole_age.is_some_and(|age| case.clear(ago(age)));
                 for (incarnation, age) in &record.ends {
@@ -290,6 +312,14 @@
         })
     }
 
+    /// Enters that a request was answered whole here, where targets end under it elsewhere.
+    fn tell_good(&mut self, now: Time, print: Print) {
+        let good = self.good.get(&print).copied().filter(|at| now.since(*at) < GOOD);
+        if let Some(at) = good {
+            self.change(now, print, |case| case.clear(at));
+        }
+    }
+
     /// Changes what is known of a request here, which others then should hear of.
     fn change(&mut self, now: Time, print: Print, change: impl FnOnce(&mut Case) -> bool) {
         if self.merge(now, print, change) {
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -7,7 +7,9 @@
 
 use fireflyhoist_policy::comeback::Print;
 use fireflyhoist_policy::id;
-use fireflyhoist_policy::poison::{BOUND, HELD, Incarnation, Ledger, RECENT, SUSPECT, Verdict};
+use fireflyhoist_policy::poison::{
+    BOUND, GOOD, HELD, Incarnation, Ledger, RECENT, SUSPECT, Verdict,
+};
 use fireflyhoist_policy::time::Time;
 use poisoned::{Plan, World, incarnation};
 use yare::parameterized;
@@ -113,6 +115,25 @@
     assert_eq!(ledger.verdict(at(4_100), map), Verdict::Clear);
 }
 
+/// Guards against a request that many ask, and which so runs at each target that ends, being held back.
+#[test]
+fn what_was_answered_whole_just_before_is_not_to_blame() {
+    let lookup = print("w", "a lookup");
+    let (mut one, mut other) = (Ledger::default(), Ledger::default());
+    other.note_whole(at(1_000), lookup);
+    (0..5).for_each(|nth| _ = one.note_end(at(2_000 + nth * 100), lookup, incarnation(nth)));
+    assert_ne!(one.verdict(at(3_000), lookup), Verdict::Clear);
+    other.hear(at(3_000), one.take_news(at(3_000)));
+    one.hear(at(3_050), other.take_news(at(3_050)));
+    for ledger in [&one, &other] {
+        assert_eq!(ledger.verdict(at(3_100), lookup), Verdict::Clear);
+    }
+    // Later it counts again.
+    let later = at(1_000) + GOOD;
+    (5..9).for_each(|nth| _ = one.note_end(later, lookup, incarnation(nth)));
+    assert_ne!(one.verdict(later, lookup), Verdict::Clear);
+}
+
 /// Guards against one end being counted once for each entry that saw it.
 #[test]
 fn an_end_that_many_saw_counts_once() {
