--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -34,6 +34,9 @@
 /// How long a plain request takes.
 const PLAIN: Duration = Duration::from_millis(25);
 
+/// How long a target bears a poison.
+const POISON: Duration = Duration::from_millis(60);
+
 /// How long the memory of a run takes to move.
 const MOVE: Duration = Duration::from_millis(60);
 
@@ -92,6 +95,9 @@
     service: &'static str,
     leaving: Cell<bool>,
     losing: Cell<bool>,
+    /// Told when a request ends it.
+    ended: mpsc::UnboundedSender<usize>,
+    slot: usize,
     running: RefCell<BTreeMap<SmolStr, Rc<Running>>>,
     engines: Rc<Engines>,
     seen: Seen,
@@ -104,6 +110,7 @@
         nth: u32,
         proxy: &Proxy,
         engines: &Rc<Engines>,
+        ended: &mpsc::UnboundedSender<usize>,
         seen: &Seen,
     ) -> Self {
         let service = SERVICES[slot % SERVICES.len()];
@@ -126,6 +133,8 @@
             service,
             leaving: Cell::new(false),
             losing: Cell::new(false),
+            ended: ended.clone(),
+            slot,
             running: RefCell::default(),
             engines: Rc::clone(engines),
             seen: seen.clone(),
@@ -198,6 +207,13 @@
         return plain(StatusCode::MISDIRECTED_REQUEST, &id, "");
     }
     shared.seen.arrived(&id, &shared.instance);
+    if path == self::path(Kind::Poison) {
+        shared.seen.ran(&id, shared.engines.next());
+        sleep(POISON).await;
+        shared.seen.poisoned();
+        // The run is over where nobody listens.
+        let _ = shared.ended.send(shared.slot);
+    }
     if shared.service == "page" {
         let copy = text(COPY_HEADER);
         let last = text(LAST_EVENT_HEADER).and_then(|last| last.parse().ok()).unwrap_or(0);
@@ -312,5 +328,6 @@
         Kind::Unsafe => "/send/x",
         Kind::Page => "/page/x",
         Kind::Resumable => "/again/x",
+        Kind::Poison => "/again/poison",
     }
 }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -107,6 +107,23 @@
     }
 }
 
+/// Asks for the poison at any entry, on a connection of its own each time, until the run ends.
+pub(crate) async fn poison(seed: u64, entries: Vec<SocketAddr>, seen: Seen) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    for nth in 0.. {
+        sleep(Duration::from_millis(rng.random_range(100..500))).await;
+        if seen.is_over() {
+            return;
+        }
+        let request = format_smolstr!("poison-{nth}");
+        let entry = rng.random_range(0..entries.len());
+        let from = seen.now();
+        let (end, _) = one(&mut None, entry, entries[entry], Kind::Poison, &request).await;
+        let to = seen.now();
+        seen.asked(Asked { request, kind: Kind::Poison, entry, from, to, end, wrong: None });
+    }
+}
+
 async fn one(
     kept: &mut Option<(usize, Sender)>,
     entry: usize,
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -18,6 +18,8 @@
     Page,
     /// A stream that another run may go on with.
     Resumable,
+    /// The same, of which each run ends its target.
+    Poison,
 }
 
 /// How a caller's request ended.
@@ -85,6 +87,9 @@
 /// Within which a text must be in force, and a target that leaves must get nothing new.
 const IN_FORCE: Duration = Duration::from_secs(2);
 
+/// Sends of a poison that may follow once it has ended three targets.
+const MORE: usize = 3;
+
 /// The part of requests that must be served once all is calm again.
 const SERVED: f64 = 0.95;
 
@@ -102,6 +107,8 @@
     pub(crate) left: BTreeMap<SmolStr, Duration>,
     /// Arrivals at targets: request, target, when.
     pub(crate) arrivals: Vec<(SmolStr, SmolStr, Duration)>,
+    /// When targets ended under the poison.
+    pub(crate) ends: Vec<Duration>,
     /// Processes that ended by themselves.
     pub(crate) exits: Vec<(Duration, usize)>,
     /// When all must have recovered.
@@ -135,7 +142,9 @@
             let evidence = format!("entry {entry} ended by itself");
             broken.push(Violation { promise: "no exit of its own", at: *at, evidence });
         }
-        let last: Vec<&Asked> = self.asked.iter().filter(|asked| asked.from >= self.calm).collect();
+        self.check_poison(&mut broken);
+        let due = |asked: &&Asked| asked.from >= self.calm && asked.kind != Kind::Poison;
+        let last: Vec<&Asked> = self.asked.iter().filter(due).collect();
         let served = last.iter().filter(|asked| asked.end == End::Status(200)).count();
         if last.is_empty() || (served as f64) < SERVED * last.len() as f64 {
             let evidence = format!("{served} of {} served after all was calm", last.len());
@@ -193,6 +202,27 @@
         }
     }
 
+    /// Arrivals that calm entries sent, from one time on.
+    fn sent_calmly(&self, from: Duration) -> impl Iterator<Item = (&Asked, &SmolStr, Duration)> {
+        let asked: BTreeMap<&SmolStr, &Asked> =
+            self.asked.iter().map(|a| (&a.request, a)).collect();
+        let arrivals = self.arrivals.iter().filter(move |(.., at)| *at >= from);
+        arrivals.filter_map(move |(request, target, at)| {
+            let asked = *asked.get(request)?;
+            self.is_calm(asked.entry, *at, *at).then_some((asked, target, *at))
+        })
+    }
+
+    fn check_poison(&self, broken: &mut Vec<Violation>) {
+        let Some(third) = self.ends.get(2).copied() else { return };
+        let sent = self.sent_calmly(third + SETTLE);
+        let more = sent.filter(|(asked, ..)| asked.kind == Kind::Poison).count();
+        if more > MORE {
+            let evidence = format!("sent {more} times more, {} targets ended", self.ends.len());
+            broken.push(Violation { promise: "no poison is sent on", at: third, evidence });
+        }
+    }
+
     fn check_drains(&self, broken: &mut Vec<Violation>) {
         for (request, target, at) in &self.arrivals {
             let Some(left) = self.left.get(target) else { continue };
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -37,6 +37,8 @@
     /// Whether links between entries have faults and texts are large. Off, a seed's plan is the one
     /// that it had before there were such faults.
     pub links: bool,
+    /// Whether a request ends the targets that run it.
+    pub needy: bool,
 }
 
 /// Why a run can't be played.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -24,6 +24,8 @@
     processes: usize,
     /// Faults of links between entries, and large texts, as well.
     links: bool,
+    /// A request that ends its targets as well.
+    needy: bool,
     /// Where logs, timelines and plots of seeds that failed are kept.
     #[bpaf(argument("DIR"), fallback(PathBuf::from("target/soak")))]
     report: PathBuf,
@@ -39,7 +41,8 @@
             return ExitCode::from(if wrong { 2 } else { 0 });
         }
     };
-    let size = Size { seconds: flags.seconds, processes: flags.processes, links: flags.links };
+    let Flags { seconds, processes, links, needy, .. } = flags;
+    let size = Size { seconds, processes, links, needy };
     let mut failed = 0;
     for seed in flags.seed..flags.seed + flags.seeds {
         let verdict = match play(seed, size, &flags.report).await {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -101,8 +101,8 @@
         }
         if size.links {
             faults.extend(of_links(seed, size, end));
-            faults.sort_by_key(|planned| planned.at);
         }
+        faults.sort_by_key(|planned| planned.at);
         Self { faults, end: end + Duration::from_secs(4) }
     }
 }
--- a/crates/soak/src/seen.rs
+++ b/crates/soak/src/seen.rs
@@ -60,6 +60,12 @@
         self.ledger.borrow_mut().probed.push(probed);
     }
 
+    /// Notes that a target ended under the poison.
+    pub(crate) fn poisoned(&self) {
+        let at = self.now();
+        self.ledger.borrow_mut().ends.push(at);
+    }
+
     /// Notes that an entry ended by itself.
     pub(crate) fn exited(&self, entry: usize) {
         let exit = (self.now(), entry);
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -10,6 +10,7 @@
 
 use fireflyhoist_standin::port::Reserved;
 use fireflyhoist_standin::registry::Registry;
+use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -39,7 +40,9 @@
     engines: Rc<Engines>,
     registry: Registry,
     version: Rc<Cell<u64>>,
-    large: bool,
+    /// Slots whose targets were ended by a request.
+    ended: mpsc::UnboundedSender<usize>,
+    size: Size,
     logs: PathBuf,
     seed: u64,
     seen: Seen,
@@ -51,10 +54,11 @@
         let seen = Seen::open();
         let registry = Registry::open().await;
         let engines = Rc::new(Engines::default());
+        let (ended, ends) = mpsc::unbounded_channel();
         let (mut proxies, mut backends) = (Vec::new(), Vec::new());
         for slot in 0..SERVICES.len() * BACKENDS {
             let proxy = Proxy::open(registry.address()).await;
-            let backend = Backend::start(slot, 0, &proxy, &engines, &seen).await;
+            let backend = Backend::start(slot, 0, &proxy, &engines, &ended, &seen).await;
             registry.put(backend.listed.clone());
             backends.push(RefCell::new(backend));
             proxies.push(proxy);
@@ -85,11 +89,13 @@
             engines,
             registry,
             version: Rc::default(),
-            large: size.links,
+            ended,
+            size,
             logs: logs.to_owned(),
             seed,
             seen,
         };
+        spawn_local(world.clone().replace_ended(ends));
         world.seen.disturbed(None, LEAD);
         world.publish();
         Ok(world)
@@ -103,6 +109,9 @@
             let seen = self.seen.clone();
             spawn_local(caller::run(number, self.seed, addresses.clone(), seen));
         }
+        if self.size.needy {
+            spawn_local(caller::poison(self.seed, addresses.clone(), self.seen.clone()));
+        }
         spawn_local(self.clone().probe());
         spawn_local(self.clone().watch());
         for planned in &plan.faults {
@@ -132,7 +141,7 @@
 
     fn publish(&self) {
         self.version.set(self.version.get() + 1);
-        let text = if self.large { text::large } else { text::text };
+        let text = if self.size.links { text::large } else { text::text };
         self.seen.published(self.version.get());
         self.registry.publish(text(self.version.get()));
     }
--- a/crates/soak/src/world/strike.rs
+++ b/crates/soak/src/world/strike.rs
@@ -5,6 +5,7 @@
 use fireflyhoist_policy::lease::{State, Target};
 use fireflyhoist_standin::registry::Mood;
 use rustix::process::{Pid, Signal, kill_process};
+use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
@@ -213,6 +214,14 @@
         self.replace(slot, &listed).await;
     }
 
+    /// Replaces targets that were ended by a request.
+    pub(super) async fn replace_ended(self, mut ends: mpsc::UnboundedReceiver<usize>) {
+        while let Some(slot) = ends.recv().await {
+            let world = self.clone();
+            spawn_local(async move { world.crash(slot).await });
+        }
+    }
+
     async fn crash(&self, slot: usize) {
         let listed = self.backends[slot].borrow().listed.clone();
         self.backends[slot].borrow().crash();
@@ -230,7 +239,7 @@
         self.proxies[slot].reset();
         self.starts.set(self.starts.get() + 1);
         let (nth, proxy) = (self.starts.get(), &self.proxies[slot]);
-        let next = Backend::start(slot, nth, proxy, &self.engines, &self.seen).await;
+        let next = Backend::start(slot, nth, proxy, &self.engines, &self.ended, &self.seen).await;
         self.registry.put(next.listed.clone());
         *self.backends[slot].borrow_mut() = next;
     }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -24,7 +24,7 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_under_faults(seed: u64, seconds: u64) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak");
-    let size = Size { seconds, processes: 3, links: false };
+    let size = Size { seconds, processes: 3, links: false, needy: false };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
@@ -41,7 +41,25 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_on_poor_links(seed: u64, seconds: u64, processes: usize) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-links");
-    let size = Size { seconds, processes, links: true };
+    let size = Size { seconds, processes, links: true, needy: false };
+    let verdict = play(seed, size, &report).await.expect("it plays");
+    assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
+    assert!(verdict.served() > 50, "{verdict}");
+}
+
+/// The same while a request ends the targets that run it, again and again at any entry.
+///
+/// - 101, 200, 301: what many ask was taken for what ends targets, since it ran wherever one ended.
+#[parameterized(
+    short = { 1, 6 },
+    asked_by_many_101 = { 101, 15 },
+    asked_by_many_200 = { 200, 15 },
+    asked_by_many_301 = { 301, 15 },
+)]
+#[test_macro(ntex::test)]
+async fn promises_hold_before_needy_targets(seed: u64, seconds: u64) {
+    let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-needy");
+    let size = Size { seconds, processes: 4, links: false, needy: true };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
