Let targets of the soak name limits

Cause: neither soak nor stand-ins had a target that names what it takes. Checked: in any four seconds from three after it was named, no more than one and a half times as much and five more from entries in touch.

--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use fireflyhoist_gateway::native::{
-    BACKUP_HEADER, COPY_HEADER, Copied, INSTANCE_HEADER, Move, State,
+    BACKUP_HEADER, COPY_HEADER, Copied, INSTANCE_HEADER, Move, State, TAKES_HEADER,
 };
 use fireflyhoist_policy::lease::{self, Target};
 use fireflyhoist_wire::caller::{LAST_EVENT_HEADER, REQUEST_HEADER};
@@ -95,6 +95,8 @@
     service: &'static str,
     leaving: Cell<bool>,
     losing: Cell<bool>,
+    /// What it takes, in requests a second, where it says so.
+    limit: Cell<Option<f64>>,
     /// Told when a request ends it.
     ended: mpsc::UnboundedSender<usize>,
     slot: usize,
@@ -133,6 +135,7 @@
             service,
             leaving: Cell::new(false),
             losing: Cell::new(false),
+            limit: Cell::new(None),
             ended: ended.clone(),
             slot,
             running: RefCell::default(),
@@ -148,7 +151,11 @@
                     let service = hyper::service::service_fn(move |request| {
                         let shared = Rc::clone(&shared);
                         async move {
-                            let response = serve(Rc::clone(&shared), request).await;
+                            let mut response = serve(Rc::clone(&shared), request).await;
+                            if let Some(limit) = shared.limit.get() {
+                                let limit = limit.to_string().parse().expect("a number");
+                                response.headers_mut().insert(TAKES_HEADER, limit);
+                            }
                             let lost = shared.losing.get() && shared.engines.next() % 2 == 0;
                             if lost { Err(io::Error::other("lost")) } else { Ok(response) }
                         }
@@ -175,6 +182,16 @@
         self.shared.losing.set(losing);
     }
 
+    /// Names a limit from now on, or none; false where it is not this instance, or names one already.
+    pub(crate) fn set_limit(&self, instance: &SmolStr, limit: Option<f64>) -> bool {
+        let named = limit.is_some() && self.shared.limit.get().is_some();
+        if self.shared.instance != *instance || named {
+            return false;
+        }
+        self.shared.limit.set(limit);
+        true
+    }
+
     /// Ends at once, with every connection.
     pub(crate) fn crash(&self) {
         self.accepting.abort();
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -72,6 +72,15 @@
     pub(crate) to: Duration,
 }
 
+/// A limit that a target named.
+#[derive(Clone, Debug)]
+pub(crate) struct Limit {
+    pub(crate) target: SmolStr,
+    pub(crate) per_s: f64,
+    pub(crate) from: Duration,
+    pub(crate) to: Duration,
+}
+
 /// A promise that was broken.
 #[derive(Clone, Debug, Display)]
 #[display("{promise} at {:.2} s: {evidence}", at.as_secs_f64())]
@@ -90,6 +99,9 @@
 /// Sends of a poison that may follow once it has ended three targets.
 const MORE: usize = 3;
 
+/// The span in which a target that names a limit may get one and a half times as much, and five more.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+
 /// The part of requests that must be served once all is calm again.
 const SERVED: f64 = 0.95;
 
@@ -109,6 +121,8 @@
     pub(crate) arrivals: Vec<(SmolStr, SmolStr, Duration)>,
     /// When targets ended under the poison.
     pub(crate) ends: Vec<Duration>,
+    /// Limits that targets named.
+    pub(crate) limits: Vec<Limit>,
     /// Processes that ended by themselves.
     pub(crate) exits: Vec<(Duration, usize)>,
     /// When all must have recovered.
@@ -143,6 +157,7 @@
             broken.push(Violation { promise: "no exit of its own", at: *at, evidence });
         }
         self.check_poison(&mut broken);
+        self.limits.iter().for_each(|limit| self.check_limit(limit, &mut broken));
         let due = |asked: &&Asked| asked.from >= self.calm && asked.kind != Kind::Poison;
         let last: Vec<&Asked> = self.asked.iter().filter(due).collect();
         let served = last.iter().filter(|asked| asked.end == End::Status(200)).count();
@@ -223,6 +238,27 @@
         }
     }
 
+    fn check_limit(&self, limit: &Limit, broken: &mut Vec<Violation>) {
+        let Limit { target, per_s, from, to } = limit;
+        let sent = self.sent_calmly(*from + SETTLE);
+        let here = sent.filter(|(_, at, when)| *at == target && when <= to);
+        let times: Vec<Duration> = here.map(|(.., at)| at).collect();
+        let allowed = 1.5 * per_s * LIMIT_SPAN.as_secs_f64() + 5.0;
+        for first in &times {
+            let got = times.iter().filter(|at| *at >= first && **at < *first + LIMIT_SPAN).count();
+            if got as f64 > allowed {
+                let evidence =
+                    format!("{target} with {per_s} a second got {got}, {allowed} allowed");
+                broken.push(Violation {
+                    promise: "no more than a target takes",
+                    at: *first,
+                    evidence,
+                });
+                return;
+            }
+        }
+    }
+
     fn check_drains(&self, broken: &mut Vec<Violation>) {
         for (request, target, at) in &self.arrivals {
             let Some(left) = self.left.get(target) else { continue };
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -37,7 +37,7 @@
     /// Whether links between entries have faults and texts are large. Off, a seed's plan is the one
     /// that it had before there were such faults.
     pub links: bool,
-    /// Whether a request ends the targets that run it.
+    /// Whether a request ends the targets that run it, and targets name limits.
     pub needy: bool,
 }
 
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -24,7 +24,7 @@
     processes: usize,
     /// Faults of links between entries, and large texts, as well.
     links: bool,
-    /// A request that ends its targets as well.
+    /// A request that ends its targets, and targets that name limits, as well.
     needy: bool,
     /// Where logs, timelines and plots of seeds that failed are kept.
     #[bpaf(argument("DIR"), fallback(PathBuf::from("target/soak")))]
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -67,6 +67,8 @@
     Hush(usize),
     /// The links of others to an entry are reset.
     ResetPeers(usize),
+    /// A target names a limit, in requests for each ten seconds.
+    Limit(usize, u32),
 }
 
 /// A fault at its time.
@@ -102,6 +104,9 @@
         if size.links {
             faults.extend(of_links(seed, size, end));
         }
+        if size.needy {
+            faults.extend(of_limits(seed, end));
+        }
         faults.sort_by_key(|planned| planned.at);
         Self { faults, end: end + Duration::from_secs(4) }
     }
@@ -129,6 +134,20 @@
     faults
 }
 
+/// Limits that targets name, some at several of a service, some changed while they are named.
+fn of_limits(seed: u64, end: Duration) -> Vec<Planned> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
+    let (mut at, mut faults) = (LEAD, Vec::new());
+    while at < end {
+        let span = Duration::from_millis(rng.random_range(4_000..9_000));
+        let limit = rng.random_range(5..40);
+        let fault = Fault::Limit(rng.random_range(0..3 * BACKENDS), limit);
+        faults.push(Planned { at, span, fault });
+        at += Duration::from_millis(rng.random_range(300..2_500));
+    }
+    faults
+}
+
 fn fault(rng: &mut ChaCha8Rng, entries: usize) -> Fault {
     let entry = rng.random_range(0..entries);
     let target = rng.random_range(0..3 * BACKENDS);
--- a/crates/soak/src/seen.rs
+++ b/crates/soak/src/seen.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use crate::ledger::{Asked, Disturbed, Ledger, Probed};
+use crate::ledger::{Asked, Disturbed, Ledger, Limit, Probed};
 
 /// What everyone in a run notes what they see in.
 #[derive(Clone, Debug)]
@@ -66,6 +66,12 @@
         self.ledger.borrow_mut().ends.push(at);
     }
 
+    /// Notes that a target names a limit for a while.
+    pub(crate) fn limited(&self, target: SmolStr, per_s: f64, from: Duration) {
+        let limit = Limit { target, per_s, from, to: self.now() };
+        self.ledger.borrow_mut().limits.push(limit);
+    }
+
     /// Notes that an entry ended by itself.
     pub(crate) fn exited(&self, entry: usize) {
         let exit = (self.now(), entry);
--- a/crates/soak/src/world/strike.rs
+++ b/crates/soak/src/world/strike.rs
@@ -74,6 +74,9 @@
                 self.entries[nth].link.set_mode(Mode::Open);
             }
             Fault::Hush(nth) => self.peers(nth, Mode::Silent, span).await,
+            Fault::Limit(slot, tenths) => {
+                self.name_limit(slot, f64::from(tenths) / 10.0, span).await
+            }
             Fault::ResetPeers(nth) => {
                 self.entries[nth].peers.iter().for_each(Proxy::reset);
             }
@@ -214,6 +217,18 @@
         self.replace(slot, &listed).await;
     }
 
+    /// A target names a limit, until it ends or names none any more.
+    async fn name_limit(&self, slot: usize, per_s: f64, span: Duration) {
+        let instance = self.backends[slot].borrow().listed.instance.clone();
+        if !self.backends[slot].borrow().set_limit(&instance, Some(per_s)) {
+            return;
+        }
+        let from = self.seen.now();
+        sleep(span).await;
+        self.seen.limited(instance.clone(), per_s, from);
+        self.backends[slot].borrow().set_limit(&instance, None);
+    }
+
     /// Replaces targets that were ended by a request.
     pub(super) async fn replace_ended(self, mut ends: mpsc::UnboundedReceiver<usize>) {
         while let Some(slot) = ends.recv().await {
