Count a target that ended although another answers at its address

A target that leaves is none that a request ended. What broke off there before is now counted as ended. Measured: a_target_whose_address_is_another_s_has_ended, red without.

--- a/crates/gateway/src/process/state/poison.rs
+++ b/crates/gateway/src/process/state/poison.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::comeback::Print;
+use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::{Leases, Target};
 use fireflyhoist_policy::poison::{self, Incarnation, Ledger, Record, Verdict};
 use fireflyhoist_policy::time::Time;
@@ -92,8 +93,18 @@
     ///
     /// Guards against a target that is replaced at its address before it is asked whether it lives.
     pub(super) fn settle_doubts(&self, leases: &Leases) {
+        self.settle_where(|target| leases.has_ended(target));
+    }
+
+    /// Notes that another target answers at the address of one, which so has ended.
+    pub(crate) fn target_replaced(&self, id: &id::Target) {
+        self.target_leaves(id);
+        self.settle_where(|target| target.id == *id);
+    }
+
+    fn settle_where(&self, has_ended: impl Fn(&Target) -> bool) {
         let now = self.clock.now();
-        let ended = |doubt: &Doubt| leases.has_ended(&doubt.target);
+        let ended = |doubt: &Doubt| has_ended(&doubt.target);
         let mut doubts = self.poison.doubts.lock();
         doubts.retain(|doubt| now.since(doubt.at) < DOUBTED);
         let (over, kept) = doubts.drain(..).partition(ended);
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -114,7 +114,7 @@
         worker.process.note_limit(&target, sent, reply.limit);
     }
     if reply.misdirected {
-        worker.process.target_leaves(id);
+        worker.process.target_replaced(id);
         return Err(Ended::Unrun("misdirected"));
     }
     if reply.declined {
--- a/crates/gateway/tests/broken.rs
+++ b/crates/gateway/tests/broken.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use fireflyhoist_gateway::Gateway;
-use fireflyhoist_policy::route::Kind;
+use fireflyhoist_policy::route::{Kind, Route};
 use fireflyhoist_standin::registry::Registry;
 use support::caller::Request;
 use support::target::{Seen, Standin, Step, answer, event, listed, stream_head};
@@ -81,3 +81,36 @@
     }
     eventually(async || page().await.contains("fireflyhoist_held_requests 1")).await;
 }
+
+/// Guards against a target that ended being taken for one that left once another answers at its address.
+#[ntex::test]
+async fn a_target_whose_address_is_another_s_has_ended() {
+    let registry = Registry::open().await;
+    let web = Route { attempts: 1, ..route("web", Kind::Unsafe) };
+    registry.publish(text(1, vec![web]));
+    let misdirected = "HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n";
+    let script = move |seen: &Seen| match seen.body.as_str() {
+        "b" => vec![Step::Reset],
+        _ => vec![Step::Write(misdirected.to_owned())],
+    };
+    let gateway = {
+        let first = Standin::open("t-0", "web", script).await;
+        registry.put(first.listed.clone());
+        gateway(&registry).await
+    };
+    for nth in 0..3 {
+        let ask = async |body: &str| {
+            Request::new("POST", "/web/x").body(body).send(gateway.callers()).await
+        };
+        ask("b").await;
+        eventually(async || count(&gateway, "lives").await == (nth + 1).to_string()).await;
+        // Past the pause after a failure.
+        eventually(async || ask("c").await.body.contains("declined")).await;
+        let next = Standin::open(&format!("t-{}", nth + 1), "web", script).await;
+        registry.put(next.listed.clone());
+        registry.remove(&listed(&format!("t-{nth}"), "web", next.listed.address));
+        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    }
+    let page = async || Request::get("/metrics").send(gateway.metrics()).await.body;
+    eventually(async || page().await.contains("fireflyhoist_held_requests 1")).await;
+}
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -50,11 +50,13 @@
 /// The same while a request ends the targets that run it, again and again at any entry.
 ///
 /// - 101, 200, 301: what many ask was taken for what ends targets, since it ran wherever one ended.
+/// - 600: a target whose address was another's by then was taken for one that had left.
 #[parameterized(
     short = { 1, 6 },
     asked_by_many_101 = { 101, 15 },
     asked_by_many_200 = { 200, 15 },
     asked_by_many_301 = { 301, 15 },
+    address_of_another_600 = { 600, 15 },
 )]
 #[test_macro(ntex::test)]
 async fn promises_hold_before_needy_targets(seed: u64, seconds: u64) {
