Divide the bound on retries among all entries that carry the traffic

It is divided by the most entries that were seen to carry the traffic, and never among fewer again, so that both sides of a partition keep to their parts. Measured: retries_of_all_entries_stay_within_their_bound, red at 30 and 195 entries with sixteen parts.

--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -357,6 +357,7 @@
         let alive: Vec<Presence> = alive.into_values().collect();
         let members: Vec<Member> = alive.iter().map(|p| p.member.clone()).collect();
         let actives = roster::actives(&members);
+        self.process.set_actives(actives.len());
         let links = roster::links(&self.own, &actives).into_iter().cloned().collect();
         let actives: BTreeSet<id::Host> =
             actives.into_iter().map(|member| member.host.clone()).collect();
--- a/crates/gateway/src/process/lane.rs
+++ b/crates/gateway/src/process/lane.rs
@@ -11,6 +11,7 @@
 };
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::newcomer::Order;
+use fireflyhoist_policy::retry;
 use fireflyhoist_policy::unit::Tokens;
 use fireflyhoist_policy::witness::{self, Observer};
 use parking_lot::Mutex;
@@ -80,6 +81,11 @@
         self.state.lock().gate.set_order(order);
     }
 
+    /// Sets how many second attempts this entry may make.
+    pub fn set_retries(&self, terms: retry::Terms) {
+        self.state.lock().gate.set_retries(terms);
+    }
+
     /// Notes that a target has started again.
     pub fn restarted(&self, target: &id::Target) {
         self.state.lock().gate.restarted(self.clock.now(), target);
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -32,11 +32,6 @@
 
 pub(crate) use poison::Inspection;
 
-/// Entries that the deployment's retry bounds are divided by. No list of entries is published, and
-/// dividing by those who seem alive would let both sides of a partition spend the whole; more
-/// entries than this earn their retries by their own requests alone.
-const RETRY_PARTS: f64 = 16.0;
-
 /// The part of the bound on retries per request that entries earn; the rest covers requests that
 /// are counted in another window than their retries.
 const RETRY_EARNED: f64 = 0.5;
@@ -87,6 +82,8 @@
     leaving: OnceLock<Time>,
     listed: AtomicBool,
     open: AtomicUsize,
+    /// The most entries that were seen to carry the traffic.
+    actives: AtomicUsize,
     /// When the latest request came.
     begun: Mutex<Time>,
 }
@@ -115,6 +112,7 @@
             leaving: OnceLock::new(),
             listed: AtomicBool::new(false),
             open: AtomicUsize::new(0),
+            actives: AtomicUsize::new(0),
             begun: Mutex::new(Time::ZERO),
             settings,
         }))
@@ -190,12 +188,23 @@
         self.lanes.read().values().for_each(|lane| lane.set_order(order.clone()));
     }
 
-    fn terms(&self) -> gate::Settings {
+    /// Notes how many entries carry the traffic, among which the bound on retries is divided; it is never
+    /// divided among fewer again.
+    pub(crate) fn set_actives(&self, count: usize) {
+        if self.actives.fetch_max(count, Ordering::AcqRel) < count {
+            let terms = self.retries();
+            self.lanes.read().values().for_each(|lane| lane.set_retries(terms));
+        }
+    }
+
+    fn retries(&self) -> retry::Terms {
         let bounds = self.bounds();
-        let retries = retry::Terms {
-            earned: bounds.retry_ratio * RETRY_EARNED,
-            burst: bounds.retry_burst / RETRY_PARTS,
-        };
+        let earned = bounds.retry_ratio * RETRY_EARNED;
+        retry::Terms::part(earned, bounds.retry_burst, self.actives.load(Ordering::Acquire))
+    }
+
+    fn terms(&self) -> gate::Settings {
+        let retries = self.retries();
         // Entries tell each other several times a second what they hold, so none has to keep to a
         // share of an old report.
         gate::Settings {
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -170,6 +170,11 @@
         self.queue.set_weights(weights);
     }
 
+    /// Sets how many second attempts this entry may make.
+    pub fn set_retries(&mut self, terms: retry::Terms) {
+        self.retries.set_terms(terms);
+    }
+
     /// Sets the time between tokens that live callers are promised.
     pub fn set_between(&mut self, between: Duration) {
         self.settings.between = between;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -16,6 +16,10 @@
 /// The most retries that may be saved up.
 pub const BURST: f64 = 10.0;
 
+/// Entries among which a deployment's bound on retries is divided at least. No list of entries is
+/// published, and dividing by those that seem alive would let both sides of a partition spend the whole.
+pub const PARTS: usize = 16;
+
 /// How a budget fills.
 ///
 /// Where operators bound the retries of all entries together, each entry takes its part of the
@@ -28,6 +32,14 @@
     pub burst: f64,
 }
 
+impl Terms {
+    /// One entry's part of a bound on the retries of all, where at most `entries` have been seen to carry
+    /// the traffic.
+    pub fn part(earned: f64, burst: f64, entries: usize) -> Self {
+        Self { earned, burst: burst / entries.max(PARTS) as f64 }
+    }
+}
+
 impl Default for Terms {
     fn default() -> Self {
         Self { earned: EARNED, burst: BURST }
@@ -52,6 +64,12 @@
         Self { left: terms.burst, terms }
     }
 
+    /// Goes on with other terms; what was saved up beyond them is lost.
+    pub fn set_terms(&mut self, terms: Terms) {
+        self.terms = terms;
+        self.left = self.left.min(terms.burst);
+    }
+
     /// Notes that an attempt succeeded.
     pub fn earn(&mut self) {
         self.left = (self.left + self.terms.earned).min(self.terms.burst);
--- a/crates/policy/tests/budget.rs
+++ b/crates/policy/tests/budget.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::{hedge, retry};
+use yare::parameterized;
 
 /// Every engine is down for ten minutes and each of 10,000 requests wants a second attempt. Without
 /// a budget the service would get twice its load while it has least room.
@@ -30,6 +31,18 @@
     assert!(again > 900, "the budget is also used: {again}");
 }
 
+/// Guards against entries spending more than a bound that holds for all, where more carry the traffic
+/// than it is divided by.
+#[parameterized(few = { 2 }, as_many_as_parts = { 16 }, many = { 30 }, all = { 195 })]
+fn retries_of_all_entries_stay_within_their_bound(entries: usize) {
+    let terms = retry::Terms::part(0.1, 430.0, entries);
+    let spent = || {
+        let mut budget = retry::Budget::of(terms);
+        (0..1_000).filter(|_| budget.try_take()).count()
+    };
+    assert!((0..entries).map(|_| spent()).sum::<usize>() <= 430);
+}
+
 fn seen(count: u64, latency: impl Fn(u64) -> u64) -> hedge::Budget {
     let mut budget = hedge::Budget::open();
     for n in 0..count {
