Know a registry that comes back from an older copy by its era

Callers would see: requests sent to a target that is gone, or a new one used by nobody, for as long as the registry counts up to where it was. Cause: positions in its history were bare revisions, which go back and are given out again, so its lists were dropped as old, changes since a revision given out twice were missed, and peers with greater revisions outbid it. policy::position: era first, then revision, wherever positions are kept, compared, sent or logged; written as a plain revision in the first era, which older releases read. Only the adapter knows the header; it is read from every answer, an error's too. A change of era ends the watch and everything is read anew; peers take the list of a later era at once, lists and changes of an earlier one are refused with a log line. The first watch after a failed call does not wait, or the era would be known only at its end. Where the registry says nothing, or its era falls, its revisions tell, where they go back. Ruled out: that a list read by one entry may be below what another told it is no sign; each follower compares its own calls. A registry that says nothing of eras and gives out again just the revision that was read last can't be told; its test waits until more was read.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -189,9 +189,16 @@
     within: Duration,
     limit: usize,
 ) -> Result<(StatusCode, Bytes), Failure> {
-    timeout(within, fetch(address, outgoing, within, within, limit))
-        .await
-        .unwrap_or(Err(Failure::Late))
+    let fetched = timeout(within, fetch(address, outgoing, within, within, limit)).await;
+    fetched.unwrap_or(Err(Failure::Late)).map(|whole| (whole.status, whole.body))
+}
+
+/// A whole reply.
+#[derive(Debug)]
+pub(crate) struct Whole {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
 }
 
 /// Calls for a reply that may be large: it begins within `begin`, and goes on after pauses of at
@@ -207,9 +214,9 @@
     begin: Duration,
     pause: Duration,
     limit: usize,
-) -> Result<(StatusCode, Bytes), Failure> {
+) -> Result<Whole, Failure> {
     let mut response = send(address, outgoing, begin).await?;
     response.pause = Some(pause);
     let body = response.whole(limit).await?;
-    Ok((response.status, body))
+    Ok(Whole { status: response.status, headers: response.headers, body })
 }
--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -8,6 +8,7 @@
 use fireflyhoist_policy::intake;
 use fireflyhoist_policy::lease::{Change, Target};
 use fireflyhoist_policy::poison;
+use fireflyhoist_policy::position::Position;
 use fireflyhoist_policy::presence::Update;
 use fireflyhoist_policy::roster::Member;
 use fireflyhoist_policy::turn::Ask;
@@ -64,8 +65,8 @@
     pub(crate) ready: bool,
     /// The revision of the text in force there; 0 before the first.
     pub(crate) text: u64,
-    /// The registry's revision that its view of targets stands at; `None` before its first list.
-    pub(crate) targets: Option<u64>,
+    /// Where its view of targets stands in the registry's history; `None` before its first list.
+    pub(crate) targets: Option<Position>,
     /// Whether its latest call of the registry succeeded.
     pub(crate) registry: bool,
     /// Whether it hears of targets from the registry just now.
@@ -112,19 +113,19 @@
     Text(Message),
     /// Please send all targets.
     WantTargets,
-    /// All targets as of a revision.
+    /// All targets as of a position.
     Targets {
-        /// The registry's revision.
-        revision: u64,
+        /// Where the list stands.
+        revision: Position,
         /// All that are listed.
         targets: Vec<Target>,
     },
     /// What has changed of the targets.
     Changes {
-        /// The revision at which the sender stood before.
-        since: u64,
-        /// The revision at which it stands now.
-        revision: u64,
+        /// Where the sender stood before.
+        since: Position,
+        /// Where it stands now.
+        revision: Position,
         /// What changed in between.
         changes: Vec<Change>,
     },
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -41,6 +41,8 @@
 pub const COPY_HEADER: &str = "fireflyhoist-copy";
 /// Requests a second that a target in need takes, of all entries together.
 pub const TAKES_HEADER: &str = "fireflyhoist-takes-per-s";
+/// How often the registry has come back from an older copy, in all its answers.
+pub const ERA_HEADER: &str = "fireflyhoist-registry-era";
 /// Set by a target that did not run a request.
 pub const DECLINED_HEADER: &str = "fireflyhoist-declined";
 
@@ -143,6 +145,10 @@
 }
 
 impl Registry for Native {
+    fn era(headers: &HeaderMap) -> Option<u64> {
+        number(headers, ERA_HEADER)
+    }
+
     fn list(what: What, _: Option<&str>) -> String {
         format!("/v1/registry/{what}")
     }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -138,6 +138,9 @@
 
 /// The registry of texts and targets, which can only be read.
 pub trait Registry: 'static {
+    /// How often the registry says that it came back from a copy; `None` where it says nothing.
+    fn era(headers: &HeaderMap) -> Option<u64>;
+
     /// The path and query of a list call.
     fn list(what: What, after: Option<&str>) -> String;
 
--- a/crates/gateway/src/process/fleet/beat.rs
+++ b/crates/gateway/src/process/fleet/beat.rs
@@ -23,7 +23,7 @@
             endings: Vec::new(),
             ready: self.process.is_ready(),
             text: self.process.revision(),
-            targets: self.process.listed_revision(),
+            targets: self.process.listed_position(),
             registry: self.process.registry_works(),
             watching: self.process.is_watching(),
             held,
--- a/crates/gateway/src/process/fleet/catchup.rs
+++ b/crates/gateway/src/process/fleet/catchup.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::position::Position;
 use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::version::{Stamp, Version};
 use fireflyhoist_text::transfer::{Message, Next};
@@ -55,7 +56,7 @@
 impl Fleet {
     /// Asks a peer for what it has and this entry lacks.
     pub(super) fn follow(&self, from: &id::Host, beat: &Beat) {
-        let (text, targets) = (self.process.revision(), self.process.listed_revision());
+        let (text, targets) = (self.process.revision(), self.process.listed_position());
         let (wants_text, wants_targets) = (beat.text > text, beat.targets > targets);
         let Some((text_late, targets_late)) = self.late(from, wants_text, wants_targets) else {
             return;
@@ -66,7 +67,7 @@
         }
         if let Some(theirs) = beat.targets
             && wants_targets
-            && (targets_late || targets.is_none())
+            && (targets_late || targets.is_none_or(|own| theirs.is_after(own)))
         {
             self.want_targets(from, theirs);
         }
@@ -90,8 +91,8 @@
         }
     }
 
-    fn want_targets(&self, from: &id::Host, revision: u64) {
-        if self.lists.lock().announced(self.now(), from, Stamp::least(revision)) {
+    fn want_targets(&self, from: &id::Host, position: Position) {
+        if self.lists.lock().announced(self.now(), from, position) {
             self.links.send(from, &Frame::WantTargets);
         }
     }
--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -23,6 +23,7 @@
 use fireflyhoist_policy::lease::Change;
 use fireflyhoist_policy::newcomer::Order;
 use fireflyhoist_policy::outage::{self, Part};
+use fireflyhoist_policy::position::Position;
 use fireflyhoist_policy::presence::{Presence, Teller, Told, Update};
 use fireflyhoist_policy::rendezvous;
 use fireflyhoist_policy::roster::{self, Member};
@@ -93,7 +94,7 @@
     /// Sections of texts, those on their way here included.
     texts: Mutex<Transfer>,
     /// Which peer is asked for all targets.
-    lists: Mutex<Fetch>,
+    lists: Mutex<Fetch<Position>>,
     /// The list that others were sent last.
     encoded: Mutex<Option<Encoded>>,
     changed: Notify,
@@ -295,8 +296,8 @@
     /// Changes go over the links and not the list: with 810 targets that is a hundred kilobytes, and
     /// targets change several times a second. Whoever misses a change shows it by its revision and
     /// is told the whole list.
-    pub(crate) fn share_changes(&self, since: u64, changes: Vec<Change>) {
-        let revision = self.process.targets_revision();
+    pub(crate) fn share_changes(&self, since: Position, changes: Vec<Change>) {
+        let revision = self.process.targets_position();
         let (actives, _) = self.parted();
         let told = actives.into_iter().chain(self.followers());
         let told: BTreeSet<id::Host> = told.collect();
@@ -444,9 +445,13 @@
     }
 
     /// Takes in changes from a peer, and hands them on to those that know no other active.
-    fn take_changes(&self, since: u64, revision: u64, changes: Vec<Change>) {
+    fn take_changes(&self, since: Position, revision: Position, changes: Vec<Change>) {
         // Changes follow a list; whoever has none yet gets one with all that has changed.
-        let Some(own) = self.process.listed_revision() else { return };
+        let Some(own) = self.process.listed_position() else { return };
+        // Changes of a later era follow its list, which is asked for by its heartbeats.
+        if revision.era() != own.era() {
+            return;
+        }
         // Guards against a missed change: taking the new revision over would hide the gap, and the
         // whole list would never be asked for.
         let reached = if own >= since { revision } else { own };
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -23,6 +23,8 @@
     pub(crate) open: usize,
     /// The revision of the text in force.
     pub(crate) revision: u64,
+    /// How often the registry has come back from a copy.
+    pub(crate) era: u64,
     /// Requests known to end their targets.
     pub(crate) held: usize,
     /// Targets that name a limit.
@@ -39,10 +41,13 @@
     attempts: Counter<u64>,
     broken: Counter<u64>,
     held: Counter<u64>,
+    restored: Counter<u64>,
+    older: Counter<u64>,
     kept_off: Counter<u64>,
     carried: Counter<u64>,
     calls: Counter<u64>,
     first: Histogram<f64>,
+    era: Gauge<u64>,
     suspects: Gauge<u64>,
     limited: Gauge<u64>,
     open: Gauge<u64>,
@@ -79,6 +84,14 @@
                 "fireflyhoist.limited_sends",
                 "Requests for targets that name a limit, by decision",
             ),
+            restored: counter(
+                "fireflyhoist.registry_restores",
+                "Times that the registry came back from a copy",
+            ),
+            older: counter(
+                "fireflyhoist.older_eras_refused",
+                "Lists of an earlier era that were refused",
+            ),
             held: counter(
                 "fireflyhoist.held_back",
                 "Requests under which targets ended, by decision",
@@ -92,6 +105,10 @@
                 .with_boundaries(BOUNDS.to_vec())
                 .build(),
             limited: gauge("fireflyhoist.limited_targets", "Targets that name a limit"),
+            era: gauge(
+                "fireflyhoist.registry_era",
+                "How often the registry came back from a copy, as it says",
+            ),
             suspects: gauge("fireflyhoist.held_requests", "Requests known to end their targets"),
             open: gauge("fireflyhoist.open_requests", "Requests in progress"),
             revision: gauge("fireflyhoist.revision", "Revision of the text in force"),
@@ -119,6 +136,14 @@
         self.kept_off.add(1, &[KeyValue::new("decision", decision)]);
     }
 
+    pub(crate) fn restored(&self) {
+        self.restored.add(1, &[]);
+    }
+
+    pub(crate) fn older(&self) {
+        self.older.add(1, &[]);
+    }
+
     pub(crate) fn held(&self, decision: &'static str) {
         self.held.add(1, &[KeyValue::new("decision", decision)]);
     }
@@ -140,6 +165,7 @@
     pub(crate) fn page(&self, now: Now) -> String {
         self.open.record(now.open as u64, &[]);
         self.revision.record(now.revision, &[]);
+        self.era.record(now.era, &[]);
         self.suspects.record(now.held as u64, &[]);
         self.limited.record(now.limited as u64, &[]);
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_else(|error| {
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -6,7 +6,7 @@
 mod targets;
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 use fireflyhoist_policy::intake::{Book, Keeper};
 use fireflyhoist_policy::lease::Leases;
 use fireflyhoist_policy::newcomer::Order;
+use fireflyhoist_policy::position::Position;
 use fireflyhoist_policy::retry;
 use fireflyhoist_policy::route::{Table, Text};
 use fireflyhoist_policy::time::Time;
@@ -76,6 +77,8 @@
     /// Wakes the heartbeats when a generation was sent.
     sent: Notify,
     registry: AtomicBool,
+    /// How often the registry is known to have come back from a copy.
+    era: AtomicU64,
     /// Whether its latest watch of targets succeeded.
     watching: AtomicBool,
     /// Since when it leaves.
@@ -108,6 +111,7 @@
             targets: watch::channel(0).0,
             sent: Notify::new(),
             registry: AtomicBool::new(false),
+            era: AtomicU64::new(0),
             watching: AtomicBool::new(false),
             leaving: OnceLock::new(),
             listed: AtomicBool::new(false),
@@ -258,6 +262,31 @@
         self.registry.load(Ordering::Acquire)
     }
 
+    /// Notes how often the registry says, or peers know, that it came back from a copy; returns whether
+    /// that is news.
+    pub(crate) fn note_era(&self, era: u64, source: &str) -> bool {
+        let before = self.era.fetch_max(era, Ordering::AcqRel);
+        if era > before {
+            self.metrics.restored();
+            ::log::warn!(
+                era = era, before = before, source = source;
+                "registry came back from an older copy"
+            );
+        }
+        era > before
+    }
+
+    /// How often the registry is known to have come back from a copy.
+    pub(crate) fn era(&self) -> u64 {
+        self.era.load(Ordering::Acquire)
+    }
+
+    /// Notes that something of an earlier era was not taken.
+    pub(crate) fn refuse_older(&self, known: Position, told: Position, source: &str) {
+        self.metrics.older();
+        ::log::info!(known:% = known, told:% = told, source = source; "targets of an earlier era refused");
+    }
+
     /// Notes whether this entry hears of targets from the registry.
     pub(crate) fn set_watching(&self, watches: bool) {
         self.watching.store(watches, Ordering::Release);
--- a/crates/gateway/src/process/state/targets.rs
+++ b/crates/gateway/src/process/state/targets.rs
@@ -6,6 +6,7 @@
 
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::{self, Change, Target};
+use fireflyhoist_policy::position::Position;
 use fireflyhoist_policy::witness::Observer;
 use tokio::sync::watch;
 
@@ -63,25 +64,34 @@
     }
 
     /// Takes in a list of all targets.
-    pub(crate) fn list_targets(&self, revision: u64, targets: Vec<Target>, source: &str) -> bool {
+    pub(crate) fn list_targets(&self, at: Position, targets: Vec<Target>, source: &str) -> bool {
         let now = self.clock.now();
         self.listed.store(true, Ordering::Release);
+        self.note_era(at.era(), source);
         let count = targets.len();
-        let changed = self.leases.lock().list(now, revision, targets);
+        let mut leases = self.leases.lock();
+        let known = leases.position();
+        if known.is_after(at) {
+            drop(leases);
+            self.refuse_older(known, at, source);
+            return false;
+        }
+        let changed = leases.list(now, at, targets);
+        drop(leases);
         if changed {
-            ::log::info!(revision = revision, listed = count, source = source; "targets listed");
+            ::log::info!(revision:% = at, listed = count, source = source; "targets listed");
             self.refresh();
         }
         changed
     }
 
     /// Takes in single changes of targets; returns those that were news.
-    pub(crate) fn change_targets(&self, revision: u64, changes: Vec<Change>) -> Vec<Change> {
+    pub(crate) fn change_targets(&self, at: Position, changes: Vec<Change>) -> Vec<Change> {
         let now = self.clock.now();
-        let news = self.leases.lock().changes(now, revision, changes);
+        let news = self.leases.lock().changes(now, at, changes);
         for change in &news {
             let line = describe(change);
-            ::log::info!(revision = revision, change = line.as_str(); "target changed");
+            ::log::info!(revision:% = at, change = line.as_str(); "target changed");
         }
         if !news.is_empty() {
             self.refresh();
@@ -120,20 +130,20 @@
         near.map(|target| target.id.clone()).collect()
     }
 
-    pub(crate) fn targets(&self) -> (u64, Vec<Target>) {
+    pub(crate) fn targets(&self) -> (Position, Vec<Target>) {
         let leases = self.leases.lock();
-        (leases.revision(), leases.all().cloned().collect())
+        (leases.position(), leases.all().cloned().collect())
     }
 
-    pub(crate) fn targets_revision(&self) -> u64 {
-        self.leases.lock().revision()
+    pub(crate) fn targets_position(&self) -> Position {
+        self.leases.lock().position()
     }
 
-    /// The revision of its list of targets; `None` before the first.
+    /// Where its list of targets stands; `None` before the first.
     ///
-    /// A list without any target leaves the revision at 0, so that alone doesn't tell the two apart.
-    pub(crate) fn listed_revision(&self) -> Option<u64> {
-        self.is_listed().then(|| self.targets_revision())
+    /// A list without any target leaves the position at 0, so that alone doesn't tell the two apart.
+    pub(crate) fn listed_position(&self) -> Option<Position> {
+        self.is_listed().then(|| self.targets_position())
     }
 
     pub(crate) fn is_listed(&self) -> bool {
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -71,7 +71,7 @@
     });
     log::info!(
         request = inquiry.facts.request.as_str(), target:% = target, outcome = outcome.as_str(),
-        revision = inquiry.table.text().revision, targets = worker.process.targets_revision(),
+        revision = inquiry.table.text().revision, targets:% = worker.process.targets_position(),
         resumed = extra.last_event.unwrap_or(0), copy = extra.copy.is_some(),
         ms = millis(elapsed); "attempt"
     );
--- a/crates/gateway/src/request/probe.rs
+++ b/crates/gateway/src/request/probe.rs
@@ -22,6 +22,7 @@
     let page = process.metrics.page(Now {
         open: process.open_requests(),
         revision: process.revision(),
+        era: process.era(),
         held: process.held_back(),
         limited: process.limited_targets(),
     });
--- a/crates/gateway/src/version/follow.rs
+++ b/crates/gateway/src/version/follow.rs
@@ -14,6 +14,7 @@
 use fireflyhoist_policy::bootstrap::{Bootstrap, Peers};
 use fireflyhoist_policy::lease::{Change, Target};
 use fireflyhoist_policy::outage;
+use fireflyhoist_policy::position::Position;
 use fireflyhoist_policy::time::Time;
 use ntex::http::{HeaderMap, Method, StatusCode};
 use ntex::time::{sleep, timeout};
@@ -99,6 +100,8 @@
     };
     for what in [What::Text, What::Targets] {
         let follower = Follower {
+            seen: Position::default(),
+            fallen: None,
             bootstrap,
             settled: now + SETTLED,
             process: Arc::clone(process),
@@ -112,7 +115,17 @@
     }
 }
 
+/// A whole reply, and the era that it is of.
+struct Reply {
+    era: u64,
+    body: Bytes,
+}
+
 struct Follower {
+    /// The revision, and the era, that the latest reply gave.
+    seen: Position,
+    /// An era that the registry went back to, which so says nothing any more.
+    fallen: Option<u64>,
     /// When it reads for the first time.
     bootstrap: Bootstrap,
     /// When its part in the fleet is known.
@@ -132,7 +145,7 @@
         loop {
             self.stand_by().await;
             match self.list::<P>().await {
-                Ok(revision) => self.watch::<P>(revision).await,
+                Ok(position) => self.watch::<P>(position).await,
                 Err(error) => self.pause(&error).await,
             }
         }
@@ -190,16 +203,18 @@
     }
 
     /// Follows changes until they can be followed no more.
-    async fn watch<P: Platform>(&mut self, mut revision: u64) {
+    async fn watch<P: Platform>(&mut self, mut at: Position) {
         loop {
-            if self.is_told() {
+            // A revision of an earlier era may have been given out again: changes since it say nothing.
+            if self.is_told() || self.process.era() != at.era() {
                 // What happens meanwhile may be more than the registry keeps.
                 return;
             }
-            match self.wait::<P>(revision).await {
-                Ok(page) => {
-                    revision = revision.max(page.revision);
-                    self.take(page);
+            match self.wait::<P>(at.revision()).await {
+                Ok((era, _)) if era != at.era() => return,
+                Ok((_, page)) => {
+                    at = at.max(Position::new(at.era(), page.revision));
+                    self.take(at, page);
                     if self.what == What::Targets {
                         sleep(self.targets_pause()).await;
                     }
@@ -238,31 +253,77 @@
         }
     }
 
-    async fn call(&mut self, path: String, begin: Duration) -> Result<Bytes, CallError> {
+    async fn call<P: Platform>(
+        &mut self,
+        path: String,
+        begin: Duration,
+    ) -> Result<Reply, CallError> {
         self.asked = self.process.clock.now();
+        let known = self.process.era();
         let (method, headers) = (Method::GET, HeaderMap::new());
         let outgoing = Outgoing { method, path, headers, body: Bytes::new() };
         let called = exchange::fetch(self.address, outgoing, begin, REPLY_PAUSE, MAX_REPLY).await;
         self.process.metrics.registry_call();
-        let (status, body) = called.map_err(CallError::Exchange)?;
-        match status {
-            StatusCode::OK => Ok(body),
+        let whole = called.map_err(CallError::Exchange)?;
+        let era = self.era(known, P::era(&whole.headers));
+        match whole.status {
+            StatusCode::OK => Ok(Reply { era, body: whole.body }),
             StatusCode::GONE => Err(CallError::Forgotten),
             status => Err(CallError::Status(status)),
         }
     }
 
-    /// Reads everything and returns the revision from which changes follow.
-    async fn list<P: Platform>(&mut self) -> Result<u64, CallError> {
+    /// The era of a reply to a call that was made when `known` was.
+    ///
+    /// A registry that says nothing, or less than was known before it was asked, can't be gone by: its
+    /// replies count as of the era that is known, which its revisions raise where they go back.
+    fn era(&mut self, known: u64, said: Option<u64>) -> u64 {
+        match said {
+            Some(era) if era >= known => {
+                self.process.note_era(era, "registry");
+                era
+            }
+            Some(era) if self.fallen != Some(era) => {
+                ::log::warn!(known = known, said = era; "registry's era fell; everything is read anew");
+                self.fallen = Some(era);
+                self.process.note_era(known + 1, "fallen era");
+                known + 1
+            }
+            Some(_) | None => self.process.era(),
+        }
+    }
+
+    /// Where a reply stands; a revision below that of the reply before is of a later era, whatever the
+    /// registry says.
+    fn position(&mut self, era: u64, revision: u64) -> Position {
+        let mut position = Position::new(era, revision);
+        if position.era() == self.seen.era() && revision < self.seen.revision() {
+            ::log::warn!(
+                seen:% = self.seen, told:% = position;
+                "registry's revisions went back; everything is read anew"
+            );
+            position = Position::new(era + 1, revision);
+            self.process.note_era(era + 1, "revisions");
+        }
+        self.seen = position;
+        position
+    }
+
+    /// Reads everything and returns where changes follow from.
+    async fn list<P: Platform>(&mut self) -> Result<Position, CallError> {
         let mut after: Option<SmolStr> = None;
         let mut first = None;
         let mut items = Vec::new();
         loop {
             let path = P::list(self.what, after.as_deref());
-            let body = self.call(path, LIST_TIMEOUT).await?;
-            let page = P::page(self.what, &body).map_err(CallError::Decode)?;
+            let reply = self.call::<P>(path, LIST_TIMEOUT).await?;
+            let page = P::page(self.what, &reply.body).map_err(CallError::Decode)?;
             // Pages are no snapshot: what changed between them is in the changes after the first.
-            first.get_or_insert(page.revision);
+            let position = self.position(reply.era, page.revision);
+            if first.is_some_and(|first: Position| position.is_after(first)) {
+                return Err(CallError::Forgotten);
+            }
+            first.get_or_insert(position);
             items.extend(page.items);
             after = page.next;
             if after.is_none() {
@@ -270,13 +331,17 @@
             }
         }
         self.recovered();
-        let revision = first.unwrap_or_default();
-        self.take_list(revision, items);
-        Ok(revision)
+        let position = first.unwrap_or_default();
+        self.take_list(position, items);
+        Ok(position)
     }
 
-    async fn wait<P: Platform>(&mut self, revision: u64) -> Result<Page, CallError> {
+    /// Waits for changes; returns them with the era of the reply.
+    async fn wait<P: Platform>(&mut self, revision: u64) -> Result<(u64, Page), CallError> {
         let wait = match self.what {
+            // A registry that was away may have come back from a copy and given the revision out again;
+            // waited for, its reply would tell only at its end.
+            _ if self.failures > 0 => Duration::ZERO,
             What::Targets => WATCH_TARGETS,
             // The failure: the connections of all entries to the registry fall silent together, each
             // relies on the others, and a new text is in force nowhere for half a minute.
@@ -286,10 +351,11 @@
             What::Text => WATCH_WAIT,
         };
         let path = P::watch(self.what, revision, wait);
-        let body = self.call(path, wait + WATCH_SLACK).await?;
-        let page = P::news(self.what, &body).map_err(CallError::Decode)?;
+        let reply = self.call::<P>(path, wait + WATCH_SLACK).await?;
+        let page = P::news(self.what, &reply.body).map_err(CallError::Decode)?;
+        let position = self.position(reply.era, page.revision);
         self.recovered();
-        Ok(page)
+        Ok((position.era(), page))
     }
 
     fn recovered(&mut self) {
@@ -316,7 +382,7 @@
         sleep(outage::pause(self.fleet.part(), self.failures, rand::random())).await;
     }
 
-    fn take_list(&self, revision: u64, items: Vec<Result<Item, DecodeError>>) {
+    fn take_list(&self, at: Position, items: Vec<Result<Item, DecodeError>>) {
         let (targets, changed) = self.sort(items);
         let targets: Vec<Target> = targets
             .into_iter()
@@ -326,17 +392,17 @@
             })
             .collect();
         let listed =
-            self.what == What::Targets && self.process.list_targets(revision, targets, "registry");
+            self.what == What::Targets && self.process.list_targets(at, targets, "registry");
         // What a list changes is told by the next heartbeats: those that miss it are told all.
         if listed || changed {
             self.fleet.beat();
         }
     }
 
-    fn take(&self, page: Page) {
+    fn take(&self, at: Position, page: Page) {
         let (targets, changed) = self.sort(page.items);
-        let since = self.process.targets_revision();
-        let news = self.process.change_targets(page.revision, targets);
+        let since = self.process.targets_position();
+        let news = self.process.change_targets(at, targets);
         if !news.is_empty() {
             self.fleet.share_changes(since, news);
         }
--- a/crates/gateway/src/version/report.rs
+++ b/crates/gateway/src/version/report.rs
@@ -71,7 +71,7 @@
     if !P::leaves(status, &body) {
         return;
     }
-    let since = process.targets_revision();
+    let since = process.targets_position();
     if let Some(change) = process.target_leaves(&target.id) {
         fleet.share_changes(since, vec![change]);
     }
--- /dev/null
+++ b/crates/gateway/tests/restored.rs
@@ -0,0 +1,222 @@
+//! A registry that comes back from an older copy: revisions go back and are given out again.
+
+mod support;
+
+use std::time::Duration;
+
+use fireflyhoist_gateway::Gateway;
+use fireflyhoist_policy::route::{Kind, Route};
+use fireflyhoist_standin::registry::{Mood, Registry};
+use support::caller::Request;
+use support::target::{Standin, answer};
+use support::{eventually, route, text, unready, until_ready};
+use yare::parameterized;
+
+/// How long it is away.
+const AWAY: Duration = Duration::from_millis(400);
+
+/// Within which all entries must know what it tells anew.
+const KNOWN: Duration = Duration::from_secs(1);
+
+async fn target(name: &str) -> Standin {
+    Standin::open(name, "web", |_| answer(200, "ok")).await
+}
+
+async fn fleet(registry: &Registry, entries: usize) -> Vec<Gateway> {
+    let web = Route { objective: Duration::from_millis(500), ..route("web", Kind::Safe) };
+    registry.publish(text(1, vec![web]));
+    let mut fleet: Vec<Gateway> = Vec::new();
+    for nth in 0..entries {
+        let seeds: Vec<_> = fleet.iter().map(Gateway::peers).collect();
+        let entry = unready(registry.address(), &format!("entry-{nth}"), &seeds).await;
+        until_ready(&entry).await;
+        fleet.push(entry);
+    }
+    let known = Request::get("/v1/entries?domain=hala-a");
+    eventually(async || {
+        let answer = known.send(fleet[0].directory()).await;
+        answer.body.matches("entry-").count() == entries
+    })
+    .await;
+    fleet
+}
+
+async fn ask(entry: &Gateway) -> u16 {
+    Request::new("POST", "/web/x").body("b").send(entry.callers()).await.status
+}
+
+/// Asks each entry until its requests reach a target.
+async fn until_used(fleet: &[Gateway], target: &Standin) {
+    for entry in fleet {
+        let before = target.seen().len();
+        eventually(async || {
+            ask(entry).await;
+            target.seen().len() > before
+        })
+        .await;
+    }
+}
+
+/// Takes the registry away, brings it back from a copy, and lets `write` write before anyone reads.
+async fn restore(
+    registry: &Registry,
+    copy: fireflyhoist_standin::registry::Copy,
+    write: impl FnOnce(),
+) {
+    registry.set_mood(Mood::Busy);
+    tokio::time::sleep(AWAY).await;
+    registry.restore(copy);
+    write();
+    registry.set_mood(Mood::Well);
+}
+
+/// Guards against a list, and changes, of a restored registry being taken for old ones.
+#[parameterized(
+    one_entry = { 1, 0 },
+    three_entries = { 3, 0 },
+    revisions_given_out_again = { 1, 12 },
+    revisions_given_out_again_to_three = { 3, 12 },
+)]
+#[test_macro(ntex::test)]
+async fn what_a_restored_registry_tells_is_known(entries: usize, rewritten: u64) {
+    let registry = Registry::open().await;
+    let (old, new) = (target("t-1").await, target("t-2").await);
+    registry.put(old.listed.clone());
+    let copy = registry.copy();
+    let fleet = fleet(&registry, entries).await;
+    for renewal in 2..10 {
+        let listed = fireflyhoist_policy::lease::Target { renewal, ..old.listed.clone() };
+        registry.put(listed);
+    }
+    until_used(&fleet, &old).await;
+    restore(&registry, copy, || {
+        registry.put(new.listed.clone());
+        for renewal in 10..10 + rewritten {
+            let listed = fireflyhoist_policy::lease::Target { renewal, ..old.listed.clone() };
+            registry.put(listed);
+        }
+    })
+    .await;
+    tokio::time::sleep(KNOWN).await;
+    let before = new.seen().len();
+    for entry in fleet.iter().cycle().take(6 * entries) {
+        assert_eq!(ask(entry).await, 200);
+    }
+    assert!(new.seen().len() >= before + entries, "{} more", new.seen().len() - before);
+}
+
+/// Guards against a target that said that it drains, or that left, coming back by a restored list.
+#[parameterized(drains = { true }, left = { false })]
+#[test_macro(ntex::test)]
+async fn what_left_in_the_lost_seconds_stays_gone(drains: bool) {
+    let registry = Registry::open().await;
+    let (gone, kept) = (target("t-1").await, target("t-2").await);
+    registry.put(gone.listed.clone());
+    registry.put(kept.listed.clone());
+    let copy = registry.copy();
+    let fleet = fleet(&registry, 2).await;
+    until_used(&fleet, &gone).await;
+    match drains {
+        true => registry.put(gone.draining()),
+        false => registry.remove(&gone.listed),
+    }
+    // The wait covers the time in which a leaving must be known.
+    tokio::time::sleep(KNOWN).await;
+    let before = gone.seen().len();
+    restore(&registry, copy, || {}).await;
+    tokio::time::sleep(KNOWN).await;
+    for entry in fleet.iter().cycle().take(12) {
+        assert_eq!(ask(entry).await, 200);
+    }
+    assert_eq!(gone.seen().len(), before);
+}
+
+/// Guards against a target of the lost seconds being cut off before it has written again, and against
+/// one that does not being used for good.
+#[ntex::test]
+async fn what_a_copy_lacks_is_kept_for_a_moment() {
+    let registry = Registry::open().await;
+    let (back, lost, other) = (target("t-1").await, target("t-2").await, target("t-3").await);
+    registry.put(other.listed.clone());
+    let copy = registry.copy();
+    let fleet = fleet(&registry, 2).await;
+    registry.put(back.listed.clone());
+    registry.put(lost.listed.clone());
+    until_used(&fleet, &back).await;
+    until_used(&fleet, &lost).await;
+    restore(&registry, copy, || {}).await;
+    tokio::time::sleep(KNOWN).await;
+    until_used(&fleet, &back).await;
+    registry.put(fireflyhoist_policy::lease::Target { renewal: 2, ..back.listed.clone() });
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = lost.seen().len();
+    until_used(&fleet, &back).await;
+    assert_eq!(lost.seen().len(), before);
+}
+
+/// Guards against an entry that starts believing what others know from before.
+#[ntex::test]
+async fn an_entry_that_starts_after_a_restore_knows_the_new_list() {
+    let registry = Registry::open().await;
+    let (old, new) = (target("t-1").await, target("t-2").await);
+    registry.put(old.listed.clone());
+    let copy = registry.copy();
+    let mut fleet = fleet(&registry, 2).await;
+    for renewal in 2..10 {
+        registry.put(fireflyhoist_policy::lease::Target { renewal, ..old.listed.clone() });
+    }
+    until_used(&fleet, &old).await;
+    restore(&registry, copy, || registry.put(new.listed.clone())).await;
+    let seeds: Vec<_> = fleet.iter().map(Gateway::peers).collect();
+    let joined = unready(registry.address(), "entry-9", &seeds).await;
+    until_ready(&joined).await;
+    fleet.push(joined);
+    tokio::time::sleep(KNOWN).await;
+    until_used(&fleet, &new).await;
+}
+
+/// Guards against a registry that says nothing of its era being believed never again.
+#[ntex::test]
+async fn a_registry_that_goes_back_without_a_word_is_read_anew() {
+    let registry = Registry::open().await;
+    registry.keep_quiet();
+    let (old, new) = (target("t-1").await, target("t-2").await);
+    registry.put(old.listed.clone());
+    let copy = registry.copy();
+    let fleet = fleet(&registry, 1).await;
+    for renewal in 2..10 {
+        registry.put(fireflyhoist_policy::lease::Target { renewal, ..old.listed.clone() });
+    }
+    until_used(&fleet, &old).await;
+    // It has read past what is given out again; otherwise nothing shows.
+    tokio::time::sleep(KNOWN).await;
+    restore(&registry, copy, || registry.put(new.listed.clone())).await;
+    tokio::time::sleep(KNOWN).await;
+    until_used(&fleet, &new).await;
+}
+
+/// Guards against a text in force going back to that of the copy.
+#[ntex::test]
+async fn a_text_does_not_go_back_with_its_registry() {
+    let registry = Registry::open().await;
+    let served = target("t-1").await;
+    registry.put(served.listed.clone());
+    let fleet = fleet(&registry, 2).await;
+    let copy = registry.copy();
+    let web = Route { objective: Duration::from_millis(500), ..route("web", Kind::Safe) };
+    let more = Route { prefix: "/more/".into(), ..web.clone() };
+    registry.publish(text(5, vec![web, more]));
+    let more = async |entry: &Gateway| {
+        Request::new("POST", "/more/x").body("b").send(entry.callers()).await.status == 200
+    };
+    for entry in &fleet {
+        eventually(async || more(entry).await).await;
+    }
+    restore(&registry, copy, || {}).await;
+    for _ in 0..10 {
+        tokio::time::sleep(KNOWN / 5).await;
+        for entry in &fleet {
+            assert!(more(entry).await);
+        }
+    }
+}
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -30,6 +30,7 @@
 use smol_str::SmolStr;
 
 use crate::id;
+use crate::position::Position;
 use crate::time::Time;
 
 /// How long after a registry's return its list may lack live targets. The users' letter gives two
@@ -127,7 +128,8 @@
 pub struct Leases {
     live: BTreeMap<id::Target, Entry>,
     left: BTreeMap<id::Target, Left>,
-    revision: u64,
+    /// Where the view stands.
+    position: Position,
     /// Until when entries may be missing unjustly.
     rejoin: Time,
     /// Targets that have started again since this was last asked.
@@ -137,8 +139,8 @@
 #[derive(Debug)]
 struct Entry {
     target: Target,
-    /// The revision of the reading that lacked it, shortly after an outage.
-    doubted: Option<u64>,
+    /// Where the reading stood that lacked it, shortly after an outage.
+    doubted: Option<Position>,
 }
 
 /// A target that left, as it was last known.
@@ -146,27 +148,27 @@
 struct Left {
     target: Target,
     since: Time,
-    /// The revision of the reading that lacked it.
-    revision: u64,
+    /// Where the reading stood that lacked it.
+    position: Position,
 }
 
 impl Left {
     /// Whether a reading shows that it lives after all.
-    fn returns(&self, revision: u64, read: &Target) -> bool {
+    fn returns(&self, position: Position, read: &Target) -> bool {
         match read.started(&self.target) {
             Ordering::Less => return false,
             Ordering::Greater => return true,
             Ordering::Equal => {}
         }
         let silent = self.target.state == State::Ready && read.state == State::Ready;
-        silent && revision > self.revision && read.renewal > self.target.renewal
+        silent && position > self.position && read.renewal > self.target.renewal
     }
 }
 
 impl Leases {
-    /// The registry's revision at which this view last changed; older lists are ignored.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Where in the registry's history this view last changed; older lists are ignored.
+    pub fn position(&self) -> Position {
+        self.position
     }
 
     /// Notes that the registry answers again after it did not.
@@ -174,44 +176,57 @@
         self.rejoin = now + REJOIN;
     }
 
-    /// Takes in one change at a revision; returns whether anything is different now.
-    pub fn change(&mut self, now: Time, revision: u64, change: Change) -> bool {
+    /// Takes in one change at a position; returns whether anything is different now. One of an earlier
+    /// era says nothing.
+    pub fn change(&mut self, now: Time, position: Position, change: Change) -> bool {
+        if self.position.is_after(position) {
+            return false;
+        }
         let changed = match change {
-            Change::Put(target) => self.put(now, revision, target),
-            Change::Gone(id) => self.miss(now, revision, &id),
+            Change::Put(target) => self.put(now, position, target),
+            Change::Gone(id) => self.miss(now, position, &id),
         };
-        self.note(revision, changed)
+        self.note(position, changed)
     }
 
     /// Takes in all changes of one reading; returns those after which anything is different.
-    pub fn changes(&mut self, now: Time, revision: u64, changes: Vec<Change>) -> Vec<Change> {
+    pub fn changes(&mut self, now: Time, position: Position, changes: Vec<Change>) -> Vec<Change> {
         let gone = changes.iter().filter_map(|change| match change {
             Change::Gone(id) => Some(id),
             Change::Put(_) => None,
         });
         let gone: Vec<&id::Target> = gone.collect();
         self.doubt_if_most(now, &gone);
-        let news = changes.into_iter().filter(|change| self.change(now, revision, change.clone()));
+        let news = changes.into_iter().filter(|change| self.change(now, position, change.clone()));
         news.collect()
     }
 
-    /// Takes in a whole list read at `revision`; returns whether anything is different now.
-    pub fn list(&mut self, now: Time, revision: u64, targets: Vec<Target>) -> bool {
-        if revision < self.revision {
+    /// Takes in a whole list read at `position`; returns whether anything is different now.
+    ///
+    /// The first list of a later era is of a registry that came back from a copy: what it lacks may have
+    /// been written since and is about to be written again.
+    pub fn list(&mut self, now: Time, position: Position, targets: Vec<Target>) -> bool {
+        if position < self.position {
             return false;
         }
+        let restored = position.is_after(self.position) && !self.live.is_empty();
+        if restored {
+            self.outage_over(now);
+        }
+        let before = self.position;
+        self.position = self.position.max(Position::new(position.era(), 0));
         let listed: BTreeSet<id::Target> = targets.iter().map(|t| t.id.clone()).collect();
         let known = self.live.keys();
         let missing: Vec<id::Target> = known.filter(|id| !listed.contains(id)).cloned().collect();
         self.doubt_if_most(now, &missing.iter().collect::<Vec<_>>());
         let mut changed = false;
         for target in targets {
-            changed |= self.put(now, revision, target);
+            changed |= self.put(now, position, target);
         }
         for id in missing {
-            changed |= self.miss(now, revision, &id);
+            changed |= self.miss(now, position, &id);
         }
-        self.note(revision, changed)
+        self.note(position, changed || position.is_after(before))
     }
 
     /// Takes a reading for the end of an outage where it lacks most of the targets.
@@ -231,11 +246,11 @@
             return false;
         }
         let doubted = self.live.iter().filter_map(|(id, entry)| Some((id.clone(), entry.doubted?)));
-        let late: Vec<(id::Target, u64)> = doubted.collect();
-        for (id, revision) in &late {
-            self.remove(now, *revision, id);
-            // Whoever has not read this itself learns from the revision that it stands behind.
-            self.note(*revision, true);
+        let late: Vec<(id::Target, Position)> = doubted.collect();
+        for (id, position) in &late {
+            self.remove(now, *position, id);
+            // Whoever has not read this itself learns from the position that it stands behind.
+            self.note(*position, true);
         }
         !late.is_empty()
     }
@@ -284,16 +299,16 @@
         self.all().filter(move |t| t.service == *service && t.state == State::Ready)
     }
 
-    fn note(&mut self, revision: u64, changed: bool) -> bool {
+    fn note(&mut self, position: Position, changed: bool) -> bool {
         if changed {
-            self.revision = self.revision.max(revision);
+            self.position = self.position.max(position);
         }
         changed
     }
 
-    fn put(&mut self, now: Time, revision: u64, mut target: Target) -> bool {
+    fn put(&mut self, now: Time, position: Position, mut target: Target) -> bool {
         match self.left.get(&target.id) {
-            Some(left) if left.returns(revision, &target) => {
+            Some(left) if left.returns(position, &target) => {
                 self.left.remove(&target.id);
             }
             Some(_) => return false,
@@ -312,7 +327,7 @@
             target.state = State::Draining;
         }
         if target.state == State::Draining && known.is_none() {
-            self.left.insert(target.id.clone(), Left { target, since: now, revision });
+            self.left.insert(target.id.clone(), Left { target, since: now, position });
             return false;
         }
         let changed = known.is_none_or(|known| !known.is_like(&target));
@@ -323,23 +338,23 @@
     }
 
     /// Takes in that the registry lacks an entry.
-    fn miss(&mut self, now: Time, revision: u64, id: &id::Target) -> bool {
+    fn miss(&mut self, now: Time, position: Position, id: &id::Target) -> bool {
         match self.live.get_mut(id) {
             Some(entry) if now < self.rejoin && entry.target.state == State::Ready => {
-                entry.doubted = Some(revision);
+                entry.doubted = Some(position);
                 false
             }
             Some(_) => {
-                self.remove(now, revision, id);
+                self.remove(now, position, id);
                 true
             }
             None => false,
         }
     }
 
-    fn remove(&mut self, now: Time, revision: u64, id: &id::Target) {
+    fn remove(&mut self, now: Time, position: Position, id: &id::Target) {
         if let Some(entry) = self.live.remove(id) {
-            let left = Left { target: entry.target, since: now, revision };
+            let left = Left { target: entry.target, since: now, position };
             self.left.entry(id.clone()).or_insert(left);
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod pace;
 pub mod placement;
 pub mod poison;
+pub mod position;
 pub mod presence;
 pub mod queue;
 pub mod rendezvous;
--- a/crates/policy/src/version/fetch.rs
+++ b/crates/policy/src/version/fetch.rs
@@ -10,24 +10,30 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 
 /// One fetch at a time, from one neighbour at a time.
-#[derive(Clone, Debug, Default)]
-pub struct Fetch {
-    job: Option<Job>,
+#[derive(Clone, Debug)]
+pub struct Fetch<S = Stamp> {
+    job: Option<Job<S>>,
+}
+
+impl<S> Default for Fetch<S> {
+    fn default() -> Self {
+        Self { job: None }
+    }
 }
 
 #[derive(Clone, Debug)]
-struct Job {
+struct Job<S> {
     from: id::Host,
-    stamp: Stamp,
+    stamp: S,
     asked: Time,
 }
 
-impl Fetch {
+impl<S: Copy + Ord> Fetch<S> {
     /// A neighbour announced a version that is wanted; whether to ask it for the manifest.
-    pub fn announced(&mut self, now: Time, from: &id::Host, stamp: Stamp) -> bool {
+    pub fn announced(&mut self, now: Time, from: &id::Host, stamp: S) -> bool {
         // The failure: the neighbour died or its link fell silent during a fetch, and the version
         // never arrives here. After the patience any neighbour's next heartbeat begins anew.
-        let busy = |job: &Job| job.stamp >= stamp && now.since(job.asked) < PATIENCE;
+        let busy = |job: &Job<S>| job.stamp >= stamp && now.since(job.asked) < PATIENCE;
         if self.job.as_ref().is_some_and(busy) {
             return false;
         }
@@ -37,7 +43,7 @@
 
     /// Whether an answer comes from the neighbour that was asked and carries at least the version
     /// that it announced; if so, its patience begins anew.
-    pub fn answered(&mut self, now: Time, from: &id::Host, stamp: Stamp) -> bool {
+    pub fn answered(&mut self, now: Time, from: &id::Host, stamp: S) -> bool {
         match self.job.as_mut() {
             Some(job) if job.from == *from && stamp >= job.stamp => {
                 job.asked = now;
@@ -53,7 +59,7 @@
     }
 
     /// A version came from elsewhere: a fetch of one that is no newer ends.
-    pub fn settle(&mut self, stamp: Stamp) {
+    pub fn settle(&mut self, stamp: S) {
         self.job.take_if(|job| job.stamp <= stamp);
     }
 
--- /dev/null
+++ b/crates/policy/tests/position.rs
@@ -0,0 +1,39 @@
+//! Positions in the history of a registry that may come back from a copy.
+
+use fireflyhoist_policy::position::Position;
+use yare::parameterized;
+
+/// Guards against a revision that was given out again being taken for the newer one.
+#[test]
+fn eras_go_before_revisions() {
+    let positions = [(0, 7), (0, 900), (1, 3), (1, 4), (2, 0)];
+    let positions = positions.map(|(era, revision)| Position::new(era, revision));
+    assert!(positions.is_sorted());
+    assert!(positions[2].is_after(positions[1]) && !positions[3].is_after(positions[2]));
+}
+
+#[parameterized(
+    first_era = { "0.17", Some((0, 17)) },
+    later_era = { "3.17", Some((3, 17)) },
+    plain = { "17", Some((0, 17)) },
+    word = { "x.1", None },
+    three_parts = { "1.2.3", None },
+    empty = { "", None },
+)]
+fn a_position_is_read_as_it_is_written(text: &str, read: Option<(u64, u64)>) {
+    let read = read.map(|(era, revision)| Position::new(era, revision));
+    assert_eq!(text.parse::<Position>().ok(), read);
+    if let Some(position) = read {
+        assert_eq!(position.to_string().parse(), Ok(position));
+    }
+}
+
+/// Guards against entries of an older release, which know revisions only, not being understood.
+#[test]
+fn a_plain_revision_is_one_of_the_first_era() {
+    let read = |json: &str| serde_json::from_str::<Position>(json).expect("a position");
+    assert_eq!(read("17"), Position::new(0, 17));
+    let written = |position: Position| serde_json::to_string(&position).expect("JSON");
+    assert_eq!(written(Position::new(0, 17)), "17");
+    assert_eq!(read(&written(Position::new(2, 17))), Position::new(2, 17));
+}
--- a/crates/standin/src/registry.rs
+++ b/crates/standin/src/registry.rs
@@ -1,10 +1,10 @@
-//! A registry that lists texts and targets, and can be silent, refuse or forget.
+//! A registry that lists texts and targets, and can be silent, refuse, forget or come back from a copy.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use fireflyhoist_gateway::native::Listing;
+use fireflyhoist_gateway::native::{ERA_HEADER, Listing};
 use fireflyhoist_policy::lease::{Change, Target};
 use fireflyhoist_policy::route::Text;
 use parking_lot::Mutex;
@@ -24,15 +24,24 @@
     Silent,
 }
 
-#[derive(Debug, Default)]
-struct State {
-    mood: Mood,
+/// What a registry holds.
+#[derive(Clone, Debug, Default)]
+pub struct Copy {
     revision: u64,
     text: Option<(u64, Text)>,
     /// Every change, with its revision.
     changes: Vec<(u64, Change)>,
     /// Changes up to this revision are forgotten.
     forgotten: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    mood: Mood,
+    held: Copy,
+    /// How often it came back from a copy; said in every answer but where it is kept quiet.
+    era: u64,
+    quiet: bool,
     calls: u64,
     /// Calls up to this one are never answered.
     lost: u64,
@@ -79,8 +88,8 @@
     /// Writes a text.
     pub fn publish(&self, text: Text) {
         let mut state = self.state.lock();
-        state.revision += 1;
-        state.text = Some((state.revision, text));
+        state.held.revision += 1;
+        state.held.text = Some((state.held.revision, text));
     }
 
     /// Writes a target's entry.
@@ -102,15 +111,32 @@
     /// Drops its history, so that watches must read the list again.
     pub fn forget(&self) {
         let mut state = self.state.lock();
-        state.revision += 1;
-        state.forgotten = state.revision;
+        state.held.revision += 1;
+        state.held.forgotten = state.held.revision;
+    }
+
+    /// What it holds now.
+    pub fn copy(&self) -> Copy {
+        self.state.lock().held.clone()
+    }
+
+    /// Comes back from a copy: what was written since is gone, and revisions are given out again.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.state.lock();
+        state.held = copy;
+        state.era += 1;
+    }
+
+    /// Says nothing of its era from now on.
+    pub fn keep_quiet(&self) {
+        self.state.lock().quiet = true;
     }
 
     fn change(&self, change: Change) {
         let mut state = self.state.lock();
-        state.revision += 1;
-        let revision = state.revision;
-        state.changes.push((revision, change));
+        state.held.revision += 1;
+        let revision = state.held.revision;
+        state.held.changes.push((revision, change));
     }
 
     async fn serve(self, mut stream: TcpStream) {
@@ -127,9 +153,9 @@
         // As strict as a registry may be: HTTP/1.1 wants the header.
         let named = head.to_ascii_lowercase().contains("\r\nhost: ");
         let reply = match mood {
-            _ if !named => response(400, ""),
+            _ if !named => self.response(400, ""),
             Mood::Silent => std::future::pending().await,
-            Mood::Busy => response(503, ""),
+            Mood::Busy => self.response(503, ""),
             Mood::Well => self.reply(&path).await,
         };
         if call <= self.state.lock().lost {
@@ -149,33 +175,48 @@
         let end = Instant::now() + Duration::from_millis(number("wait_ms=").unwrap_or_default());
         let texts = path.starts_with("/v1/registry/text");
         loop {
-            if since.is_some_and(|since| since < self.state.lock().forgotten) {
-                return response(410, "");
+            let held = |since| {
+                let state = self.state.lock();
+                (state.held.forgotten..=state.held.revision).contains(&since)
+            };
+            if since.is_some_and(|since| !held(since)) {
+                return self.response(410, "");
             }
             if self.state.lock().mood != Mood::Well {
-                return response(503, "");
+                return self.response(503, "");
             }
             let listing = self.listing(texts, since);
             let news = listing.text.is_some() || !listing.targets.is_empty();
             if since.is_none() || news || Instant::now() >= end {
-                return response(200, &serde_json::to_string(&listing).expect("JSON"));
+                return self.response(200, &serde_json::to_string(&listing).expect("JSON"));
             }
             sleep(Duration::from_millis(10)).await;
         }
     }
 
+    fn response(&self, status: u16, body: &str) -> Vec<u8> {
+        let state = self.state.lock();
+        let era = (!state.quiet).then(|| format!("{ERA_HEADER}: {}\r\n", state.era));
+        let (era, length) = (era.unwrap_or_default(), body.len());
+        format!(
+            "HTTP/1.1 {status} X\r\n{era}content-length: {length}\r\nconnection: close\r\n\r\n{body}"
+        )
+        .into_bytes()
+    }
+
     fn listing(&self, texts: bool, since: Option<u64>) -> Listing {
         let state = self.state.lock();
         let from = since.unwrap_or_default();
-        let mut listing = Listing { revision: state.revision, text: None, targets: Vec::new() };
+        let mut listing =
+            Listing { revision: state.held.revision, text: None, targets: Vec::new() };
         if texts {
-            let text = state.text.as_ref().filter(|(revision, _)| *revision > from);
+            let text = state.held.text.as_ref().filter(|(revision, _)| *revision > from);
             listing.text = text.map(|(_, text)| text.clone());
         } else if since.is_some() {
-            let news = state.changes.iter().filter(|(revision, _)| *revision > from);
+            let news = state.held.changes.iter().filter(|(revision, _)| *revision > from);
             listing.targets = news.map(|(_, change)| change.clone()).collect();
         } else {
-            listing.targets = list(&state.changes);
+            listing.targets = list(&state.held.changes);
         }
         listing
     }
@@ -192,9 +233,3 @@
     }
     listed.into_values().map(Change::Put).collect()
 }
-
-fn response(status: u16, body: &str) -> Vec<u8> {
-    let length = body.len();
-    format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}")
-        .into_bytes()
-}
