--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -182,6 +182,14 @@
         self.shared.losing.set(losing);
     }
 
+    /// Its entry as it writes it now.
+    pub(crate) fn entry(&self) -> Target {
+        let state =
+            if self.shared.leaving.get() { lease::State::Draining } else { lease::State::Ready };
+        let renewal = self.shared.engines.next();
+        Target { state, renewal, ..self.listed.clone() }
+    }
+
     /// Names a limit from now on, or none; false where it is not this instance, or names one already.
     pub(crate) fn set_limit(&self, instance: &SmolStr, limit: Option<f64>) -> bool {
         let named = limit.is_some() && self.shared.limit.get().is_some();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -39,6 +39,8 @@
     pub links: bool,
     /// Whether a request ends the targets that run it, and targets name limits.
     pub needy: bool,
+    /// Whether the registry comes back from older copies.
+    pub restores: bool,
 }
 
 /// Why a run can't be played.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -26,6 +26,8 @@
     links: bool,
     /// A request that ends its targets, and targets that name limits, as well.
     needy: bool,
+    /// A registry that comes back from older copies, as well.
+    restores: bool,
     /// Where logs, timelines and plots of seeds that failed are kept.
     #[bpaf(argument("DIR"), fallback(PathBuf::from("target/soak")))]
     report: PathBuf,
@@ -41,8 +43,8 @@
             return ExitCode::from(if wrong { 2 } else { 0 });
         }
     };
-    let Flags { seconds, processes, links, needy, .. } = flags;
-    let size = Size { seconds, processes, links, needy };
+    let Flags { seconds, processes, links, needy, restores, .. } = flags;
+    let size = Size { seconds, processes, links, needy, restores };
     let mut failed = 0;
     for seed in flags.seed..flags.seed + flags.seeds {
         let verdict = match play(seed, size, &flags.report).await {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -67,6 +67,8 @@
     Hush(usize),
     /// The links of others to an entry are reset.
     ResetPeers(usize),
+    /// The registry is away and comes back from a copy of some seconds ago.
+    Restore,
     /// A target names a limit, in requests for each ten seconds.
     Limit(usize, u32),
 }
@@ -107,6 +109,9 @@
         if size.needy {
             faults.extend(of_limits(seed, end));
         }
+        if size.restores {
+            faults.extend(of_restores(seed, end));
+        }
         faults.sort_by_key(|planned| planned.at);
         Self { faults, end: end + Duration::from_secs(4) }
     }
@@ -134,6 +139,19 @@
     faults
 }
 
+/// Restores, some of them two in a row.
+fn of_restores(seed: u64, end: Duration) -> Vec<Planned> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
+    let (mut at, mut faults) = (LEAD + Duration::from_secs(2), Vec::new());
+    while at < end {
+        let span = Duration::from_millis(rng.random_range(100..1_500));
+        faults.push(Planned { at, span, fault: Fault::Restore });
+        let again = if rng.random_bool(0.3) { 1_600..2_500 } else { 4_000..8_000 };
+        at += Duration::from_millis(rng.random_range(again));
+    }
+    faults
+}
+
 /// Limits that targets name, some at several of a service, some changed while they are named.
 fn of_limits(seed: u64, end: Duration) -> Vec<Planned> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -3,13 +3,14 @@
 mod strike;
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
 use fireflyhoist_standin::port::Reserved;
-use fireflyhoist_standin::registry::Registry;
+use fireflyhoist_standin::registry::{Copy, Registry};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -39,6 +40,8 @@
     starts: Rc<Cell<u32>>,
     engines: Rc<Engines>,
     registry: Registry,
+    /// Copies of the registry, the oldest first.
+    copies: Rc<RefCell<VecDeque<Copy>>>,
     version: Rc<Cell<u64>>,
     /// Slots whose targets were ended by a request.
     ended: mpsc::UnboundedSender<usize>,
@@ -88,6 +91,7 @@
             starts: Rc::default(),
             engines,
             registry,
+            copies: Rc::default(),
             version: Rc::default(),
             ended,
             size,
@@ -112,6 +116,9 @@
         if self.size.needy {
             spawn_local(caller::poison(self.seed, addresses.clone(), self.seen.clone()));
         }
+        if self.size.restores {
+            spawn_local(self.clone().copy());
+        }
         spawn_local(self.clone().probe());
         spawn_local(self.clone().watch());
         for planned in &plan.faults {
--- a/crates/soak/src/world/strike.rs
+++ b/crates/soak/src/world/strike.rs
@@ -12,8 +12,9 @@
 use crate::backend::Backend;
 use crate::caller;
 use crate::entry::{self, GRACE_S};
-use crate::plan::{Fault, Planned};
+use crate::plan::{BACKENDS, Fault, Planned};
 use crate::proxy::{Mode, Proxy};
+use crate::text;
 use crate::world::World;
 
 /// How long a target serves on after its leaving is known.
@@ -26,6 +27,13 @@
 /// within tenths of a second, and three runs beside builds had some that never did.
 const STALLED: Duration = Duration::from_secs(4);
 
+/// Time between two copies of the registry, and how many are kept.
+const COPY: Duration = Duration::from_millis(500);
+const COPIES: usize = 6;
+
+/// Within which what a copy lacks is written again.
+const REWRITE: Duration = Duration::from_secs(2);
+
 /// How long an entry that just started owes no bound.
 const START: Duration = Duration::from_secs(2);
 
@@ -55,6 +63,7 @@
             Fault::Busy => self.mood(Mood::Busy, span).await,
             Fault::Silent => self.mood(Mood::Silent, span).await,
             Fault::Forget => self.registry.forget(),
+            Fault::Restore => self.restore(span).await,
             Fault::Publish => self.publish(),
             Fault::Leave(slot) => self.leave(slot, true).await,
             Fault::LeaveSilently(slot) => self.leave(slot, false).await,
@@ -205,6 +214,44 @@
         self.registry.set_mood(Mood::Well);
     }
 
+    /// Takes the registry away, and brings it back from the oldest copy kept; what was written since is
+    /// written again within [`REWRITE`], and what is gone lapses.
+    async fn restore(&self, span: Duration) {
+        self.seen.disturbed(None, span + REWRITE);
+        self.registry.set_mood(Mood::Busy);
+        sleep(span).await;
+        let copy = self.copies.borrow().front().cloned();
+        if let Some(copy) = copy {
+            self.registry.restore(copy);
+        }
+        self.registry.set_mood(Mood::Well);
+        for backend in self.backends.iter() {
+            sleep(REWRITE / 2 / BACKENDS as u32 / 3).await;
+            self.registry.put(backend.borrow().entry());
+        }
+        sleep(REWRITE / 4).await;
+        for listed in self.registry.targets() {
+            let lives = self.backends.iter().any(|one| one.borrow().listed.id == listed.id);
+            if !lives {
+                self.registry.remove(&listed);
+            }
+        }
+        let text = if self.size.links { text::large } else { text::text };
+        self.registry.publish(text(self.version.get()));
+    }
+
+    /// Keeps copies of the registry, the oldest some seconds old.
+    pub(super) async fn copy(self) {
+        while !self.seen.is_over() {
+            sleep(COPY).await;
+            let mut copies = self.copies.borrow_mut();
+            copies.push_back(self.registry.copy());
+            if copies.len() > COPIES {
+                copies.pop_front();
+            }
+        }
+    }
+
     async fn leave(&self, slot: usize, says: bool) {
         let listed = self.backends[slot].borrow().listed.clone();
         self.backends[slot].borrow().leave();
--- a/crates/standin/src/registry.rs
+++ b/crates/standin/src/registry.rs
@@ -115,6 +115,15 @@
         state.held.forgotten = state.held.revision;
     }
 
+    /// The targets that it lists.
+    pub fn targets(&self) -> Vec<Target> {
+        let target = |change| match change {
+            Change::Put(target) => Some(target),
+            Change::Gone(_) => None,
+        };
+        list(&self.state.lock().held.changes).into_iter().filter_map(target).collect()
+    }
+
     /// What it holds now.
     pub fn copy(&self) -> Copy {
         self.state.lock().held.clone()
