Go by revisions where the registry's era falls, and write up eras

Cause: an era that falls was taken for a new one by each follower for itself, so thirty entries would have raised it thirty times and read everything as often. It is logged once; a revision that goes back raises the era, which all share. The history of one follower's replies is a type of its own.

--- a/crates/gateway/src/version/follow.rs
+++ b/crates/gateway/src/version/follow.rs
@@ -25,6 +25,7 @@
 use crate::platform::{DecodeError, Item, Page, Platform, What};
 use crate::process::fleet::Fleet;
 use crate::process::state::{Process, millis};
+use crate::version::history::History;
 
 /// Within which time the reply to a list call begins: the registry answers in milliseconds, a slow
 /// one within some hundreds.
@@ -100,8 +101,7 @@
     };
     for what in [What::Text, What::Targets] {
         let follower = Follower {
-            seen: Position::default(),
-            fallen: None,
+            history: History::open(process),
             bootstrap,
             settled: now + SETTLED,
             process: Arc::clone(process),
@@ -122,10 +122,7 @@
 }
 
 struct Follower {
-    /// The revision, and the era, that the latest reply gave.
-    seen: Position,
-    /// An era that the registry went back to, which so says nothing any more.
-    fallen: Option<u64>,
+    history: History,
     /// When it reads for the first time.
     bootstrap: Bootstrap,
     /// When its part in the fleet is known.
@@ -265,7 +262,7 @@
         let called = exchange::fetch(self.address, outgoing, begin, REPLY_PAUSE, MAX_REPLY).await;
         self.process.metrics.registry_call();
         let whole = called.map_err(CallError::Exchange)?;
-        let era = self.era(known, P::era(&whole.headers));
+        let era = self.history.era(known, P::era(&whole.headers));
         match whole.status {
             StatusCode::OK => Ok(Reply { era, body: whole.body }),
             StatusCode::GONE => Err(CallError::Forgotten),
@@ -273,42 +270,6 @@
         }
     }
 
-    /// The era of a reply to a call that was made when `known` was.
-    ///
-    /// A registry that says nothing, or less than was known before it was asked, can't be gone by: its
-    /// replies count as of the era that is known, which its revisions raise where they go back.
-    fn era(&mut self, known: u64, said: Option<u64>) -> u64 {
-        match said {
-            Some(era) if era >= known => {
-                self.process.note_era(era, "registry");
-                era
-            }
-            Some(era) if self.fallen != Some(era) => {
-                ::log::warn!(known = known, said = era; "registry's era fell; everything is read anew");
-                self.fallen = Some(era);
-                self.process.note_era(known + 1, "fallen era");
-                known + 1
-            }
-            Some(_) | None => self.process.era(),
-        }
-    }
-
-    /// Where a reply stands; a revision below that of the reply before is of a later era, whatever the
-    /// registry says.
-    fn position(&mut self, era: u64, revision: u64) -> Position {
-        let mut position = Position::new(era, revision);
-        if position.era() == self.seen.era() && revision < self.seen.revision() {
-            ::log::warn!(
-                seen:% = self.seen, told:% = position;
-                "registry's revisions went back; everything is read anew"
-            );
-            position = Position::new(era + 1, revision);
-            self.process.note_era(era + 1, "revisions");
-        }
-        self.seen = position;
-        position
-    }
-
     /// Reads everything and returns where changes follow from.
     async fn list<P: Platform>(&mut self) -> Result<Position, CallError> {
         let mut after: Option<SmolStr> = None;
@@ -319,7 +280,7 @@
             let reply = self.call::<P>(path, LIST_TIMEOUT).await?;
             let page = P::page(self.what, &reply.body).map_err(CallError::Decode)?;
             // Pages are no snapshot: what changed between them is in the changes after the first.
-            let position = self.position(reply.era, page.revision);
+            let position = self.history.position(reply.era, page.revision);
             if first.is_some_and(|first: Position| position.is_after(first)) {
                 return Err(CallError::Forgotten);
             }
@@ -353,7 +314,7 @@
         let path = P::watch(self.what, revision, wait);
         let reply = self.call::<P>(path, wait + WATCH_SLACK).await?;
         let page = P::news(self.what, &reply.body).map_err(CallError::Decode)?;
-        let position = self.position(reply.era, page.revision);
+        let position = self.history.position(reply.era, page.revision);
         self.recovered();
         Ok((position.era(), page))
     }
--- a/crates/gateway/tests/restored.rs
+++ b/crates/gateway/tests/restored.rs
@@ -175,11 +175,15 @@
     until_used(&fleet, &new).await;
 }
 
-/// Guards against a registry that says nothing of its era being believed never again.
-#[ntex::test]
-async fn a_registry_that_goes_back_without_a_word_is_read_anew() {
+/// Guards against a registry that says nothing of its era, or an earlier one, being believed never again.
+#[parameterized(says_nothing = { true }, era_falls = { false })]
+#[test_macro(ntex::test)]
+async fn a_registry_that_goes_back_without_a_word_is_read_anew(quiet: bool) {
     let registry = Registry::open().await;
-    registry.keep_quiet();
+    registry.set_era(7);
+    if quiet {
+        registry.keep_quiet();
+    }
     let (old, new) = (target("t-1").await, target("t-2").await);
     registry.put(old.listed.clone());
     let copy = registry.copy();
@@ -190,7 +194,11 @@
     until_used(&fleet, &old).await;
     // It has read past what is given out again; otherwise nothing shows.
     tokio::time::sleep(KNOWN).await;
-    restore(&registry, copy, || registry.put(new.listed.clone())).await;
+    restore(&registry, copy, || {
+        registry.set_era(3);
+        registry.put(new.listed.clone());
+    })
+    .await;
     tokio::time::sleep(KNOWN).await;
     until_used(&fleet, &new).await;
 }
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -1,6 +1,6 @@
 //! Requests that end the targets that run them.
 //!
-//! **Load pattern** (`poison`): a request makes each target that runs it crash, and comes again and
+//! Pattern `poison`: a request makes each target that runs it crash, and comes again and
 //! again at any entry. Whatever else ran there is cut with it. Entries tell each other under which
 //! requests targets ended; one under which [`SUSPECT`] ended with no whole answer in between is sent
 //! only as a trial, which one entry grants for all.
--- /dev/null
+++ b/crates/policy/tests/restored.rs
@@ -0,0 +1,137 @@
+//! Pattern `restore`: a registry comes back from an older copy while hundreds of entries know its list.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fireflyhoist_policy::lease::{Change, Leases, State, Target};
+use fireflyhoist_policy::position::Position;
+use fireflyhoist_policy::time::Time;
+use yare::parameterized;
+
+const MEMBERS: usize = 300;
+
+/// Time between two heartbeats.
+const BEAT: Duration = Duration::from_millis(150);
+
+/// Entries that read the registry for all.
+const READERS: usize = 2;
+
+fn at(ms: u64) -> Time {
+    Time::ZERO + Duration::from_millis(ms)
+}
+
+fn target(name: &str, port: u16) -> Target {
+    Target {
+        id: name.parse().expect("a name"),
+        instance: name.into(),
+        service: "web".parse().expect("a name"),
+        address: ([127, 0, 0, 1], port).into(),
+        domain: "a".parse().expect("a name"),
+        state: State::Ready,
+        renewal: 1,
+        start: None,
+    }
+}
+
+/// A fleet that knows a list of the era before, and the registry as it came back.
+struct Fleet {
+    members: Vec<Leases>,
+    registry: (Position, BTreeMap<String, Target>),
+    reads: usize,
+}
+
+impl Fleet {
+    fn open(known: &[Target], listed: &[Target]) -> Self {
+        let mut members: Vec<Leases> = (0..MEMBERS).map(|_| Leases::default()).collect();
+        for leases in &mut members {
+            leases.list(at(0), Position::new(0, 900), known.to_vec());
+        }
+        let listed = listed.iter().map(|one| (one.id.to_string(), one.clone())).collect();
+        Self { members, registry: (Position::new(1, 40), listed), reads: 0 }
+    }
+
+    fn write(&mut self, target: Target) {
+        self.registry.0 = Position::new(1, self.registry.0.revision() + 1);
+        self.registry.1.insert(target.id.to_string(), target);
+    }
+
+    /// One heartbeat: those that read do, and each takes the list of the member before that knows more;
+    /// the second half hears nothing before `late`.
+    fn beat(&mut self, now: Time, late: Time) {
+        let list: Vec<Target> = self.registry.1.values().cloned().collect();
+        for nth in 0..READERS {
+            if self.members[nth].position() < self.registry.0 {
+                self.reads += 1;
+                self.members[nth].list(now, self.registry.0, list.clone());
+            }
+        }
+        let told: Vec<(Position, Vec<Target>)> = self.members[..READERS]
+            .iter()
+            .map(|one| (one.position(), one.all().cloned().collect()))
+            .collect();
+        for nth in READERS..MEMBERS {
+            let (position, targets) = &told[nth % READERS];
+            let hears = nth < MEMBERS / 2 || now >= late;
+            if hears && *position > self.members[nth].position() {
+                self.members[nth].list(now, *position, targets.clone());
+            }
+            self.members[nth].expire(now);
+        }
+        (0..READERS).for_each(|nth| _ = self.members[nth].expire(now));
+    }
+
+    fn play(&mut self, from: u64, to: u64, late: Time) {
+        let beat = u64::try_from(BEAT.as_millis()).expect("a short time");
+        (from..to).step_by(usize::try_from(beat).expect("a small number")).for_each(|ms| {
+            self.beat(at(ms), late);
+        });
+    }
+
+    fn using(&self, name: &str) -> usize {
+        let id = name.parse().expect("a name");
+        self.members.iter().filter(|one| one.is_ready(&id)).count()
+    }
+}
+
+/// Guards against entries that know greater revisions of before outbidding those that read anew.
+#[parameterized(together = { 0 }, half_three_seconds_later = { 3_000 })]
+fn all_entries_hold_the_list_of_the_new_era(late: u64) {
+    let mut fleet = Fleet::open(&[target("old", 1)], &[target("old", 1), target("new", 2)]);
+    fleet.play(1_000, 1_300, at(1_000 + late));
+    let half = if late == 0 { MEMBERS } else { MEMBERS / 2 };
+    assert_eq!(fleet.using("new"), half);
+    fleet.play(1_300, 1_600 + late, at(1_000 + late));
+    assert_eq!(fleet.using("new"), MEMBERS);
+    assert_eq!(fleet.reads, READERS);
+}
+
+/// Guards against a target whose address another has since being used again by a copy that lists it.
+#[test]
+fn an_address_that_was_given_on_stays_with_its_new_target() {
+    let (gone, heir) = (target("gone", 7), target("heir", 7));
+    let mut fleet = Fleet::open(&[gone.clone(), target("kept", 2)], std::slice::from_ref(&gone));
+    for leases in &mut fleet.members {
+        let draining = Target { state: State::Draining, ..gone.clone() };
+        leases.change(at(10), Position::new(0, 901), Change::Put(draining));
+        leases.change(at(20), Position::new(0, 902), Change::Gone(gone.id.clone()));
+        leases.change(at(30), Position::new(0, 903), Change::Put(heir.clone()));
+    }
+    fleet.play(1_000, 1_600, at(0));
+    assert_eq!((fleet.using("gone"), fleet.using("heir")), (0, MEMBERS));
+    fleet.write(heir);
+    fleet.play(1_600, 6_000, at(0));
+    assert_eq!((fleet.using("gone"), fleet.using("heir")), (0, MEMBERS));
+    // What was not written again is gone by now.
+    assert_eq!(fleet.using("kept"), 0);
+}
+
+/// Guards against an entry that starts being told the list of before by one that has not heard yet.
+#[test]
+fn an_entry_that_starts_while_eras_differ_ends_with_the_new_one() {
+    let (old, new) = (target("old", 1), target("new", 2));
+    let mut joined = Leases::default();
+    joined.list(at(0), Position::new(0, 900), vec![old.clone()]);
+    joined.list(at(100), Position::new(1, 41), vec![old.clone(), new.clone()]);
+    assert!(!joined.list(at(200), Position::new(0, 950), vec![old]));
+    assert!(joined.is_ready(&new.id));
+}
--- a/crates/standin/src/registry.rs
+++ b/crates/standin/src/registry.rs
@@ -136,6 +136,11 @@
         state.era += 1;
     }
 
+    /// Says another era from now on.
+    pub fn set_era(&self, era: u64) {
+        self.state.lock().era = era;
+    }
+
     /// Says nothing of its era from now on.
     pub fn keep_quiet(&self) {
         self.state.lock().quiet = true;
