Tell a request that ends its targets by how long its runs last

Cause: where a poison ends all targets before any run of another request was whole, a request that many ask has the same ends, and was held back with it. Ends that two requests share now count for the one whose runs ended after about the same time; the entry notes how long a run had been under way. Trials come one after the other, four at most and three once all entries must know, in place of one at once and one after 15 s: a target of twelve that ends each second no longer holds back what only ran there.

--- a/crates/gateway/src/process/state/poison.rs
+++ b/crates/gateway/src/process/state/poison.rs
@@ -31,6 +31,8 @@
     at: Time,
     print: Print,
     target: Target,
+    /// For how long the run had been under way.
+    lasted: Duration,
 }
 
 /// What is known, and which runs that broke off are still looked into.
@@ -72,21 +74,25 @@
 }
 
 impl Process {
-    /// Notes that a target ended while it ran a request; returns how many have.
-    pub(crate) fn note_end(&self, print: Print, target: &Target) -> usize {
+    /// Notes that a target ended while it ran a request, which had been under way there for `lasted`;
+    /// returns how many have.
+    pub(crate) fn note_end(&self, print: Print, target: &Target, lasted: Duration) -> usize {
         let incarnation = Incarnation::of(target);
-        let ends = self.poison.ledger.lock().note_end(self.clock.now(), print, incarnation);
+        let mut ledger = self.poison.ledger.lock();
+        let ends = ledger.note_end(self.clock.now(), print, incarnation, lasted);
+        drop(ledger);
         self.note_sent();
         ends
     }
 
     /// Notes that a run broke off at a target that took a connection right after.
-    pub(crate) fn doubt(&self, print: Print, target: &Target) {
+    pub(crate) fn doubt(&self, print: Print, target: &Target, lasted: Duration) {
         let mut doubts = self.poison.doubts.lock();
         if doubts.len() >= DOUBTS {
             doubts.pop_front();
         }
-        doubts.push_back(Doubt { at: self.clock.now(), print, target: target.clone() });
+        let target = target.clone();
+        doubts.push_back(Doubt { at: self.clock.now(), print, target, lasted });
     }
 
     /// Looks which of those targets have ended after all.
@@ -111,8 +117,8 @@
         *doubts = kept;
         drop(doubts);
         let over: VecDeque<Doubt> = over;
-        for Doubt { print, target, .. } in over {
-            let ends = self.note_end(print, &target);
+        for Doubt { print, target, lasted, .. } in over {
+            let ends = self.note_end(print, &target, lasted);
             ::log::info!(print:% = print, target:% = target.id, ends = ends; "target ended after all");
         }
     }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::time::Time;
 use ntex::http::HeaderMap;
 
 use crate::connection::exchange::{self, Failure, Outgoing, Response};
@@ -37,6 +38,13 @@
     }
 }
 
+/// The head of an answer.
+pub(crate) struct Begun {
+    pub(crate) response: Response,
+    /// When the request was sent.
+    pub(crate) sent: Time,
+}
+
 /// What an attempt carries beside the request itself.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Extra {
@@ -54,7 +62,7 @@
     inquiry: &Inquiry,
     target: &id::Target,
     extra: &Extra,
-) -> Result<Response, Ended> {
+) -> Result<Begun, Ended> {
     let began = worker.process.clock.now();
     let result = exchange::<P>(worker, inquiry, target, extra).await;
     let elapsed = worker.process.clock.now().since(began);
@@ -62,7 +70,7 @@
         inquiry.trial.set(false);
     }
     let outcome = match &result {
-        Ok(response) => response.status.as_str().to_owned(),
+        Ok(begun) => begun.response.status.as_str().to_owned(),
         Err(ended) => ended.word().to_owned(),
     };
     worker.process.metrics.attempt(match &result {
@@ -83,7 +91,7 @@
     inquiry: &Inquiry,
     id: &id::Target,
     extra: &Extra,
-) -> Result<Response, Ended> {
+) -> Result<Begun, Ended> {
     let Some(target) = worker.process.target(id) else { return Err(Ended::Unrun("gone")) };
     let left = inquiry.left(worker.process.clock.now());
     let stamp = Stamp {
@@ -105,7 +113,7 @@
     let response = exchange::send(target.address, outgoing, left).await;
     let response = response.map_err(|failure| {
         if matches!(failure, Failure::Broken { .. }) {
-            broken::Run::of(worker, inquiry, &target).spawn();
+            broken::Run::of(worker, inquiry, &target, sent).spawn();
         }
         Ended::of(&failure)
     })?;
@@ -124,7 +132,7 @@
     if reply.request.as_ref() != Some(&inquiry.facts.request) {
         return Err(Ended::Unknown("crossed"));
     }
-    Ok(response)
+    Ok(Begun { response, sent })
 }
 
 fn stamped<P: Platform>(headers: &HeaderMap, stamp: &Stamp<'_>) -> HeaderMap {
--- a/crates/gateway/src/request/broken.rs
+++ b/crates/gateway/src/request/broken.rs
@@ -2,16 +2,18 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use derive_more::Display;
 use fireflyhoist_policy::comeback::Print;
 use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::time::Time;
 use ntex::time::timeout;
 use smol_str::SmolStr;
 use tokio::net::TcpStream;
 
 use crate::connection::exchange::CONNECT_TIMEOUT;
-use crate::process::state::{Inspection, Process};
+use crate::process::state::{Inspection, Process, millis};
 use crate::request::{Inquiry, Worker};
 
 /// What became of a target at which a run broke off.
@@ -35,24 +37,27 @@
     request: SmolStr,
     print: Print,
     target: Target,
+    /// When it was sent there.
+    sent: Time,
     /// Whether the target took new work until then.
     ready: bool,
 }
 
 impl Run {
-    /// The run of a request at a target as it was listed when the run began.
-    pub(crate) fn of(worker: &Worker, inquiry: &Inquiry, target: &Target) -> Self {
+    /// The run of a request that was sent at `sent` to a target as it was listed then.
+    pub(crate) fn of(worker: &Worker, inquiry: &Inquiry, target: &Target, sent: Time) -> Self {
         let process = Arc::clone(&worker.process);
         let ready = process.is_target_ready(&target.id);
         let (request, print) = (inquiry.facts.request.clone(), inquiry.print);
-        Self { process, request, print, target: target.clone(), ready }
+        Self { process, request, print, target: target.clone(), sent, ready }
     }
 
     /// Finds out in the background what became of the target.
     pub(crate) fn spawn(self) {
         let inspection = Inspection::open(&self.process, self.print);
+        let lasted = self.lasted();
         ntex::rt::spawn(async move {
-            self.note(self.fate().await);
+            self.note(self.fate().await, lasted);
             drop(inspection);
         })
         .detach();
@@ -60,7 +65,12 @@
 
     /// Notes that the target has ended, where that is known already.
     pub(crate) fn ended(&self) {
-        self.note(Fate::Ended);
+        self.note(Fate::Ended, self.lasted());
+    }
+
+    /// For how long it has been under way.
+    fn lasted(&self) -> Duration {
+        self.process.clock.now().since(self.sent)
     }
 
     async fn fate(&self) -> Fate {
@@ -73,19 +83,19 @@
         }
     }
 
-    fn note(&self, fate: Fate) {
+    fn note(&self, fate: Fate, lasted: Duration) {
         self.process.metrics.broken(fate);
         let ends = match fate {
-            Fate::Ended => self.process.note_end(self.print, &self.target),
+            Fate::Ended => self.process.note_end(self.print, &self.target, lasted),
             Fate::Lives => {
-                self.process.doubt(self.print, &self.target);
+                self.process.doubt(self.print, &self.target, lasted);
                 self.process.ends(self.print)
             }
             Fate::Leaving => self.process.ends(self.print),
         };
         log::info!(
             request = self.request.as_str(), print:% = self.print, target:% = self.target.id,
-            fate:% = fate, ends = ends; "run broke off"
+            fate:% = fate, lasted_ms = millis(lasted), ends = ends; "run broke off"
         );
     }
 }
--- a/crates/gateway/src/request/carry.rs
+++ b/crates/gateway/src/request/carry.rs
@@ -15,13 +15,12 @@
 use ntex::http::StatusCode;
 use ntex::time::sleep;
 
-use crate::connection::exchange::Response;
 use crate::platform::{Copy, Platform};
 use crate::process::kept::Kept;
 use crate::process::lane::Pass;
 use crate::process::state::millis;
 use crate::process::turn::Turn;
-use crate::request::attempt::{self, Ended, Extra};
+use crate::request::attempt::{self, Begun, Ended, Extra};
 use crate::request::{Inquiry, Worker, admit, held, relocate};
 
 /// Answers expected to hold fewer tokens end within the notice that engines give, so a copy of
@@ -136,7 +135,7 @@
 /// An answer that goes on elsewhere.
 pub(crate) struct Arrived {
     pub(crate) to: id::Target,
-    pub(crate) response: Response,
+    pub(crate) begun: Begun,
     /// What it came with, until it counts there as an answer.
     pub(crate) kept: Option<Kept>,
 }
@@ -219,9 +218,9 @@
     last: &Cell<Option<u64>>,
 ) -> Result<Arrived, Ended> {
     let extra = Extra { backup: None, copy, last_event: last.get() };
-    let response = attempt::begin::<P>(worker, inquiry, &to.id, &extra).await?;
-    match response.status {
-        StatusCode::OK => Ok(Arrived { to: to.id.clone(), response, kept: None }),
+    let begun = attempt::begin::<P>(worker, inquiry, &to.id, &extra).await?;
+    match begun.response.status {
+        StatusCode::OK => Ok(Arrived { to: to.id.clone(), begun, kept: None }),
         _ => Err(Ended::Unknown("refused")),
     }
 }
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -16,7 +16,7 @@
 use crate::platform::Platform;
 use crate::process::lane::Pass;
 use crate::request::admit::{self, Stop};
-use crate::request::attempt::{self, Ended, Extra, come_back};
+use crate::request::attempt::{self, Begun, Ended, Extra, come_back};
 use crate::request::{Inquiry, Worker, broken, end_to_end, held, refuse};
 
 /// The largest answer that is held. Answers are held until they are whole, since only then is one
@@ -211,10 +211,11 @@
     target: &id::Target,
 ) -> Result<Whole, Ended> {
     let listed = worker.process.target(target).ok_or(Ended::Unrun("gone"))?;
-    let mut response = attempt::begin::<P>(worker, inquiry, target, &Extra::default()).await?;
+    let begun = attempt::begin::<P>(worker, inquiry, target, &Extra::default()).await?;
+    let Begun { mut response, sent } = begun;
     let body = response.whole(MAX_ANSWER).await.map_err(|failure| {
         if matches!(failure, Failure::Broken { .. }) {
-            broken::Run::of(worker, inquiry, &listed).spawn();
+            broken::Run::of(worker, inquiry, &listed, sent).spawn();
         }
         Ended::Unknown("cut")
     })?;
--- a/crates/gateway/src/request/pump.rs
+++ b/crates/gateway/src/request/pump.rs
@@ -10,6 +10,7 @@
 
 use fireflyhoist_policy::gate::Outcome;
 use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::unit::Tokens;
 use futures_util::future::{Fuse, FutureExt};
 use futures_util::{Stream, pin_mut};
@@ -21,7 +22,7 @@
 use crate::platform::Platform;
 use crate::process::lane::Pass;
 use crate::process::state::Open;
-use crate::request::attempt::Ended;
+use crate::request::attempt::{Begun, Ended};
 use crate::request::carry::{self, Arrived, Backup, Trip, Way};
 use crate::request::sse::Splitter;
 use crate::request::{Inquiry, Worker, broken};
@@ -94,6 +95,8 @@
     upstream: Option<Response>,
     /// The engine as it was listed when the run began there.
     at: Option<Target>,
+    /// When the run was sent there.
+    sent: Time,
     splitter: Splitter,
     last: Rc<Cell<Option<u64>>>,
     events: u64,
@@ -113,7 +116,7 @@
         inquiry: Rc<Inquiry>,
         pass: Pass,
         backup: Option<Backup>,
-        upstream: Response,
+        begun: Begun,
         runs: u32,
         open: Option<Open>,
     ) -> Body {
@@ -125,8 +128,9 @@
             inquiry,
             pass,
             backup,
-            upstream: Some(upstream),
+            upstream: Some(begun.response),
             at,
+            sent: begun.sent,
             splitter: Splitter::default(),
             last,
             events: 0,
@@ -220,7 +224,7 @@
     fn broke_off(&mut self) {
         self.upstream = None;
         if let Some(at) = &self.at {
-            broken::Run::of(&self.worker, &self.inquiry, at).spawn();
+            broken::Run::of(&self.worker, &self.inquiry, at, self.sent).spawn();
         }
     }
 
@@ -304,7 +308,8 @@
         drop(arrived.kept);
         // A copy of its own would share the links over which others still leave.
         self.backup = None;
-        self.upstream = Some(arrived.response);
+        self.upstream = Some(arrived.begun.response);
+        self.sent = arrived.begun.sent;
         self.at = self.worker.process.target(&arrived.to);
         self.splitter = Splitter::default();
         self.switched = false;
@@ -332,7 +337,7 @@
             );
             self.upstream = None;
             if let Some(at) = self.at.take() {
-                broken::Run::of(&self.worker, &self.inquiry, &at).ended();
+                broken::Run::of(&self.worker, &self.inquiry, &at, self.sent).ended();
             }
         }
     }
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -9,12 +9,11 @@
 use ntex::http::{Response, StatusCode};
 use ntex::time::timeout;
 
-use crate::connection::exchange;
 use crate::platform::Platform;
 use crate::process::lane::Pass;
 use crate::process::state::{Open, millis};
 use crate::request::admit::{self, Stop};
-use crate::request::attempt::{self, Ended, Extra, come_back};
+use crate::request::attempt::{self, Begun, Ended, Extra, come_back};
 use crate::request::carry::{self, Backup};
 use crate::request::pump::Pump;
 use crate::request::{Inquiry, Worker, broken, end_to_end, entries, held, refuse};
@@ -159,38 +158,35 @@
         let backup = Backup::choose(self.worker, &self.inquiry, &pass, pass.target());
         let extra = Extra { backup: backup.as_ref().map(Backup::address), ..Extra::default() };
         let begun = attempt::begin::<P>(self.worker, &self.inquiry, pass.target(), &extra).await;
-        let mut response = match begun {
-            Ok(response) => response,
+        let mut begun = match begun {
+            Ok(begun) => begun,
             Err(ended) => {
                 pass.finish(Outcome::Failed);
                 return Err(ended);
             }
         };
-        if response.status != StatusCode::OK {
-            return self.other(pass, &mut response).await;
+        if begun.response.status != StatusCode::OK {
+            return self.other(pass, &mut begun).await;
         }
-        let mut head = Response::build(response.status);
-        for (name, value) in &end_to_end(&response.headers) {
+        let mut head = Response::build(begun.response.status);
+        for (name, value) in &end_to_end(&begun.response.headers) {
             head.header(name.clone(), value.clone());
         }
         let (open, inquiry, worker) =
             (self.open.take(), Rc::clone(&self.inquiry), self.worker.clone());
-        let body = Pump::spawn::<P>(worker, inquiry, pass, backup, response, self.sent, open);
+        let body = Pump::spawn::<P>(worker, inquiry, pass, backup, begun, self.sent, open);
         Ok(head.streaming(body))
     }
 
     /// An answer that is no stream goes back as it is.
-    async fn other(
-        &self,
-        pass: Pass,
-        response: &mut exchange::Response,
-    ) -> Result<Response, Ended> {
+    async fn other(&self, pass: Pass, begun: &mut Begun) -> Result<Response, Ended> {
+        let Begun { response, sent } = begun;
         let failed = response.status.is_server_error();
         let listed = self.worker.process.target(pass.target());
         pass.finish(if failed { Outcome::Faulty } else { Outcome::Whole });
         let body = response.whole(MAX_ANSWER).await.map_err(|_| {
             if let Some(target) = &listed {
-                broken::Run::of(self.worker, &self.inquiry, target).spawn();
+                broken::Run::of(self.worker, &self.inquiry, target, *sent).spawn();
             }
             Ended::Unknown("cut")
         })?;
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -23,8 +23,27 @@
 /// Targets that must have ended under a request before it is held back.
 pub const SUSPECT: usize = 3;
 
-/// How long after the last end or trial each trial is granted; no more follow.
-pub const TRIALS: [Duration; 2] = [Duration::ZERO, Duration::from_secs(15)];
+/// Trials of one request, one after the other: targets that end by chance may end under it as often.
+pub const TRIALS: u8 = 4;
+
+/// How long after the last end the last trial is granted where runs ended within [`BRIEF`]: hardly by
+/// chance.
+const LAST_PAUSE: Duration = Duration::from_secs(4);
+
+/// A run that ends its target does so soon after it begins.
+const BRIEF: Duration = Duration::from_millis(500);
+
+/// Trials of one request later than [`EARLY`] after it became suspect.
+pub const LATE_TRIALS: u8 = 3;
+
+/// For how long others may not have heard yet that a request is suspect.
+pub const EARLY: Duration = Duration::from_millis(2_500);
+
+/// How much longer than twice the longest run under which a target ended a trial counts as under way.
+const OUTLIVED: Duration = Duration::from_millis(500);
+
+/// The longest that a trial without an outcome counts as under way.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// How long a request below [`SUSPECT`] is remembered after its last end.
 pub const RECENT: Duration = Duration::from_secs(600);
@@ -39,6 +58,10 @@
 /// How long it stays known that a request was answered whole.
 const CLEARED: Duration = Duration::from_secs(30);
 
+/// How much more the times must differ after which targets ended under another request: one that ends
+/// its targets does so after about the same time.
+const STEADY: Duration = Duration::from_millis(150);
+
 /// When to come back while a trial is under way.
 const UNDER_WAY: Duration = Duration::from_secs(2);
 
@@ -84,8 +107,14 @@
     pub print: Print,
     /// Targets that ended while they ran it, each with how long ago.
     pub ends: Vec<(Incarnation, u64)>,
+    /// For how long its oldest run there had been under way, in the order of `ends`.
+    #[serde(default)]
+    pub lasted: Vec<u64>,
     /// Trials granted.
     pub trials: u8,
+    /// Those among them that were granted later than [`EARLY`].
+    #[serde(default)]
+    pub late: u8,
     /// How long ago the latest was.
     pub trial_age: u64,
     /// How long ago it was last answered whole, if it was.
@@ -99,11 +128,21 @@
     }
 }
 
+/// One target that ended while it ran a request.
+#[derive(Clone, Copy, Debug)]
+struct End {
+    incarnation: Incarnation,
+    at: Time,
+    /// For how long the oldest run of the request there had been under way.
+    lasted: Duration,
+}
+
 /// One request under which a target ended.
 #[derive(Clone, Debug, Default)]
 struct Case {
-    ends: Vec<(Incarnation, Time)>,
+    ends: Vec<End>,
     trials: u8,
+    late: u8,
     trial: Time,
     whole: Option<Time>,
 }
@@ -114,7 +153,7 @@
     }
 
     fn latest(&self) -> Time {
-        let ends = self.ends.iter().map(|(_, at)| *at);
+        let ends = self.ends.iter().map(|end| end.at);
         ends.chain([self.trial]).chain(self.whole).max().unwrap_or_default()
     }
 
@@ -128,41 +167,83 @@
     }
 
     fn verdict(&self, now: Time) -> Verdict {
-        let Some(wait) = TRIALS.get(usize::from(self.trials)) else {
+        let left = self.outlived().saturating_sub(now.since(self.trial));
+        let under_way = self.trials > 0 && self.ends.iter().all(|end| end.at < self.trial);
+        if under_way && !left.is_zero() {
+            return Verdict::Refuse(left.min(UNDER_WAY));
+        }
+        if self.trials >= TRIALS || (self.is_late(now) && self.late >= LATE_TRIALS) {
             return Verdict::Refuse(HELD.saturating_sub(now.since(self.latest())));
-        };
-        let left = wait.saturating_sub(now.since(self.latest()));
-        let under_way = self.trials > 0 && self.ends.iter().all(|(_, at)| *at < self.trial);
-        match left {
-            Duration::ZERO => Verdict::Trial,
-            left if under_way => Verdict::Refuse(left.min(UNDER_WAY)),
-            left => Verdict::Refuse(left),
         }
+        let pause = self.pause().saturating_sub(now.since(self.latest()));
+        if pause.is_zero() { Verdict::Trial } else { Verdict::Refuse(pause) }
     }
 
-    fn has(&self, incarnation: Incarnation) -> bool {
-        self.ends.iter().any(|(one, _)| *one == incarnation)
+    /// How long after the last end the next trial is granted.
+    fn pause(&self) -> Duration {
+        let brief = self.ends.iter().any(|end| end.lasted < BRIEF);
+        let last = self.trials + 1 == TRIALS;
+        if brief && last { LAST_PAUSE } else { Duration::ZERO }
+    }
+
+    /// After how long a trial has outlived the runs under which targets ended.
+    fn outlived(&self) -> Duration {
+        let longest = self.ends.iter().map(|end| end.lasted).max().unwrap_or_default();
+        (2 * longest + OUTLIVED).min(TRIAL_TIMEOUT)
+    }
+
+    /// Whether all entries know by now that it is suspect.
+    fn is_late(&self, now: Time) -> bool {
+        let mut ends: Vec<Time> = self.ends.iter().map(|end| end.at).collect();
+        ends.sort_unstable();
+        ends.get(SUSPECT - 1).is_some_and(|third| now.since(*third) > EARLY)
+    }
+
+    fn grant(&mut self, now: Time) {
+        self.late += u8::from(self.is_late(now));
+        self.trials += 1;
+        self.trial = now;
     }
 
     /// Takes in an end; returns whether it is news.
-    fn end(&mut self, incarnation: Incarnation, at: Time) -> bool {
-        let known = self.has(incarnation);
-        let before = self.whole.is_some_and(|whole| at < whole + GOOD);
-        if known || before || self.ends.len() >= ENDS {
+    fn end(&mut self, new: End) -> bool {
+        let known = self.ends.iter_mut().find(|end| end.incarnation == new.incarnation);
+        if let Some(known) = known {
+            let older = new.lasted > known.lasted;
+            known.lasted = known.lasted.max(new.lasted);
+            return older;
+        }
+        let before = self.whole.is_some_and(|whole| new.at < whole + GOOD);
+        if before || self.ends.len() >= ENDS {
             return false;
         }
-        self.ends.push((incarnation, at));
+        self.ends.push(new);
         true
     }
 
+    /// How much the times differ after which targets ended under its runs.
+    fn spread(&self) -> Duration {
+        let lasted = || self.ends.iter().map(|end| end.lasted);
+        lasted().max().unwrap_or_default() - lasted().min().unwrap_or_default()
+    }
+
+    /// Whether it explains an end better than another request that ran there too.
+    fn explains(&self, other: &Self) -> bool {
+        let (own, theirs) = (self.ends.len(), other.ends.len());
+        match own.abs_diff(theirs) {
+            0 | 1 => own > 1 && self.spread() + STEADY < other.spread(),
+            _ => own > theirs,
+        }
+    }
+
     /// Takes in a whole answer; returns whether it is news.
     fn clear(&mut self, at: Time) -> bool {
         if self.whole.is_some_and(|whole| whole >= at) {
             return false;
         }
         self.whole = Some(at);
-        self.ends.retain(|(_, end)| *end > at + GOOD);
-        self.trials = 0;
+        self.ends.retain(|end| end.at > at + GOOD);
+        (self.trials, self.late) = (0, 0);
         true
     }
 }
@@ -173,6 +254,8 @@
     cases: HashMap<Print, Case>,
     /// What to forget first: those that are not held back, the oldest of them first.
     order: BTreeSet<(bool, Time, Print)>,
+    /// Requests that ran at each target that ended.
+    at: HashMap<Incarnation, BTreeSet<Print>>,
     /// What others should hear of.
     news: BTreeSet<Print>,
     /// Requests that were answered whole here within [`GOOD`], and when last.
@@ -182,10 +265,17 @@
 }
 
 impl Ledger {
-    /// Notes that a target ended while it ran a request; returns how many have.
-    pub fn note_end(&mut self, now: Time, print: Print, incarnation: Incarnation) -> usize {
+    /// Notes that a target ended while it ran a request, which had been under way there for `lasted`;
+    /// returns how many have.
+    pub fn note_end(
+        &mut self,
+        now: Time,
+        print: Print,
+        incarnation: Incarnation,
+        lasted: Duration,
+    ) -> usize {
         self.tell_good(now, print);
-        self.change(now, print, |case| case.end(incarnation, now));
+        self.change(now, print, |case| case.end(End { incarnation, at: now, lasted }));
         self.cases.get(&print).map_or(0, |case| case.ends.len())
     }
 
@@ -226,17 +316,14 @@
         }
     }
 
-    /// Ends that no request explains better: where one under which more targets ended ran at the same
-    /// target, that one ended it.
+    /// Ends that no other request explains better.
     fn unexplained(&self, print: Print, case: &Case) -> usize {
-        let held = self.order.iter().rev().take_while(|(held, ..)| *held);
-        let others: Vec<&Case> = held
-            .filter(|(.., other)| *other != print)
-            .filter_map(|(.., other)| self.cases.get(other))
-            .filter(|other| other.ends.len() > case.ends.len())
-            .collect();
-        let explained = |one: &Incarnation| others.iter().any(|other| other.has(*one));
-        case.ends.iter().filter(|(one, _)| !explained(one)).count()
+        let explained = |end: &End| {
+            let there = self.at.get(&end.incarnation).into_iter().flatten();
+            let others = there.filter(|other| **other != print);
+            others.filter_map(|other| self.cases.get(other)).any(|other| other.explains(case))
+        };
+        case.ends.iter().filter(|end| !explained(end)).count()
     }
 
     /// Grants a trial where one is due. Only the entry that keeps the record may ask.
@@ -244,8 +331,7 @@
         let verdict = self.verdict(now, print);
         if verdict == Verdict::Trial {
             self.change(now, print, |case| {
-                case.trials += 1;
-                case.trial = now;
+                case.grant(now);
                 true
             });
         }
@@ -262,11 +348,14 @@
             }
             let took = self.merge(now, record.print, |case| {
                 let mut news = record.whole_age.is_some_and(|age| case.clear(ago(age)));
-                for (incarnation, age) in &record.ends {
-                    news |= case.end(*incarnation, ago(*age));
+                for (nth, (incarnation, age)) in record.ends.iter().enumerate() {
+                    let lasted = record.lasted.get(nth).copied().unwrap_or_default();
+                    let lasted = Duration::from_millis(lasted);
+                    news |= case.end(End { incarnation: *incarnation, at: ago(*age), lasted });
                 }
                 if record.trials > case.trials && !case.ends.is_empty() {
                     case.trials = record.trials;
+                    case.late = case.late.max(record.late);
                     case.trial = ago(record.trial_age);
                     news = true;
                 }
@@ -302,11 +391,13 @@
 
     fn record(&self, now: Time, print: Print) -> Option<Record> {
         let case = self.cases.get(&print)?;
-        let age = |at: Time| u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX);
+        let age = |at: Time| millis(now.since(at));
         Some(Record {
             print,
-            ends: case.ends.iter().map(|(one, at)| (*one, age(*at))).collect(),
+            ends: case.ends.iter().map(|end| (end.incarnation, age(end.at))).collect(),
+            lasted: case.ends.iter().map(|end| millis(end.lasted)).collect(),
             trials: case.trials,
+            late: case.late,
             trial_age: age(case.trial),
             whole_age: case.whole.map(age),
         })
@@ -328,20 +419,40 @@
     }
 
     fn merge(&mut self, now: Time, print: Print, change: impl FnOnce(&mut Case) -> bool) -> bool {
-        let mut case = self.cases.remove(&print).unwrap_or_default();
-        self.order.remove(&(case.is_held(), case.latest(), print));
+        let mut case = self.remove(print).unwrap_or_default();
         if case.is_over(now) {
             case = Case::default();
         }
         let changed = change(&mut case);
         if changed || !case.ends.is_empty() || case.whole.is_some() {
-            self.order.insert((case.is_held(), case.latest(), print));
-            self.cases.insert(print, case);
+            self.insert(print, case);
         }
         self.forget(now);
         changed
     }
 
+    fn insert(&mut self, print: Print, case: Case) {
+        self.order.insert((case.is_held(), case.latest(), print));
+        for end in &case.ends {
+            self.at.entry(end.incarnation).or_default().insert(print);
+        }
+        self.cases.insert(print, case);
+    }
+
+    fn remove(&mut self, print: Print) -> Option<Case> {
+        let case = self.cases.remove(&print)?;
+        self.order.remove(&(case.is_held(), case.latest(), print));
+        for end in &case.ends {
+            if let Some(there) = self.at.get_mut(&end.incarnation) {
+                there.remove(&print);
+                if there.is_empty() {
+                    self.at.remove(&end.incarnation);
+                }
+            }
+        }
+        Some(case)
+    }
+
     /// Drops what is over, and the least important where there is too much.
     fn forget(&mut self, now: Time) {
         while let Some(first) = self.order.first().copied() {
@@ -351,8 +462,12 @@
                 return;
             }
             self.order.remove(&first);
-            self.cases.remove(&print);
+            self.remove(print);
             self.news.remove(&print);
         }
     }
 }
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -8,7 +8,7 @@
 use fireflyhoist_policy::comeback::Print;
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::poison::{
-    BOUND, GOOD, HELD, Incarnation, Ledger, RECENT, SUSPECT, Verdict,
+    BOUND, EARLY, GOOD, HELD, Incarnation, Ledger, RECENT, SUSPECT, Verdict,
 };
 use fireflyhoist_policy::time::Time;
 use poisoned::{Plan, World, incarnation};
@@ -17,6 +17,9 @@
 /// Sends of a poison that may follow once three targets have ended and everyone could know it.
 const MORE: usize = 3;
 
+/// For how long runs had been under way when their targets ended.
+const LASTED: Duration = Duration::from_millis(400);
+
 fn at(ms: u64) -> Time {
     Time::ZERO + Duration::from_millis(ms)
 }
@@ -30,7 +33,7 @@
 fn ended(count: u64) -> (Ledger, Print) {
     let (mut ledger, map) = (Ledger::default(), print("w", "a village"));
     for nth in 0..count {
-        ledger.note_end(at(nth * 1_000), map, incarnation(nth));
+        ledger.note_end(at(nth * 1_000), map, incarnation(nth), LASTED);
     }
     (ledger, map)
 }
@@ -102,7 +105,7 @@
     }
     let share = refused as f64 / asked as f64;
     println!("{refused} of {asked} refused ({share:.4}), {lost} for good, at most {longest:?}");
-    assert!(share < 0.01 && lost * 10 < refused);
+    assert!(share < 0.001 && lost == 0);
 }
 
 /// Guards against another caller, or another body, being held back for a poison.
@@ -137,7 +140,8 @@
     let lookup = print("w", "a lookup");
     let (mut one, mut other) = (Ledger::default(), Ledger::default());
     other.note_whole(at(1_000), lookup);
-    (0..5).for_each(|nth| _ = one.note_end(at(2_000 + nth * 100), lookup, incarnation(nth)));
+    (0..5)
+        .for_each(|nth| _ = one.note_end(at(2_000 + nth * 100), lookup, incarnation(nth), LASTED));
     assert_ne!(one.verdict(at(3_000), lookup), Verdict::Clear);
     other.hear(at(3_000), one.take_news(at(3_000)));
     one.hear(at(3_050), other.take_news(at(3_050)));
@@ -146,7 +150,7 @@
     }
     // Later it counts again.
     let later = at(1_000) + GOOD;
-    (5..9).for_each(|nth| _ = one.note_end(later, lookup, incarnation(nth)));
+    (5..9).for_each(|nth| _ = one.note_end(later, lookup, incarnation(nth), LASTED));
     assert_ne!(one.verdict(later, lookup), Verdict::Clear);
 }
 
@@ -156,7 +160,7 @@
     let (mut ledger, map) = (Ledger::default(), print("w", "a village"));
     for nth in 0..20 {
         let mut other = Ledger::default();
-        other.note_end(at(nth), map, incarnation(1));
+        other.note_end(at(nth), map, incarnation(1), LASTED);
         ledger.hear(at(100), other.take_news(at(50)));
     }
     assert_eq!(ledger.ends(map), 1);
@@ -164,17 +168,35 @@
 }
 
 /// Guards against trials without end, and against none for one that met its ends by chance.
-#[test]
-fn trials_are_few_and_far_between() {
+#[parameterized(
+    in_a_rush = { 500, 4 },
+    each_second = { 1_000, 4 },
+    seldom = { 10_000, MORE },
+    far_between = { 600_000, MORE },
+)]
+fn trials_are_few(every_ms: u64, most: usize) {
     let (mut ledger, map) = ended(3);
+    let third = 2_000;
     let mut granted = Vec::new();
-    for second in 3..3_600 {
-        if ledger.try_trial(at(second * 1_000), map) == Verdict::Trial {
-            granted.push(second);
-            ledger.note_end(at(second * 1_000 + 500), map, incarnation(second));
+    for nth in 1..2_000 {
+        let now = third + nth * every_ms;
+        if now < 20 * 3_600 * 1_000 && ledger.try_trial(at(now), map) == Verdict::Trial {
+            granted.push(now);
+            ledger.note_end(at(now + every_ms / 2), map, incarnation(now), LASTED);
         }
     }
-    assert_eq!(granted, [3, 19]);
+    assert_eq!(granted.len(), most, "{granted:?}");
+    let early = u64::try_from(EARLY.as_millis()).expect("milliseconds");
+    let late = granted.iter().filter(|now| **now > third + early).count();
+    assert!(late <= MORE, "{granted:?}");
+}
+
+/// Guards against a request that was tried being tried again while that run is under way.
+#[test]
+fn trials_come_one_after_the_other() {
+    let (mut ledger, map) = ended(3);
+    let tries = (3_000..4_000).filter(|ms| ledger.try_trial(at(*ms), map) == Verdict::Trial);
+    assert_eq!(tries.collect::<Vec<_>>(), [3_000]);
 }
 
 /// Guards against a request being held back for as long as the processes live.
@@ -182,7 +204,7 @@
 fn what_is_known_is_forgotten() {
     let (ledger, map) = ended(2);
     let mut twice = ledger;
-    twice.note_end(at(1_000) + RECENT, map, incarnation(9));
+    twice.note_end(at(1_000) + RECENT, map, incarnation(9), LASTED);
     assert_eq!(twice.ends(map), 1);
     let (ledger, map) = ended(3);
     assert_eq!(ledger.verdict(at(1_999) + HELD, map), Verdict::Trial);
@@ -194,7 +216,8 @@
 fn what_is_kept_is_bounded() {
     let (mut ledger, map) = ended(3);
     for nth in 0..100_000_u64 {
-        ledger.note_end(at(3_000 + nth), print("w", &nth.to_string()), incarnation(nth % 50));
+        let body = print("w", &nth.to_string());
+        ledger.note_end(at(3_000 + nth), body, incarnation(nth % 50), LASTED);
     }
     assert_eq!(ledger.all(at(200_000), usize::MAX).len(), BOUND);
     assert_eq!(ledger.verdict(at(200_000), map), Verdict::Trial);
@@ -205,7 +228,8 @@
 fn an_entry_that_joins_knows_what_matters() {
     let (mut ledger, map) = ended(3);
     for nth in 0..2_000_u64 {
-        ledger.note_end(at(3_000 + nth), print("w", &nth.to_string()), incarnation(nth % 50));
+        let body = print("w", &nth.to_string());
+        ledger.note_end(at(3_000 + nth), body, incarnation(nth % 50), LASTED);
     }
     let mut joined = Ledger::default();
     joined.hear(at(10), ledger.all(at(9_000), 1_000));
--- a/crates/policy/tests/support/poisoned.rs
+++ b/crates/policy/tests/support/poisoned.rs
@@ -124,6 +124,7 @@
     member: usize,
     target: usize,
     start: u64,
+    sent: Time,
 }
 
 #[derive(Debug, Default)]
@@ -321,7 +322,7 @@
         self.sends += 1;
         let (run, start) = (self.sends, self.targets[target].1);
         self.targets[target].2.insert(run);
-        self.runs.insert(run, Run { request, member, target, start });
+        self.runs.insert(run, Run { request, member, target, start, sent: now });
         let lasts = Duration::from_secs_f64(self.rng.random_range(0.2..6.0));
         match request {
             0 => self.at(BEGINS + ENDS, Event::Ended { run }),
@@ -352,7 +353,8 @@
         for run in std::mem::take(runs) {
             let Some(run) = self.runs.remove(&run) else { continue };
             let print = self.print(run.request);
-            self.members[run.member].note_end(self.now, print, incarnation(run.start));
+            let lasted = self.now.since(run.sent);
+            self.members[run.member].note_end(self.now, print, incarnation(run.start), lasted);
             self.at(TOLD, Event::Flush { member: run.member });
             self.requests[run.request].ends += 1;
             if run.request == 0 {
