--- a/crates/daemon/src/request/refuse/mod.rs
+++ b/crates/daemon/src/request/refuse/mod.rs
@@ -125,6 +125,7 @@
     let (status, detail) = match refusal.reason {
         Reason::WorkspaceLimit => (429, "the workspace is at its limit; send less or later"),
         Reason::NoTarget => (503, "no target of this service is up; try again later"),
+        Reason::Cordoned => (503, "every target's failure domain is cordoned; come back as told"),
         Reason::Limited => (503, "every target takes less for now; come back as told"),
         Reason::QueueFull | Reason::Deadline | Reason::Late | Reason::RetryBudget => {
             (503, "the service is full; try again later")
--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -4,6 +4,7 @@
 
 use derive_more::{Display, Error};
 use fireflyhoist_policy::comeback::Print;
+use fireflyhoist_policy::cordon;
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::intake;
 use fireflyhoist_policy::lease::{Change, Target};
@@ -67,6 +68,9 @@
     pub(crate) text: u64,
     /// Where its view of targets stands in the registry's history; `None` before its first list.
     pub(crate) targets: Option<Position>,
+    /// Which failure domains are cordoned; `None` before its first reading.
+    #[serde(default)]
+    pub(crate) cordons: Option<cordon::Word>,
     /// Whether its latest call of the registry succeeded.
     pub(crate) registry: bool,
     /// Whether it hears of targets from the registry just now.
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use fireflyhoist_policy::cordon;
 use fireflyhoist_policy::intake::Said;
 use fireflyhoist_policy::lease;
 use fireflyhoist_policy::route::Text;
@@ -121,7 +122,7 @@
 }
 
 /// What a registry replies to a list or a watch.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct Listing {
     /// The registry's revision.
     pub revision: u64,
@@ -131,6 +132,9 @@
     /// Targets that were written or are gone.
     #[serde(default)]
     pub targets: Vec<lease::Change>,
+    /// Failure domains that were cordoned or are no more, with the text.
+    #[serde(default)]
+    pub cordons: Vec<cordon::Change>,
 }
 
 impl Listing {
@@ -139,7 +143,8 @@
             .map_err(|error| DecodeError { what: error.to_string() })?;
         let text = listing.text.into_iter().map(|text| Item::Text(Box::new(text)));
         let targets = listing.targets.into_iter().map(Item::Target);
-        let items = text.chain(targets).map(Ok).collect();
+        let cordons = listing.cordons.into_iter().map(Item::Cordon);
+        let items = text.chain(targets).chain(cordons).map(Ok).collect();
         Ok(Page { items, next: None, revision: listing.revision })
     }
 }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use fireflyhoist_policy::cordon;
 use fireflyhoist_policy::intake::Said;
 use fireflyhoist_policy::lease;
 use fireflyhoist_policy::route::Text;
@@ -100,7 +101,7 @@
 /// What is read from the registry.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum What {
-    /// The operators' text.
+    /// The operators' text, and cordons.
     #[display("text")]
     Text,
     /// Targets.
@@ -115,6 +116,8 @@
     Text(Box<Text>),
     /// A target was written or is gone.
     Target(lease::Change),
+    /// A failure domain was cordoned, or its cordon lifted; read along with texts.
+    Cordon(cordon::Change),
 }
 
 /// A reply of the registry that cannot be read.
--- a/crates/gateway/src/process/fleet/beat.rs
+++ b/crates/gateway/src/process/fleet/beat.rs
@@ -24,6 +24,7 @@
             ready: self.process.is_ready(),
             text: self.process.revision(),
             targets: self.process.listed_position(),
+            cordons: self.process.cordon_word(),
             registry: self.process.registry_works(),
             watching: self.process.is_watching(),
             held,
@@ -113,6 +114,9 @@
     pub(super) fn take_beat(&self, from: &id::Host, mut beat: Beat) {
         self.follow(from, &beat);
         self.hear_endings(from, std::mem::take(&mut beat.endings));
+        if let Some(word) = &beat.cordons {
+            self.process.hear_cordons(word.clone());
+        }
         if self.process.set_other(from, Some(beat.held.clone())) {
             self.process.report();
         }
--- a/crates/gateway/src/process/lane.rs
+++ b/crates/gateway/src/process/lane.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fireflyhoist_policy::exclusion::Exclusion;
 use fireflyhoist_policy::gate::{
     Ask, Gate, Grounds, Holding, Outcome, Reason, Refusal, Report, Settings, Verdict,
 };
@@ -72,10 +73,26 @@
 
     /// Replaces the targets; requests sent to a removed one go on.
     pub fn set_targets(&self, targets: Vec<id::Target>) {
-        self.state.lock().gate.set_targets(self.clock.now(), targets);
+        self.set_open(targets, &BTreeSet::new());
+    }
+
+    /// The same, where some stand in cordoned failure domains; see [`Gate::set_cordoned`].
+    pub fn set_open(&self, targets: Vec<id::Target>, cordoned: &BTreeSet<id::Target>) {
+        let now = self.clock.now();
+        let mut state = self.state.lock();
+        state.gate.set_targets(now, targets);
+        state.gate.set_cordoned(now, cordoned);
+        drop(state);
         self.poll();
     }
 
+    /// How many targets are excluded for which reason, in words.
+    pub fn exclusions(&self) -> SmolStr {
+        let counts = self.state.lock().gate.exclusions(self.clock.now());
+        let words = counts.iter().map(|(why, count)| format!("{why}:{count}"));
+        words.collect::<Vec<_>>().join(" ").into()
+    }
+
     /// Tells which entries send to the targets; see [`Gate::set_order`].
     pub fn set_order(&self, order: Order) {
         self.state.lock().gate.set_order(order);
@@ -181,8 +198,8 @@
     }
 
     /// Sends nothing more to a target for some time; see [`Gate::close`].
-    pub fn close_target(&self, target: &id::Target, wait: Duration) {
-        self.state.lock().gate.close(self.clock.now(), target, wait);
+    pub fn close_target(&self, target: &id::Target, wait: Duration, why: Exclusion) {
+        self.state.lock().gate.close(self.clock.now(), target, wait, why);
     }
 
     /// Whether targets have room to take over what others hold; see [`Gate::has_refuge`].
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -29,6 +29,8 @@
     pub(crate) held: usize,
     /// Targets that name a limit.
     pub(crate) limited: usize,
+    /// Failure domains that are cordoned.
+    pub(crate) cordoned: usize,
 }
 
 /// The metrics of one process.
@@ -50,6 +52,7 @@
     era: Gauge<u64>,
     suspects: Gauge<u64>,
     limited: Gauge<u64>,
+    cordoned: Gauge<u64>,
     open: Gauge<u64>,
     revision: Gauge<u64>,
     traffic: Traffic,
@@ -105,6 +108,7 @@
                 .with_boundaries(BOUNDS.to_vec())
                 .build(),
             limited: gauge("fireflyhoist.limited_targets", "Targets that name a limit"),
+            cordoned: gauge("fireflyhoist.cordoned_domains", "Failure domains that are cordoned"),
             era: gauge(
                 "fireflyhoist.registry_era",
                 "How often the registry came back from a copy, as it says",
@@ -168,6 +172,7 @@
         self.era.record(now.era, &[]);
         self.suspects.record(now.held as u64, &[]);
         self.limited.record(now.limited as u64, &[]);
+        self.cordoned.record(now.cordoned as u64, &[]);
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_else(|error| {
             ::log::warn!(error:% = error; "metrics can't be written");
             String::new()
--- /dev/null
+++ b/crates/gateway/src/process/state/cordon.rs
@@ -0,0 +1,82 @@
+//! Cordoned failure domains, as this process knows them.
+
+use std::collections::BTreeSet;
+
+use fireflyhoist_policy::cordon::{Change, Cordons, Word};
+use fireflyhoist_policy::id;
+use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::position::Position;
+
+use crate::process::state::Process;
+
+impl Process {
+    /// Whether it is known which failure domains are cordoned.
+    pub(crate) fn knows_cordons(&self) -> bool {
+        self.cordons.lock().is_known()
+    }
+
+    /// Whether nothing new is sent to a target because of where it stands.
+    pub(crate) fn is_cordoned(&self, target: &Target) -> bool {
+        self.cordons.lock().has(&target.domain)
+    }
+
+    /// Failure domains that get nothing new.
+    pub(crate) fn cordoned_domains(&self) -> usize {
+        self.cordons.lock().all().count()
+    }
+
+    /// Takes in all cordons.
+    pub(crate) fn list_cordons(&self, at: Position, listed: BTreeSet<id::Domain>) -> bool {
+        let now = self.clock.now();
+        self.update_cordons("registry", |cordons| cordons.list(now, at, listed))
+    }
+
+    /// Takes in single changes of cordons.
+    pub(crate) fn change_cordons(&self, at: Position, changes: &[Change]) -> bool {
+        let now = self.clock.now();
+        self.update_cordons("registry", |cordons| cordons.change(now, at, changes))
+    }
+
+    /// Takes in what another entry tells.
+    pub(crate) fn hear_cordons(&self, word: Word) -> bool {
+        let now = self.clock.now();
+        self.update_cordons("peer", |cordons| cordons.hear(now, word))
+    }
+
+    /// Drops cordons that a registry still lacks some time after it came back from a copy.
+    pub(super) fn expire_cordons(&self) {
+        let now = self.clock.now();
+        self.update_cordons("timeout", |cordons| cordons.expire(now));
+    }
+
+    /// What others should hear of.
+    pub(crate) fn cordon_word(&self) -> Option<Word> {
+        self.cordons.lock().word(self.clock.now())
+    }
+
+    /// Returns whether others should hear of it at once.
+    fn update_cordons(
+        &self,
+        source: &'static str,
+        update: impl FnOnce(&mut Cordons) -> bool,
+    ) -> bool {
+        let mut cordons = self.cordons.lock();
+        let before: BTreeSet<id::Domain> = cordons.all().cloned().collect();
+        let known = cordons.is_known();
+        let changed = update(&mut cordons);
+        let after: BTreeSet<id::Domain> = cordons.all().cloned().collect();
+        let first = !known && cordons.is_known();
+        let at = cordons.at();
+        drop(cordons);
+        for domain in after.difference(&before) {
+            ::log::info!(domain:% = domain, revision:% = at, source = source; "failure domain cordoned");
+        }
+        for domain in before.difference(&after) {
+            ::log::info!(domain:% = domain, revision:% = at, source = source; "cordon lifted");
+        }
+        if changed || first {
+            self.refresh();
+        }
+        changed
+    }
+}
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -1,5 +1,6 @@
 //! The state that all requests of a process share, in shards under locks of their own.
 
+mod cordon;
 mod holdings;
 mod intake;
 mod poison;
@@ -11,6 +12,7 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::comeback::{Ledger, Print};
+use fireflyhoist_policy::cordon::Cordons;
 use fireflyhoist_policy::gate;
 use fireflyhoist_policy::intake::{Book, Keeper};
 use fireflyhoist_policy::lease::Leases;
@@ -60,6 +62,8 @@
     /// The entries that carry the traffic.
     order: Mutex<Order>,
     leases: Mutex<Leases>,
+    /// Failure domains that get nothing new.
+    cordons: Mutex<Cordons>,
     /// Tokens of copies that this entry had made, by the target that keeps them.
     copies: Mutex<HashMap<id::Target, u64>>,
     /// Requests that any entry has refused lately.
@@ -102,6 +106,7 @@
             lanes: RwLock::default(),
             order: Mutex::default(),
             leases: Mutex::default(),
+            cordons: Mutex::default(),
             copies: Mutex::default(),
             refused: Mutex::default(),
             poison: Poison::default(),
@@ -311,14 +316,14 @@
         Some((since, self.bounds().grace().saturating_sub(since)))
     }
 
-    /// Whether callers are well served here: a text and targets are known, and it stays.
+    /// Whether callers are well served here: all that decides is known, and it stays.
     pub(crate) fn is_ready(&self) -> bool {
         self.is_informed() && !self.is_leaving()
     }
 
-    /// Whether a text and targets are known.
+    /// Whether a text, targets and cordons are known.
     fn is_informed(&self) -> bool {
-        self.revision() > 0 && self.is_listed()
+        self.revision() > 0 && self.is_listed() && self.knows_cordons()
     }
 
     /// Holds a request while this process has just started and is about to be told what it needs.
--- a/crates/gateway/src/process/state/targets.rs
+++ b/crates/gateway/src/process/state/targets.rs
@@ -22,6 +22,7 @@
             ::log::info!("targets still missing after an outage are gone");
             self.refresh();
         }
+        self.expire_cordons();
     }
 
     /// How requests ended at targets, as far as other entries should hear of it.
@@ -54,7 +55,12 @@
             lanes.values().for_each(|lane| lane.restarted(&target));
         }
         for (service, lane) in lanes.iter() {
-            lane.set_targets(leases.ready(service).map(|target| target.id.clone()).collect());
+            let targets = leases.ready(service).map(|target| target.id.clone()).collect();
+            let cordons = self.cordons.lock();
+            let cordoned = leases.ready(service).filter(|target| cordons.has(&target.domain));
+            let cordoned = cordoned.map(|target| target.id.clone()).collect();
+            drop(cordons);
+            lane.set_open(targets, &cordoned);
         }
         self.keep_limits(&leases);
         self.settle_doubts(&leases);
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fireflyhoist_policy::exclusion::Exclusion;
 use fireflyhoist_policy::gate::Refusal;
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::Target;
@@ -31,9 +32,9 @@
 ) -> Result<Pass, Stop> {
     loop {
         let ask = inquiry.ask(avoid.cloned(), repeat);
-        let pass = inquiry.lane.admit(ask).await.map_err(Stop::Refused)?;
+        let pass = inquiry.lane.admit(ask).await.map_err(|refusal| stop(inquiry, refusal))?;
         if let Some(wait) = over_limit(worker, pass.target()).await {
-            inquiry.lane.close_target(pass.target(), wait);
+            inquiry.lane.close_target(pass.target(), wait, Exclusion::Limited);
             // It has drawn on the retry budget.
             repeat = false;
             continue;
@@ -45,6 +46,16 @@
     }
 }
 
+/// Writes down why targets were no candidates.
+fn stop(inquiry: &Inquiry, refusal: Refusal) -> Stop {
+    let excluded = inquiry.lane.exclusions();
+    log::info!(
+        request = inquiry.facts.request.as_str(), reason:% = refusal.reason,
+        excluded = excluded.as_str(); "no target takes it"
+    );
+    Stop::Refused(refusal)
+}
+
 /// For how long a target takes no more; `None` where a request may be sent to it now.
 pub(crate) async fn over_limit(worker: &Worker, target: &id::Target) -> Option<Duration> {
     let word = worker.process.limit_word(target)?;
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use fireflyhoist_policy::ask::Outcome;
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::time::Time;
 use ntex::http::HeaderMap;
@@ -12,9 +13,14 @@
 use crate::process::state::millis;
 use crate::request::{Inquiry, URGENCY, Worker, broken};
 
+/// The word for a target that may get nothing new.
+const CORDONED: &str = "cordoned";
+
 /// Why an attempt brought no answer that could go to the caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Ended {
+    /// Nothing was sent.
+    Unsent(&'static str),
     /// The target certainly did not run it.
     Unrun(&'static str),
     /// It may have run.
@@ -24,7 +30,7 @@
 impl Ended {
     fn of(failure: &Failure) -> Self {
         match failure {
-            Failure::Unreached => Self::Unrun("unreached"),
+            Failure::Unreached => Self::Unsent("unreached"),
             Failure::Late => Self::Unknown("late"),
             Failure::Broken { .. } => Self::Unknown("broken"),
             Failure::Large => Self::Unknown("large"),
@@ -33,7 +39,20 @@
 
     pub(crate) fn word(&self) -> &'static str {
         match self {
-            Self::Unrun(word) | Self::Unknown(word) => word,
+            Self::Unsent(word) | Self::Unrun(word) | Self::Unknown(word) => word,
+        }
+    }
+
+    /// Whether the target surely does not run it.
+    pub(crate) fn is_unrun(&self) -> bool {
+        !matches!(self, Self::Unknown(_))
+    }
+
+    /// What it says of the target.
+    pub(crate) fn outcome(&self) -> Outcome {
+        match self {
+            Self::Unsent(CORDONED) => Outcome::Cancelled,
+            _ => Outcome::Failed,
         }
     }
 }
@@ -66,7 +85,7 @@
     let began = worker.process.clock.now();
     let result = exchange::<P>(worker, inquiry, target, extra).await;
     let elapsed = worker.process.clock.now().since(began);
-    if !matches!(result, Err(Ended::Unrun(_))) {
+    if !result.as_ref().is_err_and(Ended::is_unrun) {
         inquiry.trial.set(false);
     }
     let outcome = match &result {
@@ -93,6 +112,10 @@
     extra: &Extra,
 ) -> Result<Begun, Ended> {
     let Some(target) = worker.process.target(id) else { return Err(Ended::Unrun("gone")) };
+    // It may have been cordoned since it was chosen.
+    if worker.process.is_cordoned(&target) {
+        return Err(Ended::Unsent(CORDONED));
+    }
     let left = inquiry.left(worker.process.clock.now());
     let stamp = Stamp {
         instance: &target.instance,
--- a/crates/gateway/src/request/carry.rs
+++ b/crates/gateway/src/request/carry.rs
@@ -196,7 +196,7 @@
             let (last, copy) = (&trip.last, Some(moved.copy.clone()));
             let resumed = match resume::<P>(worker, inquiry, &moved.to, copy.clone(), last).await {
                 // The source that stopped still has everything.
-                Err(Ended::Unrun(_)) => {
+                Err(ended) if ended.is_unrun() => {
                     worker.fleet.spend(&from.id);
                     resume::<P>(worker, inquiry, &from, copy, last).await
                 }
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -137,16 +137,16 @@
 
     /// Takes in how an attempt ended; returns the caller's answer where that is final.
     fn settle(&mut self, done: Done, last: bool) -> Option<Response> {
-        self.arrived |= !matches!(done.result, Err(Ended::Unrun(_)));
+        self.arrived |= !done.result.as_ref().is_err_and(Ended::is_unrun);
         match done.result {
             Ok(whole) if whole.status.is_server_error() && self.is_safe() => {
                 self.kept = Some(whole);
                 None
             }
             Ok(whole) => Some(respond(whole)),
-            Err(Ended::Unrun(why)) => {
-                if why == "unreached" {
-                    // Nothing was sent, so it does not count as an attempt.
+            Err(Ended::Unsent(_) | Ended::Unrun(_)) => {
+                if matches!(done.result, Err(Ended::Unsent(_))) {
+                    // It does not count as an attempt.
                     self.sent -= 1;
                     self.unreached += 1;
                 } else {
@@ -196,7 +196,7 @@
     let outcome = match &result {
         Ok(whole) if whole.status.is_server_error() => Outcome::Faulty,
         Ok(_) => Outcome::Whole,
-        Err(_) => Outcome::Failed,
+        Err(ended) => ended.outcome(),
     };
     pass.finish(outcome);
     if result.is_ok() {
--- a/crates/gateway/src/request/probe.rs
+++ b/crates/gateway/src/request/probe.rs
@@ -25,6 +25,7 @@
         era: process.era(),
         held: process.held_back(),
         limited: process.limited_targets(),
+        cordoned: process.cordoned_domains(),
     });
     Response::Ok().content_type("text/plain; version=0.0.4").body(page)
 }
--- a/crates/gateway/src/request/pump.rs
+++ b/crates/gateway/src/request/pump.rs
@@ -315,7 +315,7 @@
         self.switched = false;
     }
 
-    /// Gives up what is lost with its engine: a copy where that leaves, and a run or a copy where it
+    /// Gives up what is lost with its engine: a copy where that leaves or gets nothing new, and a run or a copy where it
     /// has started again.
     ///
     /// **Failure:** an engine is cut off, crashes, and starts again under its name before its lease
@@ -323,7 +323,9 @@
     /// run is gone: its caller waits until its time is up. **Guard:** the newer start does.
     fn look_at_engines(&mut self) {
         let process = &self.worker.process;
-        let leaves = |backup: &Backup| !process.is_target_ready(backup.target());
+        let leaves = |backup: &Backup| {
+            !process.is_target_ready(backup.target()) || process.is_cordoned(backup.listed())
+        };
         let restarted = |known: &Target| {
             process.target(&known.id).is_some_and(|listed| listed.is_restart_of(known))
         };
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -114,10 +114,10 @@
         let request = &self.inquiry.facts.request;
         let more = self.sent < self.inquiry.route.attempts.max(1);
         let left = self.inquiry.left(self.worker.process.clock.now());
-        self.arrived |= *ended != Ended::Unrun("unreached");
+        self.arrived |= !matches!(ended, Ended::Unsent(_));
         match ended {
-            Ended::Unrun("unreached") => {
-                // Nothing was sent, so it does not count as an attempt.
+            Ended::Unsent(_) => {
+                // It does not count as an attempt.
                 self.sent -= 1;
                 self.flying = false;
                 None
@@ -161,7 +161,7 @@
         let mut begun = match begun {
             Ok(begun) => begun,
             Err(ended) => {
-                pass.finish(Outcome::Failed);
+                pass.finish(ended.outcome());
                 return Err(ended);
             }
         };
--- a/crates/gateway/src/version/follow.rs
+++ b/crates/gateway/src/version/follow.rs
@@ -2,8 +2,8 @@
 //! that breaks. An entry that has just started reads only what no peer tells it
 //! ([`bootstrap`](fireflyhoist_policy::bootstrap)).
 //!
-//! Texts are watched by every entry that carries traffic, since they change rarely and a watch that
-//! waits costs nothing; those that stand by are told by two that do. Targets are watched by a few
+//! Texts and cordons are watched together by every entry that carries traffic, since they change rarely
+//! and a watch that waits costs nothing; those that stand by are told by two that do. Targets are watched by a few
 //! entries for all, since they change all the time.
 
 use std::net::SocketAddr;
@@ -12,7 +12,8 @@
 
 use derive_more::{Display, Error};
 use fireflyhoist_policy::bootstrap::{Bootstrap, Peers};
-use fireflyhoist_policy::lease::{Change, Target};
+use fireflyhoist_policy::cordon;
+use fireflyhoist_policy::lease::Change;
 use fireflyhoist_policy::outage;
 use fireflyhoist_policy::position::Position;
 use fireflyhoist_policy::time::Time;
@@ -121,6 +122,15 @@
     body: Bytes,
 }
 
+/// What one reading held beside texts.
+#[derive(Default)]
+struct Read {
+    targets: Vec<Change>,
+    cordons: Vec<cordon::Change>,
+    /// Whether a text came into force.
+    adopted: bool,
+}
+
 struct Follower {
     history: History,
     /// When it reads for the first time.
@@ -166,14 +176,14 @@
 
     fn is_known(&self) -> bool {
         match self.what {
-            What::Text => self.process.revision() > 0,
+            What::Text => self.process.revision() > 0 && self.process.knows_cordons(),
             What::Targets => self.process.is_listed(),
         }
     }
 
     fn peers(&self) -> Peers {
         match self.what {
-            What::Text => self.fleet.peers(|beat| beat.text > 0),
+            What::Text => self.fleet.peers(|beat| beat.text > 0 && beat.cordons.is_some()),
             What::Targets => self.fleet.peers(|beat| beat.targets.is_some()),
         }
     }
@@ -344,47 +354,55 @@
     }
 
     fn take_list(&self, at: Position, items: Vec<Result<Item, DecodeError>>) {
-        let (targets, changed) = self.sort(items);
-        let targets: Vec<Target> = targets
-            .into_iter()
-            .filter_map(|change| match change {
-                Change::Put(target) => Some(target),
-                Change::Gone(_) => None,
-            })
-            .collect();
-        let listed =
-            self.what == What::Targets && self.process.list_targets(at, targets, "registry");
+        let read = self.sort(items);
+        let changed = match self.what {
+            What::Text => {
+                let set = read.cordons.into_iter().filter_map(|change| match change {
+                    cordon::Change::Set(domain) => Some(domain),
+                    cordon::Change::Lifted(_) => None,
+                });
+                self.process.list_cordons(at, set.collect()) || read.adopted
+            }
+            What::Targets => {
+                let put = read.targets.into_iter().filter_map(|change| match change {
+                    Change::Put(target) => Some(target),
+                    Change::Gone(_) => None,
+                });
+                self.process.list_targets(at, put.collect(), "registry")
+            }
+        };
         // What a list changes is told by the next heartbeats: those that miss it are told all.
-        if listed || changed {
+        if changed {
             self.fleet.beat();
         }
     }
 
     fn take(&self, at: Position, page: Page) {
-        let (targets, changed) = self.sort(page.items);
+        let read = self.sort(page.items);
         let since = self.process.targets_position();
-        let news = self.process.change_targets(at, targets);
+        let news = self.process.change_targets(at, read.targets);
         if !news.is_empty() {
             self.fleet.share_changes(since, news);
         }
-        if changed {
+        let cordoned = self.what == What::Text && self.process.change_cordons(at, &read.cordons);
+        if read.adopted || cordoned {
             self.fleet.beat();
         }
     }
 
-    /// Puts texts in force and returns changes of targets.
-    fn sort(&self, items: Vec<Result<Item, DecodeError>>) -> (Vec<Change>, bool) {
-        let mut targets = Vec::new();
-        let mut adopted = false;
+    /// Puts texts in force and returns all else.
+    fn sort(&self, items: Vec<Result<Item, DecodeError>>) -> Read {
+        let mut read = Read::default();
         for item in items {
             match item {
-                Ok(Item::Text(text)) => adopted |= self.process.adopt(*text, "registry"),
-                Ok(Item::Target(change)) => targets.push(change),
+                Ok(Item::Text(text)) => read.adopted |= self.process.adopt(*text, "registry"),
+                Ok(Item::Target(change)) => read.targets.push(change),
+                Ok(Item::Cordon(change)) => read.cordons.push(change),
                 Err(error) => {
                     ::log::warn!(what:% = self.what, error:% = error; "entry left out");
                 }
             }
         }
-        (targets, adopted)
+        read
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/cordons.rs
@@ -0,0 +1,315 @@
+//! Failure domains that are cordoned: nothing new reaches their targets, by whichever way.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fireflyhoist_gateway::Gateway;
+use fireflyhoist_policy::id;
+use fireflyhoist_policy::route::{Kind, Route};
+use fireflyhoist_standin::registry::{Mood, Registry};
+use support::caller::{Answer, Request};
+use support::target::{Seen, Standin, Step, answer, event, events, stream_end, stream_head};
+use support::{eventually, route, text, unready, until_ready};
+use yare::parameterized;
+
+/// Within which every entry must know what the registry tells.
+const KNOWN: Duration = Duration::from_secs(1);
+
+/// A registry where nothing listens.
+const NOWHERE: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 1);
+
+fn domain(name: &str) -> id::Domain {
+    name.parse().expect("a name")
+}
+
+async fn target(
+    registry: &Registry,
+    name: &str,
+    at: &str,
+    script: impl Fn(&Seen) -> Vec<Step> + Send + Sync + 'static,
+) -> Standin {
+    let service = if name.starts_with("web") { "web" } else { "gen" };
+    let mut target = Standin::open(name, service, script).await;
+    target.listed.domain = domain(at);
+    registry.put(target.listed.clone());
+    target
+}
+
+async fn lookup_target(registry: &Registry, name: &str, at: &str) -> Standin {
+    target(registry, name, at, |_| answer(200, "ok")).await
+}
+
+async fn registry() -> Registry {
+    let registry = Registry::open().await;
+    let web = Route { objective: Duration::from_millis(200), ..route("web", Kind::Safe) };
+    let generation = route("gen", Kind::Stream { resumable: true });
+    registry.publish(text(1, vec![web, generation]));
+    registry
+}
+
+async fn join(fleet: &mut Vec<Gateway>, registry: SocketAddr) {
+    let seeds: Vec<_> = fleet.iter().map(Gateway::peers).collect();
+    let entry = unready(registry, &format!("entry-{}", fleet.len()), &seeds).await;
+    until_ready(&entry).await;
+    fleet.push(entry);
+}
+
+async fn fleet(registry: &Registry, entries: usize) -> Vec<Gateway> {
+    let mut fleet = Vec::new();
+    for _ in 0..entries {
+        join(&mut fleet, registry.address()).await;
+    }
+    fleet
+}
+
+async fn ask(entry: &Gateway) -> Answer {
+    Request::new("POST", "/web/x").body("b").send(entry.callers()).await
+}
+
+/// Asks each entry some times and returns how many reached a target.
+async fn reach(fleet: &[Gateway], target: &Standin) -> usize {
+    let before = target.seen().len();
+    for entry in fleet.iter().cycle().take(8 * fleet.len()) {
+        assert_eq!(ask(entry).await.status, 200);
+    }
+    target.seen().len() - before
+}
+
+/// Guards against entries that go on sending to a cordoned domain, or never come back to it.
+#[parameterized(one_entry = { 1 }, three_entries = { 3 })]
+#[test_macro(ntex::test)]
+async fn a_cordoned_domain_gets_nothing_until_it_is_lifted(entries: usize) {
+    let registry = registry().await;
+    let _open = lookup_target(&registry, "web-1", "a").await;
+    let closed = lookup_target(&registry, "web-2", "b").await;
+    let fleet = fleet(&registry, entries).await;
+    assert!(reach(&fleet, &closed).await > 0);
+    registry.cordon(&domain("b"));
+    registry.cordon(&domain("nobody-knows-it"));
+    tokio::time::sleep(KNOWN).await;
+    assert_eq!(reach(&fleet, &closed).await, 0);
+    registry.lift(&domain("b"));
+    tokio::time::sleep(KNOWN).await;
+    assert!(reach(&fleet, &closed).await > 0);
+}
+
+/// Guards against the last of several changes within a second being missed.
+#[parameterized(ends_cordoned = { true }, ends_lifted = { false })]
+#[test_macro(ntex::test)]
+async fn changes_in_quick_succession_end_as_the_last_one_says(cordoned: bool) {
+    let registry = registry().await;
+    let _open = lookup_target(&registry, "web-1", "a").await;
+    let closed = lookup_target(&registry, "web-2", "b").await;
+    let fleet = fleet(&registry, 2).await;
+    for nth in 0..7 {
+        if (nth % 2 == 0) == cordoned {
+            registry.cordon(&domain("b"));
+        } else {
+            registry.lift(&domain("b"));
+        }
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    tokio::time::sleep(KNOWN).await;
+    assert_eq!(reach(&fleet, &closed).await == 0, cordoned);
+}
+
+/// Guards against a removal that falls into history that the registry has dropped, or a lost answer.
+#[parameterized(
+    history_dropped = { true },
+    answers_lost = { false },
+)]
+#[test_macro(ntex::test)]
+async fn a_change_that_no_watch_tells_is_read_from_the_list(dropped: bool) {
+    let registry = registry().await;
+    let _open = lookup_target(&registry, "web-1", "a").await;
+    let closed = lookup_target(&registry, "web-2", "b").await;
+    let other = lookup_target(&registry, "web-3", "c").await;
+    registry.cordon(&domain("b"));
+    let fleet = fleet(&registry, 2).await;
+    assert_eq!(reach(&fleet, &closed).await, 0);
+    if dropped {
+        registry.set_mood(Mood::Busy);
+        tokio::time::sleep(KNOWN / 4).await;
+    }
+    registry.lift(&domain("b"));
+    registry.cordon(&domain("c"));
+    if dropped {
+        registry.forget();
+        registry.set_mood(Mood::Well);
+    } else {
+        registry.lose_calls();
+    }
+    // A lost answer is noticed when its watch is overdue.
+    tokio::time::sleep(KNOWN * 3).await;
+    assert!(reach(&fleet, &closed).await > 0);
+    assert_eq!(reach(&fleet, &other).await, 0);
+}
+
+/// Guards against a registry that comes back from a copy opening a domain, or keeping one closed.
+#[parameterized(
+    copy_lacks_it = { true },
+    copy_still_has_it = { false },
+)]
+#[test_macro(ntex::test)]
+async fn a_registry_from_an_older_copy_opens_nothing(lacks: bool) {
+    let registry = registry().await;
+    let _open = lookup_target(&registry, "web-1", "a").await;
+    let closed = lookup_target(&registry, "web-2", "b").await;
+    let then = |registry: &Registry| match lacks {
+        true => registry.cordon(&domain("b")),
+        false => registry.lift(&domain("b")),
+    };
+    if !lacks {
+        registry.cordon(&domain("b"));
+    }
+    let copy = registry.copy();
+    let fleet = fleet(&registry, 2).await;
+    then(&registry);
+    tokio::time::sleep(KNOWN).await;
+    registry.set_mood(Mood::Busy);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    registry.restore(copy);
+    registry.set_mood(Mood::Well);
+    // The operator's tool writes it again only after entries have read.
+    tokio::time::sleep(KNOWN).await;
+    if lacks {
+        assert_eq!(reach(&fleet, &closed).await, 0);
+    }
+    then(&registry);
+    tokio::time::sleep(KNOWN * 2).await;
+    assert_eq!(reach(&fleet, &closed).await == 0, lacks);
+}
+
+/// Guards against an entry that starts, or that the registry turns away, sending to a cordoned domain.
+#[parameterized(starts = { true }, turned_away = { false })]
+#[test_macro(ntex::test)]
+async fn an_entry_that_joins_knows_before_it_takes_callers(reads: bool) {
+    let registry = registry().await;
+    let _open = lookup_target(&registry, "web-1", "a").await;
+    let closed = lookup_target(&registry, "web-2", "b").await;
+    registry.cordon(&domain("b"));
+    let mut fleet = fleet(&registry, 2).await;
+    join(&mut fleet, if reads { registry.address() } else { NOWHERE }).await;
+    assert_eq!(reach(&fleet[2..], &closed).await, 0);
+    registry.lift(&domain("b"));
+    registry.cordon(&domain("a"));
+    tokio::time::sleep(KNOWN).await;
+    assert_eq!(reach(&fleet[2..], &closed).await, 8);
+}
+
+/// Guards against requests waiting for places that don't come, or being told that they may have run.
+#[parameterized(lookup = { false }, generation = { true })]
+#[test_macro(ntex::test)]
+async fn with_all_domains_cordoned_requests_are_refused_at_once(generation: bool) {
+    let registry = registry().await;
+    let targets = [
+        lookup_target(&registry, "web-1", "a").await,
+        target(&registry, "gen-1", "a", |_| vec![stream_head(), stream_end()]).await,
+    ];
+    registry.cordon(&domain("a"));
+    let fleet = fleet(&registry, 1).await;
+    let request = match generation {
+        true => Request::stream("/gen/x", 20).body("b"),
+        false => Request::new("POST", "/web/x").body("b"),
+    };
+    let refused = request.send(fleet[0].callers()).await;
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert!(refused.body.contains("targets-cordoned"), "{refused:?}");
+    assert!(refused.body.contains("\"ran\":\"no\""), "{refused:?}");
+    assert!(refused.header("retry-after").is_some(), "{refused:?}");
+    assert!(refused.took < Duration::from_millis(500), "{refused:?}");
+    assert!(targets.iter().all(|target| target.seen().is_empty()));
+}
+
+/// Guards against a request that waits for a place being left to its deadline.
+#[ntex::test]
+async fn what_waits_for_a_place_is_told_when_its_domain_is_cordoned() {
+    let registry = registry().await;
+    // Prompts that are not read yet keep others from being sent there.
+    let unread = |_: &Seen| vec![stream_head(), Step::Wait(Duration::from_secs(3)), stream_end()];
+    let engine = target(&registry, "gen-1", "a", unread).await;
+    let fleet = fleet(&registry, 1).await;
+    let callers = fleet[0].callers();
+    let request = Request::stream("/gen/x", 20).body("b");
+    let _reading = [request.open(callers).await, request.open(callers).await];
+    eventually(async || engine.seen().len() == 2).await;
+    let waits = tokio::task::spawn_local(async move { request.send(callers).await });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    registry.cordon(&domain("a"));
+    let refused = waits.await.expect("an answer");
+    assert_eq!((refused.status, engine.seen().len()), (503, 2), "{refused:?}");
+    assert!(refused.took < KNOWN * 2, "{refused:?}");
+}
+
+/// Guards against answers that run in a cordoned domain being cut.
+#[ntex::test]
+async fn what_runs_in_a_cordoned_domain_ends_there() {
+    let registry = registry().await;
+    let pause = Step::Wait(Duration::from_millis(700));
+    let script =
+        move |_: &Seen| vec![stream_head(), event(1), pause.clone(), event(2), stream_end()];
+    let engine = target(&registry, "gen-1", "a", script).await;
+    let fleet = fleet(&registry, 1).await;
+    let callers = fleet[0].callers();
+    let running = tokio::task::spawn_local(async move {
+        Request::stream("/gen/x", 20).body("b").send(callers).await
+    });
+    eventually(async || engine.seen().len() == 1).await;
+    registry.cordon(&domain("a"));
+    let answer = running.await.expect("an answer");
+    assert_eq!((answer.status, answer.body, answer.whole), (200, events(1, 2), true));
+    assert_eq!(engine.seen().len(), 1);
+}
+
+/// Guards against hedges, repeats and resumptions reaching a cordoned domain.
+#[parameterized(
+    hedge = { "/web/x", Duration::from_millis(600) },
+    resumption = { "/gen/x", Duration::ZERO },
+)]
+#[test_macro(ntex::test)]
+async fn nothing_is_sent_there_a_second_time(path: &str, wait: Duration) {
+    let registry = registry().await;
+    let slow = move |_: &Seen| [vec![Step::Wait(wait)], answer(200, "ok")].concat();
+    let broken = |_: &Seen| vec![stream_head(), event(1), Step::Reset];
+    let _slow = target(&registry, "web-1", "a", slow).await;
+    let _broken = target(&registry, "gen-1", "a", broken).await;
+    let closed = [
+        lookup_target(&registry, "web-2", "b").await,
+        target(&registry, "gen-2", "b", |_| vec![stream_head(), event(2), stream_end()]).await,
+    ];
+    registry.cordon(&domain("b"));
+    let fleet = fleet(&registry, 1).await;
+    let request = match path {
+        "/gen/x" => Request::stream(path, 20).body("b"),
+        _ => Request::new("POST", path).body("b"),
+    };
+    request.send(fleet[0].callers()).await;
+    tokio::time::sleep(wait).await;
+    assert!(closed.iter().all(|target| target.seen().is_empty()));
+}
+
+/// Guards against copies of running answers being kept in a cordoned domain.
+#[ntex::test]
+async fn no_copy_is_kept_there() {
+    let registry = registry().await;
+    let script = |_: &Seen| vec![stream_head(), event(1), stream_end()];
+    let engine = target(&registry, "gen-1", "a", script).await;
+    let _closed = target(&registry, "gen-2", "b", script).await;
+    let copies = |seen: &[Seen]| {
+        seen.iter().filter(|seen| seen.header("fireflyhoist-backup").is_some()).count()
+    };
+    registry.cordon(&domain("b"));
+    let fleet = fleet(&registry, 1).await;
+    for _ in 0..4 {
+        Request::stream("/gen/x", 500).body("b").send(fleet[0].callers()).await;
+    }
+    assert_eq!((engine.seen().len(), copies(&engine.seen())), (4, 0));
+    registry.lift(&domain("b"));
+    eventually(async || {
+        Request::stream("/gen/x", 500).body("b").send(fleet[0].callers()).await;
+        copies(&engine.seen()) > 0
+    })
+    .await;
+}
--- a/crates/policy/src/ask.rs
+++ b/crates/policy/src/ask.rs
@@ -88,6 +88,9 @@
     /// No target of the service is known to be up.
     #[display("no-target")]
     NoTarget,
+    /// Every target stands in a failure domain that is cordoned.
+    #[display("targets-cordoned")]
+    Cordoned,
     /// Every target that is up has named a limit and takes no more for now.
     #[display("targets-limited")]
     Limited,
--- a/crates/policy/src/gate/carry.rs
+++ b/crates/policy/src/gate/carry.rs
@@ -72,7 +72,7 @@
 
     /// Whether targets have room to take over what others that leave hold.
     pub fn has_refuge(&self) -> bool {
-        let listed = self.slots.iter().filter(|slot| slot.listed);
+        let listed = self.slots.iter().filter(|slot| slot.is_open());
         let (count, load) =
             listed.fold((0.0, 0.0), |(count, load), slot| (count + 1.0, load + slot.room.load()));
         load < SPARE * count
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -8,6 +8,7 @@
 mod carry;
 mod place;
 mod settings;
+mod targets;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -20,13 +21,11 @@
 use crate::id;
 use crate::late;
 use crate::length::{Book, Mark};
-use crate::newcomer::{Arrival, Order};
+use crate::newcomer::Order;
 use crate::outlier::{Detector, Ejection, Sample};
 use crate::placement::Candidate;
 use crate::queue::{BOUND, Item, Queue};
 use crate::retry;
-use crate::room::Growth;
-use crate::share;
 use crate::slot::Slot;
 use crate::time::Time;
 use crate::unit::Tokens;
@@ -146,25 +145,6 @@
         }
     }
 
-    /// Tells how many entries the published list names, and which of them this one is.
-    pub fn set_entries(&mut self, now: Time, entries: usize, own: Option<usize>) {
-        let entries = if self.settings.share { entries } else { 1 };
-        if (entries, own) != self.entries {
-            self.entries = (entries, own);
-            self.divide(now);
-        }
-    }
-
-    /// Works out this entry's share of each target anew.
-    fn divide(&mut self, now: Time) {
-        let (entries, own) = self.entries;
-        let listed = self.index.values().filter(|at| self.slots[**at].listed);
-        for (order, at) in listed.copied().collect::<Vec<_>>().into_iter().enumerate() {
-            let part = share::part(order, own, entries);
-            self.slots[at].share.set(now, part);
-        }
-    }
-
     /// Sets the weights of workspaces among the others; those not named weigh one.
     pub fn set_weights(&mut self, weights: BTreeMap<id::Workspace, f64>) {
         self.queue.set_weights(weights);
@@ -180,60 +160,13 @@
         self.settings.between = between;
     }
 
-    /// Replaces the targets; requests already sent to a removed one go on until they finish.
-    pub fn set_targets(&mut self, now: Time, targets: Vec<id::Target>) {
-        self.slots.iter_mut().for_each(|slot| slot.listed = false);
-        self.detector.set_targets(&targets);
-        for target in targets {
-            let next = self.slots.len();
-            let at = *self.index.entry(target.clone()).or_insert(next);
-            if at == next {
-                let arrival = Arrival::at(now, &self.order, &target);
-                self.slots.push(Slot::open(target, arrival));
-            }
-            self.slots[at].listed = true;
-        }
-        self.forget_unused();
-        self.divide(now);
-    }
-
-    /// Tells which entries send to the targets, so that each has its turn at one that has just come.
-    pub fn set_order(&mut self, order: Order) {
-        self.order = order;
-        for slot in &mut self.slots {
-            slot.arrival = slot.arrival.reordered(&self.order, &slot.name);
-        }
-    }
-
-    /// Notes that a target has started again: it is as empty as one that has just come.
-    pub fn restarted(&mut self, now: Time, target: &id::Target) {
-        if let Some(at) = self.index.get(target) {
-            self.slots[*at].arrival = Arrival::at(now, &self.order, target);
-        }
-    }
-
-    /// Takes in a target's load report, which was taken `age` ago.
-    pub fn report(&mut self, now: Time, target: &id::Target, report: &Report, age: Duration) {
-        let Some(at) = self.index.get(target) else { return };
-        let growth = Growth { own: self.all, fresh: self.fresh };
-        self.slots[*at].room.report(now, now - age, report, &growth);
-        self.largest = self.largest.max(report.capacity.get());
-    }
-
-    /// Takes in how many prompt tokens of other entries wait to be read at a target.
-    pub fn set_unread(&mut self, target: &id::Target, tokens: Tokens) {
-        if let Some(at) = self.index.get(target) {
-            self.slots[*at].others_unread = tokens.get();
-        }
-    }
-
     /// Decides on a new request, or on a further attempt of one that failed before its answer.
     pub fn offer(&mut self, now: Time, rng: &mut impl Rng, ask: Ask) -> Verdict {
         self.weigh(now);
         self.drain.pass(now, !self.queue.is_empty());
         let again = ask.repeat;
-        if !self.slots.iter().any(|slot| slot.listed) {
-            return refuse(rng, Reason::NoTarget, RETRY.0);
+        if let Some(verdict) = self.without_targets(rng) {
+            return verdict;
         }
         if again
             && (ask.class != Class::Overnight || self.settings.charge_all)
@@ -262,23 +195,6 @@
         Verdict::Wait
     }
 
-    /// Refuses where no target is up, or none takes more.
-    fn nowhere(&self, now: Time, rng: &mut impl Rng) -> Verdict {
-        let listed = self.slots.iter().filter(|slot| slot.listed);
-        let closed = listed.map(|slot| slot.closed(now)).filter(|left| !left.is_zero()).min();
-        match closed {
-            Some(left) => refuse(rng, Reason::Limited, left),
-            None => refuse(rng, Reason::NoTarget, RETRY.0),
-        }
-    }
-
-    /// Sends nothing more to a target for some time: it takes no more from all entries together.
-    pub fn close(&mut self, now: Time, target: &id::Target, wait: Duration) {
-        if let Some(at) = self.index.get(target) {
-            self.slots[*at].close(now + wait);
-        }
-    }
-
     /// The same request, among the late ones where it can't begin on time any more.
     fn classed(&self, now: Time, ask: Ask) -> Ask {
         let late = self.settings.late && ask.objective < now + START;
@@ -394,6 +310,12 @@
         self.drain.pass(now, true);
         self.queue.demote(now, START);
         let mut decided = Vec::new();
+        if self.slots.iter().any(|slot| slot.cordoned)
+            && let Some(verdict) = self.without_targets(rng)
+        {
+            let waiting = self.queue.drain();
+            return waiting.into_iter().map(|item| (item.ask.request, verdict.clone())).collect();
+        }
         for item in self.queue.expire(now) {
             let wait = self.drain.wait(self.queue.ahead(item.ask.class, &item.ask.workspace, 0.0));
             let verdict = refuse(rng, Reason::Deadline, wait.unwrap_or(RETRY.0));
--- a/crates/policy/src/gate/place.rs
+++ b/crates/policy/src/gate/place.rs
@@ -42,7 +42,7 @@
             return;
         }
         self.weighed = now;
-        let listed = self.slots.iter().filter(|slot| slot.listed);
+        let listed = self.slots.iter().filter(|slot| slot.is_open());
         self.held = listed.map(|slot| slot.room.holdings().1).sum();
         if !self.settings.outlier {
             return;
@@ -82,11 +82,11 @@
             // the one that has just failed this.
             self.collect(|slot| {
                 let other = Some(&slot.name) != ask.avoid.as_ref();
-                (slot.listed && slot.closed(now).is_zero() && other).then_some(0.0)
+                (slot.firm_exclusion(now).is_none() && other).then_some(0.0)
             });
         }
         if self.candidates.is_empty() {
-            self.collect(|slot| (slot.listed && slot.closed(now).is_zero()).then_some(0.0));
+            self.collect(|slot| slot.firm_exclusion(now).is_none().then_some(0.0));
         }
         let choices = self.settings.choices;
         let chosen = placement::choose(rng, placement::NO_PREFIX, &self.candidates, choices);
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -265,6 +265,12 @@
         over.into_iter().filter_map(|request| self.remove(request)).collect()
     }
 
+    /// Takes out all requests.
+    pub fn drain(&mut self) -> Vec<Item> {
+        let all: Vec<id::Request> = self.places.keys().copied().collect();
+        all.into_iter().filter_map(|request| self.remove(request)).collect()
+    }
+
     /// Takes out requests whose deadline has passed.
     pub fn expire(&mut self, now: Time) -> Vec<Item> {
         let mut expired = Vec::new();
--- a/crates/policy/src/slot.rs
+++ b/crates/policy/src/slot.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::exclusion::Exclusion;
 use crate::id;
 use crate::newcomer::Arrival;
 use crate::pace::Pace;
@@ -44,6 +45,8 @@
     pub(crate) name: id::Target,
     pub(crate) key: u64,
     pub(crate) listed: bool,
+    /// Whether its failure domain is cordoned.
+    pub(crate) cordoned: bool,
     pub(crate) weight: f64,
     pub(crate) share: Share,
     pub(crate) room: Room,
@@ -61,6 +64,8 @@
     paused: Time,
     /// Until when it takes no more requests of this entry.
     closed: Time,
+    /// Why it takes no more.
+    closed_for: Exclusion,
 }
 
 impl Slot {
@@ -70,6 +75,7 @@
             name,
             key,
             listed: true,
+            cordoned: false,
             weight: 1.0,
             share: Share::default(),
             room: Room::default(),
@@ -81,6 +87,7 @@
             arrival,
             paused: Time::ZERO,
             closed: Time::ZERO,
+            closed_for: Exclusion::Limited,
         }
     }
 
@@ -114,8 +121,10 @@
     }
 
     /// Sends nothing more before a time: the target takes no more until then.
-    pub(crate) fn close(&mut self, until: Time) {
-        self.closed = self.closed.max(until);
+    pub(crate) fn close(&mut self, until: Time, why: Exclusion) {
+        if until > self.closed {
+            (self.closed, self.closed_for) = (until, why);
+        }
     }
 
     /// How long it takes no more; zero where it does.
@@ -130,9 +139,33 @@
         self.room.load() + unread + TRACE * self.turn as f64 / sends.max(1) as f64
     }
 
+    /// Why it may receive nothing now; `None` where it may.
+    pub(crate) fn exclusion(&self, now: Time) -> Option<Exclusion> {
+        let firm = self.firm_exclusion(now);
+        let doubts =
+            [(now < self.paused, Exclusion::Failed), (!self.is_trusted(), Exclusion::Ejected)];
+        let doubt = || doubts.into_iter().find(|(holds, _)| *holds).map(|(_, why)| why);
+        firm.or_else(doubt)
+    }
+
+    /// The same, where doubt alone excludes nothing: better a target in doubt than no answer.
+    pub(crate) fn firm_exclusion(&self, now: Time) -> Option<Exclusion> {
+        let reasons = [
+            (!self.listed, Exclusion::Drains),
+            (self.cordoned, Exclusion::Cordoned),
+            (now < self.closed, self.closed_for),
+        ];
+        reasons.into_iter().find(|(holds, _)| *holds).map(|(_, why)| why)
+    }
+
     /// Whether it may receive anything.
     pub(crate) fn is_up(&self, now: Time) -> bool {
-        self.listed && now >= self.paused.max(self.closed) && self.is_trusted()
+        self.exclusion(now).is_none()
+    }
+
+    /// Whether it belongs to the targets that answers go to.
+    pub(crate) fn is_open(&self) -> bool {
+        self.listed && !self.cordoned
     }
 
     /// Whether its weight bears one more stream. A target that returns from ejection is empty and
--- /dev/null
+++ b/crates/policy/tests/cordon.rs
@@ -0,0 +1,131 @@
+//! Failure domains that are cordoned, as entries read, tell and hear of them.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use fireflyhoist_policy::cordon::{BOUND, Change, Cordons, SETTLING};
+use fireflyhoist_policy::id;
+use fireflyhoist_policy::lease::REJOIN;
+use fireflyhoist_policy::position::Position;
+use fireflyhoist_policy::time::Time;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+fn at(ms: u64) -> Time {
+    Time::ZERO + Duration::from_millis(ms)
+}
+
+fn domain(name: &str) -> id::Domain {
+    name.parse().expect("a name")
+}
+
+fn set(names: &[&str]) -> BTreeSet<id::Domain> {
+    names.iter().map(|name| domain(name)).collect()
+}
+
+fn known(cordons: &Cordons) -> BTreeSet<id::Domain> {
+    cordons.all().cloned().collect()
+}
+
+/// Guards against an older reading, or an older word of a peer, undoing a newer one.
+#[test]
+fn the_newest_reading_wins_whoever_did_it() {
+    let mut cordons = Cordons::default();
+    assert!(!cordons.is_known());
+    assert!(cordons.list(at(0), Position::new(0, 10), set(&["a"])));
+    assert!(!cordons.list(at(1), Position::new(0, 9), set(&[])));
+    let mut other = Cordons::default();
+    other.hear(at(2), cordons.word(at(2)).expect("it is known"));
+    assert!(other.change(at(3), Position::new(0, 12), &[Change::Lifted(domain("a"))]));
+    assert!(!other.hear(at(4), cordons.word(at(4)).expect("it is known")));
+    assert_eq!(known(&other), set(&[]));
+    assert!(cordons.hear(at(5), other.word(at(5)).expect("it is known")));
+    assert!(!cordons.change(at(6), Position::new(0, 11), &[Change::Set(domain("b"))]));
+    assert_eq!(known(&cordons), set(&[]));
+}
+
+/// Guards against entries that disagree for good, whatever order they read and hear in.
+#[test]
+fn three_hundred_entries_end_alike() {
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut entries = vec![Cordons::default(); 300];
+    entries.iter_mut().for_each(|one| _ = one.list(at(0), Position::new(0, 1), set(&[])));
+    let mut registry = BTreeSet::new();
+    for revision in 2..60 {
+        let one = domain(["a", "b", "c", "d", "e"][rng.random_range(0..5)]);
+        let change = match registry.remove(&one) {
+            true => Change::Lifted(one),
+            false => {
+                registry.insert(one.clone());
+                Change::Set(one)
+            }
+        };
+        // Two read it, late ones read the whole list, the rest are told by whomever they meet.
+        let now = at(revision * 100);
+        for nth in [0, 1] {
+            entries[nth].change(now, Position::new(0, revision), std::slice::from_ref(&change));
+        }
+        let late = rng.random_range(2..300);
+        entries[late].list(now, Position::new(0, revision), registry.clone());
+        for _ in 0..200 {
+            let (from, to) = (rng.random_range(0..300), rng.random_range(0..300));
+            let word = entries[from].word(now).expect("it is known");
+            entries[to].hear(now, word);
+        }
+    }
+    let mut order: Vec<usize> = (2..300).collect();
+    order.shuffle(&mut rng);
+    let word = entries[0].word(at(7_000)).expect("it is known");
+    for nth in order {
+        entries[nth].hear(at(7_000), word.clone());
+    }
+    assert!(entries.iter().all(|one| known(one) == registry));
+}
+
+/// Guards against a copy of the registry that lacks a cordon opening its domain, here or at those told.
+#[test]
+fn a_cordon_outlives_a_copy_that_lacks_it_for_a_while() {
+    let (mut reads, mut told) = (Cordons::default(), Cordons::default());
+    reads.list(at(0), Position::new(0, 50), set(&["a", "b"]));
+    assert!(!reads.list(at(1_000), Position::new(1, 20), set(&["b"])));
+    told.hear(at(1_100), reads.word(at(1_100)).expect("it is known"));
+    let rejoin = u64::try_from(REJOIN.as_millis()).expect("milliseconds");
+    for one in [&mut reads, &mut told] {
+        assert!(!one.expire(at(900 + rejoin)));
+        assert_eq!(known(one), set(&["a", "b"]));
+        assert!(one.expire(at(1_200 + rejoin)));
+        assert_eq!(known(one), set(&["b"]));
+    }
+    // Written again in time, it stays.
+    let mut again = Cordons::default();
+    again.list(at(0), Position::new(0, 50), set(&["a"]));
+    again.list(at(1_000), Position::new(1, 20), set(&[]));
+    again.change(at(1_500), Position::new(1, 21), &[Change::Set(domain("a"))]);
+    again.expire(at(60_000));
+    assert_eq!(known(&again), set(&["a"]));
+}
+
+/// Guards against a domain that was cordoned being taken for warm at once.
+#[test]
+fn a_domain_settles_after_its_cordon() {
+    let mut cordons = Cordons::default();
+    cordons.list(at(0), Position::new(0, 1), set(&["a"]));
+    assert_eq!(cordons.settles(at(0), &domain("a")), Duration::ZERO);
+    cordons.change(at(1_000), Position::new(0, 2), &[Change::Lifted(domain("a"))]);
+    assert_eq!(cordons.settles(at(1_000), &domain("a")), SETTLING);
+    assert_eq!(cordons.settles(at(1_000) + SETTLING, &domain("a")), Duration::ZERO);
+}
+
+/// Guards against another writer's entries filling the memory.
+#[test]
+fn what_is_kept_is_bounded() {
+    let mut cordons = Cordons::default();
+    let many = (0..5_000).map(|nth| domain(&format!("d-{nth}"))).collect();
+    cordons.list(at(0), Position::new(0, 1), many);
+    for nth in 0..5_000 {
+        let change = Change::Set(domain(&format!("e-{nth}")));
+        cordons.change(at(1), Position::new(0, 2), &[change]);
+    }
+    assert_eq!(cordons.all().count(), BOUND);
+}
--- a/crates/standin/src/registry.rs
+++ b/crates/standin/src/registry.rs
@@ -7,6 +7,7 @@
 use fireflyhoist_gateway::native::{ERA_HEADER, Listing};
 use fireflyhoist_policy::lease::{Change, Target};
 use fireflyhoist_policy::route::Text;
+use fireflyhoist_policy::{cordon, id};
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -31,6 +32,8 @@
     text: Option<(u64, Text)>,
     /// Every change, with its revision.
     changes: Vec<(u64, Change)>,
+    /// The same of cordons.
+    cordons: Vec<(u64, cordon::Change)>,
     /// Changes up to this revision are forgotten.
     forgotten: u64,
 }
@@ -102,6 +105,23 @@
         self.change(Change::Gone(target.id.clone()));
     }
 
+    /// Cordons a failure domain.
+    pub fn cordon(&self, domain: &id::Domain) {
+        self.change_cordon(cordon::Change::Set(domain.clone()));
+    }
+
+    /// Lifts its cordon.
+    pub fn lift(&self, domain: &id::Domain) {
+        self.change_cordon(cordon::Change::Lifted(domain.clone()));
+    }
+
+    fn change_cordon(&self, change: cordon::Change) {
+        let mut state = self.state.lock();
+        state.held.revision += 1;
+        let revision = state.held.revision;
+        state.held.cordons.push((revision, change));
+    }
+
     /// Loses the connections of all calls in progress without a word; new ones are answered.
     pub fn lose_calls(&self) {
         let mut state = self.state.lock();
@@ -200,7 +220,9 @@
                 return self.response(503, "");
             }
             let listing = self.listing(texts, since);
-            let news = listing.text.is_some() || !listing.targets.is_empty();
+            let news = listing.text.is_some()
+                || !listing.targets.is_empty()
+                || !listing.cordons.is_empty();
             if since.is_none() || news || Instant::now() >= end {
                 return self.response(200, &serde_json::to_string(&listing).expect("JSON"));
             }
@@ -221,11 +243,15 @@
     fn listing(&self, texts: bool, since: Option<u64>) -> Listing {
         let state = self.state.lock();
         let from = since.unwrap_or_default();
-        let mut listing =
-            Listing { revision: state.held.revision, text: None, targets: Vec::new() };
+        let mut listing = Listing { revision: state.held.revision, ..Listing::default() };
         if texts {
             let text = state.held.text.as_ref().filter(|(revision, _)| *revision > from);
             listing.text = text.map(|(_, text)| text.clone());
+            let news = state.held.cordons.iter().filter(|(revision, _)| *revision > from);
+            listing.cordons = news.map(|(_, change)| change.clone()).collect();
+            if since.is_none() {
+                listing.cordons = cordoned(&listing.cordons);
+            }
         } else if since.is_some() {
             let news = state.held.changes.iter().filter(|(revision, _)| *revision > from);
             listing.targets = news.map(|(_, change)| change.clone()).collect();
@@ -236,6 +262,18 @@
     }
 }
 
+/// What is cordoned after all changes.
+fn cordoned(changes: &[cordon::Change]) -> Vec<cordon::Change> {
+    let mut set = std::collections::BTreeSet::new();
+    for change in changes {
+        match change {
+            cordon::Change::Set(domain) => set.insert(domain.clone()),
+            cordon::Change::Lifted(domain) => set.remove(domain),
+        };
+    }
+    set.into_iter().map(cordon::Change::Set).collect()
+}
+
 /// What is listed after all changes.
 fn list(changes: &[(u64, Change)]) -> Vec<Change> {
     let mut listed = std::collections::BTreeMap::new();
