Say 502 where an earlier attempt of a stream may have run

Cause: an attempt that broke off left its mark only until the next one, so that a second one that was declined or unreached was answered 503 with 'ran: no' although the first may have run. It concerns resumable streams only.

Ruled out: the retry of a caller (one request id), a run after the refusal (the run came first). Test seen red without the guard: 503 in place of 502.

--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -41,11 +41,12 @@
         sent: 0,
         arrived: false,
         flying: false,
+        doubtful: false,
     };
     let finished = timeout(left, run.play::<P>()).await.ok();
     match finished {
         Some(response) => response,
-        None if run.flying => refuse::late(&inquiry.facts.request),
+        None if run.may_have_run() => refuse::late(&inquiry.facts.request),
         None => refuse::declined(&inquiry.facts.request, come_back(left)),
     }
 }
@@ -68,8 +69,10 @@
     sent: u32,
     /// Whether an attempt arrived at a target.
     arrived: bool,
-    /// Whether an attempt is under way, or ended without its fate being known.
+    /// Whether an attempt is under way.
     flying: bool,
+    /// Whether an attempt ended without its fate being known.
+    doubtful: bool,
 }
 
 impl Run<'_> {
@@ -115,32 +118,37 @@
         let more = self.sent < self.inquiry.route.attempts.max(1);
         let left = self.inquiry.left(self.worker.process.clock.now());
         self.arrived |= !matches!(ended, Ended::Unsent(_));
+        self.flying = false;
+        self.doubtful |= !ended.is_unrun();
         match ended {
             Ended::Unsent(_) => {
                 // It does not count as an attempt.
                 self.sent -= 1;
-                self.flying = false;
                 None
             }
-            Ended::Unrun(_) => {
-                self.flying = false;
-                (!more).then(|| refuse::declined(request, come_back(left)))
-            }
+            Ended::Unrun(_) if more => None,
+            Ended::Unrun(_) if self.doubtful => Some(refuse::lost(request)),
+            Ended::Unrun(_) => Some(refuse::declined(request, come_back(left))),
             Ended::Unknown("late") => Some(refuse::late(request)),
             Ended::Unknown(_) if self.inquiry.route.kind.is_idempotent() && more => None,
             Ended::Unknown(_) => Some(refuse::lost(request)),
         }
     }
 
+    /// Whether an attempt may have run, so that a refusal must not say that none has.
+    fn may_have_run(&self) -> bool {
+        self.flying || self.doubtful
+    }
+
     fn held_back(&self, wait: Duration) -> Response {
-        match self.flying {
+        match self.may_have_run() {
             true => refuse::lost(&self.inquiry.facts.request),
             false => held::refuse(self.worker, &self.inquiry, wait),
         }
     }
 
     fn refused(&self, refusal: Refusal) -> Response {
-        if self.flying {
+        if self.may_have_run() {
             return refuse::lost(&self.inquiry.facts.request);
         }
         let now = self.worker.process.clock.now();
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -99,6 +99,25 @@
     assert_eq!((answer.status, answer.body, answer.whole), (200, events(1, 6), true));
 }
 
+/// Guards against a refusal that says not run after an attempt that broke off and may have run.
+#[ntex::test]
+async fn a_refusal_after_a_run_that_broke_off_does_not_say_that_none_ran() {
+    let registry = registry(RESUMABLE).await;
+    let count = Arc::new(AtomicUsize::new(0));
+    for name in ["e-1", "e-2"] {
+        let count = Arc::clone(&count);
+        let script = move |_: &Seen| match count.fetch_add(1, Ordering::SeqCst) {
+            0 => vec![Step::Reset],
+            _ => declined(),
+        };
+        registry.put(Standin::open(name, "gen", script).await.listed);
+    }
+    let gateway = gateway(&registry).await;
+    let answer = Request::stream("/gen/x", 20).body("b").send(gateway.callers()).await;
+    assert_eq!((answer.status, count.load(Ordering::SeqCst)), (502, 2), "{answer:?}");
+    assert!(!answer.body.contains("\"ran\":\"no\""), "{answer:?}");
+}
+
 /// An engine is cut off, crashes and starts again under its name. The entry's connection to the run
 /// of before stays open and silent, and its caller would wait until its time is up. The newer start
 /// tells that the run is gone, so the answer goes on at another engine at once.
