--- a/crates/gateway/src/process/state/poison.rs
+++ b/crates/gateway/src/process/state/poison.rs
@@ -74,25 +74,31 @@
 }
 
 impl Process {
-    /// Notes that a target ended while it ran a request, which had been under way there for `lasted`;
-    /// returns how many have.
-    pub(crate) fn note_end(&self, print: Print, target: &Target, lasted: Duration) -> usize {
+    /// Notes that a target ended at `at` while it ran a request, which had been under way there for
+    /// `lasted`; returns how many have.
+    pub(crate) fn note_end(
+        &self,
+        at: Time,
+        print: Print,
+        target: &Target,
+        lasted: Duration,
+    ) -> usize {
         let incarnation = Incarnation::of(target);
         let mut ledger = self.poison.ledger.lock();
-        let ends = ledger.note_end(self.clock.now(), print, incarnation, lasted);
+        let ends = ledger.note_end(self.clock.now(), at, print, incarnation, lasted);
         drop(ledger);
         self.note_sent();
         ends
     }
 
-    /// Notes that a run broke off at a target that took a connection right after.
-    pub(crate) fn doubt(&self, print: Print, target: &Target, lasted: Duration) {
+    /// Notes that a run broke off at `at` at a target that took a connection right after.
+    pub(crate) fn doubt(&self, at: Time, print: Print, target: &Target, lasted: Duration) {
         let mut doubts = self.poison.doubts.lock();
         if doubts.len() >= DOUBTS {
             doubts.pop_front();
         }
         let target = target.clone();
-        doubts.push_back(Doubt { at: self.clock.now(), print, target, lasted });
+        doubts.push_back(Doubt { at, print, target, lasted });
     }
 
     /// Looks which of those targets have ended after all.
@@ -117,8 +123,8 @@
         *doubts = kept;
         drop(doubts);
         let over: VecDeque<Doubt> = over;
-        for Doubt { print, target, lasted, .. } in over {
-            let ends = self.note_end(print, &target, lasted);
+        for Doubt { at, print, target, lasted } in over {
+            let ends = self.note_end(at, print, &target, lasted);
             ::log::info!(print:% = print, target:% = target.id, ends = ends; "target ended after all");
         }
     }
--- a/crates/gateway/src/request/broken.rs
+++ b/crates/gateway/src/request/broken.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use derive_more::Display;
 use fireflyhoist_policy::comeback::Print;
@@ -55,9 +54,9 @@
     /// Finds out in the background what became of the target.
     pub(crate) fn spawn(self) {
         let inspection = Inspection::open(&self.process, self.print);
-        let lasted = self.lasted();
+        let at = self.process.clock.now();
         ntex::rt::spawn(async move {
-            self.note(self.fate().await, lasted);
+            self.note(self.fate().await, at);
             drop(inspection);
         })
         .detach();
@@ -65,12 +64,7 @@
 
     /// Notes that the target has ended, where that is known already.
     pub(crate) fn ended(&self) {
-        self.note(Fate::Ended, self.lasted());
-    }
-
-    /// For how long it has been under way.
-    fn lasted(&self) -> Duration {
-        self.process.clock.now().since(self.sent)
+        self.note(Fate::Ended, self.process.clock.now());
     }
 
     async fn fate(&self) -> Fate {
@@ -83,12 +77,14 @@
         }
     }
 
-    fn note(&self, fate: Fate, lasted: Duration) {
+    /// Notes what became of the target of a run that broke off at `at`.
+    fn note(&self, fate: Fate, at: Time) {
+        let lasted = at.since(self.sent);
         self.process.metrics.broken(fate);
         let ends = match fate {
-            Fate::Ended => self.process.note_end(self.print, &self.target, lasted),
+            Fate::Ended => self.process.note_end(at, self.print, &self.target, lasted),
             Fate::Lives => {
-                self.process.doubt(self.print, &self.target, lasted);
+                self.process.doubt(at, self.print, &self.target, lasted);
                 self.process.ends(self.print)
             }
             Fate::Leaving => self.process.ends(self.print),
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -23,12 +23,14 @@
 /// Targets that must have ended under a request before it is held back.
 pub const SUSPECT: usize = 3;
 
-/// Trials of one request, one after the other: targets that end by chance may end under it as often.
+/// Trials of one request, one after the other, where its ends may be chance.
 pub const TRIALS: u8 = 4;
 
-/// How long after the last end the last trial is granted where runs ended within [`BRIEF`]: hardly by
-/// chance.
-const LAST_PAUSE: Duration = Duration::from_secs(4);
+/// The same where most of its runs ended within [`BRIEF`], which is hardly chance.
+pub const BRIEF_TRIALS: u8 = 2;
+
+/// How long after the last end a further trial is granted then.
+const PAUSE: Duration = Duration::from_secs(15);
 
 /// A run that ends its target does so soon after it begins.
 const BRIEF: Duration = Duration::from_millis(500);
@@ -37,7 +39,7 @@
 pub const LATE_TRIALS: u8 = 3;
 
 /// For how long others may not have heard yet that a request is suspect.
-pub const EARLY: Duration = Duration::from_millis(2_500);
+pub const EARLY: Duration = Duration::from_millis(1_500);
 
 /// How much longer than twice the longest run under which a target ended a trial counts as under way.
 const OUTLIVED: Duration = Duration::from_millis(500);
@@ -172,7 +174,8 @@
         if under_way && !left.is_zero() {
             return Verdict::Refuse(left.min(UNDER_WAY));
         }
-        if self.trials >= TRIALS || (self.is_late(now) && self.late >= LATE_TRIALS) {
+        let most = if self.may_be_chance() { TRIALS } else { BRIEF_TRIALS };
+        if self.trials >= most || (self.is_late(now) && self.late >= LATE_TRIALS) {
             return Verdict::Refuse(HELD.saturating_sub(now.since(self.latest())));
         }
         let pause = self.pause().saturating_sub(now.since(self.latest()));
@@ -181,9 +184,13 @@
 
     /// How long after the last end the next trial is granted.
     fn pause(&self) -> Duration {
-        let brief = self.ends.iter().any(|end| end.lasted < BRIEF);
-        let last = self.trials + 1 == TRIALS;
-        if brief && last { LAST_PAUSE } else { Duration::ZERO }
+        if self.may_be_chance() || self.trials == 0 { Duration::ZERO } else { PAUSE }
+    }
+
+    /// Whether its runs had been under way for some time when their targets ended.
+    fn may_be_chance(&self) -> bool {
+        let brief = self.ends.iter().filter(|end| end.lasted < BRIEF).count();
+        2 * brief <= self.ends.len()
     }
 
     /// After how long a trial has outlived the runs under which targets ended.
@@ -265,17 +272,18 @@
 }
 
 impl Ledger {
-    /// Notes that a target ended while it ran a request, which had been under way there for `lasted`;
-    /// returns how many have.
+    /// Notes that a target ended at `at` while it ran a request, which had been under way there for
+    /// `lasted`; returns how many have.
     pub fn note_end(
         &mut self,
         now: Time,
+        at: Time,
         print: Print,
         incarnation: Incarnation,
         lasted: Duration,
     ) -> usize {
         self.tell_good(now, print);
-        self.change(now, print, |case| case.end(End { incarnation, at: now, lasted }));
+        self.change(now, print, |case| case.end(End { incarnation, at, lasted }));
         self.cases.get(&print).map_or(0, |case| case.ends.len())
     }
 
