Leave cordons out of heartbeats where there are none

Cause: the set went along in every heartbeat on every link, some thirty bytes each, although there is hardly ever one. It is told while there is any, for three seconds after a removal, and to whoever has just been linked. Not measured: bytes a second before and after; reasoned from the size of the field.

--- a/crates/gateway/src/process/fleet/beat.rs
+++ b/crates/gateway/src/process/fleet/beat.rs
@@ -24,7 +24,7 @@
             ready: self.process.is_ready(),
             text: self.process.revision(),
             targets: self.process.listed_position(),
-            cordons: self.process.cordon_word(),
+            cordons: self.process.cordon_news(),
             registry: self.process.registry_works(),
             watching: self.process.is_watching(),
             held,
@@ -66,7 +66,9 @@
 
     /// Tells an entry this one's state as soon as their link is open.
     pub(super) fn beat_first(&self, to: &id::Host) {
-        self.links.send(to, &Frame::Beat(self.own_beat(Vec::new())));
+        let cordons = self.process.cordon_word();
+        let beat = Beat { cordons, ..self.own_beat(Vec::new()) };
+        self.links.send(to, &Frame::Beat(beat));
     }
 
     fn beat_to_leaves(&self) {
@@ -124,6 +126,8 @@
         let Some(peer) = peers.get_mut(from) else { return };
         let differs = |old: &Beat| old.registry != beat.registry || old.ready != beat.ready;
         let news = peer.beat.as_ref().is_none_or(differs);
+        let before = peer.beat.take().and_then(|old| old.cordons);
+        beat.cordons = beat.cordons.or(before);
         peer.beat = Some(beat);
         drop(peers);
         if news {
--- a/crates/gateway/src/process/state/cordon.rs
+++ b/crates/gateway/src/process/state/cordon.rs
@@ -49,11 +49,16 @@
         self.update_cordons("timeout", |cordons| cordons.expire(now));
     }
 
-    /// What others should hear of.
+    /// What an entry is told when its link opens.
     pub(crate) fn cordon_word(&self) -> Option<Word> {
         self.cordons.lock().word(self.clock.now())
     }
 
+    /// What others are told in each heartbeat; see [`Cordons::news`].
+    pub(crate) fn cordon_news(&self) -> Option<Word> {
+        self.cordons.lock().news(self.clock.now())
+    }
+
     /// Returns whether others should hear of it at once.
     fn update_cordons(
         &self,
--- a/crates/policy/src/cordon.rs
+++ b/crates/policy/src/cordon.rs
@@ -132,6 +132,13 @@
         self.replace(now, new)
     }
 
+    /// What others should hear of again and again: cordons there are, or were a short while ago. Whoever
+    /// has just been linked hears [all](Self::word).
+    pub fn news(&self, now: Time) -> Option<Word> {
+        let news = !self.domains.is_empty() || !self.lifted.is_empty();
+        news.then(|| self.word(now)).flatten()
+    }
+
     /// What others should hear of; `None` before the first reading.
     pub fn word(&self, now: Time) -> Option<Word> {
         let left = |until: Time| u64::try_from(until.since(now).as_millis()).unwrap_or(u64::MAX);
--- a/crates/policy/tests/cordon.rs
+++ b/crates/policy/tests/cordon.rs
@@ -117,6 +117,22 @@
     assert_eq!(cordons.settles(at(1_000) + SETTLING, &domain("a")), Duration::ZERO);
 }
 
+/// Guards against heartbeats that go on telling what all have heard, or leave out a removal.
+#[test]
+fn a_removal_is_told_for_a_while() {
+    let mut cordons = Cordons::default();
+    cordons.list(at(0), Position::new(0, 1), set(&[]));
+    assert!(cordons.news(at(0)).is_none() && cordons.word(at(0)).is_some());
+    cordons.change(at(10), Position::new(0, 2), &[Change::Set(domain("a"))]);
+    assert!(cordons.news(at(60_000)).is_some());
+    cordons.change(at(60_000), Position::new(0, 3), &[Change::Lifted(domain("a"))]);
+    cordons.expire(at(62_000));
+    let told = cordons.news(at(62_000)).expect("a removal is news");
+    assert!(told.domains.is_empty());
+    cordons.expire(at(60_000) + SETTLING);
+    assert!(cordons.news(at(60_000) + SETTLING).is_none());
+}
+
 /// Guards against another writer's entries filling the memory.
 #[test]
 fn what_is_kept_is_bounded() {
