Keep cold targets below what they bear, over all entries together

Cause: what the registry says of targets that have just started was decoded and dropped. They look emptiest to every entry, which each send there what they have; above some requests a second a cold target crashes.

A cold target is one whose limit is known beforehand: entries ask the one that keeps its bucket (policy::keeper, split off intake) before each send; hedges, repeats, resumptions and arriving moves ask or are counted. Leases say how long a target is cold, peers are told when it becomes so; the targets of a domain count as cold for 3 s after its cordon was lifted. Of a bound too small to be divided the larger half of a partition has one request, and an entry that does not know the others yet lets nothing through.

--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use derive_more::{Display, Error};
+use fireflyhoist_policy::cold;
 use fireflyhoist_policy::comeback::Print;
 use fireflyhoist_policy::cordon;
 use fireflyhoist_policy::id;
@@ -68,7 +69,8 @@
     pub(crate) text: u64,
     /// Where its view of targets stands in the registry's history; `None` before its first list.
     pub(crate) targets: Option<Position>,
-    /// Which failure domains are cordoned; `None` before its first reading.
+    /// Which failure domains are cordoned; `None` before its first reading, and where nothing has
+    /// changed since the receiver was told.
     #[serde(default)]
     pub(crate) cordons: Option<cordon::Word>,
     /// Whether its latest call of the registry succeeded.
@@ -90,6 +92,8 @@
     Trial(poison::Record),
     /// May a request be sent to a target that names a limit? With what the sender knows of it.
     Send(intake::Word),
+    /// May a request be sent to a target that is cold? With what the sender knows of it.
+    Cold(cold::Word),
 }
 
 impl Question {
@@ -98,6 +102,7 @@
         match self {
             Self::Trial(record) => record.print.to_string(),
             Self::Send(word) => word.target.to_string(),
+            Self::Cold(word) => word.target.to_string(),
         }
     }
 }
@@ -146,6 +151,8 @@
     Limits(Vec<intake::Word>),
     /// A request was sent to a target that names a limit without asking for leave.
     Spent(intake::Word),
+    /// A request was sent to a target that is cold without asking for leave.
+    SpentCold(cold::Word),
     /// Something that the receiver decides for all entries.
     Ask {
         /// The sender's number for the question.
@@ -233,7 +240,7 @@
             Self::Changes { .. } => "changes",
             Self::Refused { .. } => "refused",
             Self::Poison(_) => "poison",
-            Self::Limits(_) | Self::Spent(_) => "limits",
+            Self::Limits(_) | Self::Spent(_) | Self::SpentCold(_) => "limits",
             Self::Ask { .. } | Self::Answer { .. } => "question",
             Self::TurnAsk { .. } | Self::Turn { .. } | Self::TurnDone { .. } => "turn",
         }
--- a/crates/gateway/src/process/fleet/grant.rs
+++ b/crates/gateway/src/process/fleet/grant.rs
@@ -94,6 +94,7 @@
         match &question {
             Question::Trial(record) => self.take_poison(from, vec![record.clone()]),
             Question::Send(word) => self.take_limits(from, vec![word.clone()]),
+            Question::Cold(word) => self.process.hear_cold(word),
         }
         let wait = self.decide(&question);
         self.links.send(from, &Frame::Answer { ask, wait_ms: wait.map(millis) });
@@ -119,6 +120,7 @@
                 Verdict::Refuse(wait) => Some(wait),
             },
             Question::Send(word) => self.process.try_send(&word.target),
+            Question::Cold(word) => self.process.try_send(&word.target),
         }
     }
 }
--- a/crates/gateway/src/process/fleet/intake.rs
+++ b/crates/gateway/src/process/fleet/intake.rs
@@ -40,20 +40,23 @@
         self.links.send_all(told.iter(), &Frame::Limits(news));
     }
 
-    /// Counts a request that is sent to a target in any case, where that names a limit.
+    /// Counts a request that is sent to a target in any case, where that takes only so much.
     pub(crate) fn spend(&self, target: &id::Target) {
-        let Some(word) = self.process.limit_word(target) else { return };
-        let keeper = self.keeper(&Question::Send(word.clone()).key());
-        self.tell(&keeper, &Frame::Spent(word));
+        let frame = match self.process.question(target) {
+            Some(Question::Cold(word)) => Frame::SpentCold(word),
+            Some(Question::Send(word)) => Frame::Spent(word),
+            Some(Question::Trial(_)) | None => return,
+        };
+        self.tell(&self.keeper(target.as_str()), &frame);
     }
 
-    pub(super) fn take_spent(&self, from: &id::Host, word: Word) {
-        let keeper = self.keeper(&Question::Send(word.clone()).key());
+    pub(super) fn take_spent(&self, from: &id::Host, target: id::Target, frame: Frame) {
+        let keeper = self.keeper(target.as_str());
         // A leaf's word goes to the entry that speaks for it.
         let passed = keeper != *self.host() && !self.view().actives.contains(from);
         match passed {
-            true => self.links.send(&keeper, &Frame::Spent(word)),
-            false => self.process.spend(&word.target),
+            true => self.links.send(&keeper, &frame),
+            false => self.process.spend(&target),
         }
     }
 }
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use fireflyhoist_policy::exclusion::Exclusion;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -31,6 +32,8 @@
     pub(crate) limited: usize,
     /// Failure domains that are cordoned.
     pub(crate) cordoned: usize,
+    /// Targets that are cold.
+    pub(crate) cold: usize,
 }
 
 /// The metrics of one process.
@@ -53,6 +56,7 @@
     suspects: Gauge<u64>,
     limited: Gauge<u64>,
     cordoned: Gauge<u64>,
+    cold: Gauge<u64>,
     open: Gauge<u64>,
     revision: Gauge<u64>,
     traffic: Traffic,
@@ -85,7 +89,7 @@
             ),
             kept_off: counter(
                 "fireflyhoist.limited_sends",
-                "Requests for targets that name a limit, by decision",
+                "Requests for targets that take only so much, by reason and decision",
             ),
             restored: counter(
                 "fireflyhoist.registry_restores",
@@ -108,6 +112,7 @@
                 .with_boundaries(BOUNDS.to_vec())
                 .build(),
             limited: gauge("fireflyhoist.limited_targets", "Targets that name a limit"),
+            cold: gauge("fireflyhoist.cold_targets", "Targets that are cold"),
             cordoned: gauge("fireflyhoist.cordoned_domains", "Failure domains that are cordoned"),
             era: gauge(
                 "fireflyhoist.registry_era",
@@ -136,8 +141,9 @@
         self.broken.add(1, &[KeyValue::new("target", fate.to_string())]);
     }
 
-    pub(crate) fn limited(&self, decision: &'static str) {
-        self.kept_off.add(1, &[KeyValue::new("decision", decision)]);
+    pub(crate) fn limited(&self, why: Exclusion, decision: &'static str) {
+        let why = KeyValue::new("target", why.to_string());
+        self.kept_off.add(1, &[why, KeyValue::new("decision", decision)]);
     }
 
     pub(crate) fn restored(&self) {
@@ -173,6 +179,7 @@
         self.suspects.record(now.held as u64, &[]);
         self.limited.record(now.limited as u64, &[]);
         self.cordoned.record(now.cordoned as u64, &[]);
+        self.cold.record(now.cold as u64, &[]);
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_else(|error| {
             ::log::warn!(error:% = error; "metrics can't be written");
             String::new()
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -6,7 +6,9 @@
 
 use derive_more::{Display, Error};
 use fireflyhoist_policy::id;
-use serde::Deserialize;
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer};
+use smol_str::SmolStr;
 
 /// Why settings can't be used.
 #[derive(Debug, Display, Error)]
@@ -63,6 +65,44 @@
     pub retry_burst: f64,
     /// Seconds for which callers keep an answer with addresses, at most.
     pub entries_ttl_s: f64,
+    /// How many times the requests that a cold target takes it may get in one second.
+    #[serde(default = "one", deserialize_with = "one_or_number")]
+    pub cold_excess: f64,
+    /// Requests that a cold target may get in one second beyond that.
+    #[serde(default, deserialize_with = "zero_or_number")]
+    pub cold_margin: f64,
+}
+
+/// A number, or the text of one that a template filled in; empty where the deployment has none.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Filled {
+    Number(f64),
+    Text(SmolStr),
+}
+
+fn number<'de, D: Deserializer<'de>>(input: D, absent: f64) -> Result<f64, D::Error> {
+    let number = match Filled::deserialize(input)? {
+        Filled::Number(number) => number,
+        Filled::Text(text) if text.is_empty() => absent,
+        Filled::Text(text) => text.parse().map_err(D::Error::custom)?,
+    };
+    match number.is_finite() && number >= 0.0 {
+        true => Ok(number),
+        false => Err(D::Error::custom(format_args!("{number} is below 0 or no number"))),
+    }
+}
+
+const fn one() -> f64 {
+    1.0
+}
+
+fn one_or_number<'de, D: Deserializer<'de>>(input: D) -> Result<f64, D::Error> {
+    number(input, one())
+}
+
+fn zero_or_number<'de, D: Deserializer<'de>>(input: D) -> Result<f64, D::Error> {
+    number(input, 0.0)
 }
 
 impl Bounds {
--- a/crates/gateway/src/process/state/intake.rs
+++ b/crates/gateway/src/process/state/intake.rs
@@ -1,13 +1,16 @@
-//! What targets say they take, as this process knows it.
+//! What targets take, as this process knows it: those that name a limit, and those that are cold.
 
 use std::time::Duration;
 
+use fireflyhoist_policy::cold;
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::intake::{Said, Word};
+use fireflyhoist_policy::keeper::Allowance;
 use fireflyhoist_policy::lease::{Leases, Target};
 use fireflyhoist_policy::time::Time;
 
-use crate::process::state::Process;
+use crate::connection::frame::Question;
+use crate::process::state::{Process, millis};
 
 impl Process {
     /// Takes in what the answer to a request that was sent at `sent` says of its target's limit.
@@ -40,24 +43,70 @@
         self.keeper.lock().set_alive(self.clock.now(), count);
     }
 
-    /// Grants a request to a target that names a limit, or says when to ask again; only for the entry
-    /// that decides.
+    /// For how long a target is cold: by its lease, or since the cordon of its failure domain was lifted.
+    fn cold_left(&self, id: &id::Target) -> Duration {
+        let now = self.clock.now();
+        let leases = self.leases.lock();
+        let Some(target) = leases.get(id) else { return Duration::ZERO };
+        let settles = self.cordons.lock().settles(now, &target.domain);
+        leases.cold(now, id).max(settles)
+    }
+
+    /// What a target may get while it is cold; `None` where its service sets no bound.
+    fn cold_terms(&self, id: &id::Target) -> Option<cold::Terms> {
+        let service = self.leases.lock().get(id)?.service.clone();
+        let warmup = self.table()?.service(&service)?.warmup?;
+        let bounds = self.bounds();
+        let (excess, margin) = (bounds.cold_excess, bounds.cold_margin);
+        Some(cold::Terms { per_s: warmup.per_s, excess, margin })
+    }
+
+    /// What a target takes now.
+    fn allowance(&self, target: &id::Target) -> Allowance {
+        let named = self.intake.lock().limit(target);
+        let cold = match self.cold_left(target) {
+            Duration::ZERO => None,
+            _ => self.cold_terms(target),
+        };
+        Allowance { named, cold }
+    }
+
+    /// Targets that are cold.
+    pub(crate) fn cold_targets(&self) -> usize {
+        let ids: Vec<id::Target> = self.leases.lock().all().map(|t| t.id.clone()).collect();
+        ids.iter().filter(|id| !self.cold_left(id).is_zero()).count()
+    }
+
+    /// Takes in that a target is cold.
+    pub(crate) fn hear_cold(&self, word: &cold::Word) {
+        self.leases.lock().note_cold(self.clock.now(), word);
+    }
+
+    /// Grants a request to a target that takes only so much, or says when to ask again; only for the
+    /// entry that decides.
     pub(crate) fn try_send(&self, target: &id::Target) -> Option<Duration> {
-        let limit = self.intake.lock().limit(target)?;
-        self.keeper.lock().try_send(self.clock.now(), target, limit)
+        let allowance = self.allowance(target);
+        self.keeper.lock().try_send(self.clock.now(), target, &allowance)
     }
 
     /// Counts a request that is sent to a target in any case; only for the entry that decides.
     pub(crate) fn spend(&self, target: &id::Target) {
-        if let Some(limit) = self.intake.lock().limit(target) {
-            self.keeper.lock().spend(self.clock.now(), target, limit);
-        }
+        let allowance = self.allowance(target);
+        self.keeper.lock().spend(self.clock.now(), target, &allowance);
     }
 
-    /// What is known of a target that names a limit.
-    pub(crate) fn limit_word(&self, target: &id::Target) -> Option<Word> {
-        let word = self.intake.lock().word(self.clock.now(), target)?;
-        word.limit.is_some().then_some(word)
+    /// What the entry that decides is asked before a request is sent to a target; `None` where that takes
+    /// all that comes.
+    pub(crate) fn question(&self, target: &id::Target) -> Option<Question> {
+        let now = self.clock.now();
+        let Allowance { named, cold } = self.allowance(target);
+        if cold.is_some() {
+            let start = self.leases.lock().get(target)?.start;
+            let left = millis(self.cold_left(target));
+            return Some(Question::Cold(cold::Word { target: target.clone(), start, left }));
+        }
+        named?;
+        self.intake.lock().word(now, target).map(Question::Send)
     }
 
     /// What others should hear of.
@@ -79,6 +128,6 @@
     pub(super) fn keep_limits(&self, leases: &Leases) {
         let mut intake = self.intake.lock();
         intake.keep(|id| leases.get(id));
-        self.keeper.lock().keep(|target| intake.limit(target).is_some());
+        self.keeper.lock().keep(|target| leases.get(target).is_some());
     }
 }
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -14,7 +14,8 @@
 use fireflyhoist_policy::comeback::{Ledger, Print};
 use fireflyhoist_policy::cordon::Cordons;
 use fireflyhoist_policy::gate;
-use fireflyhoist_policy::intake::{Book, Keeper};
+use fireflyhoist_policy::intake::Book;
+use fireflyhoist_policy::keeper::Keeper;
 use fireflyhoist_policy::lease::Leases;
 use fireflyhoist_policy::newcomer::Order;
 use fireflyhoist_policy::position::Position;
@@ -39,6 +40,10 @@
 /// are counted in another window than their retries.
 const RETRY_EARNED: f64 = 0.5;
 
+/// After how long an entry that has just started knows the others: links are open and lists of who is
+/// alive told.
+pub(crate) const SETTLED: Duration = Duration::from_secs(2);
+
 /// How long a process counts as one that has just started.
 const STARTING: Duration = Duration::from_secs(1);
 
@@ -111,7 +116,7 @@
             refused: Mutex::default(),
             poison: Poison::default(),
             intake: Mutex::default(),
-            keeper: Mutex::default(),
+            keeper: Mutex::new(Keeper::settled_from(Time::ZERO + SETTLED)),
             others: Mutex::default(),
             targets: watch::channel(0).0,
             sent: Notify::new(),
--- a/crates/gateway/src/process/state/targets.rs
+++ b/crates/gateway/src/process/state/targets.rs
@@ -138,7 +138,7 @@
 
     pub(crate) fn targets(&self) -> (Position, Vec<Target>) {
         let leases = self.leases.lock();
-        (leases.position(), leases.all().cloned().collect())
+        (leases.position(), leases.listing(self.clock.now()))
     }
 
     pub(crate) fn targets_position(&self) -> Position {
@@ -169,7 +169,11 @@
                 lease::State::Ready => "ready",
                 lease::State::Draining => "draining",
             };
-            format!("{} {state} at {}", target.id, target.address)
+            let cold = match target.cold_ms {
+                0 => String::new(),
+                ms => format!(", cold for {ms} ms"),
+            };
+            format!("{} {state} at {}{cold}", target.id, target.address)
         }
         Change::Gone(id) => format!("{id} gone"),
     }
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -1,4 +1,4 @@
-//! Leave to send a request to a target: of the gate, of the target's limit, and of what it did before.
+//! Leave to send a request to a target: of the gate, of what the target takes, and of what it did before.
 
 use std::time::Duration;
 
@@ -33,8 +33,8 @@
     loop {
         let ask = inquiry.ask(avoid.cloned(), repeat);
         let pass = inquiry.lane.admit(ask).await.map_err(|refusal| stop(inquiry, refusal))?;
-        if let Some(wait) = over_limit(worker, pass.target()).await {
-            inquiry.lane.close_target(pass.target(), wait, Exclusion::Limited);
+        if let Some((why, wait)) = over_limit(worker, pass.target()).await {
+            inquiry.lane.close_target(pass.target(), wait, why);
             // It has drawn on the retry budget.
             repeat = false;
             continue;
@@ -56,18 +56,22 @@
     Stop::Refused(refusal)
 }
 
-/// For how long a target takes no more; `None` where a request may be sent to it now.
-pub(crate) async fn over_limit(worker: &Worker, target: &id::Target) -> Option<Duration> {
-    let word = worker.process.limit_word(target)?;
-    let wait = worker.fleet.ask(Question::Send(word), SEND_TIMEOUT).await;
-    worker.process.metrics.limited(if wait.is_some() { "elsewhere" } else { "sent" });
-    wait
+/// Why and for how long a target takes no more; `None` where a request may be sent to it now.
+async fn over_limit(worker: &Worker, target: &id::Target) -> Option<(Exclusion, Duration)> {
+    let question = worker.process.question(target)?;
+    let why = match question {
+        Question::Cold(_) => Exclusion::Cold,
+        Question::Send(_) | Question::Trial(_) => Exclusion::Limited,
+    };
+    let wait = worker.fleet.ask(question, SEND_TIMEOUT).await;
+    worker.process.metrics.limited(why, if wait.is_some() { "elsewhere" } else { "sent" });
+    wait.map(|wait| (why, wait))
 }
 
-/// Of targets in the order in which they suit, those that take a request: all that name no limit, or
+/// Of targets in the order in which they suit, those that take a request: all that take what comes, or
 /// else the first that grants one.
 pub(crate) async fn within_limits(worker: &Worker, targets: Vec<Target>) -> Vec<Target> {
-    let limited = |target: &Target| worker.process.limit_word(&target.id).is_some();
+    let limited = |target: &Target| worker.process.question(&target.id).is_some();
     let (limited, free): (Vec<Target>, Vec<Target>) = targets.into_iter().partition(limited);
     if !free.is_empty() {
         return free;
--- a/crates/gateway/src/request/probe.rs
+++ b/crates/gateway/src/request/probe.rs
@@ -26,6 +26,7 @@
         held: process.held_back(),
         limited: process.limited_targets(),
         cordoned: process.cordoned_domains(),
+        cold: process.cold_targets(),
     });
     Response::Ok().content_type("text/plain; version=0.0.4").body(page)
 }
--- a/crates/gateway/src/version/follow.rs
+++ b/crates/gateway/src/version/follow.rs
@@ -25,7 +25,7 @@
 use crate::connection::exchange::{self, Failure, Outgoing};
 use crate::platform::{DecodeError, Item, Page, Platform, What};
 use crate::process::fleet::Fleet;
-use crate::process::state::{Process, millis};
+use crate::process::state::{Process, SETTLED, millis};
 use crate::version::history::History;
 
 /// Within which time the reply to a list call begins: the registry answers in milliseconds, a slow
@@ -66,10 +66,6 @@
 /// call ten times a second each, and nobody be served by it.
 const IDLE_PAUSE: Duration = Duration::from_secs(1);
 
-/// After how long the part of an entry that has just started is known: links are open and lists of
-/// who is alive told. Until then each that knows few others would take itself for one that watches.
-const SETTLED: Duration = Duration::from_secs(2);
-
 /// How often an entry that has just started looks whether to read.
 const BEGIN_POLL: Duration = Duration::from_millis(50);
 
--- /dev/null
+++ b/crates/gateway/tests/cold.rs
@@ -0,0 +1,182 @@
+//! Targets that are cold crash above a bound over all entries together.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use fireflyhoist_gateway::Gateway;
+use fireflyhoist_gateway::native::Native;
+use fireflyhoist_policy::cold::Warmup;
+use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::route::{Kind, Route};
+use fireflyhoist_policy::unit::RequestRate;
+use fireflyhoist_standin::registry::Registry;
+use parking_lot::Mutex;
+use support::caller::Request;
+use support::target::{Standin, answer};
+use support::{eventually, route, settings, text, until_ready};
+use tokio::time::{Instant, sleep};
+use yare::parameterized;
+
+/// Requests a second that a cold target takes.
+const TAKES: f64 = 2.0;
+
+/// The most that it may get in a second: one and a half times as many, and one.
+const MOST: usize = 4;
+
+/// For how long targets are cold after a start.
+const COLD: Duration = Duration::from_secs(3);
+
+/// Between two requests of the same caller.
+const PAUSE: Duration = Duration::from_millis(15);
+
+/// A target that notes when requests reach it.
+struct Noted {
+    listed: Target,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+}
+
+impl Noted {
+    async fn open(name: &str, at: &str) -> Self {
+        let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+        let noted = Arc::clone(&arrivals);
+        let script = move |_: &support::target::Seen| {
+            noted.lock().push(Instant::now());
+            answer(200, "ok")
+        };
+        let mut listed = Standin::open(name, "web", script).await.listed;
+        listed.domain = at.parse().expect("a name");
+        Self { listed, arrivals }
+    }
+
+    fn cold(&self, renewal: u64) -> Target {
+        let cold_ms = u64::try_from(COLD.as_millis()).expect("milliseconds");
+        Target { cold_ms, renewal, ..self.listed.clone() }
+    }
+
+    fn count(&self) -> usize {
+        self.arrivals.lock().len()
+    }
+
+    /// The most in any second.
+    fn most(&self) -> usize {
+        let arrivals = self.arrivals.lock();
+        let within = |(nth, first): (usize, &Instant)| {
+            arrivals[nth..].iter().take_while(|at| **at <= *first + Duration::from_secs(1)).count()
+        };
+        arrivals.iter().enumerate().map(within).max().unwrap_or_default()
+    }
+}
+
+async fn registry() -> Registry {
+    let registry = Registry::open().await;
+    let web = Route { objective: Duration::from_millis(500), ..route("web", Kind::Safe) };
+    let mut text = text(1, vec![web]);
+    text.services[0].warmup = Some(Warmup { lasts: COLD, per_s: RequestRate::new(TAKES) });
+    registry.publish(text);
+    registry
+}
+
+async fn fleet(registry: &Registry, entries: usize) -> Vec<Gateway> {
+    let mut fleet: Vec<Gateway> = Vec::new();
+    for nth in 0..entries {
+        let seeds: Vec<_> = fleet.iter().map(Gateway::peers).collect();
+        let mut settings = settings(&format!("entry-{nth}"), registry.address(), &seeds);
+        (settings.bounds.cold_excess, settings.bounds.cold_margin) = (1.5, 1.0);
+        let entry = Gateway::bind::<Native>(settings, "none".into()).await.expect("an entry");
+        until_ready(&entry).await;
+        fleet.push(entry);
+    }
+    // Entries that don't know each other yet would each decide for all.
+    for entry in &fleet {
+        let known = Request::get("/v1/entries?domain=hala-a");
+        let all = async || known.send(entry.directory()).await.body.matches("entry-").count();
+        eventually(async || all().await == entries).await;
+    }
+    fleet
+}
+
+/// Asks at all entries for a while.
+async fn ask(fleet: &[Gateway], lasts: Duration) -> usize {
+    let end = Instant::now() + lasts;
+    let mut served = 0;
+    for entry in fleet.iter().cycle() {
+        if Instant::now() >= end {
+            break;
+        }
+        let answer = Request::new("POST", "/web/x").body("b").send(entry.callers()).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        served += 1;
+        sleep(PAUSE).await;
+    }
+    served
+}
+
+/// Guards against cold targets, which look emptiest to every entry, getting all that waits.
+#[parameterized(one_entry = { 1 }, three_entries = { 3 })]
+#[test_macro(ntex::test)]
+async fn targets_that_come_back_cold_get_little(entries: usize) {
+    let registry = registry().await;
+    let warm = Noted::open("web-1", "a").await;
+    registry.put(warm.listed.clone());
+    let fleet = fleet(&registry, entries).await;
+    let cold = [Noted::open("web-2", "b").await, Noted::open("web-3", "b").await];
+    cold.iter().for_each(|target| registry.put(target.cold(1)));
+    let served = ask(&fleet, COLD.mul_f64(0.8)).await;
+    for target in &cold {
+        assert!(target.most() <= MOST, "{} in a second", target.most());
+        assert!(target.count() >= 1, "of {served}");
+    }
+    sleep(COLD).await;
+    let before: usize = cold.iter().map(Noted::count).sum();
+    let served = ask(&fleet, Duration::from_secs(1)).await;
+    let after: usize = cold.iter().map(Noted::count).sum();
+    assert!(after - before > served / 3, "{} of {served}", after - before);
+}
+
+/// Guards against a target that becomes cold without a restart being taken for warm.
+#[ntex::test]
+async fn a_target_that_is_cold_again_gets_little() {
+    let registry = registry().await;
+    let (warm, again) = (Noted::open("web-1", "a").await, Noted::open("web-2", "a").await);
+    registry.put(warm.listed.clone());
+    registry.put(again.listed.clone());
+    let fleet = fleet(&registry, 2).await;
+    ask(&fleet, Duration::from_millis(500)).await;
+    registry.put(again.cold(2));
+    // The word takes its way.
+    sleep(Duration::from_millis(300)).await;
+    again.arrivals.lock().clear();
+    ask(&fleet, COLD / 2).await;
+    assert!(again.most() <= MOST, "{} in a second", again.most());
+}
+
+/// Guards against a domain whose cordon is lifted getting a rush before leases say that it is cold.
+#[ntex::test]
+async fn a_domain_that_comes_back_is_taken_for_cold() {
+    let registry = registry().await;
+    let (open, back) = (Noted::open("web-1", "a").await, Noted::open("web-2", "b").await);
+    registry.put(open.listed.clone());
+    registry.put(back.listed.clone());
+    let domain = "b".parse().expect("a name");
+    registry.cordon(&domain);
+    let fleet = fleet(&registry, 2).await;
+    ask(&fleet, Duration::from_millis(300)).await;
+    assert_eq!(back.count(), 0);
+    registry.lift(&domain);
+    ask(&fleet, Duration::from_secs(2)).await;
+    assert!(back.most() <= MOST, "{} in a second", back.most());
+}
+
+/// Guards against entries that start among cold targets sending before they know.
+#[ntex::test]
+async fn entries_that_start_know_which_targets_are_cold() {
+    let registry = registry().await;
+    let (warm, cold) = (Noted::open("web-1", "a").await, Noted::open("web-2", "b").await);
+    registry.put(warm.listed.clone());
+    registry.put(cold.cold(1));
+    let fleet = fleet(&registry, 3).await;
+    ask(&fleet, Duration::from_millis(800)).await;
+    assert!(cold.most() <= MOST, "{} in a second", cold.most());
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -47,6 +47,7 @@
     let service = |route: &Route| Service {
         name: route.name.parse().expect("name"),
         connections: 100,
+        warmup: None,
         engine: route.kind.is_stream().then_some(Engine {
             slots: 8,
             memory: Tokens::new(100_000),
--- a/crates/gateway/tests/support/target.rs
+++ b/crates/gateway/tests/support/target.rs
@@ -173,6 +173,7 @@
         domain: "hala-a".parse().expect("name"),
         state: State::Ready,
         renewal: 1,
+        cold_ms: 0,
         start: None,
     }
 }
--- a/crates/policy/src/intake.rs
+++ b/crates/policy/src/intake.rs
@@ -1,11 +1,11 @@
 //! What targets say they take, of all entries together.
 //!
 //! Pattern `named-limits`: a target in need names in its answers how many requests a second
-//! it takes. Each entry that reads it tells the others, and asks the one that keeps the target's
-//! [`Keeper`] bucket before it sends there. Counted by each for itself, a target gets the limit once
+//! it takes. Each entry that reads it tells the others, and asks the one that
+//! [keeps the target's bucket](crate::keeper) before it sends there. Counted by each for itself, a target gets the limit once
 //! for each entry; divided among them, an entry with all the traffic can't use it.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -176,119 +176,3 @@
         (told, limit) => told.is_some() != limit.is_some(),
     }
 }
-
-/// Requests a second that are sent to a target that takes none: one now and then shows when it takes
-/// some again.
-const LEAST: f64 = 0.2;
-
-/// Requests that a target may get at once after it has got fewer than it takes, and the time whose
-/// requests may come on top.
-const SAVED: (f64, f64) = (1.0, 0.5);
-
-/// The longest that an entry stays away from a target before it asks again.
-const LONGEST: Duration = Duration::from_secs(1);
-
-/// For how long entries that were alive count among those that may be sending: as long as failure
-/// domains lose each other.
-const SENDING: Duration = Duration::from_secs(300);
-
-/// What both halves of a fleet that can't reach each other may send together, in limits.
-const HALVES: f64 = 1.3;
-
-/// What may still be sent to one target.
-#[derive(Clone, Copy, Debug, Default)]
-struct Bucket {
-    tokens: f64,
-    filled: Time,
-    /// Requests that were told to come back and have not.
-    promised: f64,
-}
-
-impl Bucket {
-    fn open(now: Time) -> Self {
-        Self { filled: now, ..Self::default() }
-    }
-
-    fn fill(&mut self, now: Time, rate: f64) {
-        let earned = rate * now.since(self.filled).as_secs_f64();
-        self.tokens = (self.tokens + earned).min(SAVED.0 + SAVED.1 * rate);
-        self.promised = (self.promised - earned).max(0.0);
-        self.filled = now;
-    }
-
-    /// Takes one, or says when to ask again; those that are told so come one after the other.
-    fn take(&mut self, now: Time, rate: f64) -> Option<Duration> {
-        self.fill(now, rate);
-        if self.tokens >= 1.0 {
-            self.tokens -= 1.0;
-            return None;
-        }
-        let wait = (1.0 - self.tokens + self.promised) / rate;
-        self.promised += 1.0;
-        Some(Duration::from_secs_f64(wait.min(LONGEST.as_secs_f64())))
-    }
-}
-
-/// Decides for all entries what is sent to targets that name a limit.
-///
-/// One entry keeps a target's bucket, so the bound is exact wherever traffic comes in. Entries that
-/// can't reach each other keep one on each side: each side takes the part of the limit that it has of
-/// the entries that were alive lately, and a little more, since some of the others are gone.
-#[derive(Debug, Default)]
-pub struct Keeper {
-    buckets: HashMap<id::Target, Bucket>,
-    /// How many entries were alive, and since when, the earliest first.
-    alive: VecDeque<(Time, usize)>,
-}
-
-impl Keeper {
-    /// Notes how many entries are alive.
-    pub fn set_alive(&mut self, now: Time, count: usize) {
-        if self.alive.back().is_none_or(|(_, last)| *last != count) {
-            self.alive.push_back((now, count));
-        }
-        // Each count lasts until the next one.
-        while self.alive.get(1).is_some_and(|(next, _)| now.since(*next) >= SENDING) {
-            self.alive.pop_front();
-        }
-    }
-
-    /// The part of a limit that is this side's.
-    fn part(&self) -> f64 {
-        let now = self.alive.back().map_or(1, |(_, count)| *count);
-        let most = self.alive.iter().map(|(_, count)| *count).max().unwrap_or(1);
-        (HALVES * now as f64 / most.max(1) as f64).min(1.0)
-    }
-
-    fn rate(&self, limit: RequestRate) -> f64 {
-        (limit.get() * self.part()).max(LEAST)
-    }
-
-    /// Grants one request to a target, or says when to ask again.
-    pub fn try_send(
-        &mut self,
-        now: Time,
-        target: &id::Target,
-        limit: RequestRate,
-    ) -> Option<Duration> {
-        let rate = self.rate(limit);
-        self.bucket(now, target).take(now, rate)
-    }
-
-    /// Counts a request that is sent in any case.
-    pub fn spend(&mut self, now: Time, target: &id::Target, limit: RequestRate) {
-        let rate = self.rate(limit);
-        let bucket = self.bucket(now, target);
-        bucket.fill(now, rate);
-        bucket.tokens -= 1.0;
-    }
-
-    fn bucket(&mut self, now: Time, target: &id::Target) -> &mut Bucket {
-        self.buckets.entry(target.clone()).or_insert_with(|| Bucket::open(now))
-    }
-
-    /// Forgets targets that name no limit any more.
-    pub fn keep(&mut self, limited: impl Fn(&id::Target) -> bool) {
-        self.buckets.retain(|target, _| limited(target));
-    }
-}
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -29,6 +29,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::cold;
 use crate::id;
 use crate::position::Position;
 use crate::time::Time;
@@ -41,6 +42,9 @@
 /// it: longer than any reading is old.
 const REMEMBERED: Duration = Duration::from_secs(60);
 
+/// By how much two readings may differ of when a target stops being cold.
+const COLD_SLACK: Duration = Duration::from_millis(500);
+
 /// The fewest targets that are taken for lapsed together: two may well leave at once.
 const LAPSED_TOGETHER: usize = 3;
 
@@ -89,6 +93,9 @@
     /// When it started, where it says so.
     #[serde(default)]
     pub start: Option<Start>,
+    /// For how many milliseconds it stayed cold when it was read.
+    #[serde(default)]
+    pub cold_ms: u64,
 }
 
 impl Target {
@@ -106,10 +113,10 @@
         self.started(other) == Ordering::Greater
     }
 
-    /// Whether two readings say the same but for renewals.
+    /// Whether two readings say the same but for renewals and the time for which it stays cold.
     fn is_like(&self, other: &Self) -> bool {
-        let renewal = self.renewal;
-        *self == Self { renewal, ..other.clone() }
+        let (renewal, cold_ms) = (self.renewal, self.cold_ms);
+        *self == Self { renewal, cold_ms, ..other.clone() }
     }
 }
 
@@ -141,6 +148,8 @@
     target: Target,
     /// Where the reading stood that lacked it, shortly after an outage.
     doubted: Option<Position>,
+    /// Until when it is cold.
+    cold: Time,
 }
 
 /// A target that left, as it was last known.
@@ -289,6 +298,33 @@
         self.live.get(id).is_some_and(|entry| entry.target.state == State::Ready)
     }
 
+    /// For how long a target is cold still.
+    pub fn cold(&self, now: Time, id: &id::Target) -> Duration {
+        self.live.get(id).map_or(Duration::ZERO, |entry| entry.cold.since(now))
+    }
+
+    /// Takes in that a target is cold; returns whether that was not known. What is said of another start
+    /// says nothing.
+    pub fn note_cold(&mut self, now: Time, word: &cold::Word) -> bool {
+        let Some(entry) = self.live.get_mut(&word.target) else { return false };
+        let until = now + Duration::from_millis(word.left);
+        if entry.target.start != word.start || until <= entry.cold.max(now) + COLD_SLACK {
+            return false;
+        }
+        entry.cold = until;
+        true
+    }
+
+    /// All targets as of now, for an entry that knows none.
+    pub fn listing(&self, now: Time) -> Vec<Target> {
+        let left = |entry: &Entry| u64::try_from(entry.cold.since(now).as_millis());
+        let one = |entry: &Entry| Target {
+            cold_ms: left(entry).unwrap_or(u64::MAX),
+            ..entry.target.clone()
+        };
+        self.live.values().map(one).collect()
+    }
+
     /// All targets known, those that drain included.
     pub fn all(&self) -> impl Iterator<Item = &Target> {
         self.live.values().map(|entry| &entry.target)
@@ -332,9 +368,14 @@
         }
         let changed = known.is_none_or(|known| !known.is_like(&target));
         let renewal = known.map_or(0, |known| known.renewal);
+        let older = target.renewal < renewal;
         target.renewal = target.renewal.max(renewal);
-        self.live.insert(target.id.clone(), Entry { target, doubted: None });
-        changed
+        let before = self.live.get(&target.id).map_or(Time::ZERO, |entry| entry.cold);
+        let read = now + Duration::from_millis(target.cold_ms);
+        let colder = target.cold_ms > 0 && read > before.max(now) + COLD_SLACK;
+        let cold = if older { before } else { read };
+        self.live.insert(target.id.clone(), Entry { target, doubted: None, cold });
+        changed || colder
     }
 
     /// Takes in that the registry lacks an entry.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ask;
 pub mod bootstrap;
 pub mod burn;
+pub mod cold;
 pub mod comeback;
 pub mod cordon;
 pub mod curve;
@@ -19,6 +20,7 @@
 pub mod hedge;
 pub mod id;
 pub mod intake;
+pub mod keeper;
 mod late;
 pub mod lease;
 pub mod ledger;
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::cold::Warmup;
 use crate::id;
 use crate::unit::{Bytes, Tokens};
 
@@ -112,7 +113,7 @@
 }
 
 /// One service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Its name.
     pub name: id::Service,
@@ -120,6 +121,9 @@
     pub connections: u32,
     /// Set where its targets are engines.
     pub engine: Option<Engine>,
+    /// Set where its targets are cold after a start.
+    #[serde(default)]
+    pub warmup: Option<Warmup>,
 }
 
 /// A customer, and the keys by which its callers are known.
@@ -143,7 +147,7 @@
 }
 
 /// One version of what operators want.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Text {
     /// Grows with each version.
     pub revision: u64,
--- a/crates/policy/tests/intake.rs
+++ b/crates/policy/tests/intake.rs
@@ -5,7 +5,8 @@
 
 use std::time::Duration;
 
-use fireflyhoist_policy::intake::{Book, Keeper, Said};
+use fireflyhoist_policy::intake::{Book, Said};
+use fireflyhoist_policy::keeper::{Allowance, Keeper};
 use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::unit::RequestRate;
 use limited::{Plan, STABLE, Traffic, Trouble, World, target};
@@ -161,9 +162,9 @@
 #[test]
 fn those_sent_away_come_back_one_after_the_other() {
     let (mut keeper, target) = (Keeper::default(), target("t-1", None));
-    let limit = RequestRate::new(10.0);
+    let allowance = Allowance { named: Some(RequestRate::new(10.0)), cold: None };
     let waits: Vec<Duration> =
-        (0..8).filter_map(|_| keeper.try_send(at(1_000), &target.id, limit)).collect();
+        (0..8).filter_map(|_| keeper.try_send(at(1_000), &target.id, &allowance)).collect();
     assert_eq!(waits.len(), 8);
     assert!(
         waits.windows(2).all(|pair| pair[1] >= pair[0] + Duration::from_millis(99)),
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -16,6 +16,7 @@
         domain: "hala-a".parse().expect("name"),
         state: State::Ready,
         renewal: 1,
+        cold_ms: 0,
         start: None,
     }
 }
--- a/crates/policy/tests/restored.rs
+++ b/crates/policy/tests/restored.rs
@@ -29,6 +29,7 @@
         domain: "a".parse().expect("a name"),
         state: State::Ready,
         renewal: 1,
+        cold_ms: 0,
         start: None,
     }
 }
--- a/crates/policy/tests/support/limited.rs
+++ b/crates/policy/tests/support/limited.rs
@@ -4,7 +4,8 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use fireflyhoist_policy::intake::{Book, Keeper, Said};
+use fireflyhoist_policy::intake::{Book, Said};
+use fireflyhoist_policy::keeper::{Allowance, Keeper};
 use fireflyhoist_policy::lease::{Start, State, Target};
 use fireflyhoist_policy::rendezvous;
 use fireflyhoist_policy::time::Time;
@@ -36,6 +37,7 @@
         domain: "a".parse().expect("a name"),
         state: State::Ready,
         renewal: 1,
+        cold_ms: 0,
         start: start.map(Start::new),
     }
 }
@@ -255,8 +257,10 @@
         let word = self.members[member].book.word(now, &id);
         let decides = &mut self.members[keeper];
         decides.book.hear(now, word.into_iter().collect());
-        let wait =
-            decides.book.limit(&id).and_then(|limit| decides.keeper.try_send(now, &id, limit));
+        let wait = decides.book.limit(&id).and_then(|limit| {
+            let allowance = Allowance { named: Some(limit), cold: None };
+            decides.keeper.try_send(now, &id, &allowance)
+        });
         match wait {
             Some(wait) => {
                 self.members[member].closed = now + wait;
--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -127,6 +127,7 @@
             domain: format!("d-{}", slot % 2).parse().expect("a name"),
             state: lease::State::Ready,
             renewal: 1,
+            cold_ms: 0,
             start: None,
         };
         let shared = Rc::new(Shared {
--- a/crates/soak/src/text.rs
+++ b/crates/soak/src/text.rs
@@ -56,6 +56,7 @@
         name: name.parse().expect("a name"),
         connections: 200,
         engine: (**name == *"page").then(engine),
+        warmup: None,
     };
     Text {
         revision: version,
