Let the soak cordon failure domains and bring targets back cold

--domains draws cordons (some of both domains, some lifted at once) and domains whose targets end together and come back cold; each target that starts is cold then, and ends above what it bears. Checks from what targets saw: nothing new in a cordoned domain later than 2 s, and no more in any second than a cold target bears, summed over all entries. Not yet seen red with a guard off.

--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -10,7 +10,10 @@
 use fireflyhoist_gateway::native::{
     BACKUP_HEADER, COPY_HEADER, Copied, INSTANCE_HEADER, Move, State, TAKES_HEADER,
 };
+use fireflyhoist_policy::cold::Warmup;
+use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::{self, Target};
+use fireflyhoist_policy::unit::RequestRate;
 use fireflyhoist_wire::caller::{LAST_EVENT_HEADER, REQUEST_HEADER};
 use futures_util::stream;
 use http_body_util::combinators::BoxBody;
@@ -22,9 +25,10 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::ledger::Kind;
+use crate::plan::DOMAINS;
 use crate::proxy::Proxy;
 use crate::seen::Seen;
 
@@ -40,6 +44,24 @@
 /// How long the memory of a run takes to move.
 const MOVE: Duration = Duration::from_millis(60);
 
+/// How targets start, where they are cold after that.
+pub(crate) const WARMUP: Warmup =
+    Warmup { lasts: Duration::from_secs(3), per_s: RequestRate::new(4.0) };
+
+/// How many times what a cold target takes it may get in a second, and how many requests more.
+pub(crate) const EXCESS: f64 = 1.5;
+pub(crate) const MARGIN: f64 = 2.0;
+
+/// The most requests that a cold target bears in a second.
+pub(crate) fn bears() -> f64 {
+    WARMUP.per_s.get() * EXCESS + MARGIN
+}
+
+/// The name of a failure domain.
+pub(crate) fn domain(nth: usize) -> id::Domain {
+    format!("d-{nth}").parse().expect("a name")
+}
+
 type Body = BoxBody<Bytes, io::Error>;
 
 /// How many events the answer to a request holds.
@@ -97,6 +119,10 @@
     losing: Cell<bool>,
     /// What it takes, in requests a second, where it says so.
     limit: Cell<Option<f64>>,
+    /// Until when it ends where it gets more than it bears.
+    cold_until: Cell<Option<Instant>>,
+    /// When requests came while it was cold.
+    recent: RefCell<Vec<Instant>>,
     /// Told when a request ends it.
     ended: mpsc::UnboundedSender<usize>,
     slot: usize,
@@ -105,6 +131,20 @@
     seen: Seen,
 }
 
+impl Shared {
+    /// Whether it is cold and has got more within a second than it bears.
+    fn is_overrun(&self) -> bool {
+        let now = Instant::now();
+        if self.cold_until.get().is_none_or(|until| now >= until) {
+            return false;
+        }
+        let mut recent = self.recent.borrow_mut();
+        recent.retain(|at| *at + Duration::from_secs(1) > now);
+        recent.push(now);
+        recent.len() as f64 > bears()
+    }
+}
+
 impl Backend {
     /// Starts behind `proxy` under a new name.
     pub(crate) async fn start(
@@ -124,7 +164,7 @@
             instance: instance.clone(),
             service: service.parse().expect("a name"),
             address: proxy.address,
-            domain: format!("d-{}", slot % 2).parse().expect("a name"),
+            domain: domain(slot % DOMAINS),
             state: lease::State::Ready,
             renewal: 1,
             cold_ms: 0,
@@ -137,6 +177,8 @@
             leaving: Cell::new(false),
             losing: Cell::new(false),
             limit: Cell::new(None),
+            cold_until: Cell::new(None),
+            recent: RefCell::default(),
             ended: ended.clone(),
             slot,
             running: RefCell::default(),
@@ -173,6 +215,14 @@
         Self { listed, shared, accepting, connections }
     }
 
+    /// The same, cold.
+    pub(crate) fn cold(mut self) -> Self {
+        self.listed.cold_ms = u64::try_from(WARMUP.lasts.as_millis()).unwrap_or(u64::MAX);
+        self.shared.seen.cold(&self.listed.instance, WARMUP.lasts);
+        self.shared.cold_until.set(Some(Instant::now() + WARMUP.lasts));
+        self
+    }
+
     /// Its reports say from now on that it leaves.
     pub(crate) fn leave(&self) {
         self.shared.leaving.set(true);
@@ -233,6 +283,9 @@
         return plain(StatusCode::MISDIRECTED_REQUEST, &id, "");
     }
     shared.seen.arrived(&id, &shared.instance);
+    if shared.is_overrun() {
+        let _ = shared.ended.send(shared.slot);
+    }
     if path == self::path(Kind::Poison) {
         shared.seen.ran(&id, shared.engines.next());
         sleep(POISON).await;
--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -7,6 +7,7 @@
 use std::process::{Child, Command, Stdio};
 
 use crate::PlayError;
+use crate::backend;
 use crate::proxy::Proxy;
 
 /// Seconds that an entry has to drain.
@@ -92,9 +93,12 @@
         "host = \"{host}\"\ndomain = \"d-{}\"\ncallers = \"{callers}\"\n\
          readiness = \"127.0.0.1:0\"\ndirectory = \"127.0.0.1:0\"\npeers = \"{own}\"\n\
          peers_listen = \"{listen}\"\nmetrics = \"127.0.0.1:0\"\npower = 1\nseeds = [{}]\nregistry = \"{registry}\"\n[bounds]\n\
-         grace_s = {GRACE_S}\nretry_ratio = 0.2\nretry_burst = 160\nentries_ttl_s = 5\n",
+         grace_s = {GRACE_S}\nretry_ratio = 0.2\nretry_burst = 160\nentries_ttl_s = 5\n\
+         cold_excess = {}\ncold_margin = {}\n",
         nth % 2,
-        seeds.join(",")
+        seeds.join(","),
+        backend::EXCESS,
+        backend::MARGIN,
     );
     let path = logs.join(format!("{host}.toml"));
     std::fs::write(&path, settings).map_err(PlayError::Report)?;
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -7,6 +7,9 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::backend;
+use crate::plan::DOMAINS;
+
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub(crate) enum Kind {
@@ -81,6 +84,14 @@
     pub(crate) to: Duration,
 }
 
+/// A time during which something holds of a target or a failure domain.
+#[derive(Clone, Debug)]
+pub(crate) struct Span {
+    pub(crate) of: SmolStr,
+    pub(crate) from: Duration,
+    pub(crate) to: Duration,
+}
+
 /// A promise that was broken.
 #[derive(Clone, Debug, Display)]
 #[display("{promise} at {:.2} s: {evidence}", at.as_secs_f64())]
@@ -123,6 +134,10 @@
     pub(crate) ends: Vec<Duration>,
     /// Limits that targets named.
     pub(crate) limits: Vec<Limit>,
+    /// Failure domains that were cordoned.
+    pub(crate) cordons: Vec<Span>,
+    /// Targets that were cold.
+    pub(crate) cold: Vec<Span>,
     /// Processes that ended by themselves.
     pub(crate) exits: Vec<(Duration, usize)>,
     /// When all must have recovered.
@@ -158,6 +173,8 @@
         }
         self.check_poison(&mut broken);
         self.limits.iter().for_each(|limit| self.check_limit(limit, &mut broken));
+        self.cordons.iter().for_each(|cordon| self.check_cordon(cordon, &mut broken));
+        self.cold.iter().for_each(|cold| self.check_cold(cold, &mut broken));
         let due = |asked: &&Asked| asked.from >= self.calm && asked.kind != Kind::Poison;
         let last: Vec<&Asked> = self.asked.iter().filter(due).collect();
         let served = last.iter().filter(|asked| asked.end == End::Status(200)).count();
@@ -259,6 +276,40 @@
         }
     }
 
+    fn check_cordon(&self, cordon: &Span, broken: &mut Vec<Violation>) {
+        let domain = |target: &str| {
+            let slot = target.split('-').nth(1).and_then(|slot| slot.parse::<usize>().ok());
+            slot.map(|slot| backend::domain(slot % DOMAINS))
+        };
+        for (asked, target, at) in self.sent_calmly(cordon.from + IN_FORCE) {
+            let inside = domain(target).is_some_and(|name| name.as_str() == cordon.of);
+            if inside && at <= cordon.to && self.is_calm(asked.entry, cordon.from, at) {
+                let evidence =
+                    format!("{} at {target}, cordoned at {:?}", asked.request, cordon.from);
+                let promise = "nothing new in a cordoned domain";
+                broken.push(Violation { promise, at, evidence });
+                return;
+            }
+        }
+    }
+
+    /// Sums over all entries, whatever happened to them.
+    fn check_cold(&self, cold: &Span, broken: &mut Vec<Violation>) {
+        let here =
+            self.arrivals.iter().filter(|(_, target, at)| *target == cold.of && *at <= cold.to);
+        let times: Vec<Duration> = here.map(|(.., at)| *at).collect();
+        let second = Duration::from_secs(1);
+        for first in &times {
+            let got = times.iter().filter(|at| *at >= first && **at < *first + second).count();
+            if got as f64 > backend::bears() {
+                let evidence = format!("{} got {got} in a second", cold.of);
+                let promise = "no more than a cold target bears";
+                broken.push(Violation { promise, at: *first, evidence });
+                return;
+            }
+        }
+    }
+
     fn check_drains(&self, broken: &mut Vec<Violation>) {
         for (request, target, at) in &self.arrivals {
             let Some(left) = self.left.get(target) else { continue };
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -41,6 +41,8 @@
     pub needy: bool,
     /// Whether the registry comes back from older copies.
     pub restores: bool,
+    /// Whether failure domains are cordoned, and targets are cold after a start.
+    pub domains: bool,
 }
 
 /// Why a run can't be played.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -11,6 +11,9 @@
 /// Back ends of each service.
 pub(crate) const BACKENDS: usize = 4;
 
+/// Failure domains of back ends.
+pub(crate) const DOMAINS: usize = 2;
+
 /// Time before the first fault, in which everything starts and links.
 pub(crate) const LEAD: Duration = Duration::from_secs(2);
 
@@ -71,6 +74,10 @@
     Restore,
     /// A target names a limit, in requests for each ten seconds.
     Limit(usize, u32),
+    /// A failure domain is cordoned for the fault's span.
+    Cordon(usize),
+    /// The targets of a failure domain end, and come back together, cold.
+    ColdReturn(usize),
 }
 
 /// A fault at its time.
@@ -112,6 +119,9 @@
         if size.restores {
             faults.extend(of_restores(seed, end));
         }
+        if size.domains {
+            faults.extend(of_domains(seed, end));
+        }
         faults.sort_by_key(|planned| planned.at);
         Self { faults, end: end + Duration::from_secs(4) }
     }
@@ -152,6 +162,24 @@
     faults
 }
 
+/// Cordons, some of both domains and some lifted at once, and domains that come back cold.
+fn of_domains(seed: u64, end: Duration) -> Vec<Planned> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(48));
+    let (mut at, mut faults) = (LEAD, Vec::new());
+    while at < end {
+        let domain = rng.random_range(0..DOMAINS);
+        let fault = match rng.random_bool(0.7) {
+            true => Fault::Cordon(domain),
+            false => Fault::ColdReturn(domain),
+        };
+        let span = if rng.random_bool(0.2) { 100..600 } else { 3_000..7_000 };
+        let span = Duration::from_millis(rng.random_range(span));
+        faults.push(Planned { at, span, fault });
+        at += Duration::from_millis(rng.random_range(500..4_000));
+    }
+    faults
+}
+
 /// Limits that targets name, some at several of a service, some changed while they are named.
 fn of_limits(seed: u64, end: Duration) -> Vec<Planned> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
--- a/crates/soak/src/seen.rs
+++ b/crates/soak/src/seen.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use crate::ledger::{Asked, Disturbed, Ledger, Limit, Probed};
+use crate::ledger::{Asked, Disturbed, Ledger, Limit, Probed, Span};
 
 /// What everyone in a run notes what they see in.
 #[derive(Clone, Debug)]
@@ -72,6 +72,19 @@
         self.ledger.borrow_mut().limits.push(limit);
     }
 
+    /// Notes that a target that has just started is cold for a while.
+    pub(crate) fn cold(&self, target: &SmolStr, lasts: Duration) {
+        let from = self.now();
+        let cold = Span { of: target.clone(), from, to: from + lasts };
+        self.ledger.borrow_mut().cold.push(cold);
+    }
+
+    /// Notes that a failure domain was cordoned from a time until now.
+    pub(crate) fn cordoned(&self, domain: &str, from: Duration) {
+        let cordon = Span { of: domain.into(), from, to: self.now() };
+        self.ledger.borrow_mut().cordons.push(cordon);
+    }
+
     /// Notes that an entry ended by itself.
     pub(crate) fn exited(&self, entry: usize) {
         let exit = (self.now(), entry);
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -3,19 +3,20 @@
 mod strike;
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
+use fireflyhoist_policy::route::Text;
 use fireflyhoist_standin::port::Reserved;
 use fireflyhoist_standin::registry::{Copy, Registry};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use crate::backend::{Backend, Engines, SERVICES};
+use crate::backend::{self, Backend, Engines, SERVICES};
 use crate::caller::{self, TIMEOUT};
 use crate::entry::{self, Entry, Place};
 use crate::ledger::{Ledger, Probed};
@@ -42,6 +43,8 @@
     registry: Registry,
     /// Copies of the registry, the oldest first.
     copies: Rc<RefCell<VecDeque<Copy>>>,
+    /// Failure domains that are cordoned.
+    cordoned: Rc<RefCell<BTreeSet<usize>>>,
     version: Rc<Cell<u64>>,
     /// Slots whose targets were ended by a request.
     ended: mpsc::UnboundedSender<usize>,
@@ -92,6 +95,7 @@
             engines,
             registry,
             copies: Rc::default(),
+            cordoned: Rc::default(),
             version: Rc::default(),
             ended,
             size,
@@ -146,11 +150,20 @@
         self.seen.take()
     }
 
+    /// The text of the current version.
+    fn text(&self) -> Text {
+        let text = if self.size.links { text::large } else { text::text };
+        let mut text = text(self.version.get());
+        if self.size.domains {
+            text.services.iter_mut().for_each(|service| service.warmup = Some(backend::WARMUP));
+        }
+        text
+    }
+
     fn publish(&self) {
         self.version.set(self.version.get() + 1);
-        let text = if self.size.links { text::large } else { text::text };
         self.seen.published(self.version.get());
-        self.registry.publish(text(self.version.get()));
+        self.registry.publish(self.text());
     }
 
     /// Looks which text each entry has.
--- a/crates/soak/src/world/strike.rs
+++ b/crates/soak/src/world/strike.rs
@@ -9,12 +9,11 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use crate::backend::Backend;
+use crate::backend::{self, Backend};
 use crate::caller;
 use crate::entry::{self, GRACE_S};
-use crate::plan::{BACKENDS, Fault, Planned};
+use crate::plan::{BACKENDS, DOMAINS, Fault, Planned};
 use crate::proxy::{Mode, Proxy};
-use crate::text;
 use crate::world::World;
 
 /// How long a target serves on after its leaving is known.
@@ -86,6 +85,11 @@
             Fault::Limit(slot, tenths) => {
                 self.name_limit(slot, f64::from(tenths) / 10.0, span).await
             }
+            Fault::Cordon(domain) => self.cordon(domain, span).await,
+            Fault::ColdReturn(domain) => {
+                let slots = (0..self.backends.len()).filter(|slot| slot % DOMAINS == domain);
+                slots.for_each(|slot| _ = spawn_local(self.clone().crash_owned(slot)));
+            }
             Fault::ResetPeers(nth) => {
                 self.entries[nth].peers.iter().for_each(Proxy::reset);
             }
@@ -236,8 +240,10 @@
                 self.registry.remove(&listed);
             }
         }
-        let text = if self.size.links { text::large } else { text::text };
-        self.registry.publish(text(self.version.get()));
+        for domain in self.cordoned.borrow().iter() {
+            self.registry.cordon(&backend::domain(*domain));
+        }
+        self.registry.publish(self.text());
     }
 
     /// Keeps copies of the registry, the oldest some seconds old.
@@ -284,6 +290,24 @@
         }
     }
 
+    /// Cordons a failure domain, where it is not already.
+    async fn cordon(&self, domain: usize, span: Duration) {
+        let name = backend::domain(domain);
+        if !self.cordoned.borrow_mut().insert(domain) {
+            return;
+        }
+        let from = self.seen.now();
+        self.registry.cordon(&name);
+        sleep(span).await;
+        self.seen.cordoned(name.as_str(), from);
+        self.registry.lift(&name);
+        self.cordoned.borrow_mut().remove(&domain);
+    }
+
+    async fn crash_owned(self, slot: usize) {
+        self.crash(slot).await;
+    }
+
     async fn crash(&self, slot: usize) {
         let listed = self.backends[slot].borrow().listed.clone();
         self.backends[slot].borrow().crash();
@@ -302,6 +326,7 @@
         self.starts.set(self.starts.get() + 1);
         let (nth, proxy) = (self.starts.get(), &self.proxies[slot]);
         let next = Backend::start(slot, nth, proxy, &self.engines, &self.ended, &self.seen).await;
+        let next = if self.size.domains { next.cold() } else { next };
         self.registry.put(next.listed.clone());
         *self.backends[slot].borrow_mut() = next;
     }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -24,7 +24,8 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_under_faults(seed: u64, seconds: u64) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak");
-    let size = Size { seconds, processes: 3, links: false, needy: false, restores: false };
+    let size =
+        Size { seconds, processes: 3, links: false, needy: false, restores: false, domains: false };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
@@ -41,7 +42,8 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_on_poor_links(seed: u64, seconds: u64, processes: usize) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-links");
-    let size = Size { seconds, processes, links: true, needy: false, restores: false };
+    let size =
+        Size { seconds, processes, links: true, needy: false, restores: false, domains: false };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
@@ -61,7 +63,8 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_before_needy_targets(seed: u64, seconds: u64) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-needy");
-    let size = Size { seconds, processes: 4, links: false, needy: true, restores: false };
+    let size =
+        Size { seconds, processes: 4, links: false, needy: true, restores: false, domains: false };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
@@ -74,7 +77,22 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_while_the_registry_is_restored(seed: u64, seconds: u64) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-restores");
-    let size = Size { seconds, processes: 3, links: false, needy: false, restores: true };
+    let size =
+        Size { seconds, processes: 3, links: false, needy: false, restores: true, domains: false };
+    let verdict = play(seed, size, &report).await.expect("it plays");
+    assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
+    assert!(verdict.served() > 50, "{verdict}");
+}
+
+/// The same while failure domains are cordoned, and targets are cold after a start.
+#[parameterized(
+    short = { 1, 6 },
+)]
+#[test_macro(ntex::test)]
+async fn promises_hold_of_failure_domains(seed: u64, seconds: u64) {
+    let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-domains");
+    let size =
+        Size { seconds, processes: 4, links: false, needy: false, restores: false, domains: true };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
