Blame no request for a target that had ended before it was sent there

An end now counts for nothing where another request's end at the same start was before this one was sent, by more than what times of other entries may be off.

Ruled out: the poison itself (it is explained by the times of its own runs); a cold target that ends by too many requests (none was passed its bound). Test what_is_sent_to_a_target_that_has_ended_did_not_end_it.

--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -64,6 +64,9 @@
 /// its targets does so after about the same time.
 const STEADY: Duration = Duration::from_millis(150);
 
+/// By how much times that entries tell each other may be off.
+const TOLD: Duration = Duration::from_millis(30);
+
 /// When to come back while a trial is under way.
 const UNDER_WAY: Duration = Duration::from_secs(2);
 
@@ -139,6 +142,13 @@
     lasted: Duration,
 }
 
+impl End {
+    /// Whether the target had ended, as another request saw it, before this one was sent there.
+    fn is_after(&self, other: &Self) -> bool {
+        self.incarnation == other.incarnation && other.at + TOLD < self.at - self.lasted
+    }
+}
+
 /// One request under which a target ended.
 #[derive(Clone, Debug, Default)]
 struct Case {
@@ -329,7 +339,8 @@
         let explained = |end: &End| {
             let there = self.at.get(&end.incarnation).into_iter().flatten();
             let others = there.filter(|other| **other != print);
-            others.filter_map(|other| self.cases.get(other)).any(|other| other.explains(case))
+            let mut others = others.filter_map(|other| self.cases.get(other));
+            others.any(|other| other.explains(case) || other.ends.iter().any(|o| end.is_after(o)))
         };
         case.ends.iter().filter(|end| !explained(end)).count()
     }
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -174,6 +174,19 @@
     assert_eq!(ledger.verdict(at(100), map), Verdict::Clear);
 }
 
+/// Guards against a request being blamed for targets that had ended before it was sent there.
+#[test]
+fn what_is_sent_to_a_target_that_has_ended_did_not_end_it() {
+    let (mut ledger, map) = ended(3);
+    let late = print("w", "sent later");
+    for nth in 0..3 {
+        let now = at(nth * 1_000 + 60);
+        ledger.note_end(now, now, late, incarnation(nth), Duration::from_millis(5));
+    }
+    assert_eq!(ledger.verdict(at(3_000), late), Verdict::Clear);
+    assert_ne!(ledger.verdict(at(3_000), map), Verdict::Clear);
+}
+
 /// Guards against trials without end, and against none for one that met its ends by chance.
 #[parameterized(
     in_a_rush = { 500, 0, 2 },
