Explain which targets a refusal left out, and write up cordons and cold targets

explain names from the line 'no target takes it' how many targets were cordoned, cold, limited and so on. Not done: explain says nothing of targets left out where the request was served elsewhere.

--- a/crates/tool/src/explain.rs
+++ b/crates/tool/src/explain.rs
@@ -223,7 +223,8 @@
                 )
             },
         );
-        return Some(format!("answered {}: {why}; {attempt}", text(refused, "status")));
+        let left_out = last("no target takes it").map(|line| left_out(line)).unwrap_or_default();
+        return Some(format!("answered {}: {why}{left_out}; {attempt}", text(refused, "status")));
     }
     if let Some(answered) = last("answered") {
         return Some(format!("answered {} as its target did", text(answered, "status")));
@@ -231,6 +232,19 @@
     Some("not ended in these logs: the entry stopped, or its log is missing".to_owned())
 }
 
+/// Which targets were no candidates, by reason; nothing where none was left out.
+fn left_out(line: &Line) -> String {
+    let reasons = line.get("excluded").unwrap_or_default().split_whitespace();
+    let reasons: Vec<String> = reasons
+        .filter_map(|reason| reason.split_once(':'))
+        .map(|(why, count)| format!("{count} {why}"))
+        .collect();
+    match reasons.is_empty() {
+        true => String::new(),
+        false => format!(" (targets left out: {})", reasons.join(", ")),
+    }
+}
+
 /// Where an answer that began late had waited; nothing where it began on time, or nothing is known.
 fn slow_start(own: &[&Line]) -> String {
     let number = |line: &Line, name: &str| line.get(name)?.parse::<u64>().ok();
@@ -277,7 +291,8 @@
         "deadline" => "it could not have begun within its time",
         "past-objective" => "it could no longer begin on time, and no room was left over",
         "ends-targets" => "targets ended while they ran the same request",
-        "targets-limited" => "every target had named a limit and took no more",
+        "targets-cordoned" => "every target stood in a failure domain that is cordoned",
+        "targets-limited" => "every target took only so much, and no more for then",
         "workspace-limit" => "its workspace had used its share",
         "retry-budget" => "another attempt would have passed the bound on repeats",
         other => other,
