Add an operators' command for cordons, and a registry stand-in of its own

fireflyhoist cordon sets, lifts and lists cordons in a registry of the product's own; the stand-in takes it over HTTP and runs as a process ('standin registry'). Not done: status does not show cordons, since the gateway has no status call; its metrics and log do.

--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -11,6 +11,7 @@
 use fireflyhoist_standin::engine::{Engine, Pace};
 use fireflyhoist_standin::plain::Plain;
 use fireflyhoist_standin::platform::Platform;
+use fireflyhoist_standin::registry::Registry;
 
 /// Small stand-ins for what fireflyhoist meets.
 #[derive(Clone, Debug, Bpaf)]
@@ -52,6 +53,13 @@
         #[bpaf(argument("IP:PORT"))]
         listen: SocketAddr,
     },
+    /// A registry of texts, targets and cordons, which entries of the gateway read.
+    #[bpaf(command)]
+    Registry {
+        /// Where to listen; port 0 lets the system choose.
+        #[bpaf(argument("IP:PORT"))]
+        listen: SocketAddr,
+    },
     /// The platform.
     #[bpaf(command)]
     Platform {
@@ -73,22 +81,23 @@
 }
 
 async fn run(role: Role) -> io::Result<()> {
-    let running = match role {
+    let address = match role {
         Role::Engine { listen, first_ms, between_us, memory } => {
             let first = Duration::from_millis(first_ms);
             let between = Duration::from_micros(between_us);
             let memory = Tokens::new(memory);
-            Engine::bind(listen, Pace { first, between, memory })?.0
+            Engine::bind(listen, Pace { first, between, memory })?.0.address()
         }
         Role::Batching { listen, memory, step_us } => {
             let shape = Shape { memory, base: step_us as f64, ..Shape::default() };
-            Engine::bind_batching(listen, shape)?.0
+            Engine::bind_batching(listen, shape)?.0.address()
         }
-        Role::Plain { listen } => Plain::bind(listen)?.0,
-        Role::Platform { listen } => Platform::bind(listen)?.0,
+        Role::Plain { listen } => Plain::bind(listen)?.0.address(),
+        Role::Registry { listen } => Registry::bind(listen).await?.address(),
+        Role::Platform { listen } => Platform::bind(listen)?.0.address(),
     };
     let mut out = io::stdout();
-    writeln!(out, "listening address={}", running.address())?;
+    writeln!(out, "listening address={address}")?;
     out.flush()?;
     std::future::pending().await
 }
--- a/crates/standin/src/registry.rs
+++ b/crates/standin/src/registry.rs
@@ -1,5 +1,7 @@
 //! A registry that lists texts and targets, and can be silent, refuse, forget or come back from a copy.
 
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,6 +10,7 @@
 use fireflyhoist_policy::lease::{Change, Target};
 use fireflyhoist_policy::route::Text;
 use fireflyhoist_policy::{cordon, id};
+use fireflyhoist_wire::registry::CORDONS_PATH;
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -60,8 +63,13 @@
 impl Registry {
     /// Listens on a free port; runs on the thread that opens it.
     pub async fn open() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("bound");
+        Self::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await.expect("a free port")
+    }
+
+    /// Listens on `listen`; runs on the thread that opens it.
+    pub async fn bind(listen: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(State::default()));
         let own = Self { address, state };
         let served = own.clone();
@@ -70,7 +78,7 @@
                 tokio::task::spawn_local(served.clone().serve(stream));
             }
         });
-        own
+        Ok(own)
     }
 
     /// Where it listens.
@@ -177,7 +185,9 @@
         let mut bytes = vec![0; 4096];
         let Ok(read) = stream.read(&mut bytes).await else { return };
         let head = String::from_utf8_lossy(&bytes[..read]).into_owned();
-        let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
+        let mut line = head.split(' ');
+        let method = line.next().unwrap_or_default().to_owned();
+        let path = line.next().unwrap_or_default().to_owned();
         let call = {
             let mut state = self.state.lock();
             state.calls += 1;
@@ -190,6 +200,7 @@
             _ if !named => self.response(400, ""),
             Mood::Silent => std::future::pending().await,
             Mood::Busy => self.response(503, ""),
+            Mood::Well if path.starts_with(CORDONS_PATH) => self.operate(&method, &path),
             Mood::Well => self.reply(&path).await,
         };
         if call <= self.state.lock().lost {
@@ -199,6 +210,34 @@
         let _ = stream.write_all(&reply).await;
     }
 
+    /// Does what an operator asks about cordons.
+    fn operate(&self, method: &str, path: &str) -> Vec<u8> {
+        let named = path.strip_prefix(CORDONS_PATH).and_then(|rest| rest.strip_prefix('/'));
+        let domain = named.map(str::parse::<id::Domain>);
+        match (method, domain) {
+            ("GET", None) => {
+                let domains: Vec<id::Domain> = self.cordoned().into_iter().collect();
+                self.response(200, &serde_json::to_string(&domains).expect("JSON"))
+            }
+            ("PUT", Some(Ok(domain))) => {
+                self.cordon(&domain);
+                self.response(204, "")
+            }
+            ("DELETE", Some(Ok(domain))) => {
+                self.lift(&domain);
+                self.response(204, "")
+            }
+            (_, Some(Err(error))) => self.response(400, &error.to_string()),
+            _ => self.response(405, ""),
+        }
+    }
+
+    /// The failure domains that are cordoned.
+    pub fn cordoned(&self) -> BTreeSet<id::Domain> {
+        let state = self.state.lock();
+        cordoned(state.held.cordons.iter().map(|(_, change)| change))
+    }
+
     async fn reply(&self, path: &str) -> Vec<u8> {
         let number = |key: &str| -> Option<u64> {
             let query = path.split_once('?')?.1;
@@ -248,10 +287,11 @@
             let text = state.held.text.as_ref().filter(|(revision, _)| *revision > from);
             listing.text = text.map(|(_, text)| text.clone());
             let news = state.held.cordons.iter().filter(|(revision, _)| *revision > from);
-            listing.cordons = news.map(|(_, change)| change.clone()).collect();
-            if since.is_none() {
-                listing.cordons = cordoned(&listing.cordons);
-            }
+            let news = news.map(|(_, change)| change);
+            listing.cordons = match since {
+                Some(_) => news.cloned().collect(),
+                None => cordoned(news).into_iter().map(cordon::Change::Set).collect(),
+            };
         } else if since.is_some() {
             let news = state.held.changes.iter().filter(|(revision, _)| *revision > from);
             listing.targets = news.map(|(_, change)| change.clone()).collect();
@@ -263,20 +303,20 @@
 }
 
 /// What is cordoned after all changes.
-fn cordoned(changes: &[cordon::Change]) -> Vec<cordon::Change> {
-    let mut set = std::collections::BTreeSet::new();
+fn cordoned<'a>(changes: impl Iterator<Item = &'a cordon::Change>) -> BTreeSet<id::Domain> {
+    let mut set = BTreeSet::new();
     for change in changes {
         match change {
             cordon::Change::Set(domain) => set.insert(domain.clone()),
             cordon::Change::Lifted(domain) => set.remove(domain),
         };
     }
-    set.into_iter().map(cordon::Change::Set).collect()
+    set
 }
 
 /// What is listed after all changes.
 fn list(changes: &[(u64, Change)]) -> Vec<Change> {
-    let mut listed = std::collections::BTreeMap::new();
+    let mut listed = BTreeMap::new();
     for (_, change) in changes {
         match change {
             Change::Put(target) => listed.insert(target.id.clone(), target.clone()),
--- a/crates/tool/src/flags.rs
+++ b/crates/tool/src/flags.rs
@@ -171,6 +171,19 @@
         )]
         files: Vec<PathBuf>,
     },
+    /// Send nothing new to a failure domain, send to it again, or list those that get nothing new
+    #[bpaf(command)]
+    Cordon {
+        /// The registry that the entries read
+        #[bpaf(long, env("FIREFLYHOIST_REGISTRY"), argument("IP:PORT"))]
+        registry: SocketAddr,
+        /// Send to it again
+        #[bpaf(long)]
+        lift: bool,
+        /// The failure domain; all that are cordoned are listed where it is absent
+        #[bpaf(positional("DOMAIN"), optional)]
+        domain: Option<id::Domain>,
+    },
     /// Send a prompt to a model service and print the answer as it arrives
     #[bpaf(command)]
     Ask {
--- a/crates/tool/src/fleet.rs
+++ b/crates/tool/src/fleet.rs
@@ -84,6 +84,25 @@
             .unwrap_or_else(|()| Err(foreign(format!("nothing in {} s", DEADLINE.as_secs()))))
     }
 
+    /// Sets something at a path, or takes it away.
+    pub(crate) async fn operate(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        remove: bool,
+    ) -> Result<(), Error> {
+        let foreign = |reason: String| Error::Foreign { address, reason };
+        let url = format!("http://{address}{path}");
+        let request = if remove { self.client.delete(url) } else { self.client.put(url) };
+        let sent = timeout(DEADLINE, request.send()).await;
+        let sent = sent.map_err(|()| foreign(format!("nothing in {} s", DEADLINE.as_secs())))?;
+        let response = sent.map_err(|e| foreign(format!("nothing ({e})")))?;
+        match response.status().is_success() {
+            true => Ok(()),
+            false => Err(foreign(response.status().to_string())),
+        }
+    }
+
     /// The addresses that callers of a workspace should use.
     pub(crate) async fn entries(
         &self,
--- a/crates/tool/src/lib.rs
+++ b/crates/tool/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod ask;
 pub mod burn;
 pub(crate) mod check;
+pub(crate) mod cordon;
 pub(crate) mod diff;
 pub(crate) mod entries;
 pub(crate) mod error;
@@ -42,6 +43,9 @@
         }
         Command::Burn { fleet, format } => burn::run(&fleet, format).await,
         Command::Explain { format, request, files } => explain::run(&request, &files, format),
+        Command::Cordon { registry, lift, domain } => {
+            cordon::run(registry, lift, domain.as_ref()).await
+        }
         Command::Ask { fleet, question } => ask::run(&fleet, question).await,
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod peer;
 pub mod platform;
 pub mod problem;
+pub mod registry;
 pub mod sse;
 pub mod status;
 pub mod transcode;
