--- a/crates/policy/src/intake.rs
+++ b/crates/policy/src/intake.rs
@@ -1,9 +1,8 @@
 //! What targets say they take, of all entries together.
 //!
-//! Pattern `named-limits`: a target in need names in its answers how many requests a second
-//! it takes. Each entry that reads it tells the others, and asks the one that
-//! [keeps the target's bucket](crate::keeper) before it sends there. Counted by each for itself, a target gets the limit once
-//! for each entry; divided among them, an entry with all the traffic can't use it.
+//! Pattern `named-limits`: a target in need names in its answers how many requests a second it takes.
+//! Each entry that reads it tells the others, and asks the one that
+//! [keeps the target's bucket](crate::keeper) before it sends there.
 
 use std::collections::HashMap;
 use std::str::FromStr;
--- a/crates/policy/src/keeper.rs
+++ b/crates/policy/src/keeper.rs
@@ -48,13 +48,6 @@
     pub cold: Option<cold::Terms>,
 }
 
-impl Allowance {
-    /// Whether it takes all that comes.
-    pub fn is_open(&self) -> bool {
-        self.named.is_none() && self.cold.is_none()
-    }
-}
-
 /// How a bucket fills.
 #[derive(Clone, Copy, Debug)]
 struct Pace {
