Take steady ends before many ends as the sign of a request that ends its targets

Its logs: the page had 10 ends, of which some were runs sent to targets that had ended already, the poison 5, since entries that were killed noted none and ends that are doubted are settled late. The larger number won, so the page explained the poison's ends and not the other way round; that could also let a poison go.

What ends after about the same time now goes before what has more ends, ends that were over before a run was sent are left out of the count, and the number decides among those that are alike in time only.

--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -244,13 +244,17 @@
         lasted().max().unwrap_or_default() - lasted().min().unwrap_or_default()
     }
 
-    /// Whether it explains an end better than another request that ran there too.
-    fn explains(&self, other: &Self) -> bool {
-        let (own, theirs) = (self.ends.len(), other.ends.len());
-        match own.abs_diff(theirs) {
-            0 | 1 => own > 1 && self.spread() + STEADY < other.spread(),
-            _ => own > theirs,
+    /// Whether it explains an end better than another request that ran there too, and during whose runs
+    /// `met` targets ended.
+    fn explains(&self, other: &Self, met: usize) -> bool {
+        let (own, theirs) = (self.spread(), other.spread());
+        if theirs + STEADY < own {
+            return false;
+        }
+        if own + STEADY < theirs {
+            return self.ends.len() > 1 && 2 * self.ends.len() >= met;
         }
+        (self.ends.len(), theirs) > (other.ends.len(), own)
     }
 
     /// Takes in a whole answer; returns whether it is news.
@@ -336,13 +340,16 @@
 
     /// Ends that no other request explains better.
     fn unexplained(&self, print: Print, case: &Case) -> usize {
-        let explained = |end: &End| {
+        let others = |end: &End| {
             let there = self.at.get(&end.incarnation).into_iter().flatten();
-            let others = there.filter(|other| **other != print);
-            let mut others = others.filter_map(|other| self.cases.get(other));
-            others.any(|other| other.explains(case) || other.ends.iter().any(|o| end.is_after(o)))
+            let others = there.filter(move |other| **other != print);
+            others.filter_map(|other| self.cases.get(other))
         };
-        case.ends.iter().filter(|end| !explained(end)).count()
+        let was_over =
+            |end: &&End| others(end).any(|other| other.ends.iter().any(|one| end.is_after(one)));
+        let met: Vec<&End> = case.ends.iter().filter(|end| !was_over(end)).collect();
+        let explained = |end: &End| others(end).any(|other| other.explains(case, met.len()));
+        met.iter().filter(|end| !explained(end)).count()
     }
 
     /// Grants a trial where one is due. Only the entry that keeps the record may ask.
