Tell at first that there are no cordons, so that peers needn't read the registry

Cause: left the set out of heartbeats where there are none. Entries that start together link before any of them knows, hear the first heartbeat without it, and nothing later: each then reads the registry itself, and one that the registry turns away never gets ready. Ruled out for the gateway's test: the registry (it answers the first entry).

--- a/crates/gateway/tests/cordons.rs
+++ b/crates/gateway/tests/cordons.rs
@@ -313,3 +313,18 @@
     })
     .await;
 }
+
+/// Guards against an entry that is linked before its peers know never hearing that there are no cordons.
+#[ntex::test]
+async fn entries_that_start_together_tell_each_other_that_there_are_none() {
+    let registry = registry().await;
+    let _open = lookup_target(&registry, "web-1", "a").await;
+    registry.set_mood(Mood::Busy);
+    let first = unready(registry.address(), "entry-0", &[]).await;
+    let second = unready(NOWHERE, "entry-1", &[first.peers()]).await;
+    tokio::time::sleep(KNOWN).await;
+    registry.set_mood(Mood::Well);
+    until_ready(&first).await;
+    until_ready(&second).await;
+    assert_eq!(ask(&second).await.status, 200);
+}
--- a/crates/policy/src/cordon.rs
+++ b/crates/policy/src/cordon.rs
@@ -46,6 +46,8 @@
 pub struct Cordons {
     /// Where the set was read; `None` before the first reading.
     at: Option<Position>,
+    /// When it was first known here.
+    learned: Time,
     /// The domains that are cordoned, and until when where the registry lacked them as it came back.
     domains: BTreeMap<id::Domain, Option<Time>>,
     /// When cordons were lifted that are not [settled](SETTLING) yet.
@@ -95,7 +97,7 @@
                 new.entry(domain.clone()).or_insert(until);
             }
         }
-        self.at = Some(at);
+        self.know(now, at);
         self.replace(now, new)
     }
 
@@ -125,17 +127,19 @@
         if self.at.is_some_and(|known| known >= word.at) {
             return false;
         }
-        self.at = Some(word.at);
+        self.know(now, word.at);
         let until = |left: u64| now + Duration::from_millis(left);
         let new = word.domains.into_iter().take(BOUND);
         let new = new.map(|(domain, left)| (domain, left.map(until))).collect();
         self.replace(now, new)
     }
 
-    /// What others should hear of again and again: cordons there are, or were a short while ago. Whoever
-    /// has just been linked hears [all](Self::word).
+    /// What others should hear of again and again: cordons there are, or were a short while ago, and that
+    /// there are none where that has just become known here. Whoever has just been linked hears
+    /// [all](Self::word).
     pub fn news(&self, now: Time) -> Option<Word> {
-        let news = !self.domains.is_empty() || !self.lifted.is_empty();
+        let learned = now.since(self.learned) < SETTLING;
+        let news = learned || !self.domains.is_empty() || !self.lifted.is_empty();
         news.then(|| self.word(now)).flatten()
     }
 
@@ -154,6 +158,12 @@
         self.replace(now, new)
     }
 
+    fn know(&mut self, now: Time, at: Position) {
+        if self.at.replace(at).is_none() {
+            self.learned = now;
+        }
+    }
+
     fn is_older(&self, at: Position) -> bool {
         self.at.is_some_and(|known| at < known)
     }
