End a long watch of texts once fewer than two peers reach the registry

Cause: an entry that two peers would tell waits 25 s at the registry for a text. Ruled out: shorter waits for all, which cost fifteen calls where one suffices. Change: the wait ends when the peers no longer cover it, and a short watch follows. Measured: a_text_is_received_after_the_peers_are_lost fails without the change (not received in 10 s) and passes with it; all 146 tests of the gateway pass.

--- a/crates/gateway/src/version/watcher.rs
+++ b/crates/gateway/src/version/watcher.rs
@@ -88,6 +88,9 @@
     /// The registry no longer keeps the requested changes.
     #[display("changes no longer kept; reading the list again")]
     Expired,
+    /// Fewer than two peers reach the registry, so that this entry depends on its own calls.
+    #[display("peers no longer reach the registry; calling it more often")]
+    Uncovered,
 }
 
 /// Starts one watcher for texts with cordons and one for targets.
@@ -234,11 +237,21 @@
                     }
                 }
                 Err(CallError::Expired) => return,
+                // The next watch waits for a short time.
+                Err(CallError::Uncovered) => {}
                 Err(error) => self.back_off(&error).await,
             }
         }
     }
 
+    /// Waits until fewer than two peers reach the registry.
+    async fn uncovered(fleet: &Fleet) {
+        while fleet.peers_reach_registry() {
+            // The wait is bounded because a change between the check and the wait is missed.
+            let _ = timeout(STANDBY_POLL, fleet.changed()).await;
+        }
+    }
+
     /// Returns the least time until the next watch of targets.
     fn min_watch_interval(&self) -> Duration {
         if self.fleet.is_alone() && self.process.is_idle() {
@@ -339,7 +352,14 @@
             Resource::Text => WATCH_WAIT,
         };
         let path = P::watch_path(self.resource, revision, wait);
-        let reply = self.call::<P>(path, wait + WATCH_SLACK).await?;
+        let fleet = Arc::clone(&self.fleet);
+        // The connection of a long watch may hang, which this entry notices only at its end.
+        let reply = tokio::select! {
+            reply = self.call::<P>(path, wait + WATCH_SLACK) => reply?,
+            () = Self::uncovered(&fleet), if wait == COVERED_WATCH_WAIT => {
+                return Err(CallError::Uncovered);
+            }
+        };
         let page = P::decode_watch(self.resource, &reply.body).map_err(CallError::Decode)?;
         let position = self.history.resolve_position(reply.era, page.revision);
         self.record_success();
--- a/crates/gateway/tests/texts.rs
+++ b/crates/gateway/tests/texts.rs
@@ -4,11 +4,14 @@
 
 use std::time::Duration;
 
+use fireflyhoist_policy::rendezvous;
 use fireflyhoist_policy::route::{Kind, Route};
 use fireflyhoist_standin::registry::{Mood, Registry};
 use support::caller::Request;
 use support::target::{Standin, answer};
-use support::{eventually, gateway, route, start_with_power, text, unready, until_ready};
+use support::{
+    eventually, gateway, route, start_behind_proxy, start_with_power, text, unready, until_ready,
+};
 
 fn web() -> Route {
     route("web", Kind::Unsafe)
@@ -208,3 +211,35 @@
     }
     assert!(published.elapsed() < Duration::from_secs(3), "{:?}", published.elapsed());
 }
+
+/// Guards against an entry missing a text for half a minute: it relies on peers and waits long at
+/// the registry, its connection there hangs, and then it loses all peers.
+#[ntex::test]
+async fn a_text_is_received_after_the_peers_are_lost() {
+    let registry = Registry::open().await;
+    registry.publish(text(1, vec![web()]));
+    let names = ["entry-1", "entry-2", "entry-3"];
+    // The entry that ranks last does not watch targets, so it waits long for texts.
+    let last = *rendezvous::rank("targets", &names, |name| name)[2];
+    let mut entries = Vec::new();
+    let mut seeds = Vec::new();
+    for name in names {
+        let (entry, proxy) = start_behind_proxy(registry.address(), name, &seeds, 1.0).await;
+        seeds.push(entry.peers());
+        entries.push((name, entry, proxy));
+    }
+    for (_, entry, _) in &entries {
+        until_ready(entry).await;
+    }
+    // By now all entries know each other and wait for changes.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    registry.lose_calls();
+    entries.iter().for_each(|(_, _, proxy)| proxy.stall());
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    registry.publish(text(2, vec![web(), route("new", Kind::Unsafe)]));
+    let published = tokio::time::Instant::now();
+    let (_, entry, _) = entries.iter().find(|(name, ..)| *name == last).expect("started");
+    let probe = Request::new("POST", "/new/x").body("b");
+    eventually(async || probe.send(entry.callers()).await.status == 503).await;
+    assert!(published.elapsed() < Duration::from_secs(2), "{:?}", published.elapsed());
+}
