--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -46,6 +46,10 @@
 /// The interval at which waiting requests are checked for expired deadlines.
 const DEADLINE_POLL: Duration = Duration::from_millis(20);
 
+/// The interval of the same check while no request is open. Most entries of a large fleet carry no
+/// requests.
+const IDLE_POLL: Duration = Duration::from_millis(200);
+
 /// The interval at which the settings file is checked for changes that no signal announced.
 const SETTINGS_POLL: Duration = Duration::from_secs(2);
 
@@ -99,6 +103,8 @@
         ntex::rt::spawn(async move {
             loop {
                 sleep(DEADLINE_POLL).await;
+                // Without requests only leases and cordons expire.
+                let _ = timeout(IDLE_POLL, polled.busy()).await;
                 polled.poll_gates();
             }
         })
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -95,6 +95,8 @@
     leaving_since: OnceLock<Time>,
     target_list_known: AtomicBool,
     open_requests: AtomicUsize,
+    /// Notified when a request arrives while none is open.
+    busy: Notify,
     /// Highest number of active entries seen so far.
     max_active_entries: AtomicUsize,
     /// When the latest request arrived.
@@ -129,6 +131,7 @@
             leaving_since: OnceLock::new(),
             target_list_known: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
+            busy: Notify::new(),
             max_active_entries: AtomicUsize::new(0),
             latest_request: Mutex::new(Time::ZERO),
             settings,
@@ -373,9 +376,18 @@
         self.open_requests.load(Ordering::Acquire)
     }
 
+    /// Waits until a request arrives, unless one is open.
+    pub(crate) async fn busy(&self) {
+        if self.open_requests() == 0 {
+            self.busy.notified().await;
+        }
+    }
+
     /// Counts a request as open until the returned guard is dropped.
     pub(crate) fn start_request(self: &Arc<Self>) -> RequestGuard {
-        self.open_requests.fetch_add(1, Ordering::AcqRel);
+        if self.open_requests.fetch_add(1, Ordering::AcqRel) == 0 {
+            self.busy.notify_one();
+        }
         *self.latest_request.lock() = self.clock.now();
         RequestGuard { process: Arc::clone(self) }
     }
