Pass on the loads that an announcement changes, not those of all targets

Cause: whenever another entry announced its load, and every 150 ms besides, an entry summed the announcements of all entries and passed the result for every ready target to the gate: 5,764 engines, some 200 announcements a second at an active, and the 150 ms also at the 555 entries that carry nothing. It grew as targets times entries. Change: policy::load keeps sums by target up to date; an announcement passes on what it changed, the tick what this entry itself uses, a new text or list all targets. Ruled out: fewer announcements, which would fill engines twice (policy::heartbeat). The frames are unchanged.

--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -2,13 +2,12 @@
 //!
 //! Names of variants and fields are part of the wire format.
 
-use std::collections::BTreeMap;
-
 use derive_more::{Display, Error};
 use fireflyhoist_policy::cold;
 use fireflyhoist_policy::cordon;
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::{Change, Target};
+use fireflyhoist_policy::load::Load;
 use fireflyhoist_policy::migration_queue::Migration;
 use fireflyhoist_policy::observation::Outcome;
 use fireflyhoist_policy::poison;
@@ -17,7 +16,6 @@
 use fireflyhoist_policy::resubmission::Fingerprint;
 use fireflyhoist_policy::target_limit;
 use fireflyhoist_policy::topology::Member;
-use fireflyhoist_policy::unit::Tokens;
 use fireflyhoist_text::transfer::Message;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -36,21 +34,6 @@
 /// The size from which compressing a frame is worth its processor time.
 const MIN_DEFLATE_BYTES: usize = 512;
 
-/// The load that one or several entries have on one target.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Load {
-    /// The target.
-    pub(crate) target: id::Target,
-    /// Tokens that running answers hold in its memory.
-    pub(crate) tokens: Tokens,
-    /// Running answers.
-    pub(crate) streams: u32,
-    /// Prompt tokens that wait for prefill.
-    pub(crate) unread: Tokens,
-    /// Tokens that copies of answers which run elsewhere hold in its memory.
-    pub(crate) copies: Tokens,
-}
-
 /// The outcome of a request at a target, as entries announce it to each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct TargetOutcome {
@@ -215,31 +198,6 @@
     },
 }
 
-impl Load {
-    /// Returns no load on a target.
-    pub(crate) fn none(target: &id::Target) -> Self {
-        let zero = Tokens::default();
-        Self { target: target.clone(), tokens: zero, streams: 0, unread: zero, copies: zero }
-    }
-
-    /// Adds the load of another entry on the same target.
-    pub(crate) fn add(&mut self, other: &Self) {
-        self.tokens += other.tokens;
-        self.streams += other.streams;
-        self.unread += other.unread;
-        self.copies += other.copies;
-    }
-}
-
-/// Sums the loads of several entries by target.
-pub(crate) fn sum<'a>(loads: impl Iterator<Item = &'a Load>) -> Vec<Load> {
-    let mut sums: BTreeMap<id::Target, Load> = BTreeMap::new();
-    for load in loads {
-        sums.entry(load.target.clone()).or_insert_with(|| Load::none(&load.target)).add(load);
-    }
-    sums.into_values().collect()
-}
-
 /// The bytes received are not a valid frame.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[display("invalid frame ({reason}); run the same release on every entry")]
--- a/crates/gateway/src/process/copy_usage.rs
+++ b/crates/gateway/src/process/copy_usage.rs
@@ -26,7 +26,7 @@
     /// entries.
     pub(crate) fn open(process: &Arc<Process>, target: &id::Target, tokens: u64) -> Self {
         process.replace_copy_tokens(target, 0, tokens);
-        process.report_usage();
+        process.report_usage([target]);
         process.request_heartbeat();
         Self { process: Arc::clone(process), target: target.clone(), tokens }
     }
--- a/crates/gateway/src/process/fleet/heartbeat.rs
+++ b/crates/gateway/src/process/fleet/heartbeat.rs
@@ -5,10 +5,11 @@
 
 use fireflyhoist_policy::heartbeat::{self, Schedule};
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::load::Load;
 use fireflyhoist_policy::observation::Observer;
 use ntex::time::sleep;
 
-use crate::connection::frame::{Frame, Heartbeat, Load, TargetOutcome};
+use crate::connection::frame::{Frame, Heartbeat, TargetOutcome};
 use crate::process::fleet::Fleet;
 
 impl Fleet {
@@ -108,7 +109,7 @@
             if recipients == heartbeat::Recipients::All {
                 self.send_to_leaves();
             }
-            self.process.report_usage();
+            self.process.report_own_usage();
         }
     }
 
@@ -129,9 +130,8 @@
         if let Some(update) = &heartbeat.cordons {
             self.process.apply_cordon_update(update.clone());
         }
-        if self.process.set_peer_usage(from, Some(heartbeat.loads.clone())) {
-            self.process.report_usage();
-        }
+        let loads = std::mem::take(&mut heartbeat.loads);
+        self.process.set_peer_usage(from, loads);
         let mut peers = self.peers.lock();
         let Some(peer) = peers.get_mut(from) else { return };
         let differs = |old: &Heartbeat| {
--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -437,7 +437,7 @@
         );
         self.peers.lock().remove(host);
         self.abandon_requests(host);
-        self.process.set_peer_usage(host, None);
+        self.process.set_peer_usage(host, Vec::new());
         self.stale.notify_one();
         self.changed.notify_waiters();
     }
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -6,7 +6,7 @@
 mod targets;
 mod usage;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -22,12 +22,11 @@
 use fireflyhoist_policy::target_limit::Limits;
 use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::token_bucket::Buckets;
-use fireflyhoist_policy::{id, placement};
+use fireflyhoist_policy::{id, load, placement};
 use ntex::time::timeout;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
 
-use crate::connection::frame::Load;
 use crate::process::clock::Clock;
 use crate::process::metrics::Metrics;
 use crate::process::service_gate::ServiceGate;
@@ -80,8 +79,10 @@
     target_limits: Mutex<Limits>,
     /// Token buckets of limited targets, used for the targets that this entry decides for.
     buckets: Mutex<Buckets>,
-    /// Memory that other entries use at targets, by entry.
-    peer_usage: Mutex<HashMap<id::Host, Vec<Load>>>,
+    /// Memory that other entries use at targets.
+    peer_usage: Mutex<load::Peers>,
+    /// Targets at which this entry used memory when that was last passed to the gates.
+    used_targets: Mutex<BTreeSet<id::Target>>,
     /// Bumped whenever targets change, so that running answers check whether their target drains.
     target_changes: watch::Sender<u64>,
     /// Makes the next heartbeat go out early.
@@ -123,6 +124,7 @@
                 Time::ZERO + MEMBERSHIP_SETTLE_TIME,
             )),
             peer_usage: Mutex::default(),
+            used_targets: Mutex::default(),
             target_changes: watch::channel(0).0,
             early_heartbeat: Notify::new(),
             registry_available: AtomicBool::new(false),
--- a/crates/gateway/src/process/state/targets.rs
+++ b/crates/gateway/src/process/state/targets.rs
@@ -70,6 +70,7 @@
         self.confirm_crashes(&leases);
         drop(leases);
         drop(gates);
+        self.report_all_usage();
         self.target_changes.send_modify(|count| *count += 1);
     }
 
--- a/crates/gateway/src/process/state/usage.rs
+++ b/crates/gateway/src/process/state/usage.rs
@@ -1,13 +1,13 @@
 //! Engine memory that entries use at targets: that of running answers and of copies of them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use fireflyhoist_policy::gate::{Holding, Report};
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::load::{Load, sum};
 use fireflyhoist_policy::unit::Tokens;
 
-use crate::connection::frame::{Load, sum};
 use crate::process::service_gate::{ServiceGate, TargetLoad};
 use crate::process::state::Process;
 
@@ -41,76 +41,65 @@
     /// each target.
     pub(crate) fn usage_with(&self, is_included: impl Fn(&id::Host) -> bool) -> Vec<Load> {
         let own = self.own_usage();
-        let others = self.peer_usage.lock();
-        let included =
-            others.iter().filter(|(host, _)| is_included(host)).flat_map(|(_, loads)| loads);
-        sum(own.iter().chain(included))
+        let peers = self.peer_usage.lock();
+        sum(own.iter().chain(peers.loads(is_included)))
     }
 
-    /// Sets what another entry uses, `None` where the entry is gone; returns whether that changed
-    /// anything.
-    pub(crate) fn set_peer_usage(&self, host: &id::Host, loads: Option<Vec<Load>>) -> bool {
-        let mut others = self.peer_usage.lock();
-        if others.get(host) == loads.as_ref() {
-            return false;
+    /// Sets what another entry uses, and passes the changes to the gates.
+    pub(crate) fn set_peer_usage(&self, host: &id::Host, loads: Vec<Load>) {
+        let changed = self.peer_usage.lock().replace(host, loads);
+        if !changed.is_empty() {
+            self.report_usage(&changed);
         }
-        match loads {
-            Some(loads) => others.insert(host.clone(), loads),
-            None => others.remove(host),
-        };
-        true
     }
 
     /// Returns whether an entry reported that it uses memory at any target.
     pub(crate) fn has_usage(&self, host: &id::Host) -> bool {
-        self.peer_usage.lock().get(host).is_some_and(|loads| !loads.is_empty())
+        self.peer_usage.lock().has_load(host)
     }
 
-    /// Passes the memory that all entries together use at each engine to the gates.
-    pub(crate) fn report_usage(&self) {
+    /// Passes the memory that all entries together use at the targets that this entry uses to the
+    /// gates. What it uses changes with every token, so it is not passed on at each change.
+    pub(crate) fn report_own_usage(&self) {
+        let used: BTreeSet<id::Target> =
+            self.own_usage().into_iter().map(|load| load.target).collect();
+        let before = std::mem::replace(&mut *self.used_targets.lock(), used.clone());
+        self.report_usage(before.union(&used));
+    }
+
+    /// Passes the memory that all entries together use at all targets to the gates.
+    pub(super) fn report_all_usage(&self) {
+        let targets: Vec<id::Target> = self.leases.lock().all().map(|t| t.id.clone()).collect();
+        self.report_usage(&targets);
+    }
+
+    /// Passes the memory that all entries together use at some targets to the gates.
+    pub(crate) fn report_usage<'a>(&self, targets: impl IntoIterator<Item = &'a id::Target>) {
         let Some(table) = self.table() else { return };
-        let mut usages: HashMap<id::Target, Usage> = HashMap::new();
-        for load in &self.own_usage() {
-            usages.entry(load.target.clone()).or_default().add(load);
-        }
-        for load in self.peer_usage.lock().values().flatten() {
-            let usage = usages.entry(load.target.clone()).or_default();
-            usage.add(load);
-            usage.others_unread += load.unread.get();
-        }
-        for service in &table.text().services {
-            let (Some(engine), Some(gate)) = (&service.engine, self.gate(&service.name)) else {
+        let own: HashMap<id::Target, Load> =
+            self.own_usage().into_iter().map(|load| (load.target.clone(), load)).collect();
+        let mut loads: HashMap<id::Service, Vec<TargetLoad>> = HashMap::new();
+        let (leases, peers) = (self.leases.lock(), self.peer_usage.lock());
+        for target in targets {
+            let Some(lease) = leases.get(target).filter(|_| leases.is_ready(target)) else {
                 continue;
             };
-            let leases = self.leases.lock();
-            let loads: Vec<TargetLoad> = leases
-                .ready(&service.name)
-                .map(|target| {
-                    let usage = usages.get(&target.id).copied().unwrap_or_default();
-                    let (capacity, used) = (engine.memory, Tokens::new(usage.tokens));
-                    let report =
-                        Report { capacity, used, running: usage.streams, ..Report::default() };
-                    let unread = Tokens::new(usage.others_unread);
-                    TargetLoad { target: target.id.clone(), report, unread }
-                })
-                .collect();
-            drop(leases);
-            gate.update_loads(&loads);
+            let engine = table.service(&lease.service).and_then(|service| service.engine.as_ref());
+            let Some(engine) = engine else { continue };
+            let others = peers.total(target);
+            let mut all = others.clone();
+            all.add(own.get(target).unwrap_or(&Load::none(target)));
+            let used = Tokens::new(all.tokens.get() + all.copies.get());
+            let report =
+                Report { capacity: engine.memory, used, running: all.streams, ..Report::default() };
+            let load = TargetLoad { target: target.clone(), report, unread: others.unread };
+            loads.entry(lease.service.clone()).or_default().push(load);
+        }
+        drop((leases, peers));
+        for (service, loads) in loads {
+            if let Some(gate) = self.gate(&service) {
+                gate.update_loads(&loads);
+            }
         }
-    }
-}
-
-/// Memory that all entries use at one target.
-#[derive(Clone, Copy, Debug, Default)]
-struct Usage {
-    tokens: u64,
-    streams: u32,
-    others_unread: u64,
-}
-
-impl Usage {
-    fn add(&mut self, load: &Load) {
-        self.tokens += load.tokens.get() + load.copies.get();
-        self.streams += load.streams;
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod idempotency;
 pub mod lease;
 pub mod length;
+pub mod load;
 pub mod mac;
 pub mod member;
 pub mod memory;
