Let single changes of targets, placements and delays cost what they concern

Cause: an entry that heard of one changed target gave each gate the whole list anew and asked for the rendezvous rank of every target again when the actives changed; every check for expired leases, 50 a second, and every placement looked at all targets. At 6,000 targets a start is 6,000 changes at each of 585 entries. Change: leases name the targets that changed and those missing; gates add and remove single targets; a request without a prefix is placed among six targets drawn at random that have room, without looking at the others (the same distribution as before); the delay before an engine that has joined is computed when a placement asks for it, by counting the entries that rank before and not by sorting. Left: weights of ejected targets are still read over all targets, five times a second, and engines that are all full are all looked at.

--- a/crates/gateway/src/process/service_gate.rs
+++ b/crates/gateway/src/process/service_gate.rs
@@ -8,7 +8,8 @@
 
 use fireflyhoist_policy::exclusion::Exclusion;
 use fireflyhoist_policy::gate::{
-    Gate, Holding, Outcome, Placement, Reason, Refusal, Report, Request, Settings, Verdict,
+    Gate, Holding, Outcome, Placement, Reason, Refusal, Report, Request, Settings, TargetUpdate,
+    Verdict,
 };
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::observation::{self, Observer};
@@ -96,6 +97,12 @@
         self.poll();
     }
 
+    /// Adds and removes single targets; see [`Gate::update_targets`].
+    pub fn update_targets(&self, updates: &[TargetUpdate]) {
+        self.state.lock().gate.update_targets(self.clock.now(), updates);
+        self.poll();
+    }
+
     /// Returns the number of excluded targets by reason, as `REASON:COUNT` separated by spaces.
     pub fn exclusions(&self) -> SmolStr {
         let counts = self.state.lock().gate.exclusions(self.clock.now());
--- a/crates/gateway/src/process/state/targets.rs
+++ b/crates/gateway/src/process/state/targets.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use fireflyhoist_policy::gate::{Listing, TargetUpdate};
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::{self, Change, Target};
 use fireflyhoist_policy::observation::Observer;
@@ -21,7 +22,7 @@
         let now = self.clock.now();
         if self.leases.lock().expire(now) {
             ::log::info!("targets still missing after a registry outage were removed");
-            self.refresh_gates();
+            self.update_gates();
         }
         self.expire_cordons();
     }
@@ -51,13 +52,10 @@
         }
     }
 
-    /// Passes the current targets to the gates and wakes running answers.
+    /// Passes all targets to the gates, since the text or the cordons have changed.
     pub(super) fn refresh_gates(&self) {
         let gates = self.gates.read();
-        let mut leases = self.leases.lock();
-        for target in leases.take_restarted() {
-            gates.values().for_each(|gate| gate.restarted(&target));
-        }
+        let leases = self.leases.lock();
         for (service, gate) in gates.iter() {
             let targets = leases.ready(service).map(|target| target.id.clone()).collect();
             let cordons = self.cordons.lock();
@@ -66,11 +64,42 @@
             drop(cordons);
             gate.set_targets_and_cordons(targets, &cordoned);
         }
+        drop((leases, gates));
+        self.report_all_usage();
+        self.after_target_changes();
+    }
+
+    /// Passes the targets that have changed to the gates. The cost does not depend on the number of
+    /// other targets: in a large fleet of targets some change several times a second.
+    fn update_gates(&self) {
+        let gates = self.gates.read();
+        let mut leases = self.leases.lock();
+        for target in leases.take_restarted() {
+            gates.values().for_each(|gate| gate.restarted(&target));
+        }
+        let changed = leases.take_changed();
+        let cordons = self.cordons.lock();
+        for (service, gate) in gates.iter() {
+            let update = |id: &id::Target| {
+                let lease = leases.get(id).filter(|target| target.service == *service);
+                let ready = lease.filter(|_| leases.is_ready(id));
+                let cordoned = |target: &Target| cordons.contains(&target.domain);
+                let listed = ready.map(|target| Listing { cordoned: cordoned(target) });
+                TargetUpdate { target: id.clone(), listed }
+            };
+            gate.update_targets(&changed.iter().map(update).collect::<Vec<_>>());
+        }
+        drop((cordons, leases, gates));
+        self.report_usage(&changed);
+        self.after_target_changes();
+    }
+
+    /// Drops what depends on targets that are gone, and wakes running answers.
+    fn after_target_changes(&self) {
+        let leases = self.leases.lock();
         self.retain_limits(&leases);
         self.confirm_crashes(&leases);
         drop(leases);
-        drop(gates);
-        self.report_all_usage();
         self.target_changes.send_modify(|count| *count += 1);
     }
 
@@ -97,7 +126,7 @@
         drop(leases);
         if changed {
             ::log::info!(revision:% = at, listed = count, source = source; "targets listed");
-            self.refresh_gates();
+            self.update_gates();
         }
         changed
     }
@@ -111,7 +140,7 @@
             ::log::info!(revision:% = at, change = line.as_str(); "target changed");
         }
         if !new.is_empty() {
-            self.refresh_gates();
+            self.update_gates();
         }
         new
     }
@@ -124,7 +153,7 @@
             leases.mark_draining(target).then(|| leases.get(target).cloned())?
         };
         ::log::info!(target:% = target; "target says that it leaves");
-        self.refresh_gates();
+        self.update_gates();
         left.map(Change::Put)
     }
 
--- a/crates/policy/src/gate/migration.rs
+++ b/crates/policy/src/gate/migration.rs
@@ -61,12 +61,15 @@
 impl Gate {
     /// Returns what the running answers of this entry hold at each target where it has any.
     pub fn holdings(&self) -> impl Iterator<Item = Holding> {
-        let busy = self.targets.iter().filter(|state| state.memory.streams() > 0);
-        busy.map(|state| Holding {
-            target: state.name.clone(),
-            tokens: Tokens::new(state.memory.held().0 as u64),
-            streams: state.memory.streams(),
-            unread: Tokens::new(state.unread),
+        let busy: BTreeSet<usize> = self.running.values().map(|running| running.target).collect();
+        busy.into_iter().map(|at| {
+            let state = &self.targets[at];
+            Holding {
+                target: state.name.clone(),
+                tokens: Tokens::new(state.memory.held().0 as u64),
+                streams: state.memory.streams(),
+                unread: Tokens::new(state.unread),
+            }
         })
     }
 
@@ -155,6 +158,24 @@
             running.sampled = (running.produced, now);
         }
         self.targets[to].memory.add(now, &curve);
+        self.remove_if_unused(from);
+    }
+
+    /// Removes the target at an index if it is neither listed nor in use. The last target takes its
+    /// index.
+    pub(super) fn remove_if_unused(&mut self, at: usize) {
+        let state = &self.targets[at];
+        if state.listed || state.memory.streams() > 0 {
+            return;
+        }
+        let removed = self.targets.swap_remove(at);
+        self.index.remove(&removed.name);
+        let Some(moved) = self.targets.get(at) else { return };
+        self.index.insert(moved.name.clone(), at);
+        let from = self.targets.len();
+        for running in self.running.values_mut().filter(|running| running.target == from) {
+            running.target = at;
+        }
     }
 
     /// Removes targets that are neither listed nor in use.
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -12,6 +12,7 @@
 mod targets;
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -35,6 +36,7 @@
 
 pub use migration::Holding;
 pub use settings::Settings;
+pub use targets::{Listing, TargetUpdate};
 
 /// Work of one prompt token, where a generated token is 1: engines compute the tokens of a prompt
 /// in bulk.
@@ -110,9 +112,11 @@
     largest_capacity: u64,
     /// Moving average of the prompt length in tokens; zero before the first prompt.
     mean_prompt: f64,
-    order: Order,
+    order: Arc<Order>,
     candidates: Vec<Candidate>,
     candidate_targets: Vec<usize>,
+    /// The indexes of all targets, in the order of the last draw.
+    draw_order: Vec<usize>,
 }
 
 impl Default for Gate {
@@ -145,9 +149,10 @@
             sends: 0,
             largest_capacity: UNREPORTED_CAPACITY,
             mean_prompt: 0.0,
-            order: Order::default(),
+            order: Arc::default(),
             candidates: Vec::new(),
             candidate_targets: Vec::new(),
+            draw_order: Vec::new(),
         }
     }
 
@@ -315,6 +320,7 @@
             Outcome::ServerError => self.detector.record(now, &state.name, Sample::Failed),
             Outcome::Cancelled => {}
         }
+        self.remove_if_unused(running.target);
     }
 
     /// Decides on queued requests that can be sent now or whose deadline has passed.
--- a/crates/policy/src/gate/place.rs
+++ b/crates/policy/src/gate/place.rs
@@ -1,5 +1,6 @@
 //! Candidate targets for a request, and the reserve that a heavy workspace must leave free on them.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -76,24 +77,22 @@
         request: &Request,
     ) -> Option<usize> {
         let sends = self.sends;
-        self.collect(|state| {
+        self.draw(rng, |state| {
             let up = state.is_up(now) && Some(&state.name) != request.avoid.as_ref();
             up.then(|| state.load(sends))
         });
         if self.candidates.is_empty() {
             // A suspect target is better than none, and one that failed another request is better
             // than the one that has just failed this request.
-            self.collect(|state| {
+            self.draw(rng, |state| {
                 let other = Some(&state.name) != request.avoid.as_ref();
                 (state.hard_exclusion(now).is_none() && other).then_some(0.0)
             });
         }
         if self.candidates.is_empty() {
-            self.collect(|state| state.hard_exclusion(now).is_none().then_some(0.0));
+            self.draw(rng, |state| state.hard_exclusion(now).is_none().then_some(0.0));
         }
-        let choices = self.settings.choices;
-        let chosen = placement::choose(rng, placement::NO_PREFIX, &self.candidates, choices);
-        chosen.map(|at| self.candidate_targets[at])
+        placement::choose_drawn(&self.candidates).map(|at| self.candidate_targets[at])
     }
 
     /// Chooses a target for a generation; `None` if it fits on none now.
@@ -104,7 +103,7 @@
         request: &Request,
         curve: &Curve,
     ) -> Option<usize> {
-        let settings = self.settings.clone();
+        let (settings, order) = (self.settings.clone(), Arc::clone(&self.order));
         let (sends, mean_prompt) = (self.sends, self.mean_prompt);
         let live = request.class == Class::Live;
         let reserve = match request.class {
@@ -113,11 +112,11 @@
             _ => 0.0,
         };
         let live = settings.pace && live;
-        self.collect(|state| {
+        let candidate = |state: &target::State| {
             if !state.is_up(now) || Some(&state.name) == request.avoid.as_ref() {
                 return None;
             }
-            if settings.stagger && !state.stagger.is_over(now) {
+            if settings.stagger && !state.stagger.is_over(now, &order, &state.name) {
                 return None;
             }
             if settings.prefill_bound && !state.has_prefill_room(request.prompt.get(), mean_prompt)
@@ -138,13 +137,47 @@
             );
             let fits = !settings.memory || state.memory.fits(request.class, &claim, curve);
             fits.then(|| state.load(sends))
-        });
+        };
         let has_affinity = settings.affinity && request.prompt.get() >= MIN_AFFINITY_PROMPT;
         let prefix = if has_affinity { request.prefix } else { placement::NO_PREFIX };
-        let chosen = placement::choose(rng, prefix, &self.candidates, settings.choices);
+        let chosen = if prefix == placement::NO_PREFIX {
+            self.draw(rng, candidate);
+            placement::choose_drawn(&self.candidates)
+        } else {
+            self.collect(candidate);
+            placement::choose(rng, prefix, &self.candidates, settings.choices)
+        };
         chosen.map(|at| self.candidate_targets[at])
     }
 
+    /// Draws targets at random for which `load` returns a value, as candidates with that load, until
+    /// there are as many as a placement without a prefix compares.
+    ///
+    /// Where most targets have room, the cost does not depend on how many there are.
+    fn draw(&mut self, rng: &mut impl Rng, load: impl Fn(&target::State) -> Option<f64>) {
+        self.candidates.clear();
+        self.candidate_targets.clear();
+        let count = self.targets.len();
+        if self.draw_order.len() != count {
+            self.draw_order = (0..count).collect();
+        }
+        // A partial shuffle: whatever the order before it, the drawn part is uniform.
+        for nth in 0..count {
+            if self.candidates.len() >= self.settings.choices {
+                return;
+            }
+            self.draw_order.swap(nth, rng.random_range(nth..count));
+            let at = self.draw_order[nth];
+            let state = &self.targets[at];
+            if state.weight > 0.0
+                && let Some(load) = load(state)
+            {
+                self.candidates.push(Candidate { key: state.key, load, weight: state.weight });
+                self.candidate_targets.push(at);
+            }
+        }
+    }
+
     /// Collects the targets for which `load` returns a value, as candidates with that load.
     fn collect(&mut self, load: impl Fn(&target::State) -> Option<f64>) {
         self.candidates.clear();
--- a/crates/policy/src/gate/targets.rs
+++ b/crates/policy/src/gate/targets.rs
@@ -1,6 +1,7 @@
 //! The targets of a gate: their list, reports, cordons and reasons for exclusion.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng;
@@ -20,6 +21,22 @@
 /// minutes, so a caller that can retry only once should wait longer than after other refusals.
 const CORDONED_RETRY_AFTER: Duration = Duration::from_secs(10);
 
+/// A target that was added, removed, or whose failure domain was cordoned or reopened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetUpdate {
+    /// The target.
+    pub target: id::Target,
+    /// How it is listed; `None` if it takes no new work any more.
+    pub listed: Option<Listing>,
+}
+
+/// A target that takes new work unless its failure domain is cordoned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Listing {
+    /// Whether its failure domain is cordoned.
+    pub cordoned: bool,
+}
+
 impl Gate {
     /// Sets the length of the published list of entries, and the position of this entry in it, if
     /// it is listed.
@@ -50,8 +67,7 @@
             let next = self.targets.len();
             let at = *self.index.entry(target.clone()).or_insert(next);
             if at == next {
-                let stagger = Delay::at(now, &self.order, &target);
-                self.targets.push(target::State::open(target, stagger));
+                self.targets.push(target::State::open(target, Delay::since(now)));
             }
             self.targets[at].listed = true;
         }
@@ -59,19 +75,57 @@
         self.update_shares(now);
     }
 
+    /// Adds and removes single targets, at a cost that does not depend on the number of targets that
+    /// are listed. Requests that were sent to a removed target continue until they finish.
+    pub fn update_targets(&mut self, now: Time, updates: &[TargetUpdate]) {
+        for TargetUpdate { target, listed } in updates {
+            match listed {
+                Some(Listing { cordoned }) => self.add_target(now, target, *cordoned),
+                None => self.remove_target(target),
+            }
+        }
+        if self.entries.0 > 1 {
+            self.update_shares(now);
+        }
+    }
+
+    fn add_target(&mut self, now: Time, target: &id::Target, cordoned: bool) {
+        self.detector.add_target(target);
+        let next = self.targets.len();
+        let at = *self.index.entry(target.clone()).or_insert(next);
+        if at == next {
+            self.targets.push(target::State::open(target.clone(), Delay::since(now)));
+        }
+        self.targets[at].listed = true;
+        self.set_target_cordoned(now, at, cordoned);
+    }
+
+    fn remove_target(&mut self, target: &id::Target) {
+        self.detector.remove_target(target);
+        if let Some(&at) = self.index.get(target) {
+            self.targets[at].listed = false;
+            self.remove_if_unused(at);
+        }
+    }
+
+    fn set_target_cordoned(&mut self, now: Time, at: usize, cordoned: bool) {
+        let state = &mut self.targets[at];
+        let before = std::mem::replace(&mut state.cordoned, cordoned);
+        if before && !cordoned {
+            state.stagger = Delay::since(now);
+        }
+    }
+
     /// Sets the entries that send to the targets, and with them when this entry may begin to send
     /// to a target that has just joined.
     pub fn set_order(&mut self, order: Order) {
-        self.order = order;
-        for state in &mut self.targets {
-            state.stagger = state.stagger.reordered(&self.order, &state.name);
-        }
+        self.order = Arc::new(order);
     }
 
     /// Records that a target has restarted: it is as empty as one that has just joined.
     pub fn restarted(&mut self, now: Time, target: &id::Target) {
         if let Some(at) = self.index.get(target) {
-            self.targets[*at].stagger = Delay::at(now, &self.order, target);
+            self.targets[*at].stagger = Delay::since(now);
         }
     }
 
@@ -125,11 +179,9 @@
     /// Entries begin one after another to send to targets whose cordon is lifted, as to targets
     /// that have just joined, since these look empty to all entries.
     pub fn set_cordoned(&mut self, now: Time, cordoned: &BTreeSet<id::Target>) {
-        for state in &mut self.targets {
-            let before = std::mem::replace(&mut state.cordoned, cordoned.contains(&state.name));
-            if before && !state.cordoned {
-                state.stagger = Delay::at(now, &self.order, &state.name);
-            }
+        for at in 0..self.targets.len() {
+            let cordoned = cordoned.contains(&self.targets[at].name);
+            self.set_target_cordoned(now, at, cordoned);
         }
     }
 
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -21,7 +21,8 @@
 //! renewals are counted anew, and whatever ran on the previous start is lost.
 
 use std::cmp::Ordering;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -136,13 +137,21 @@
 #[derive(Debug, Default)]
 pub struct Leases {
     live: BTreeMap<id::Target, Lease>,
+    /// Live leases that a reading within the grace period lacked.
+    missing: BTreeSet<id::Target>,
     tombstones: BTreeMap<id::Target, Tombstone>,
+    /// The names of tombstones in the order of their creation, so that old ones are found without a
+    /// scan.
+    buried: VecDeque<(Time, id::Target)>,
     /// The registry position of the last change.
     position: Position,
     /// The end of the grace period in which missing leases may belong to live targets.
     grace_until: Time,
     /// Targets that have restarted since the last [`Leases::take_restarted`].
     restarted: Vec<id::Target>,
+    /// Targets that may have begun or ceased to take new work since the last
+    /// [`Leases::take_changed`].
+    changed: BTreeSet<id::Target>,
 }
 
 /// The lease of a target that is listed, or missing within the grace period.
@@ -253,22 +262,26 @@
     fn start_grace_if_most_lapsed(&mut self, now: Time, missing: &[&id::Target]) {
         let ready = |id: &&&id::Target| self.is_ready(id);
         let lapsed = missing.iter().filter(ready).count();
+        if lapsed < MASS_LAPSE_MIN_TARGETS {
+            return;
+        }
         let all = self.all().filter(|target| target.state == State::Ready).count();
-        if lapsed >= MASS_LAPSE_MIN_TARGETS && lapsed * 2 > all {
+        if lapsed * 2 > all {
             self.start_grace(now);
         }
     }
 
     /// Removes targets that are still missing at the end of the grace period, and returns whether
-    /// there were any.
+    /// there were any. The cost does not depend on the number of targets that are listed.
     pub fn expire(&mut self, now: Time) -> bool {
-        self.tombstones.retain(|_, tombstone| now.since(tombstone.created_at) < TOMBSTONE_TTL);
+        self.expire_tombstones(now);
         if now < self.grace_until {
             return false;
         }
-        let missing =
-            self.live.iter().filter_map(|(id, lease)| Some((id.clone(), lease.missing_at?)));
-        let expired: Vec<(id::Target, Position)> = missing.collect();
+        let missing = std::mem::take(&mut self.missing);
+        let missing_at = |id: &id::Target| self.live.get(id).and_then(|lease| lease.missing_at);
+        let expired: Vec<(id::Target, Position)> =
+            missing.into_iter().filter_map(|id| missing_at(&id).map(|at| (id, at))).collect();
         for (id, position) in &expired {
             self.remove(now, *position, id);
             // The new position shows entries that have not read the registry themselves that they
@@ -278,6 +291,23 @@
         !expired.is_empty()
     }
 
+    fn expire_tombstones(&mut self, now: Time) {
+        while let Some((created_at, id)) = self.buried.front()
+            && now.since(*created_at) >= TOMBSTONE_TTL
+        {
+            // The name may have been buried again since.
+            if self.tombstones.get(id).is_some_and(|last| last.created_at == *created_at) {
+                self.tombstones.remove(id);
+            }
+            self.buried.pop_front();
+        }
+    }
+
+    /// Takes the targets that may have begun or ceased to take new work since the last call.
+    pub fn take_changed(&mut self) -> BTreeSet<id::Target> {
+        std::mem::take(&mut self.changed)
+    }
+
     /// Takes the targets that have restarted under their names since the last call.
     pub fn take_restarted(&mut self) -> Vec<id::Target> {
         std::mem::take(&mut self.restarted)
@@ -289,6 +319,9 @@
         let Some(lease) = self.live.get_mut(id) else { return false };
         let changed = lease.target.state == State::Ready;
         lease.target.state = State::Draining;
+        if changed {
+            self.changed.insert(id.clone());
+        }
         changed
     }
 
@@ -379,6 +412,9 @@
             target.state = State::Draining;
         }
         if target.state == State::Draining && known.is_none() {
+            // The draining start may follow one that was ready.
+            self.changed.insert(target.id.clone());
+            self.buried.push_back((now, target.id.clone()));
             self.tombstones
                 .insert(target.id.clone(), Tombstone { target, created_at: now, position });
             return false;
@@ -391,6 +427,10 @@
         let advertised = now + Duration::from_millis(target.cold_ms);
         let cold_extended = target.cold_ms > 0 && advertised > before.max(now) + COLD_TOLERANCE;
         let cold_until = if outdated { before } else { advertised };
+        if changed {
+            self.changed.insert(target.id.clone());
+        }
+        self.missing.remove(&target.id);
         self.live.insert(target.id.clone(), Lease { target, missing_at: None, cold_until });
         changed || cold_extended
     }
@@ -400,6 +440,7 @@
         match self.live.get_mut(id) {
             Some(lease) if now < self.grace_until && lease.target.state == State::Ready => {
                 lease.missing_at = Some(position);
+                self.missing.insert(id.clone());
                 false
             }
             Some(_) => {
@@ -412,8 +453,13 @@
 
     fn remove(&mut self, now: Time, position: Position, id: &id::Target) {
         if let Some(lease) = self.live.remove(id) {
+            self.missing.remove(id);
+            self.changed.insert(id.clone());
             let tombstone = Tombstone { target: lease.target, created_at: now, position };
-            self.tombstones.entry(id.clone()).or_insert(tombstone);
+            if let Entry::Vacant(vacant) = self.tombstones.entry(id.clone()) {
+                self.buried.push_back((now, id.clone()));
+                vacant.insert(tombstone);
+            }
         }
     }
 }
--- a/crates/policy/src/outlier.rs
+++ b/crates/policy/src/outlier.rs
@@ -177,6 +177,16 @@
         self.targets = kept;
     }
 
+    /// Adds a target, keeping its state if it was set before.
+    pub fn add_target(&mut self, target: &id::Target) {
+        self.targets.entry(target.clone()).or_default();
+    }
+
+    /// Removes a target and its state.
+    pub fn remove_target(&mut self, target: &id::Target) {
+        self.targets.remove(target);
+    }
+
     /// Records a sample and ejects the target if that is due; ignores targets that are not set.
     pub fn record(&mut self, now: Time, target: &id::Target, sample: Sample) {
         let Some(state) = self.targets.get_mut(target) else { return };
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -101,8 +101,17 @@
     // Sampling without replacement: comparing a target with itself is no choice, which matters most
     // where there are few.
     let drawn = index::sample(rng, usable, choices.clamp(1, usable));
-    let drawn = drawn.into_iter().map(|n| nth_usable(candidates, n));
-    drawn.min_by(|a, b| candidates[*a].cost().total_cmp(&candidates[*b].cost()))
+    least_cost(candidates, drawn.into_iter().map(|n| nth_usable(candidates, n)))
+}
+
+/// Chooses the best of candidates that were drawn at random, all of them usable. Returns an index
+/// into `drawn`, or `None` if it is empty.
+pub(crate) fn choose_drawn(drawn: &[Candidate]) -> Option<usize> {
+    least_cost(drawn, 0..drawn.len())
+}
+
+fn least_cost(candidates: &[Candidate], among: impl Iterator<Item = usize>) -> Option<usize> {
+    among.min_by(|a, b| candidates[*a].cost().total_cmp(&candidates[*b].cost()))
 }
 
 /// Returns the first of the prefix's two homes that is not loaded beyond the bound.
--- a/crates/policy/src/stagger.rs
+++ b/crates/policy/src/stagger.rs
@@ -45,30 +45,35 @@
     /// Returns how long after an engine has joined this entry leaves it to the others.
     pub(crate) fn delay(&self, engine: &id::Target) -> Duration {
         let Some(own) = &self.own else { return Duration::ZERO };
-        let ranked = rendezvous::rank(engine.as_str(), &self.entries, |host| host.as_str());
-        let position = ranked.iter().position(|host| *host == own).unwrap_or(ranked.len());
+        let weight = |host: &id::Host| rendezvous::weight(engine.as_str(), host.as_str());
+        let own_weight = weight(own);
+        let precedes = |host: &&id::Host| {
+            let weight = weight(host);
+            weight > own_weight || weight == own_weight && *host < own
+        };
+        let position = match self.entries.contains(own) {
+            true => self.entries.iter().filter(precedes).count(),
+            false => self.entries.len(),
+        };
         (INTERVAL * u32::try_from(position).unwrap_or(u32::MAX)).min(MAX_DELAY)
     }
 }
 
-/// When this entry may begin to send to an engine that has joined.
+/// When an engine joined, from which it follows when this entry may begin to send to it.
+///
+/// The delay is computed where it is asked for. The order changes with each entry that joins or
+/// leaves, and a fleet may have thousands of engines, nearly all of which joined long ago.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Delay {
     joined: Time,
-    until: Time,
 }
 
 impl Delay {
-    pub(crate) fn at(joined: Time, order: &Order, engine: &id::Target) -> Self {
-        Self { joined, until: joined + order.delay(engine) }
+    pub(crate) fn since(joined: Time) -> Self {
+        Self { joined }
     }
 
-    /// Recomputes the delay for another order of entries.
-    pub(crate) fn reordered(self, order: &Order, engine: &id::Target) -> Self {
-        Self::at(self.joined, order, engine)
-    }
-
-    pub(crate) fn is_over(&self, now: Time) -> bool {
-        now >= self.until
+    pub(crate) fn is_over(&self, now: Time, order: &Order, engine: &id::Target) -> bool {
+        now >= self.joined + MAX_DELAY || now >= self.joined + order.delay(engine)
     }
 }
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -290,3 +290,43 @@
     assert!(leases.is_ready(&target("c").id));
     assert!(!leases.apply_list(at(30), position(1, 99), vec![target("a")]));
 }
+
+/// Guards against each change of a target, and each check for expired ones, costing as much as
+/// there are targets: what is passed on is what has changed, however many are listed.
+#[test]
+fn changes_touch_only_the_targets_that_changed() {
+    for count in [750, 1_500, 3_000, 6_000] {
+        let mut leases = Leases::default();
+        let names: Vec<String> = (0..count).map(|nth| format!("t-{nth}")).collect();
+        let all = names.iter().map(|name| target_with_renewal(name, 1)).collect();
+        leases.apply_list(at(0), revision(1), all);
+        assert_eq!(leases.take_changed().len(), count);
+        // Every target renews its lease, three leave and one starts to drain.
+        for name in &names {
+            let renewal = Change::Put(target_with_renewal(name, 2));
+            leases.apply_change(at(10), revision(2), renewal);
+        }
+        assert!(leases.take_changed().is_empty(), "a renewal is no change");
+        for name in &names[..3] {
+            leases.apply_change(at(20), revision(3), Change::Gone(target(name).id));
+        }
+        leases.apply_change(at(20), revision(3), Change::Put(draining(&names[3])));
+        let changed: Vec<String> = leases.take_changed().iter().map(|id| id.to_string()).collect();
+        assert_eq!(changed, ["t-0", "t-1", "t-2", "t-3"], "of {count}");
+    }
+}
+
+/// Guards against a name that was removed, listed again and removed once more being forgotten with
+/// its first removal, so that an older reading could bring it back.
+#[test]
+fn a_name_that_is_removed_twice_is_kept_for_the_second_removal() {
+    let mut leases = Leases::default();
+    leases.apply_list(at(0), revision(1), vec![target_with_renewal("a", 1), target("b")]);
+    leases.apply_change(at(0), revision(2), Change::Gone(target("a").id));
+    leases.apply_change(at(30_000), revision(3), Change::Put(target_with_renewal("a", 2)));
+    leases.apply_change(at(40_000), revision(4), Change::Gone(target("a").id));
+    leases.expire(at(61_000));
+    assert!(leases.get(&target("a").id).is_some(), "its second removal is 21 s ago");
+    leases.expire(at(101_000));
+    assert_eq!(leases.get(&target("a").id), None);
+}
