Log the changes of a reading together where there are many

Change: more than 16 changes of one reading make one line "targets changed" with their number, how many drain and how many are gone. Smaller readings are logged as before, so that explain still finds single targets.

--- a/crates/gateway/src/process/state/targets.rs
+++ b/crates/gateway/src/process/state/targets.rs
@@ -15,6 +15,10 @@
 use crate::process::service_gate::ServiceGate;
 use crate::process::state::Process;
 
+/// The most changes of one reading that are logged one by one. When a fleet of targets starts or is
+/// replaced, thousands change within seconds at every entry.
+const MAX_LOGGED_CHANGES: usize = 16;
+
 impl Process {
     /// Lets gates act on the time and drops targets and cordons that have expired.
     pub(crate) fn poll_gates(&self) {
@@ -135,10 +139,7 @@
     pub(crate) fn apply_target_changes(&self, at: Position, changes: Vec<Change>) -> Vec<Change> {
         let now = self.clock.now();
         let new = self.leases.lock().apply_changes(now, at, changes);
-        for change in &new {
-            let line = describe(change);
-            ::log::info!(revision:% = at, change = line.as_str(); "target changed");
-        }
+        log_changes(at, &new);
         if !new.is_empty() {
             self.update_gates();
         }
@@ -206,6 +207,27 @@
     }
 }
 
+/// Logs changes of targets, each with a line of its own unless there are too many.
+fn log_changes(at: Position, changes: &[Change]) {
+    if changes.len() > MAX_LOGGED_CHANGES {
+        let gone = changes.iter().filter(|change| matches!(change, Change::Gone(_))).count();
+        let draining = changes.iter().filter(|change| is_draining(change)).count();
+        ::log::info!(
+            revision:% = at, changes = changes.len(), draining = draining, gone = gone;
+            "targets changed"
+        );
+        return;
+    }
+    for change in changes {
+        let line = describe(change);
+        ::log::info!(revision:% = at, change = line.as_str(); "target changed");
+    }
+}
+
+fn is_draining(change: &Change) -> bool {
+    matches!(change, Change::Put(target) if target.state == lease::State::Draining)
+}
+
 fn describe(change: &Change) -> String {
     match change {
         Change::Put(target) => {
