Measure what one change of a target costs beside passing on all of them

slopes prints, for 300 to 6,000 targets, the median time of a change, an announcement of loads, a placement and a check for expiry, and the same with all targets passed on or looked at, which is what entries did before.

--- a/crates/bench/src/bin/slopes.rs
+++ b/crates/bench/src/bin/slopes.rs
@@ -6,6 +6,7 @@
 
 use std::time::{Duration, Instant};
 
+use fireflyhoist_bench::target_change;
 use fireflyhoist_policy::member::Message;
 use fireflyhoist_policy::version::{Version, WATCHERS_PER_DOMAIN, poll_interval};
 use fireflyhoist_standin::fleet::{Fleet, published};
@@ -23,6 +24,9 @@
 /// Members measured.
 const SIZES: [usize; 4] = [8, 32, 128, 330];
 
+/// Targets before which one entry is measured.
+const TARGETS: [usize; 4] = [300, 1_500, 3_000, 6_000];
+
 /// Virtual time of each measurement.
 const SPAN: Duration = Duration::from_secs(60);
 
@@ -155,9 +159,25 @@
     );
 }
 
+fn target_changes(targets: usize) {
+    let cost = target_change::measure(targets);
+    println!(
+        "targets={targets} change_us={:.1} with_list_us={:.1} load_us={:.1} with_all_us={:.1} \
+         placement_us={:.1} of_all_us={:.1} expiry_us={:.2}",
+        cost.change,
+        cost.change_with_list,
+        cost.load,
+        cost.load_with_all,
+        cost.placement,
+        cost.placement_of_all,
+        cost.expiry,
+    );
+}
+
 fn main() {
     println!("cores_used=1 span_s={} seed=1", SPAN.as_secs());
     SIZES.iter().for_each(|size| membership(*size));
     [8, 330].iter().for_each(|size| platform(*size));
     sections();
+    TARGETS.iter().for_each(|targets| target_changes(*targets));
 }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod report;
 pub mod run;
 pub mod scene;
+pub mod target_change;
 pub mod world;
