Use the runtime's timers in the gateway

Cause: ntex::time waits with futures-timer, whose own thread wakes for each timer that is set or ends, and then wakes the thread that waits. Change: tokio's sleep and timeout, which the links used already; they also keep time to a millisecond.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -18,9 +18,9 @@
 use hyper_util::rt::TokioIo;
 use ntex::http::header::{HOST, HeaderValue};
 use ntex::http::{HeaderMap, Method, StatusCode};
-use ntex::time::timeout;
 use ntex::util::{Bytes, BytesMut};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// How long opening a connection may take: a hundred round trips between failure domains, and less
 /// than half of the shortest timeout of callers in use. A request that is not connected by then is
@@ -152,9 +152,9 @@
         loop {
             let frame = match self.idle_timeout {
                 None => self.body.frame().await,
-                Some(idle_timeout) => timeout(idle_timeout, self.body.frame())
-                    .await
-                    .map_err(|()| Failure::TimedOut)?,
+                Some(idle_timeout) => {
+                    timeout(idle_timeout, self.body.frame()).await.map_err(|_| Failure::TimedOut)?
+                }
             };
             match frame {
                 Some(Ok(frame)) => {
--- a/crates/gateway/src/process/fleet/heartbeat.rs
+++ b/crates/gateway/src/process/fleet/heartbeat.rs
@@ -7,7 +7,7 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::load::Load;
 use fireflyhoist_policy::observation::Observer;
-use ntex::time::sleep;
+use tokio::time::sleep;
 
 use crate::connection::frame::{Frame, Heartbeat, TargetOutcome};
 use crate::process::fleet::Fleet;
--- a/crates/gateway/src/process/fleet/links.rs
+++ b/crates/gateway/src/process/fleet/links.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::{id, rendezvous};
-use ntex::time::sleep;
 use smol_str::{SmolStr, ToSmolStr};
+use tokio::time::sleep;
 
 use crate::connection::frame::Frame;
 use crate::process::fleet::Fleet;
--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -32,11 +32,11 @@
 use fireflyhoist_policy::topology::{self, Member};
 use fireflyhoist_policy::version::Fetch;
 use fireflyhoist_text::transfer::Transfer;
-use ntex::time::sleep;
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
+use tokio::time::sleep;
 
 use crate::connection::frame::{Frame, Heartbeat};
 use crate::connection::link::{Event, Links, Loss};
--- a/crates/gateway/src/process/fleet/owner.rs
+++ b/crates/gateway/src/process/fleet/owner.rs
@@ -9,9 +9,9 @@
 
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::poison::Decision;
-use ntex::time::timeout;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use crate::connection::frame::{Frame, Permit};
 use crate::process::fleet::Fleet;
@@ -82,7 +82,7 @@
         self.pending_permits.remove(number);
         match reply {
             Ok(Ok(wait)) => wait,
-            Ok(Err(_)) | Err(()) => {
+            Ok(Err(_)) | Err(_) => {
                 log::warn!(about = key.as_str(), keeper:% = owner; "no answer from owner");
                 Some(UNANSWERED_RETRY)
             }
--- a/crates/gateway/src/process/migration.rs
+++ b/crates/gateway/src/process/migration.rs
@@ -8,10 +8,10 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::migration_queue::{Migration, Queues};
 use fireflyhoist_policy::unit::Tokens;
-use ntex::time::{sleep, timeout};
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
+use tokio::time::{sleep, timeout};
 
 use crate::connection::frame::Frame;
 use crate::process::fleet::Fleet;
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -19,8 +19,8 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use ntex::time::{sleep, timeout};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{sleep, timeout};
 
 use crate::platform::Platform;
 use crate::process::fleet::Fleet;
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -23,9 +23,9 @@
 use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::token_bucket::Buckets;
 use fireflyhoist_policy::{id, load, placement};
-use ntex::time::timeout;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
 
 use crate::process::clock::Clock;
 use crate::process::metrics::Metrics;
--- a/crates/gateway/src/process/state/poison.rs
+++ b/crates/gateway/src/process/state/poison.rs
@@ -9,9 +9,9 @@
 use fireflyhoist_policy::poison::{self, Decision, Incarnation, Ledger, Record};
 use fireflyhoist_policy::resubmission::Fingerprint;
 use fireflyhoist_policy::time::Time;
-use ntex::time::timeout;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use crate::process::state::Process;
 
--- a/crates/gateway/src/request/liveness.rs
+++ b/crates/gateway/src/request/liveness.rs
@@ -8,9 +8,9 @@
 use fireflyhoist_policy::lease::Target;
 use fireflyhoist_policy::resubmission::Fingerprint;
 use fireflyhoist_policy::time::Time;
-use ntex::time::timeout;
 use smol_str::SmolStr;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use crate::connection::exchange::CONNECT_TIMEOUT;
 use crate::process::state::{CrashCheck, Process, millis};
--- a/crates/gateway/src/request/migration.rs
+++ b/crates/gateway/src/request/migration.rs
@@ -14,7 +14,7 @@
 use fireflyhoist_policy::lease::Target;
 use fireflyhoist_policy::unit::Tokens;
 use ntex::http::StatusCode;
-use ntex::time::sleep;
+use tokio::time::sleep;
 
 use crate::platform::{Copy, Platform};
 use crate::process::copy_usage::CopyUsage;
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -28,9 +28,9 @@
 use ntex::http::header::HOST;
 use ntex::http::{HeaderMap, Method, Payload, Request, Response};
 use ntex::io::IoRef;
-use ntex::time::timeout;
 use ntex::util::{Bytes, BytesMut};
 use smol_str::SmolStr;
+use tokio::time::timeout;
 
 use crate::platform::{Platform, RequestInfo};
 use crate::process::fleet::Fleet;
@@ -205,7 +205,7 @@
     let body = match timeout(BODY_TIMEOUT, read_body(request.take_payload(), limit)).await {
         Ok(Some(body)) => body,
         Ok(None) => return Err(refuse::too_large(&facts.request)),
-        Err(()) => return Err(refuse::body_timeout(&facts.request)),
+        Err(_) => return Err(refuse::body_timeout(&facts.request)),
     };
     let draw = xxhash_rust::xxh3::xxh3_64(facts.request.as_bytes());
     let service = route.service(draw).and_then(|name| table.service(name)).cloned();
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -9,8 +9,8 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use ntex::http::{HeaderMap, Response, StatusCode};
-use ntex::time::{sleep, timeout};
 use ntex::util::Bytes;
+use tokio::time::{sleep, timeout};
 
 use crate::connection::exchange::Failure;
 use crate::platform::Platform;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -14,9 +14,9 @@
 use fireflyhoist_policy::unit::Tokens;
 use futures_util::future::{Fuse, FutureExt};
 use futures_util::{Stream, pin_mut};
-use ntex::time::sleep;
 use ntex::util::Bytes;
 use tokio::sync::mpsc;
+use tokio::time::sleep;
 
 use crate::connection::exchange::Response;
 use crate::platform::Platform;
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -7,7 +7,7 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::shutdown::{self, Decision, State};
 use ntex::http::{Response, StatusCode};
-use ntex::time::timeout;
+use tokio::time::timeout;
 
 use crate::platform::Platform;
 use crate::process::service_gate::Pass;
--- a/crates/gateway/src/request/transfer.rs
+++ b/crates/gateway/src/request/transfer.rs
@@ -7,9 +7,9 @@
 use fireflyhoist_policy::unit::Tokens;
 use ntex::http::header::{CONTENT_TYPE, HeaderValue};
 use ntex::http::{HeaderMap, StatusCode};
-use ntex::time::sleep;
 use ntex::util::Bytes;
 use smol_str::SmolStr;
+use tokio::time::sleep;
 
 use crate::connection::exchange::{self, Failure, Outgoing};
 use crate::platform::{Call, Copy, Moved, Platform};
--- a/crates/gateway/src/version/engine_poll.rs
+++ b/crates/gateway/src/version/engine_poll.rs
@@ -11,8 +11,8 @@
 
 use fireflyhoist_policy::lease::Target;
 use ntex::http::HeaderMap;
-use ntex::time::sleep;
 use ntex::util::Bytes;
+use tokio::time::sleep;
 
 use crate::connection::exchange::{self, Outgoing};
 use crate::platform::Platform;
--- a/crates/gateway/src/version/watcher.rs
+++ b/crates/gateway/src/version/watcher.rs
@@ -18,9 +18,9 @@
 use fireflyhoist_policy::position::Position;
 use fireflyhoist_policy::time::Time;
 use ntex::http::{HeaderMap, Method, StatusCode};
-use ntex::time::{sleep, timeout};
 use ntex::util::Bytes;
 use smol_str::SmolStr;
+use tokio::time::{sleep, timeout};
 
 use crate::connection::exchange::{self, Failure, Outgoing};
 use crate::platform::{DecodeError, Item, Page, Platform, Resource};
