Request the first list of targets from the actives of an entry

Cause: an entry that starts links to a seed and requested the whole list there as soon as the seed had it; seeds sent as many lists as there are entries, each as long as there are targets. Change: actives request the list from any peer, leaves from their actives, and from other peers only after 450 ms. Ruled out: a limit at the seed, since a request that is not answered blocks its entry for two seconds. A test with real entries that would fail without the change was tried and given up: on loopback the list is read before entries know each other, or the actives read it too.

--- a/crates/gateway/src/process/fleet/catchup.rs
+++ b/crates/gateway/src/process/fleet/catchup.rs
@@ -14,6 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fireflyhoist_policy::bootstrap::{MAX_LAG, Source};
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::position::Position;
 use fireflyhoist_policy::time::Time;
@@ -24,11 +25,6 @@
 use crate::process::fleet::Fleet;
 use crate::version::encoding;
 
-/// How long this entry may be behind a peer before it requests what is missing: a few heartbeats,
-/// in which changes that are on their way arrive, and a fraction of the 2 s within which a text or
-/// the leaving of a target must be known.
-const MAX_LAG: Duration = Duration::from_millis(450);
-
 /// The time at which this entry fell behind a peer; `None` if it is not behind.
 #[derive(Debug, Default)]
 pub(super) struct Lag(Option<Time>);
@@ -66,14 +62,21 @@
         if text_behind && (text_lags || text == 0 || self.is_standby()) {
             self.request_text(from, heartbeat.text);
         }
-        if let Some(theirs) = heartbeat.targets
-            && targets_behind
-            && (targets_lag || targets.is_none_or(|own| theirs.has_later_era_than(own)))
-        {
+        let Some(theirs) = heartbeat.targets.filter(|_| targets_behind) else { return };
+        let is_first = targets.is_none_or(|own| theirs.has_later_era_than(own));
+        if targets_lag || (is_first && self.list_source(from).is_due(Duration::ZERO)) {
             self.request_targets(from, theirs);
         }
     }
 
+    /// Returns what a peer is to this entry, which needs a whole list of targets.
+    fn list_source(&self, peer: &id::Host) -> Source {
+        // The presence list of the peer may have arrived just before its heartbeat.
+        self.refresh();
+        let linked = self.view().links.iter().any(|member| member.host == *peer);
+        if linked || self.is_active() { Source::Own } else { Source::Other }
+    }
+
     /// Records whether this entry is behind a peer in its text and in its targets. Returns for each
     /// whether it has been behind for so long that the change must be requested; `None` if the link
     /// to the peer is gone.
--- a/crates/policy/src/bootstrap.rs
+++ b/crates/policy/src/bootstrap.rs
@@ -38,6 +38,31 @@
     Informed,
 }
 
+/// How long an entry may be behind a peer before it requests what is missing: a few heartbeats, in
+/// which changes that are on their way arrive, and a fraction of the 2 s within which a text or the
+/// leaving of a target must be known.
+pub const MAX_LAG: Duration = Duration::from_millis(450);
+
+/// The peer that offers a starting entry its first list of targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// One of the actives that this entry links to, or any peer if it is active itself.
+    Own,
+    /// Another peer, such as the seed that the entry has dialled.
+    Other,
+}
+
+impl Source {
+    /// Returns whether to request the list from the peer, which has offered it for this long.
+    ///
+    /// Every entry that starts links to a seed. If it also requested the list there, a seed would
+    /// send as many lists as there are entries, each as long as there are targets. A seed with a
+    /// narrow link takes most of a minute for that in a large fleet.
+    pub fn is_due(self, offered_for: Duration) -> bool {
+        self == Self::Own || offered_for >= MAX_LAG
+    }
+}
+
 /// The delay until one starting entry reads the registry.
 #[derive(Clone, Copy, Debug)]
 pub struct Bootstrap {
--- a/crates/policy/tests/bootstrap.rs
+++ b/crates/policy/tests/bootstrap.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use fireflyhoist_policy::bootstrap::{Bootstrap, Peers, READ_DEADLINE, TRANSFER_GRACE};
+use fireflyhoist_policy::bootstrap::{
+    Bootstrap, MAX_LAG, Peers, READ_DEADLINE, Source, TRANSFER_GRACE,
+};
 use fireflyhoist_policy::time::Time;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -85,3 +87,43 @@
             .all(|p| seed.is_due(Time::ZERO, *p))
     );
 }
+
+/// Guards against seeds sending the list of targets to every entry that starts, which takes a seed
+/// with a narrow link as long as there are entries and targets: however many entries start, seeds
+/// send it to those that become active.
+#[test]
+fn seeds_send_the_list_to_actives_only() {
+    const ACTIVES: usize = 30;
+    const HEARTBEAT: Duration = Duration::from_millis(300);
+    const TRANSFER: Duration = Duration::from_millis(100);
+    for entries in [150, 300, 600, 1_000] {
+        let mut sent_by_seeds = 0;
+        for nth in 0..entries {
+            // The seeds have the list from the start; heartbeats of different peers interleave.
+            let seed_at = HEARTBEAT.mul_f64(nth as f64 / entries as f64);
+            if nth < ACTIVES {
+                assert!(Source::Own.is_due(Duration::ZERO));
+                sent_by_seeds += 1;
+                continue;
+            }
+            // An active has it one heartbeat and a transfer later, and announces it to its leaves.
+            let active_at = HEARTBEAT + TRANSFER + seed_at / 2;
+            let offers = (0..3).map(|beat| (seed_at + HEARTBEAT * beat, Source::Other));
+            let mut offers: Vec<_> = offers.chain([(active_at, Source::Own)]).collect();
+            offers.sort_by_key(|(at, _)| *at);
+            let (_, source) = offers
+                .into_iter()
+                .find(|(at, source)| source.is_due(at.saturating_sub(seed_at)))
+                .expect("some peer offers it");
+            sent_by_seeds += usize::from(source == Source::Other);
+        }
+        assert_eq!(sent_by_seeds, ACTIVES, "of {entries} entries");
+    }
+}
+
+/// An entry whose actives do not offer the list requests it from another peer.
+#[test]
+fn any_peer_is_a_source_after_the_lag() {
+    assert!(!Source::Other.is_due(MAX_LAG - Duration::from_millis(1)));
+    assert!(Source::Other.is_due(MAX_LAG));
+}
