Wake leaves for their own work only

Cause: a leaf that carries no requests woke some 63 times a second: 6.7 for heartbeats, half of which it does not send, 6.7 to see whether others still watch the registry, 5 to check its links, 2.9 to poll engines on which it runs nothing. Change: a leaf wakes for the heartbeats that it sends; checks for coverage and links come once a second, and at once when a link, a role or a peer's state changes; engines are polled while a request is open.

--- a/crates/gateway/src/process/fleet/heartbeat.rs
+++ b/crates/gateway/src/process/fleet/heartbeat.rs
@@ -102,10 +102,15 @@
                 sleep(heartbeat::COALESCE_DELAY).await;
                 self.send_to_actives();
             }
-            let Some(recipients) = schedule.take_due(self.now()) else { continue };
-            if self.is_active() || recipients == heartbeat::Recipients::All {
-                self.send_to_actives();
+            if !self.is_active() {
+                if schedule.take_due_as_leaf(self.now()) {
+                    self.send_heartbeats();
+                    self.process.report_own_usage();
+                }
+                continue;
             }
+            let Some(recipients) = schedule.take_due(self.now()) else { continue };
+            self.send_to_actives();
             if recipients == heartbeat::Recipients::All {
                 self.send_to_leaves();
             }
--- a/crates/gateway/src/process/fleet/links.rs
+++ b/crates/gateway/src/process/fleet/links.rs
@@ -1,12 +1,13 @@
 //! Opens links that are needed, closes unused ones, and announces who is alive.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use fireflyhoist_policy::{id, rendezvous};
 use smol_str::{SmolStr, ToSmolStr};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::connection::frame::Frame;
 use crate::process::fleet::Fleet;
@@ -14,6 +15,9 @@
 /// The interval at which links are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// How much longer a leaf with all its links waits unless it learns of a change.
+const LINKED_INTERVAL: Duration = Duration::from_millis(800);
+
 /// How long an entry waits for the other end to dial before it dials itself. Of two entries the one
 /// with the lower address dials; without this rule both would dial at once and each would close the
 /// link of the other.
@@ -58,9 +62,24 @@
             }
             self.close_unused();
             sleep(if self.is_starting() { STARTUP_INTERVAL } else { CHECK_INTERVAL }).await;
+            if self.is_linked_leaf() {
+                // It has nothing to do until it loses a link or other entries become active.
+                let _ = timeout(LINKED_INTERVAL, self.changed()).await;
+            }
         }
     }
 
+    /// Returns whether this entry is a leaf that has links to its actives and to no other entry, to
+    /// which it would announce who is alive.
+    fn is_linked_leaf(&self) -> bool {
+        let view = self.view();
+        let wanted: BTreeSet<&id::Host> = view.links.iter().map(|member| &member.host).collect();
+        let peers = self.peers.lock();
+        !view.actives.contains(&self.own.host)
+            && !wanted.is_empty()
+            && wanted.iter().copied().eq(peers.keys().collect::<BTreeSet<_>>())
+    }
+
     /// Sends all linked entries the changes of the list of live entries.
     fn announce_alive(&self) {
         let Some(update) = self.publisher.lock().update(self.announced()) else { return };
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -7,6 +7,7 @@
 mod usage;
 
 use std::collections::{BTreeSet, HashMap};
+use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -380,15 +381,18 @@
 
     /// Waits until a request arrives, unless one is open.
     pub(crate) async fn busy(&self) {
+        // Callers are served by another thread, so the wait begins before the check.
+        let mut arrived = pin!(self.busy.notified());
+        arrived.as_mut().enable();
         if self.open_requests() == 0 {
-            self.busy.notified().await;
+            arrived.await;
         }
     }
 
     /// Counts a request as open until the returned guard is dropped.
     pub(crate) fn start_request(self: &Arc<Self>) -> RequestGuard {
         if self.open_requests.fetch_add(1, Ordering::AcqRel) == 0 {
-            self.busy.notify_one();
+            self.busy.notify_waiters();
         }
         *self.latest_request.lock() = self.clock.now();
         RequestGuard { process: Arc::clone(self) }
--- a/crates/gateway/src/version/engine_poll.rs
+++ b/crates/gateway/src/version/engine_poll.rs
@@ -34,6 +34,8 @@
     let (process, fleet) = (Arc::clone(process), Arc::clone(fleet));
     ntex::rt::spawn(async move {
         loop {
+            // An entry without requests has no answers to lose.
+            process.busy().await;
             sleep(POLL_INTERVAL).await;
             if fleet.are_targets_unwatched() {
                 poll_all::<P>(&process, &fleet);
--- a/crates/gateway/src/version/watcher.rs
+++ b/crates/gateway/src/version/watcher.rs
@@ -60,6 +60,9 @@
 /// How often an entry that does not watch checks whether it should.
 const STANDBY_POLL: Duration = Duration::from_millis(300);
 
+/// The same while other entries watch: what would change that is notified.
+const COVERED_POLL: Duration = Duration::from_secs(1);
+
 /// The least time for the second watcher, which is there in case the first one fails.
 const MIN_SECOND_WATCH_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -213,7 +216,8 @@
                 return;
             }
             // The wait is bounded because a change between the check above and the wait is missed.
-            let _ = timeout(STANDBY_POLL, self.fleet.changed()).await;
+            let wait = if takeover_at.is_some() { STANDBY_POLL } else { COVERED_POLL };
+            let _ = timeout(wait, self.fleet.changed()).await;
         }
     }
 
--- a/crates/policy/src/heartbeat.rs
+++ b/crates/policy/src/heartbeat.rs
@@ -74,4 +74,14 @@
             Recipients::Actives
         })
     }
+
+    /// Returns whether a heartbeat of a leaf is due. A leaf sends heartbeats as rarely as it
+    /// receives them, and has no reason to wake in between.
+    pub fn take_due_as_leaf(&mut self, now: Time) -> bool {
+        let due = now >= self.due;
+        if due {
+            self.due = now + INTERVAL * LEAF_DIVISOR;
+        }
+        due
+    }
 }
--- a/crates/policy/tests/heartbeat.rs
+++ b/crates/policy/tests/heartbeat.rs
@@ -47,3 +47,23 @@
     assert_eq!(schedule.take_due(at(5_010)), None);
     assert_eq!(schedule.wait(at(5_010)), INTERVAL - Duration::from_millis(10));
 }
+
+/// Guards against a leaf that wakes for heartbeats which it does not send: it wakes once for each,
+/// and they are as far apart as those that it receives.
+#[test]
+fn a_leaf_wakes_for_its_heartbeats_only() {
+    let (mut leaf, mut active) = (Schedule::open(at(0)), Schedule::open(at(0)));
+    let (mut now, mut wakeups, mut sent) = (at(0), 0, 0);
+    while now < at(30_000) {
+        now = now + leaf.wait(now);
+        wakeups += 1;
+        sent += usize::from(leaf.take_due_as_leaf(now));
+    }
+    let (mut now, mut received) = (at(0), 0);
+    while now < at(30_000) {
+        now = now + active.wait(now);
+        received += usize::from(active.take_due(now) == Some(Recipients::All));
+    }
+    assert_eq!(wakeups, sent);
+    assert!(sent.abs_diff(received) <= 1, "{sent} sent, {received} received");
+}
