--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -142,7 +142,7 @@
     tombstones: BTreeMap<id::Target, Tombstone>,
     /// The names of tombstones in the order of their creation, so that old ones are found without a
     /// scan.
-    buried: VecDeque<(Time, id::Target)>,
+    tombstone_order: VecDeque<(Time, id::Target)>,
     /// The registry position of the last change.
     position: Position,
     /// The end of the grace period in which missing leases may belong to live targets.
@@ -292,14 +292,14 @@
     }
 
     fn expire_tombstones(&mut self, now: Time) {
-        while let Some((created_at, id)) = self.buried.front()
+        while let Some((created_at, id)) = self.tombstone_order.front()
             && now.since(*created_at) >= TOMBSTONE_TTL
         {
-            // The name may have been buried again since.
+            // A newer tombstone may have taken its place.
             if self.tombstones.get(id).is_some_and(|last| last.created_at == *created_at) {
                 self.tombstones.remove(id);
             }
-            self.buried.pop_front();
+            self.tombstone_order.pop_front();
         }
     }
 
@@ -414,7 +414,7 @@
         if target.state == State::Draining && known.is_none() {
             // The draining start may follow one that was ready.
             self.changed.insert(target.id.clone());
-            self.buried.push_back((now, target.id.clone()));
+            self.tombstone_order.push_back((now, target.id.clone()));
             self.tombstones
                 .insert(target.id.clone(), Tombstone { target, created_at: now, position });
             return false;
@@ -457,7 +457,7 @@
             self.changed.insert(id.clone());
             let tombstone = Tombstone { target: lease.target, created_at: now, position };
             if let Entry::Vacant(vacant) = self.tombstones.entry(id.clone()) {
-                self.buried.push_back((now, id.clone()));
+                self.tombstone_order.push_back((now, id.clone()));
                 vacant.insert(tombstone);
             }
         }
