--- a/crates/gateway/src/process/migration.rs
+++ b/crates/gateway/src/process/migration.rs
@@ -96,8 +96,7 @@
             if idle {
                 fleet.migrations.queue_changed.notified().await;
             } else {
-                // This timer waits in steps of 16 ms. By the first step, entries that learn later
-                // than others that an engine is leaving have requested their turns as well.
+                // This timer waits in steps of 16 ms. Grants to the millisecond cut more answers.
                 sleep(POLL_INTERVAL).await;
             }
             let due = fleet.migrations.queues.lock().poll(fleet.now());
