Let the soak's operator lift cordons again after a restore

Cause: the registry was restored twice from copies older than the lifts of both cordons. What the operator wrote is written again after a restore; the soak wrote the cordons again that were still set, and not the lifts, so that the registry listed both domains as cordoned for good and entries obeyed it.

Evidence: at the end of each run the soak now compares what the registry lists with what the operator wrote last. With the restore as it was: "cordon of d-0 is not as the operator wrote it last", the same of d-1, "0 of 1087 served".

Change: a restore is followed by the cordons and the lifts.

--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -136,6 +136,8 @@
     pub(crate) limits: Vec<Limit>,
     /// Failure domains that were cordoned.
     pub(crate) cordons: Vec<Span>,
+    /// Failure domains whose cordon the registry and its operator disagree about.
+    pub(crate) strays: Vec<(Duration, SmolStr)>,
     /// Targets that were cold.
     pub(crate) cold: Vec<Span>,
     /// Processes that ended by themselves.
@@ -171,6 +173,10 @@
             let evidence = format!("entry {entry} ended by itself");
             broken.push(Violation { promise: "no exit of its own", at: *at, evidence });
         }
+        for (at, domain) in &self.strays {
+            let evidence = format!("cordon of {domain} is not as the operator wrote it last");
+            broken.push(Violation { promise: "the registry is written again", at: *at, evidence });
+        }
         self.check_poison(&mut broken);
         self.limits.iter().for_each(|limit| self.check_limit(limit, &mut broken));
         self.cordons.iter().for_each(|cordon| self.check_cordon(cordon, &mut broken));
--- a/crates/soak/src/seen.rs
+++ b/crates/soak/src/seen.rs
@@ -85,6 +85,12 @@
         self.ledger.borrow_mut().cordons.push(cordon);
     }
 
+    /// Notes that the registry's list of cordons differs from what the operator wrote.
+    pub(crate) fn strayed(&self, domain: &str) {
+        let stray = (self.now(), domain.into());
+        self.ledger.borrow_mut().strays.push(stray);
+    }
+
     /// Notes that an entry ended by itself.
     pub(crate) fn exited(&self, entry: usize) {
         let exit = (self.now(), entry);
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -131,6 +131,7 @@
         }
         sleep(plan.end.saturating_sub(self.seen.now()) + CALM).await;
         self.seen.calmed();
+        self.check_cordons();
         sleep(PROOF).await;
         Ok(())
     }
@@ -160,6 +161,14 @@
         text
     }
 
+    /// Notes which cordons the registry lists although the operator has lifted them, or lacks.
+    fn check_cordons(&self) {
+        let asked: BTreeSet<_> =
+            self.cordoned.borrow().iter().map(|domain| backend::domain(*domain)).collect();
+        let listed = self.registry.cordoned();
+        listed.symmetric_difference(&asked).for_each(|domain| self.seen.strayed(domain.as_str()));
+    }
+
     fn publish(&self) {
         self.version.set(self.version.get() + 1);
         self.seen.published(self.version.get());
--- a/crates/soak/src/world/strike.rs
+++ b/crates/soak/src/world/strike.rs
@@ -240,8 +240,13 @@
                 self.registry.remove(&listed);
             }
         }
-        for domain in self.cordoned.borrow().iter() {
-            self.registry.cordon(&backend::domain(*domain));
+        for domain in 0..DOMAINS {
+            let name = backend::domain(domain);
+            match self.cordoned.borrow().contains(&domain) {
+                true => self.registry.cordon(&name),
+                // The copy may be older than the operator's latest lift.
+                false => self.registry.lift(&name),
+            }
         }
         self.registry.publish(self.text());
     }
