Log ejections of targets and what they were decided by

Cause: four tests of limits fail now and then, and an ejection is the suspect; no line said that an entry had ejected a target, nor why, so that the suspicion could only be tested with prints on a scratch copy.

Change: the detector keeps a record of each ejection with the target's mean latency and the median of its peers' until the gateway logs it as "target ejected".

The policy's and the gateway's tests pass.

--- a/crates/gateway/src/process/service_gate.rs
+++ b/crates/gateway/src/process/service_gate.rs
@@ -13,6 +13,7 @@
 };
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::observation::{self, Observer};
+use fireflyhoist_policy::outlier;
 use fireflyhoist_policy::retry;
 use fireflyhoist_policy::stagger::Order;
 use fireflyhoist_policy::unit::Tokens;
@@ -77,6 +78,17 @@
         self.state.lock().gate.take_outcomes()
     }
 
+    /// Takes the ejections since the last call, each with the time that is left of it.
+    pub fn take_ejections(&self) -> Vec<(outlier::Record, Duration)> {
+        let now = self.clock.now();
+        let records = self.state.lock().gate.take_ejections();
+        let with_rest = |record: outlier::Record| {
+            let rest = record.ejection.until.since(now);
+            (record, rest)
+        };
+        records.into_iter().map(with_rest).collect()
+    }
+
     /// Replaces the targets. Requests that are in flight at a removed target continue.
     pub fn set_targets(&self, targets: Vec<id::Target>) {
         self.set_targets_and_cordons(targets, &BTreeSet::new());
--- a/crates/gateway/src/process/state/targets.rs
+++ b/crates/gateway/src/process/state/targets.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use fireflyhoist_policy::gate::{Listing, TargetUpdate};
 use fireflyhoist_policy::id;
@@ -13,7 +14,7 @@
 
 use crate::connection::frame::TargetOutcome;
 use crate::process::service_gate::ServiceGate;
-use crate::process::state::Process;
+use crate::process::state::{Process, millis};
 
 /// The most changes of one reading that are logged one by one. When a fleet of targets starts or is
 /// replaced, thousands change within seconds at every entry.
@@ -22,7 +23,10 @@
 impl Process {
     /// Lets gates act on the time and drops targets and cordons that have expired.
     pub(crate) fn poll_gates(&self) {
-        self.gates.read().values().for_each(|gate| gate.poll());
+        for (service, gate) in self.gates.read().iter() {
+            gate.poll();
+            log_ejections(service, gate);
+        }
         let now = self.clock.now();
         if self.leases.lock().expire(now) {
             ::log::info!("targets still missing after a registry outage were removed");
@@ -207,6 +211,22 @@
     }
 }
 
+/// Logs the targets that this entry has ejected since the last call, and what that was decided by.
+fn log_ejections(service: &id::Service, gate: &ServiceGate) {
+    for (record, rest) in gate.take_ejections() {
+        ::log::warn!(
+            service:% = service, target:% = record.target, cause:% = record.ejection.cause,
+            latency_us = micros(record.latency),
+            peers_us = record.peer_median.map_or(0, micros), for_ms = millis(rest);
+            "target ejected"
+        );
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Logs changes of targets, each with a line of its own unless there are too many.
 fn log_changes(at: Position, changes: &[Change]) {
     if changes.len() > MAX_LOGGED_CHANGES {
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -21,7 +21,7 @@
 use crate::id;
 use crate::length::{Predictor, Progress};
 use crate::observation::{self, Observer};
-use crate::outlier::{Detector, Ejection, Sample};
+use crate::outlier::{self, Detector, Ejection, Sample};
 use crate::placement::Candidate;
 use crate::queue::{CAPACITY, Item, Queue};
 pub use crate::request::{Class, Outcome, Placement, Reason, Refusal, Report, Request, Verdict};
@@ -390,6 +390,11 @@
         self.detector.take_updates()
     }
 
+    /// Takes the ejections since the last call, for the log.
+    pub fn take_ejections(&mut self) -> Vec<outlier::Record> {
+        self.detector.take_records()
+    }
+
     /// Returns why a target is ejected and until when; `None` if it is not ejected.
     pub fn ejection(&self, now: Time, target: &id::Target) -> Option<Ejection> {
         self.detector.ejection(now, target)
--- a/crates/policy/src/outlier.rs
+++ b/crates/policy/src/outlier.rs
@@ -16,7 +16,7 @@
 //! [`MAX_EJECTION`]. A target that returns ramps up over [`RAMP`] so that its cold cache is not
 //! overloaded.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use derive_more::Display;
@@ -51,6 +51,8 @@
 const MIN_SAMPLES_RETURNED: u32 = 1;
 /// Weight of a new sample in the moving average, in which about the last ten samples count.
 const SMOOTHING: f64 = 0.2;
+/// Maximum number of ejections that are kept for the log.
+const MAX_RECORDS: usize = 64;
 /// After this time without ejection the next one is as short as the first.
 const BACKOFF_RESET: Duration = Duration::from_secs(300);
 
@@ -84,6 +86,19 @@
     pub until: Time,
 }
 
+/// An ejection and what it was decided by, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The target.
+    pub target: id::Target,
+    /// Its ejection.
+    pub ejection: Ejection,
+    /// Its mean latency.
+    pub latency: Duration,
+    /// The median of the mean latencies of its peers, if any peer has enough samples.
+    pub peer_median: Option<Duration>,
+}
+
 #[derive(Clone, Debug, Default)]
 struct State {
     observations: Observations,
@@ -160,6 +175,8 @@
     targets: HashMap<id::Target, State>,
     /// Outcomes that are still to be sent to other entries.
     updates: Vec<(id::Target, Outcome)>,
+    /// Ejections that are still to be logged, the oldest first.
+    records: VecDeque<Record>,
 }
 
 impl Detector {
@@ -232,10 +249,16 @@
         std::mem::take(&mut self.updates)
     }
 
+    /// Takes the ejections since the last call; of more than [`MAX_RECORDS`] the latest.
+    pub fn take_records(&mut self) -> Vec<Record> {
+        self.records.drain(..).collect()
+    }
+
     /// Ejects a target if that is due.
     fn evaluate(&mut self, now: Time, target: &id::Target) {
         let Some(state) = self.targets.get(target).cloned() else { return };
-        let slow = self.is_slow(target, &state);
+        let peer_median = self.peer_median(target);
+        let slow = is_slow(&state, peer_median);
         let slow_since = slow.then(|| state.slow_since.unwrap_or(now));
         // A target that was ejected before gets no grace, in which more requests would be delayed.
         let grace = if state.ejections > 0 { Duration::ZERO } else { GRACE };
@@ -246,7 +269,15 @@
         state.slow_since = slow_since;
         if eject {
             let cause = if failing { Cause::Failing } else { Cause::Slow };
+            let latency = Duration::from_secs_f64(state.latency);
             state.eject(now, cause);
+            let ejection = Ejection { cause, until: state.ejected_until.unwrap_or(now) };
+            let peer_median = peer_median.map(Duration::from_secs_f64);
+            let record = Record { target: target.clone(), ejection, latency, peer_median };
+            if self.records.len() == MAX_RECORDS {
+                self.records.pop_front();
+            }
+            self.records.push_back(record);
         }
     }
 
@@ -280,19 +311,18 @@
         self.targets.values().filter(|state| state.is_ejected(now)).count()
     }
 
-    fn is_slow(&self, target: &id::Target, state: &State) -> bool {
-        if !state.has_enough_samples() {
-            return false;
-        }
+    /// Returns the median latency of the peers of a target in seconds; `None` if no peer has enough
+    /// samples.
+    fn peer_median(&self, target: &id::Target) -> Option<f64> {
         let peers =
             self.targets.iter().filter(|(name, peer)| *name != target && peer.has_enough_samples());
         let mut latencies: Vec<f64> = peers.map(|(_, peer)| peer.latency).collect();
         if latencies.is_empty() {
-            return false;
+            return None;
         }
         let middle = latencies.len() / 2;
         let (_, median, _) = latencies.select_nth_unstable_by(middle, f64::total_cmp);
-        state.latency > SLOW_FACTOR * *median
+        Some(*median)
     }
 
     fn may_eject(&self, now: Time) -> bool {
@@ -310,3 +340,8 @@
         bad as f64 > PANIC_SHARE * self.targets.len() as f64
     }
 }
+
+fn is_slow(state: &State, peer_median: Option<f64>) -> bool {
+    let exceeds = |median: f64| state.latency > SLOW_FACTOR * median;
+    state.has_enough_samples() && peer_median.is_some_and(exceeds)
+}
