Ask an engine for its report after a stream has broken off

Cause: a target counted as alive if it accepted a connection. What forwards connections to it accepts them for a dead one too, so each crash was recorded only once the lease showed the next start, a second or more later; an entry that was killed in between took what it had seen with it.

Change: where a stream had begun, the engine is asked for its report on a new connection. One that is closed without any byte of an answer shows that the engine has crashed; a timeout does not. A run that had not begun is judged as before, since a live target closes connections that are too many.

Test: an_ended_engine_behind_a_forwarder_has_ended; with the check of the report off it waits for "ended" in vain. resumed_runs_count_as_attempts_of_the_route counted every request at its engines and would count these reports; it counts the runs, as before two.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -141,7 +141,7 @@
     let response = exchange::send(target.address, outgoing, time_left).await;
     let response = response.map_err(|failure| {
         if matches!(failure, Failure::Broken { .. }) {
-            liveness::Check::new(worker, context, &target, sent_at).spawn();
+            liveness::Check::new(worker, context, &target, sent_at).spawn::<P>();
         }
         Error::from_failure(&failure)
     })?;
--- a/crates/gateway/src/request/liveness.rs
+++ b/crates/gateway/src/request/liveness.rs
@@ -1,31 +1,43 @@
 //! Liveness checks of targets after a run was interrupted: whether the target crashed, or only the
 //! connection to it was lost.
+//!
+//! An accepted connection does not show that a target lives: what forwards connections to it accepts
+//! them for a dead one as well, and closes them. An engine is therefore asked for its report too. If
+//! the connection closes without an answer, the engine has crashed, unless it closes connections
+//! because it has too many: then the run had not begun either.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use derive_more::Display;
 use fireflyhoist_policy::lease::Target;
 use fireflyhoist_policy::resubmission::Fingerprint;
 use fireflyhoist_policy::time::Time;
+use ntex::http::HeaderMap;
+use ntex::util::Bytes;
 use smol_str::SmolStr;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::connection::exchange::CONNECT_TIMEOUT;
+use crate::connection::exchange::{self, CONNECT_TIMEOUT, Failure, Outgoing};
+use crate::platform::Platform;
 use crate::process::state::{CrashCheck, Process, millis};
 use crate::request::{Context, Worker};
 
+/// Timeout of a report call, after which the target counts as alive: it may be slow.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// The state of a target after a run on it was interrupted.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(crate) enum Status {
-    /// It accepts connections.
+    /// It accepts connections, and answers on them where it was asked.
     #[display("lives")]
     Alive,
     /// It was known to be draining when the run was interrupted.
     #[display("leaving")]
     Draining,
-    /// It accepts no connections, or has restarted.
+    /// It accepts no connections, closes them without an answer, or has restarted.
     #[display("ended")]
     Crashed,
 }
@@ -41,6 +53,8 @@
     sent_at: Time,
     /// Whether the target accepted new requests when the run was interrupted.
     was_ready: bool,
+    /// Whether the target is an engine that had begun to answer.
+    had_begun: bool,
 }
 
 impl Check {
@@ -50,15 +64,21 @@
         let process = Arc::clone(&worker.process);
         let was_ready = process.is_target_ready(&target.id);
         let (request, fingerprint) = (context.facts.request.clone(), context.fingerprint);
-        Self { process, request, fingerprint, target: target.clone(), sent_at, was_ready }
+        let target = target.clone();
+        Self { process, request, fingerprint, target, sent_at, was_ready, had_begun: false }
+    }
+
+    /// Sets that the target had begun to answer, if it is an engine of the request's service.
+    pub(crate) fn with_begun_run(self, context: &Context) -> Self {
+        Self { had_begun: context.service.engine.is_some(), ..self }
     }
 
     /// Checks the target in the background and records the result.
-    pub(crate) fn spawn(self) {
+    pub(crate) fn spawn<P: Platform>(self) {
         let inspection = CrashCheck::open(&self.process, self.fingerprint);
         let interrupted_at = self.process.clock.now();
         ntex::rt::spawn(async move {
-            self.record(self.status().await, interrupted_at);
+            self.record(self.status::<P>().await, interrupted_at);
             drop(inspection);
         })
         .detach();
@@ -70,14 +90,14 @@
     }
 
     /// Determines the state of the target by opening a connection to it.
-    async fn status(&self) -> Status {
+    async fn status<P: Platform>(&self) -> Status {
         if !self.was_ready {
             return Status::Draining;
         }
-        match accepts_connections(self.target.address).await {
-            true => Status::Alive,
-            false => Status::Crashed,
-        }
+        let address = self.target.address;
+        let crashed = !accepts_connections(address).await
+            || (self.had_begun && closes_connections::<P>(address).await);
+        if crashed { Status::Crashed } else { Status::Alive }
     }
 
     /// Records the state of the target of a run that was interrupted at
@@ -107,6 +127,15 @@
     }
 }
 
+/// Returns whether an engine closes a connection without an answer to a report call.
+async fn closes_connections<P: Platform>(address: SocketAddr) -> bool {
+    let call = P::report();
+    let (method, path, body) = (call.method, call.path, Bytes::from(call.body));
+    let outgoing = Outgoing { method, path, headers: HeaderMap::new(), body };
+    let response = exchange::send(address, outgoing, REPORT_TIMEOUT).await;
+    matches!(response, Err(Failure::Broken { .. } | Failure::ConnectFailed))
+}
+
 async fn accepts_connections(address: SocketAddr) -> bool {
     matches!(timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_)))
 }
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -221,7 +221,9 @@
     let Started { mut response, sent_at } = started;
     let body = response.read_body(MAX_ANSWER_BYTES).await.map_err(|failure| {
         if matches!(failure, Failure::Broken { .. }) {
-            liveness::Check::new(worker, context, &listed, sent_at).spawn();
+            liveness::Check::new(worker, context, &listed, sent_at)
+                .with_begun_run(context)
+                .spawn::<P>();
         }
         Error::Unknown("cut")
     })?;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -220,7 +220,7 @@
                         }
                     }
                     None if self.is_whole() => return End::Whole,
-                    None => self.handle_lost_run(),
+                    None => self.handle_lost_run::<P>(),
                 },
                 _ = targets.changed() => self.check_engines(),
                 () = sleep(SILENCE_TIMEOUT), if self.backup.is_some() => silent = true,
@@ -229,10 +229,12 @@
     }
 
     /// Handles the loss of the run before its answer was complete.
-    fn handle_lost_run(&mut self) {
+    fn handle_lost_run<P: Platform>(&mut self) {
         self.upstream = None;
         if let Some(target) = &self.target {
-            liveness::Check::new(&self.worker, &self.context, target, self.sent_at).spawn();
+            liveness::Check::new(&self.worker, &self.context, target, self.sent_at)
+                .with_begun_run(&self.context)
+                .spawn::<P>();
         }
     }
 
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -191,7 +191,7 @@
             }
         };
         if started.response.status != StatusCode::OK {
-            return self.forward_unstreamed(pass, &mut started).await;
+            return self.forward_unstreamed::<P>(pass, &mut started).await;
         }
         let mut head = Response::build(started.response.status);
         for (name, value) in &end_to_end(&started.response.headers) {
@@ -205,7 +205,7 @@
 
     /// Forwards an answer that is not a stream, or fails if it is a server error that may be
     /// retried.
-    async fn forward_unstreamed(
+    async fn forward_unstreamed<P: Platform>(
         &self,
         pass: Pass,
         started: &mut Started,
@@ -216,7 +216,9 @@
         pass.finish(if server_error { Outcome::ServerError } else { Outcome::Whole });
         let body = response.read_body(MAX_ANSWER_BYTES).await.map_err(|_| {
             if let Some(target) = &listed {
-                liveness::Check::new(self.worker, &self.context, target, *sent_at).spawn();
+                liveness::Check::new(self.worker, &self.context, target, *sent_at)
+                    .with_begun_run(&self.context)
+                    .spawn::<P>();
             }
             Error::Unknown("cut")
         })?;
--- a/crates/gateway/tests/broken_runs.rs
+++ b/crates/gateway/tests/broken_runs.rs
@@ -6,6 +6,7 @@
 use fireflyhoist_policy::route::{Kind, Route};
 use fireflyhoist_standin::registry::Registry;
 use support::caller::Request;
+use support::proxy::Proxy;
 use support::target::{Seen, Standin, Step, answer, event, listed, stream_head};
 use support::{eventually, gateway, route, text};
 use yare::parameterized;
@@ -42,6 +43,21 @@
     eventually(async || !broken_runs(&gateway, fate).await.is_empty()).await;
 }
 
+/// Guards against an engine that ended being considered alive because what forwards connections to it
+/// accepts them.
+#[ntex::test]
+async fn an_ended_engine_behind_a_forwarder_has_ended() {
+    let registry = Registry::open().await;
+    registry.publish(text(1, vec![route("web", STREAM)]));
+    let script = |_: &Seen| vec![stream_head(), event(1), Step::End];
+    let target = Standin::open("t-1", "web", script).await;
+    let forwarder = Proxy::to(target.listed.address);
+    registry.put(listed("t-1", "web", forwarder.address()));
+    let gateway = gateway(&registry).await;
+    let _ = Request::stream("/web/x", 20).body("b").send(gateway.callers()).await;
+    eventually(async || !broken_runs(&gateway, "ended").await.is_empty()).await;
+}
+
 /// Guards against an error response of a target being counted as a broken run.
 #[ntex::test]
 async fn an_error_response_is_not_a_broken_run() {
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -289,7 +289,10 @@
     let gateway = gateway(&registry).await;
     let answer = Request::stream("/gen/x", 20).body("b").send(gateway.callers()).await;
     assert_eq!((answer.body, answer.whole), (events(1, 2), false));
-    assert_eq!(engines.iter().map(|engine| engine.seen().len()).sum::<usize>(), 2);
+    // Engines are asked for reports besides.
+    let is_run = |seen: &&Seen| seen.line().starts_with("POST /gen/x");
+    let runs = |engine: &Standin| engine.seen().iter().filter(is_run).count();
+    assert_eq!(engines.iter().map(runs).sum::<usize>(), 2);
 }
 
 /// Guards against an engine that keeps generating after its caller has disconnected between two
