Bound crashes of a request also across a loss of power of all entries

Cause: nothing outlasts all entries, and a fleet that knows nothing may crash three targets until the request is suspect and has two trials. What it sends before and after a loss of power adds up to ten, six of which the bound allows.

Change: a request most of whose runs crashed within 0.5 s is suspect from the second crash on and has one trial, so that it is sent three times by a fleet that knows nothing of it. Requests with longer runs, which may meet crashes by chance, are bounded as before.

--- a/crates/gateway/src/process/state/poison.rs
+++ b/crates/gateway/src/process/state/poison.rs
@@ -172,7 +172,9 @@
                     .get(&fingerprint)
                     .copied()
                     .unwrap_or_default();
-                if pending == 0 || self.crashes(fingerprint) + pending < poison::SUSPECT_CRASHES {
+                if pending == 0
+                    || self.crashes(fingerprint) + pending < poison::SUSPECT_BRIEF_CRASHES
+                {
                     return;
                 }
                 notified.await;
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -3,8 +3,12 @@
 //! A poison request crashes each target that runs it, which also aborts everything else that runs
 //! there, and its caller retries it at any entry. Entries share which requests were running on a
 //! target when it crashed. A request with [`SUSPECT_CRASHES`] crashes and no complete answer in
-//! between is a suspect: it is sent only as a trial, and one entry grants trials for the whole
-//! fleet.
+//! between is a suspect, and with [`SUSPECT_BRIEF_CRASHES`] if its runs were brief: it is sent only
+//! as a trial, and one entry grants trials for the whole fleet.
+//!
+//! Nothing of this outlasts the processes, so a fleet whose entries all lose power learns about a
+//! poison request anew. What it may crash until then is bounded such that two fleets which know
+//! nothing of each other stay within what one may send.
 //!
 //! A request that merely ran beside a poison request looks the same until it has run elsewhere.
 //! Three rules limit what this costs: a complete answer clears a request, a suspect's first trial
@@ -26,15 +30,20 @@
 /// Number of crashed targets that makes a request a suspect.
 pub const SUSPECT_CRASHES: usize = 3;
 
+/// The same for a request most of whose runs crashed within [`BRIEF_RUN`], which is hardly a
+/// coincidence.
+pub const SUSPECT_BRIEF_CRASHES: usize = 2;
+
 /// Maximum number of consecutive trials of a request whose crashes may be a coincidence.
 pub const MAX_TRIALS: u8 = 4;
 
-/// Maximum number of trials of a request most of whose runs crashed within [`BRIEF_RUN`], which is
-/// hardly a coincidence.
+/// Maximum number of trials of a request most of whose runs crashed within [`BRIEF_RUN`]. The second
+/// one is granted only if the first one crashed no target: its entry may have ended with it.
 pub const MAX_BRIEF_TRIALS: u8 = 2;
 
-/// Time from the last crash or trial of such a request to its next trial.
-const TRIAL_PAUSE: Duration = Duration::from_secs(15);
+/// Time from such a trial to the second one. A crash that nobody saw is confirmed by then, since the
+/// target's lease has lapsed or its next start is listed.
+const TRIAL_PAUSE: Duration = Duration::from_secs(10);
 
 /// A run of a poison request crashes its target within this time.
 const BRIEF_RUN: Duration = Duration::from_millis(500);
@@ -52,7 +61,7 @@
 /// Upper bound on the time for which a trial without an outcome counts as running.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// How long a request with fewer than [`SUSPECT_CRASHES`] is remembered after its last crash.
+/// How long a request that is no suspect is remembered after its last crash.
 pub const CRASH_TTL: Duration = Duration::from_secs(600);
 
 /// How long a suspect is remembered after its last crash or trial.
@@ -139,7 +148,11 @@
 impl Record {
     /// Returns whether enough targets have crashed for the request to be a suspect.
     pub fn is_suspect(&self) -> bool {
-        self.crashes.len() >= SUSPECT_CRASHES
+        let run_time = |nth| self.run_times.get(nth).copied().unwrap_or_default();
+        let run_times = (0..self.crashes.len()).map(run_time).map(Duration::from_millis);
+        let coincidence = may_be_coincidence(run_times);
+        let needed = if coincidence { SUSPECT_CRASHES } else { SUSPECT_BRIEF_CRASHES };
+        self.crashes.len() >= needed
     }
 }
 
@@ -171,7 +184,12 @@
 
 impl History {
     fn is_suspect(&self) -> bool {
-        self.crashes.len() >= SUSPECT_CRASHES
+        self.crashes.len() >= self.suspect_crashes()
+    }
+
+    /// Returns the number of crashes that makes the request a suspect.
+    fn suspect_crashes(&self) -> usize {
+        if self.may_be_coincidence() { SUSPECT_CRASHES } else { SUSPECT_BRIEF_CRASHES }
     }
 
     fn last_event(&self) -> Time {
@@ -190,19 +208,29 @@
 
     fn decide(&self, now: Time) -> Decision {
         let left = self.trial_timeout().saturating_sub(now.since(self.last_trial));
-        let running =
-            self.trials > 0 && self.crashes.iter().all(|crash| crash.at < self.last_trial);
+        let running = self.trials > 0 && !self.has_failed_trial();
         if running && !left.is_zero() {
             return Decision::Refuse(left.min(MAX_TRIAL_WAIT));
         }
-        let max = if self.may_be_coincidence() { MAX_TRIALS } else { MAX_BRIEF_TRIALS };
-        if self.trials >= max || (self.is_propagated(now) && self.late_trials >= MAX_LATE_TRIALS) {
+        let exhausted = match self.may_be_coincidence() {
+            true => {
+                let late = self.is_propagated(now) && self.late_trials >= MAX_LATE_TRIALS;
+                self.trials >= MAX_TRIALS || late
+            }
+            false => self.trials >= MAX_BRIEF_TRIALS || self.has_failed_trial(),
+        };
+        if exhausted {
             return Decision::Refuse(SUSPECT_TTL.saturating_sub(now.since(self.last_event())));
         }
         let pause = self.trial_pause().saturating_sub(now.since(self.last_event()));
         if pause.is_zero() { Decision::Trial } else { Decision::Refuse(pause) }
     }
 
+    /// Returns whether a target has crashed since the last trial.
+    fn has_failed_trial(&self) -> bool {
+        self.trials > 0 && self.crashes.iter().any(|crash| crash.at >= self.last_trial)
+    }
+
     /// Returns the time from the last crash or trial to the next trial.
     fn trial_pause(&self) -> Duration {
         if self.may_be_coincidence() || self.trials == 0 { Duration::ZERO } else { TRIAL_PAUSE }
@@ -211,8 +239,7 @@
     /// Returns whether at least half of the runs had lasted for [`BRIEF_RUN`] when their targets
     /// crashed.
     fn may_be_coincidence(&self) -> bool {
-        let brief = self.crashes.iter().filter(|crash| crash.run_time < BRIEF_RUN).count();
-        2 * brief <= self.crashes.len()
+        may_be_coincidence(self.crashes.iter().map(|crash| crash.run_time))
     }
 
     /// Returns the time after which a trial has outlasted the runs that crashed targets.
@@ -349,7 +376,9 @@
         let history = self.histories.get(&fingerprint);
         let suspect = history.filter(|history| history.is_suspect() && !history.is_expired(now));
         match suspect {
-            Some(history) if self.unexplained(fingerprint, history) >= SUSPECT_CRASHES => {
+            Some(history)
+                if self.unexplained(fingerprint, history) >= history.suspect_crashes() =>
+            {
                 history.decide(now)
             }
             _ => Decision::Allow,
@@ -542,6 +571,16 @@
     }
 }
 
+/// Returns whether at least half of the runs had lasted for [`BRIEF_RUN`] when their targets crashed.
+fn may_be_coincidence(run_times: impl Iterator<Item = Duration>) -> bool {
+    let (mut brief, mut all) = (0, 0);
+    for run_time in run_times {
+        brief += usize::from(run_time < BRIEF_RUN);
+        all += 1;
+    }
+    2 * brief <= all
+}
+
 fn millis(span: Duration) -> u64 {
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
