Do not eject targets that answer well within their objective

What was seen: a_raised_or_withdrawn_limit_applies, one_entry and an_invalid_limit_changes_nothing failed now and then, since a target got a fifth to a half of what it takes.

Cause: a target counted as slow at three times the median of its peers, whatever that was. Where peers answer within some milliseconds, a delay of the host's scheduler ejects a target for 10 s.

Change: no latency up to half of the objective counts as slow, from which on a hedge is due: of the strictest route to a service, or for generations of the time between tokens.

--- a/crates/gateway/src/process/service_gate.rs
+++ b/crates/gateway/src/process/service_gate.rs
@@ -127,6 +127,11 @@
         self.state.lock().gate.set_order(order);
     }
 
+    /// Sets the objective for the time to an answer; see [`Gate::set_answer_objective`].
+    pub fn set_answer_objective(&self, objective: Duration) {
+        self.state.lock().gate.set_answer_objective(objective);
+    }
+
     /// Sets the retry budget of this entry.
     pub fn set_retries(&self, limits: retry::Limits) {
         self.state.lock().gate.set_retries(limits);
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -195,11 +195,18 @@
 
     fn open_gates(&self, table: &Table) {
         let order = self.order.lock().clone();
+        let objectives = table.text().answer_objectives();
         let mut gates = self.gates.write();
         for service in &table.text().services {
             let gate = gates.entry(service.name.clone());
-            gate.or_insert_with(|| ServiceGate::with_settings(self.clock, self.gate_settings()))
-                .set_order(order.clone());
+            let gate = gate
+                .or_insert_with(|| ServiceGate::with_settings(self.clock, self.gate_settings()));
+            gate.set_order(order.clone());
+            if service.engine.is_none()
+                && let Some(objective) = objectives.get(&service.name)
+            {
+                gate.set_answer_objective(*objective);
+            }
         }
     }
 
--- a/crates/gateway/tests/targets.rs
+++ b/crates/gateway/tests/targets.rs
@@ -7,7 +7,7 @@
 use fireflyhoist_policy::route::Kind;
 use fireflyhoist_standin::registry::{Mood, Registry};
 use support::caller::Request;
-use support::target::{Standin, answer, listed};
+use support::target::{Standin, Step, answer, listed};
 use support::{eventually, gateway, route, text};
 
 async fn two_targets() -> (Registry, Standin, Standin) {
@@ -20,6 +20,33 @@
     (registry, first, second)
 }
 
+/// Guards against a target that answers well within the objective of its routes getting nothing,
+/// because its peers answer many times faster.
+#[ntex::test]
+async fn a_target_well_within_its_objective_stays_in_use() {
+    let registry = Registry::open().await;
+    registry.publish(text(1, vec![route("web", Kind::Unsafe)]));
+    let slower = Standin::open("t-1", "web", |_| {
+        let wait = Step::Wait(Duration::from_millis(30));
+        [vec![wait], answer(200, "slower")].concat()
+    });
+    let (slower, faster) =
+        (slower.await, Standin::open("t-2", "web", |_| answer(200, "faster")).await);
+    registry.put(slower.listed.clone());
+    registry.put(faster.listed.clone());
+    let gateway = gateway(&registry).await;
+    let send = async || Request::new("POST", "/web/x").body("b").send(gateway.callers()).await;
+    let warm_up = tokio::time::Instant::now() + Duration::from_secs(2);
+    while tokio::time::Instant::now() < warm_up {
+        send().await;
+    }
+    let before = slower.seen().len();
+    for _ in 0..20 {
+        send().await;
+    }
+    assert!(slower.seen().len() >= before + 5, "{} of 20", slower.seen().len() - before);
+}
+
 /// Guards against new requests being sent to a target that has announced that it drains: they would
 /// be cut when its process ends.
 #[ntex::test]
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -130,6 +130,8 @@
     pub fn open(settings: Settings) -> Self {
         let queue = Queue::open(settings.fair).with_spare_last(settings.shed_late);
         let retries = retry::Budget::with_limits(settings.retries);
+        let mut detector = Detector::new();
+        detector.set_objective(settings.token_interval);
         Self {
             settings,
             entries: (1, None),
@@ -142,7 +144,7 @@
             usage: Usage::default(),
             own: Curve::default(),
             typical: Curve::default(),
-            detector: Detector::new(),
+            detector,
             retries,
             weights_read: Time::ZERO,
             held: 0.0,
@@ -169,6 +171,12 @@
     /// Sets the objective for the time between tokens of live generations.
     pub fn set_token_interval(&mut self, token_interval: Duration) {
         self.settings.token_interval = token_interval;
+        self.detector.set_objective(token_interval);
+    }
+
+    /// Sets the objective for the time to an answer, for a service without generations.
+    pub fn set_answer_objective(&mut self, objective: Duration) {
+        self.detector.set_objective(objective);
     }
 
     /// Decides on a new request, or on a retry of one that failed before its answer began.
--- a/crates/policy/src/outlier.rs
+++ b/crates/policy/src/outlier.rs
@@ -7,7 +7,9 @@
 //!
 //! A target counts as slow at [`SLOW_FACTOR`] times the median of its peers, twice the spread of
 //! healthy engines with different batches, and is ejected once that has lasted for [`GRACE`]: a
-//! single long prompt slows an engine for about a second. At most [`MAX_EJECTED_SHARE`] of the
+//! single long prompt slows an engine for about a second. A target that answers well within its
+//! objective never counts as slow, however fast its peers are: where peers answer within a
+//! millisecond, a scheduling delay of the host makes three times as much. At most [`MAX_EJECTED_SHARE`] of the
 //! targets are ejected at once, since the others must be able to carry the load. Once more than
 //! [`PANIC_SHARE`] look bad, the cause lies elsewhere (a link, a bad configuration), and ejection
 //! is ignored because it would pile the load on the few targets left.
@@ -27,6 +29,9 @@
 
 /// A target is slow if its latency is this many times the median of its peers.
 pub const SLOW_FACTOR: f64 = 3.0;
+/// Fraction of the objective up to which no latency counts as slow. From there on a hedge of the same
+/// request is due.
+pub const TOLERATED_FRACTION: f64 = 0.5;
 /// How long a target must be slow before it is ejected.
 pub const GRACE: Duration = Duration::from_secs(1);
 /// Maximum share of targets that are ejected at once; one of two or more always may be.
@@ -177,6 +182,8 @@
     updates: Vec<(id::Target, Outcome)>,
     /// Ejections that are still to be logged, the oldest first.
     records: VecDeque<Record>,
+    /// Latency up to which no target counts as slow.
+    tolerated: Duration,
 }
 
 impl Detector {
@@ -185,6 +192,11 @@
         Self::default()
     }
 
+    /// Sets the objective for the latencies that are recorded.
+    pub fn set_objective(&mut self, objective: Duration) {
+        self.tolerated = objective.mul_f64(TOLERATED_FRACTION);
+    }
+
     /// Sets the targets, keeping the state of those that were set before.
     pub fn set_targets<'a>(&mut self, targets: impl IntoIterator<Item = &'a id::Target>) {
         let mut kept = HashMap::new();
@@ -258,7 +270,8 @@
     fn evaluate(&mut self, now: Time, target: &id::Target) {
         let Some(state) = self.targets.get(target).cloned() else { return };
         let peer_median = self.peer_median(target);
-        let slow = is_slow(&state, peer_median);
+        let tolerated = state.latency <= self.tolerated.as_secs_f64();
+        let slow = !tolerated && is_slow(&state, peer_median);
         let slow_since = slow.then(|| state.slow_since.unwrap_or(now));
         // A target that was ejected before gets no grace, in which more requests would be delayed.
         let grace = if state.ejections > 0 { Duration::ZERO } else { GRACE };
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -163,6 +163,20 @@
     pub bounds: Bounds,
 }
 
+impl Text {
+    /// Returns the strictest objective for the time to an answer among the routes to each service.
+    pub fn answer_objectives(&self) -> HashMap<&id::Service, Duration> {
+        let mut strictest = HashMap::new();
+        for route in &self.routes {
+            for part in &route.parts {
+                let objective = strictest.entry(&part.service).or_insert(route.objective);
+                *objective = route.objective.min(*objective);
+            }
+        }
+        strictest
+    }
+}
+
 /// A [`Text`] with indexes for lookups on the request path.
 #[derive(Clone, Debug)]
 pub struct Table {
--- a/crates/policy/tests/outlier.rs
+++ b/crates/policy/tests/outlier.rs
@@ -45,6 +45,18 @@
     assert_eq!(detector.ejection(now, &target(4)), None);
 }
 
+/// Guards against a third of the capacity being lost because a target that answers well in time has
+/// peers that answer many times faster.
+#[test]
+fn target_well_within_its_objective_stays() {
+    let mut detector = detector(2);
+    detector.set_objective(Duration::from_millis(100));
+    let now = feed(&mut detector, Time::ZERO, 80, |n| if n == 0 { 49 } else { 1 });
+    assert_eq!(detector.ejected(now), 0);
+    let now = feed(&mut detector, now, 80, |n| if n == 0 { 60 } else { 1 });
+    assert_eq!(detector.ejected(now), 1);
+}
+
 /// Guards against ejecting an engine that one long prompt slows for half a second, which would
 /// waste its warm cache and push its load onto the others.
 #[test]
--- a/crates/policy/tests/route.rs
+++ b/crates/policy/tests/route.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fireflyhoist_policy::id::Service;
 use fireflyhoist_policy::route::{Bounds, Kind, Part, Route, Table, Text, Workspace};
 use fireflyhoist_policy::unit::Bytes;
 use yare::parameterized;
@@ -45,6 +46,16 @@
     })
 }
 
+/// Guards against the targets of a service being judged by a lenient route beside a strict one.
+#[test]
+fn strictest_route_gives_the_objective_of_a_service() {
+    let table = table();
+    let mut text = table.text().clone();
+    text.routes[1].objective = Duration::from_millis(150);
+    let service: Service = "new".parse().expect("name");
+    assert_eq!(text.answer_objectives().get(&service), Some(&Duration::from_millis(150)));
+}
+
 #[parameterized(
     shortest = { "a.example", "/zzz", Some("all") },
     longer = { "a.example", "/pages/1", Some("pages") },
