Let one entry grant permits also while links are missing

Cause: the owner of a target's token bucket was the best ranked of the entries that one has a link to, and its share of the limit follows all that are alive. While links are replaced, entries with different links take different ones for the owner, and each grants the whole limit.

Change: policy::permit ranks all actives that are alive. An active without a link to the owner asks through another one, which relays only to a higher rank; where the owner is out of reach, nobody grants. Limits that targets name and trials go the same way.

--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -23,6 +23,7 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::Change;
 use fireflyhoist_policy::migration_queue::Migration;
+use fireflyhoist_policy::permit::{self, Route};
 use fireflyhoist_policy::position::Position;
 use fireflyhoist_policy::presence::{Presence, Publisher, Subscriber, Update};
 use fireflyhoist_policy::rendezvous;
@@ -287,6 +288,23 @@
         first.unwrap_or_else(|| self.own.host.clone())
     }
 
+    /// Returns where a permit request goes: one of this entry, or one that `from` sent. A leaf sends
+    /// all of them to its primary active.
+    pub(crate) fn permit_route(&self, key: &str, from: Option<&id::Host>) -> Route {
+        let view = self.view();
+        if !self.is_active() {
+            // Whoever asks a leaf takes it for the owner; sent back, the request could go round.
+            let primary = view.links.first().filter(|_| from.is_none());
+            return primary.map_or(Route::Own, |member| Route::Send(member.host.clone()));
+        }
+        let linked: BTreeSet<id::Host> = self.peers.lock().keys().cloned().collect();
+        let known = permit::View { own: &self.own.host, actives: &view.actives, linked: &linked };
+        match from {
+            Some(active) if view.actives.contains(active) => known.relay(key),
+            _ => known.route(key),
+        }
+    }
+
     /// Sends a frame to an entry. A frame to this entry is handled at once.
     pub(crate) fn send(&self, host: &id::Host, frame: &Frame) {
         if *host == self.own.host {
--- a/crates/gateway/src/process/fleet/owner.rs
+++ b/crates/gateway/src/process/fleet/owner.rs
@@ -2,12 +2,14 @@
 //! entries is counted in one place.
 //!
 //! The owner is chosen among the actives by rendezvous hashing of the key. A leaf sends its request
-//! for a permit to its primary active, which forwards it to the owner.
+//! for a permit to its primary active, which forwards it to the owner. An active without a link to
+//! the owner sends it through another active; see [`permit`](fireflyhoist_policy::permit).
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::permit::Route;
 use fireflyhoist_policy::poison::Decision;
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
@@ -20,6 +22,9 @@
 /// The delay before a caller should retry if the owner did not reply.
 const UNANSWERED_RETRY: Duration = Duration::from_secs(1);
 
+/// The time to wait where the owner can't be reached: missing links are opened again within it.
+const UNREACHABLE_RETRY: Duration = Duration::from_millis(300);
+
 /// The maximum number of permit requests that wait for a reply; beyond it the oldest is dropped.
 const MAX_PENDING: usize = 1_024;
 
@@ -28,11 +33,11 @@
 enum Waiter {
     /// A request of this entry.
     Local(oneshot::Sender<Option<Duration>>),
-    /// A leaf whose permit request was forwarded, and the number of that request at the leaf.
+    /// An entry whose permit request was forwarded, and the number of that request there.
     Forwarded(id::Host, u64),
 }
 
-/// The permit requests of this entry and its leaves that have no reply yet, by number.
+/// The permit requests of this entry and of others that have no reply yet, by number.
 #[derive(Debug, Default)]
 pub(super) struct PendingPermits {
     waiters: Mutex<Waiters>,
@@ -70,10 +75,11 @@
         permit: Permit,
         within: Duration,
     ) -> Option<Duration> {
-        let owner = self.owner(&permit.key());
-        if owner == *self.host() {
-            return self.decide(&permit);
-        }
+        let owner = match self.permit_route(&permit.key(), None) {
+            Route::Own => return self.decide(&permit),
+            Route::Unreachable => return Some(UNREACHABLE_RETRY),
+            Route::Send(owner) => owner,
+        };
         let (sender, receiver) = oneshot::channel();
         let number = self.pending_permits.add(Waiter::Local(sender));
         let key = permit.key();
@@ -91,20 +97,23 @@
 
     /// Replies to the permit request of another entry, or forwards that of a leaf to the owner.
     pub(super) fn handle_permit_request(&self, from: &id::Host, number: u64, permit: Permit) {
-        let owner = self.owner(&permit.key());
-        let leaf = !self.view().actives.contains(from);
-        if leaf && owner != *self.host() {
-            let id = self.pending_permits.add(Waiter::Forwarded(from.clone(), number));
-            self.links.send(&owner, &Frame::PermitRequest { id, permit });
-            return;
+        let reply = |wait: Option<Duration>| {
+            self.links.send(from, &Frame::PermitReply { id: number, wait_ms: wait.map(millis) });
+        };
+        match self.permit_route(&permit.key(), Some(from)) {
+            Route::Own => {}
+            Route::Unreachable => return reply(Some(UNREACHABLE_RETRY)),
+            Route::Send(owner) => {
+                let id = self.pending_permits.add(Waiter::Forwarded(from.clone(), number));
+                return self.links.send(&owner, &Frame::PermitRequest { id, permit });
+            }
         }
         match &permit {
             Permit::Trial(record) => self.apply_poison(from, vec![record.clone()]),
             Permit::LimitedSend(update) => self.apply_limits(from, vec![update.clone()]),
             Permit::ColdSend(update) => self.process.apply_cold_update(update),
         }
-        let wait = self.decide(&permit);
-        self.links.send(from, &Frame::PermitReply { id: number, wait_ms: wait.map(millis) });
+        reply(self.decide(&permit));
     }
 
     /// Delivers a reply to the waiting request, or forwards it to the leaf that sent the request.
@@ -114,8 +123,8 @@
                 // A request that no longer waits has been refused already.
                 let _ = waiter.send(wait_ms.map(Duration::from_millis));
             }
-            Some(Waiter::Forwarded(leaf, id)) => {
-                self.links.send(&leaf, &Frame::PermitReply { id, wait_ms });
+            Some(Waiter::Forwarded(host, id)) => {
+                self.links.send(&host, &Frame::PermitReply { id, wait_ms });
             }
             None => {}
         }
--- a/crates/gateway/src/process/fleet/target_limits.rs
+++ b/crates/gateway/src/process/fleet/target_limits.rs
@@ -1,6 +1,7 @@
 //! Announces to other entries the limits that targets advertise.
 
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::permit::Route;
 use fireflyhoist_policy::target_limit::Update;
 
 use crate::connection::frame::{Frame, Permit};
@@ -50,18 +51,20 @@
             Some(Permit::LimitedSend(update)) => Frame::LimitedSend(update),
             Some(Permit::Trial(_)) | None => return,
         };
-        self.send(&self.owner(target.as_str()), &frame);
+        match self.permit_route(target.as_str(), None) {
+            Route::Own => self.process.spend(target),
+            Route::Send(owner) => self.links.send(&owner, &frame),
+            Route::Unreachable => {}
+        }
     }
 
-    /// Counts a request that another entry sent without permission, or forwards the frame of a leaf
-    /// to the owner of the target.
+    /// Counts a request that another entry sent without permission, or forwards the frame to the
+    /// owner of the target.
     pub(super) fn handle_spent(&self, from: &id::Host, target: id::Target, frame: Frame) {
-        let owner = self.owner(target.as_str());
-        // A leaf sends the frame to its primary active, which may not be the owner.
-        let forward = owner != *self.host() && !self.view().actives.contains(from);
-        match forward {
-            true => self.links.send(&owner, &frame),
-            false => self.process.spend(&target),
+        match self.permit_route(target.as_str(), Some(from)) {
+            Route::Own => self.process.spend(&target),
+            Route::Send(owner) => self.links.send(&owner, &frame),
+            Route::Unreachable => {}
         }
     }
 }
--- a/crates/gateway/tests/cold.rs
+++ b/crates/gateway/tests/cold.rs
@@ -14,6 +14,7 @@
 use fireflyhoist_standin::registry::Registry;
 use parking_lot::Mutex;
 use support::caller::Request;
+use support::proxy::Proxy;
 use support::target::{Standin, answer};
 use support::{eventually, route, settings, text, until_ready};
 use tokio::time::{Instant, sleep};
@@ -136,6 +137,45 @@
     assert!(after - before > served / 3, "{} of {served}", after - before);
 }
 
+/// Guards against several entries granting the whole limit of a cold target while they have links to
+/// different entries.
+#[ntex::test]
+async fn a_cold_target_is_rate_limited_while_links_are_missing() {
+    let registry = registry().await;
+    let warm = Recorder::open("web-1", "a").await;
+    registry.put(warm.listed.clone());
+    let (mut fleet, mut proxies): (Vec<Gateway>, Vec<Proxy>) = (Vec::new(), Vec::new());
+    for nth in 0..4 {
+        let seeds: Vec<_> = fleet.iter().map(Gateway::peers).collect();
+        let mut settings = settings(&format!("entry-{nth}"), registry.address(), &seeds);
+        (settings.bounds.cold_excess, settings.bounds.cold_margin) = (1.5, 1.0);
+        let (proxy, pending) = Proxy::open();
+        // The first entry is reached directly and keeps its links.
+        if nth > 0 {
+            (settings.peers_listen, settings.peers) = (Some(settings.peers), proxy.address());
+        }
+        let entry = Gateway::bind::<Native>(settings, "none".into()).await.expect("an entry");
+        pending.forward_to(entry.peers_listen());
+        until_ready(&entry).await;
+        (fleet.push(entry), proxies.push(proxy));
+    }
+    let known = Request::get("/v1/entries?domain=hala-a");
+    for entry in &fleet {
+        let all = async || known.send(entry.directory()).await.body.matches("entry-").count();
+        eventually(async || all().await == fleet.len()).await;
+    }
+    proxies.iter().for_each(Proxy::stall);
+    // Links that fall silent are closed within a second.
+    sleep(Duration::from_millis(1_500)).await;
+    let cold = [Recorder::open("web-2", "b").await, Recorder::open("web-3", "b").await];
+    cold.iter().for_each(|target| registry.put(target.cold(1)));
+    send_for(&fleet, COLD_PERIOD.mul_f64(0.8)).await;
+    for target in &cold {
+        assert!(target.peak() <= MAX_PER_SECOND, "{} requests in a second", target.peak());
+        assert!(target.count() >= 1);
+    }
+}
+
 /// Guards against a target that becomes cold without a restart being treated as warm.
 #[ntex::test]
 async fn a_target_that_becomes_cold_again_is_rate_limited() {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod observation;
 pub mod order;
 pub mod outlier;
+pub mod permit;
 pub mod placement;
 pub mod poison;
 pub mod position;
