Test that a named limit holds while links between entries are missing

Change: a_limit_holds_while_links_are_missing, and a fleet of tests whose links but the first entry's can be silenced.

--- a/crates/gateway/tests/cold.rs
+++ b/crates/gateway/tests/cold.rs
@@ -16,7 +16,7 @@
 use support::caller::Request;
 use support::proxy::Proxy;
 use support::target::{Standin, answer};
-use support::{eventually, route, settings, text, until_ready};
+use support::{eventually, fleet_behind_proxies, route, settings, text, until_ready};
 use tokio::time::{Instant, sleep};
 use yare::parameterized;
 
@@ -144,26 +144,10 @@
     let registry = registry().await;
     let warm = Recorder::open("web-1", "a").await;
     registry.put(warm.listed.clone());
-    let (mut fleet, mut proxies): (Vec<Gateway>, Vec<Proxy>) = (Vec::new(), Vec::new());
-    for nth in 0..4 {
-        let seeds: Vec<_> = fleet.iter().map(Gateway::peers).collect();
-        let mut settings = settings(&format!("entry-{nth}"), registry.address(), &seeds);
+    let (fleet, proxies) = fleet_behind_proxies(&registry, 4, |settings| {
         (settings.bounds.cold_excess, settings.bounds.cold_margin) = (1.5, 1.0);
-        let (proxy, pending) = Proxy::open();
-        // The first entry is reached directly and keeps its links.
-        if nth > 0 {
-            (settings.peers_listen, settings.peers) = (Some(settings.peers), proxy.address());
-        }
-        let entry = Gateway::bind::<Native>(settings, "none".into()).await.expect("an entry");
-        pending.forward_to(entry.peers_listen());
-        until_ready(&entry).await;
-        (fleet.push(entry), proxies.push(proxy));
-    }
-    let known = Request::get("/v1/entries?domain=hala-a");
-    for entry in &fleet {
-        let all = async || known.send(entry.directory()).await.body.matches("entry-").count();
-        eventually(async || all().await == fleet.len()).await;
-    }
+    })
+    .await;
     proxies.iter().for_each(Proxy::stall);
     // Links that fall silent are closed within a second.
     sleep(Duration::from_millis(1_500)).await;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -131,6 +131,37 @@
     (gateway, proxy)
 }
 
+/// Starts entries that know each other and, until the proxies are stalled, have links to each other;
+/// then only those of the first entry are left.
+pub(crate) async fn fleet_behind_proxies(
+    registry: &Registry,
+    count: usize,
+    adjust: impl Fn(&mut Settings),
+) -> (Vec<Gateway>, Vec<proxy::Proxy>) {
+    let (mut fleet, mut proxies): (Vec<Gateway>, Vec<_>) = (Vec::new(), Vec::new());
+    for nth in 0..count {
+        let seeds: Vec<_> = fleet.iter().map(Gateway::peers).collect();
+        let mut settings = settings(&format!("entry-{nth}"), registry.address(), &seeds);
+        adjust(&mut settings);
+        let (proxy, pending) = proxy::Proxy::open();
+        if nth > 0 {
+            (settings.peers_listen, settings.peers) = (Some(settings.peers), proxy.address());
+        }
+        let entry =
+            Gateway::bind::<Native>(settings, PathBuf::from("none")).await.expect("gateway");
+        pending.forward_to(entry.peers_listen());
+        until_ready(&entry).await;
+        fleet.push(entry);
+        proxies.push(proxy);
+    }
+    let known = caller::Request::get("/v1/entries?domain=hala-a");
+    for entry in &fleet {
+        let all = async || known.send(entry.directory()).await.body.matches("entry-").count();
+        eventually(async || all().await == count).await;
+    }
+    (fleet, proxies)
+}
+
 /// Starts a gateway without waiting until it is ready.
 pub(crate) async fn unready(registry: SocketAddr, name: &str, seeds: &[SocketAddr]) -> Gateway {
     let settings = settings(name, registry, seeds);
--- a/crates/gateway/tests/target_limits.rs
+++ b/crates/gateway/tests/target_limits.rs
@@ -11,8 +11,9 @@
 use fireflyhoist_standin::registry::Registry;
 use parking_lot::Mutex;
 use support::caller::{Answer, Request};
+use support::proxy::Proxy;
 use support::target::{Seen, Standin, Step};
-use support::{eventually, route, text, unready, until_ready};
+use support::{eventually, fleet_behind_proxies, route, text, unready, until_ready};
 use tokio::time::{Instant, sleep};
 use yare::parameterized;
 
@@ -90,16 +91,7 @@
 
 impl Fleet {
     async fn open(entries: usize, limits: &[Option<&str>]) -> Self {
-        let registry = Registry::open().await;
-        let web = Route { objective: Duration::from_millis(500), ..route("web", Kind::Safe) };
-        registry.publish(text(1, vec![web]));
-        let mut targets = Vec::new();
-        for (nth, limit) in limits.iter().enumerate() {
-            let target = LimitedTarget::open(&format!("t-{nth}"), *limit).await;
-            registry.put(target.standin.listed.clone());
-            targets.push(target);
-        }
-        let mut fleet = Self { entries: Vec::new(), targets, answers: Arc::default() };
+        let (registry, mut fleet) = Self::without_entries(limits).await;
         for nth in 0..entries {
             let seeds: Vec<_> = fleet.entries.iter().map(Gateway::peers).collect();
             let entry = unready(registry.address(), &format!("entry-{nth}"), &seeds).await;
@@ -113,6 +105,30 @@
         fleet
     }
 
+    /// Starts entries of which all but the first have a link to the first only.
+    async fn with_missing_links(entries: usize, limits: &[Option<&str>]) -> Self {
+        let (registry, mut fleet) = Self::without_entries(limits).await;
+        let (entries, proxies) = fleet_behind_proxies(&registry, entries, |_| {}).await;
+        proxies.iter().for_each(Proxy::stall);
+        // Links that fall silent are closed within a second.
+        sleep(Duration::from_millis(1_500)).await;
+        fleet.entries = entries;
+        fleet
+    }
+
+    async fn without_entries(limits: &[Option<&str>]) -> (Registry, Self) {
+        let registry = Registry::open().await;
+        let web = Route { objective: Duration::from_millis(500), ..route("web", Kind::Safe) };
+        registry.publish(text(1, vec![web]));
+        let mut targets = Vec::new();
+        for (nth, limit) in limits.iter().enumerate() {
+            let target = LimitedTarget::open(&format!("t-{nth}"), *limit).await;
+            registry.put(target.standin.listed.clone());
+            targets.push(target);
+        }
+        (registry, Self { entries: Vec::new(), targets, answers: Arc::default() })
+    }
+
     /// Sends requests for `duration`, to the entries in turn, without waiting for the answers.
     async fn send_load(&self, duration: Duration, entries: &[usize]) {
         let end = Instant::now() + duration;
@@ -152,6 +168,19 @@
     assert_eq!(fleet.refused(), 0);
 }
 
+/// Guards against several entries granting the whole limit while they have links to different entries,
+/// as for a while after each start.
+#[ntex::test]
+async fn a_limit_holds_while_links_are_missing() {
+    let fleet = Fleet::with_missing_links(4, &[Some("5"), None, None]).await;
+    let all = [0, 1, 2, 3];
+    fleet.send_load(PROPAGATION, &all).await;
+    let from = Instant::now();
+    fleet.send_load(Duration::from_secs(6), &all).await;
+    fleet.targets[0].assert_within_limit(from, 5.0);
+    assert_eq!(fleet.refused(), 0);
+}
+
 /// Guards against an entry being restricted to a small share while it has all the traffic, and
 /// against a limit being exceeded while traffic moves from one entry to another.
 #[ntex::test]
