Judge a question for a text by what was published until its answer

Cause: the check's own. Its question for version 3 began just before version 4 was published (11.197 s) and was answered once version 4, which no longer has the path, was in force (11.2 s). The check looked for a newer text up to when the question began.

Change: a newer text counts up to when the answer came, as "a text never goes back" already goes by both times.

--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -233,7 +233,8 @@
             }
             let current = self.published.iter().rfind(|(when, _)| *when + IN_FORCE <= at);
             let owed = current.is_some_and(|(_, current)| *current == version);
-            let newer = self.published.iter().any(|(when, v)| *v > version && *when <= at);
+            // A newer text may come into force while the question is on its way.
+            let newer = self.published.iter().any(|(when, v)| *v > version && *when <= to);
             if owed && !newer && !known && self.is_calm(entry, at.saturating_sub(IN_FORCE), at) {
                 broken.push(Violation { promise: "a text is in force in time", at, evidence });
             }
