Measure a run that crashed its target from when it began to answer

Cause: how long a run had lasted was measured from when the request was sent, its wait at the target included. From 0.5 s on crashes are taken for a possible coincidence, which has three crashes and four trials.

Evidence: the send that broke the rule waited for 455 ms and crashed its target 113 ms after that had begun to run it.

Change: the run is measured from the head of the answer where there is one. A trial counts as running for 1.5 s longer than before, since its wait at the target is no longer in the runs that it is compared with.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -61,8 +61,8 @@
 /// An answer whose head has been received.
 pub(crate) struct Started {
     pub(crate) response: Response,
-    /// When the request was sent.
-    pub(crate) sent_at: Time,
+    /// When the target began to answer.
+    pub(crate) began_at: Time,
 }
 
 /// What an attempt sends to the target in addition to the request.
@@ -160,7 +160,7 @@
     if reply.request.as_ref() != Some(&context.facts.request) {
         return Err(Error::Unknown("crossed"));
     }
-    Ok(Started { response, sent_at })
+    Ok(Started { response, began_at: worker.process.clock.now() })
 }
 
 fn stamp_headers<P: Platform>(headers: &HeaderMap, stamp: &TargetHeaders<'_>) -> HeaderMap {
--- a/crates/gateway/src/request/liveness.rs
+++ b/crates/gateway/src/request/liveness.rs
@@ -49,8 +49,8 @@
     request: SmolStr,
     fingerprint: Fingerprint,
     target: Target,
-    /// When the request was sent to the target.
-    sent_at: Time,
+    /// When the run began, or the request was sent if it had not.
+    since: Time,
     /// Whether the target accepted new requests when the run was interrupted.
     was_ready: bool,
     /// Whether the target is an engine that had begun to answer.
@@ -58,14 +58,15 @@
 }
 
 impl Check {
-    /// Prepares a check for a request that was sent at `sent_at` to a target, as it was listed
-    /// then.
-    pub(crate) fn new(worker: &Worker, context: &Context, target: &Target, sent_at: Time) -> Self {
+    /// Prepares a check of a target, as it was listed when the request was sent to it. `since` is
+    /// when it began to answer, or when the request was sent if it had not: what a request waits
+    /// there says nothing about what its run does.
+    pub(crate) fn new(worker: &Worker, context: &Context, target: &Target, since: Time) -> Self {
         let process = Arc::clone(&worker.process);
         let was_ready = process.is_target_ready(&target.id);
         let (request, fingerprint) = (context.facts.request.clone(), context.fingerprint);
         let target = target.clone();
-        Self { process, request, fingerprint, target, sent_at, was_ready, had_begun: false }
+        Self { process, request, fingerprint, target, since, was_ready, had_begun: false }
     }
 
     /// Sets that the target had begun to answer, if it is an engine of the request's service.
@@ -103,7 +104,7 @@
     /// Records the state of the target of a run that was interrupted at
     /// `interrupted_at`.
     fn record(&self, status: Status, interrupted_at: Time) {
-        let run_time = interrupted_at.since(self.sent_at);
+        let run_time = interrupted_at.since(self.since);
         self.process.metrics.broken_run(status);
         let crashes = match status {
             Status::Crashed => {
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -218,10 +218,10 @@
 ) -> Result<Answer, Error> {
     let listed = worker.process.target(target).ok_or(Error::NotRun("gone"))?;
     let started = attempt::send::<P>(worker, context, target, &Options::default()).await?;
-    let Started { mut response, sent_at } = started;
+    let Started { mut response, began_at } = started;
     let body = response.read_body(MAX_ANSWER_BYTES).await.map_err(|failure| {
         if matches!(failure, Failure::Broken { .. }) {
-            liveness::Check::new(worker, context, &listed, sent_at)
+            liveness::Check::new(worker, context, &listed, began_at)
                 .with_begun_run(context)
                 .spawn::<P>();
         }
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -98,8 +98,8 @@
     upstream: Option<Response>,
     /// The current engine as it was listed when its run began.
     target: Option<Target>,
-    /// When the request was sent to the current engine.
-    sent_at: Time,
+    /// When the current engine began to answer.
+    began_at: Time,
     splitter: Splitter,
     /// The id of the last event sent to the caller.
     last_event: Rc<Cell<Option<u64>>>,
@@ -137,7 +137,7 @@
             backup,
             upstream: Some(started.response),
             target,
-            sent_at: started.sent_at,
+            began_at: started.began_at,
             splitter: Splitter::default(),
             last_event,
             events: 0,
@@ -232,7 +232,7 @@
     fn handle_lost_run<P: Platform>(&mut self) {
         self.upstream = None;
         if let Some(target) = &self.target {
-            liveness::Check::new(&self.worker, &self.context, target, self.sent_at)
+            liveness::Check::new(&self.worker, &self.context, target, self.began_at)
                 .with_begun_run(&self.context)
                 .spawn::<P>();
         }
@@ -334,7 +334,7 @@
         // No new backup is made: it would compete for links over which other answers still migrate.
         self.backup = None;
         self.upstream = Some(resumed.started.response);
-        self.sent_at = resumed.started.sent_at;
+        self.began_at = resumed.started.began_at;
         self.target = self.worker.process.target(&resumed.target);
         self.splitter = Splitter::default();
         self.backup_tried = false;
@@ -365,7 +365,7 @@
             );
             self.upstream = None;
             if let Some(target) = self.target.take() {
-                liveness::Check::new(&self.worker, &self.context, &target, self.sent_at)
+                liveness::Check::new(&self.worker, &self.context, &target, self.began_at)
                     .record_crash();
             }
         }
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -210,13 +210,13 @@
         pass: Pass,
         started: &mut Started,
     ) -> Result<Response, Error> {
-        let Started { response, sent_at } = started;
+        let Started { response, began_at } = started;
         let server_error = response.status.is_server_error();
         let listed = self.worker.process.target(pass.target());
         pass.finish(if server_error { Outcome::ServerError } else { Outcome::Whole });
         let body = response.read_body(MAX_ANSWER_BYTES).await.map_err(|_| {
             if let Some(target) = &listed {
-                liveness::Check::new(self.worker, &self.context, target, *sent_at)
+                liveness::Check::new(self.worker, &self.context, target, *began_at)
                     .with_begun_run(&self.context)
                     .spawn::<P>();
             }
--- a/crates/gateway/tests/poison.rs
+++ b/crates/gateway/tests/poison.rs
@@ -19,6 +19,9 @@
 /// The body of the request that crashes the target that runs it.
 const POISON: &str = "poison";
 
+/// The body of one that waits at its target before it is run.
+const LATE_POISON: &str = "late poison";
+
 /// Maximum number of sends of a request after it has crashed three targets.
 const MAX_LATE_SENDS: usize = 3;
 
@@ -29,6 +32,9 @@
     let pause = Step::Wait(Duration::from_millis(30));
     match seen.body.as_str() {
         POISON => vec![stream_head(), pause, Step::End],
+        LATE_POISON => {
+            vec![Step::Wait(Duration::from_millis(600)), stream_head(), pause, Step::End]
+        }
         _ => vec![stream_head(), event(1), pause, event(2), stream_end()],
     }
 }
@@ -114,6 +120,18 @@
     assert_eq!((served.status, served.body, served.whole), (200, events(1, 2), true));
 }
 
+/// Guards against crashes being taken for a coincidence because the request had waited at its targets
+/// before they began to run it.
+#[ntex::test]
+async fn a_request_that_waits_before_it_crashes_its_targets_is_quarantined() {
+    let fleet = Fleet::open(2, RESUMABLE).await;
+    for nth in 0..10 {
+        fleet.send(nth % 2, LATE_POISON).await;
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    assert!(fleet.crashes.count() <= 3, "{} targets crashed", fleet.crashes.count());
+}
+
 /// Guards against an entry that has just joined sending a request that the other entries know to
 /// crash targets.
 #[ntex::test]
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -55,8 +55,9 @@
 /// Time until all entries know that a request is suspect.
 pub const PROPAGATION: Duration = Duration::from_millis(1_500);
 
-/// A trial counts as running for twice the longest run that crashed a target, plus this margin.
-const TRIAL_MARGIN: Duration = Duration::from_millis(500);
+/// A trial counts as running for twice the longest run that crashed a target, plus this margin, in
+/// which it waits at its target until it begins.
+const TRIAL_MARGIN: Duration = Duration::from_secs(2);
 
 /// Upper bound on the time for which a trial without an outcome counts as running.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(15);
