Keep a target's cold time when its entry is read again unchanged

Cause: an entry of the registry says for how long its target was cold when it was last written. Read again after a call that had not been answered, the same entry made a warm target cold for another 3 s.

Evidence: "no target takes it excluded=cold:4" at two entries after "targets listed revision=2.75", the revision of 10 s before; the machine had stood still for 1.4 s, which cost every entry its links and calls.

Change: an entry with the renewal that is known already changes nothing of the cold time.

Test: an_entry_that_is_read_again_does_not_make_its_target_cold, red before.

--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -421,11 +421,13 @@
         }
         let changed = known.is_none_or(|known| !known.is_equivalent(&target));
         let renewal = known.map_or(0, |known| known.renewal);
-        let outdated = target.renewal < renewal;
+        // An entry that was not written since says how long its target was cold then.
+        let outdated = renewal > 0 && target.renewal <= renewal;
         target.renewal = target.renewal.max(renewal);
         let before = self.live.get(&target.id).map_or(Time::ZERO, |lease| lease.cold_until);
         let advertised = now + Duration::from_millis(target.cold_ms);
-        let cold_extended = target.cold_ms > 0 && advertised > before.max(now) + COLD_TOLERANCE;
+        let cold_extended =
+            !outdated && target.cold_ms > 0 && advertised > before.max(now) + COLD_TOLERANCE;
         let cold_until = if outdated { before } else { advertised };
         if changed {
             self.changed.insert(target.id.clone());
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -185,6 +185,19 @@
     assert_eq!(leases.cold_remaining(at(9_500), &id), Duration::from_secs(6));
 }
 
+/// Guards against refusals after an outage of the registry, in which targets could not renew their
+/// entries: read again, these still say how long the targets were cold before it.
+#[test]
+fn an_entry_that_is_read_again_does_not_make_its_target_cold() {
+    let mut leases = Leases::default();
+    let id = target(0, 1, 1).id;
+    leases.apply_list(at(0), Position::new(0, 1), vec![target(3_000, 7, 1)]);
+    assert!(!leases.apply_list(at(10_000), Position::new(0, 2), vec![target(3_000, 7, 1)]));
+    assert_eq!(leases.cold_remaining(at(10_000), &id), Duration::ZERO);
+    assert!(leases.apply_list(at(11_000), Position::new(0, 3), vec![target(3_000, 8, 1)]));
+    assert_eq!(leases.cold_remaining(at(11_000), &id), Duration::from_secs(3));
+}
+
 /// Guards against an owner that does not know that a target is cold although the asking entry does.
 #[test]
 fn cold_update_of_another_entry_is_applied() {
