--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -7,8 +7,8 @@
 //! as a trial, and one entry grants trials for the whole fleet.
 //!
 //! Nothing of this outlasts the processes, so a fleet whose entries all lose power learns about a
-//! poison request anew. What it may crash until then is bounded such that two fleets which know
-//! nothing of each other stay within what one may send.
+//! poison request anew. For brief runs, what it may crash until then is bounded such that two fleets
+//! which know nothing of each other stay within what one may send.
 //!
 //! A request that merely ran beside a poison request looks the same until it has run elsewhere.
 //! Three rules limit what this costs: a complete answer clears a request, a suspect's first trial
