Send to targets through one function, and optionally through a forwarder

Cause: connections to targets were opened in four places, so that no single place could know whether an entry reaches targets at all; and no test could cut one entry of several on one host off from its targets.

Change: process::state::path opens every connection to a target. The optional setting forwarder names an HTTP proxy that opens them for the host. A log line tells whether a connection timed out or was refused, which the outcome unreached did not.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -19,6 +19,7 @@
 use ntex::http::header::{HOST, HeaderValue};
 use ntex::http::{HeaderMap, Method, StatusCode};
 use ntex::util::{Bytes, BytesMut};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -31,8 +32,8 @@
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub(crate) enum Failure {
     /// No connection could be opened; the request was not written.
-    #[display("cannot connect; check that the target is up")]
-    ConnectFailed,
+    #[display("cannot connect ({reason}); check that the target is up")]
+    ConnectFailed { reason: Refusal },
     /// The connection ended or the bytes received are no valid response; the request may have run.
     #[display("connection failed ({reason}); see the target's log")]
     Broken { reason: String },
@@ -44,6 +45,20 @@
     BodyTooLarge,
 }
 
+/// How the attempt to open a connection ended.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// Nothing came back in time.
+    #[display("timeout")]
+    TimedOut,
+    /// The other end refused or reset it.
+    #[display("refused")]
+    Refused,
+    /// The forwarder of this host could not open it.
+    #[display("not forwarded")]
+    NotForwarded,
+}
+
 impl Failure {
     fn broken(error: &(impl std::error::Error + ?Sized)) -> Self {
         Self::Broken { reason: error.to_string() }
@@ -80,18 +95,43 @@
     outgoing: Outgoing,
     within: Duration,
 ) -> Result<Response, Failure> {
-    let connected = timeout(CONNECT_TIMEOUT.min(within), TcpStream::connect(address)).await;
-    let Ok(Ok(stream)) = connected else { return Err(Failure::ConnectFailed) };
+    let stream = connect(address, CONNECT_TIMEOUT.min(within)).await?;
+    send_over(stream, address, outgoing, within).await
+}
+
+/// Opens a connection `within` that time.
+pub(crate) async fn connect(address: SocketAddr, within: Duration) -> Result<TcpStream, Failure> {
+    let connected = timeout(within, TcpStream::connect(address)).await;
+    let failed = |reason| Failure::ConnectFailed { reason };
+    let stream = connected.map_err(|_| failed(Refusal::TimedOut))?;
+    let stream = stream.map_err(|_| failed(Refusal::Refused))?;
     // Without Nagle's algorithm: small requests must not wait for acknowledgements.
     let _ = stream.set_nodelay(true);
+    Ok(stream)
+}
+
+/// Sends a request over an open connection and waits for the head of its response, for at most
+/// `within`.
+pub(crate) async fn send_over<S>(
+    stream: S,
+    address: SocketAddr,
+    outgoing: Outgoing,
+    within: Duration,
+) -> Result<Response, Failure>
+where
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
+{
     timeout(within, exchange(stream, address, outgoing)).await.unwrap_or(Err(Failure::TimedOut))
 }
 
-async fn exchange(
-    stream: TcpStream,
+async fn exchange<S>(
+    stream: S,
     address: SocketAddr,
     mut outgoing: Outgoing,
-) -> Result<Response, Failure> {
+) -> Result<Response, Failure>
+where
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
+{
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, driver) = handshake.map_err(|error| Failure::broken(&error))?;
     let (driver, handle) = abortable(driver);
@@ -182,17 +222,6 @@
     }
 }
 
-/// Sends a request and reads a small response, all of it `within` that time.
-pub(crate) async fn call(
-    address: SocketAddr,
-    outgoing: Outgoing,
-    within: Duration,
-    limit: usize,
-) -> Result<(StatusCode, Bytes), Failure> {
-    let fetched = timeout(within, fetch(address, outgoing, within, within, limit)).await;
-    fetched.unwrap_or(Err(Failure::TimedOut)).map(|reply| (reply.status, reply.body))
-}
-
 /// A response that was read completely.
 #[derive(Debug)]
 pub(crate) struct Reply {
--- a/crates/gateway/src/connection/mod.rs
+++ b/crates/gateway/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod deflate;
 pub(crate) mod exchange;
+pub(crate) mod forwarder;
 pub(crate) mod frame;
 pub(crate) mod link;
 pub(crate) mod monitor;
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -41,6 +41,10 @@
     /// address that other entries use is not one of this host.
     #[serde(default)]
     pub peers_listen: Option<SocketAddr>,
+    /// The address of the HTTP proxy through which this host opens connections to targets (by
+    /// `CONNECT`), if it may not open them itself.
+    #[serde(default)]
+    pub forwarder: Option<SocketAddr>,
     /// The address of the metrics.
     pub metrics: SocketAddr,
     /// The capacity of this host, in cores. Callers are sent to the strongest hosts of each failure
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -1,6 +1,7 @@
 //! The state that all requests of a process share. Each part has a lock of its own.
 
 mod cordon;
+mod path;
 mod poison;
 mod target_limits;
 mod targets;
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -8,7 +8,7 @@
 use fireflyhoist_policy::time::Time;
 use ntex::http::HeaderMap;
 
-use crate::connection::exchange::{self, Failure, Outgoing, Response};
+use crate::connection::exchange::{Failure, Outgoing, Response};
 use crate::platform::{Copy, Platform, TargetHeaders};
 use crate::process::state::millis;
 use crate::request::{Context, URGENCY, Worker, liveness};
@@ -30,7 +30,7 @@
 impl Error {
     fn from_failure(failure: &Failure) -> Self {
         match failure {
-            Failure::ConnectFailed => Self::NotSent("unreached"),
+            Failure::ConnectFailed { .. } => Self::NotSent("unreached"),
             Failure::TimedOut => Self::Unknown("late"),
             Failure::Broken { .. } => Self::Unknown("broken"),
             Failure::BodyTooLarge => Self::Unknown("large"),
@@ -138,10 +138,17 @@
         body: context.body.clone(),
     };
     let sent_at = worker.process.clock.now();
-    let response = exchange::send(target.address, outgoing, time_left).await;
+    let response = worker.process.send(&target, outgoing, time_left).await;
     let response = response.map_err(|failure| {
-        if matches!(failure, Failure::Broken { .. }) {
-            liveness::Check::new(worker, context, &target, sent_at).spawn::<P>();
+        match failure {
+            Failure::Broken { .. } => {
+                liveness::Check::new(worker, context, &target, sent_at).spawn::<P>();
+            }
+            Failure::ConnectFailed { reason } => log::info!(
+                request = context.facts.request.as_str(), target:% = id, reason:% = reason;
+                "no connection"
+            ),
+            Failure::TimedOut | Failure::BodyTooLarge => {}
         }
         Error::from_failure(&failure)
     })?;
--- a/crates/gateway/src/request/liveness.rs
+++ b/crates/gateway/src/request/liveness.rs
@@ -6,7 +6,6 @@
 //! the connection closes without an answer, the engine has crashed, unless it closes connections
 //! because it has too many: then the run had not begun either.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,10 +16,8 @@
 use ntex::http::HeaderMap;
 use ntex::util::Bytes;
 use smol_str::SmolStr;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
 
-use crate::connection::exchange::{self, CONNECT_TIMEOUT, Failure, Outgoing};
+use crate::connection::exchange::{CONNECT_TIMEOUT, Failure, Outgoing};
 use crate::platform::Platform;
 use crate::process::state::{CrashCheck, Process, millis};
 use crate::request::{Context, Worker};
@@ -95,12 +92,24 @@
         if !self.was_ready {
             return Status::Draining;
         }
-        let address = self.target.address;
-        let crashed = !accepts_connections(address).await
-            || (self.had_begun && closes_connections::<P>(address).await);
+        let crashed = !self.accepts_connections().await
+            || (self.had_begun && self.closes_connections::<P>().await);
         if crashed { Status::Crashed } else { Status::Alive }
     }
 
+    async fn accepts_connections(&self) -> bool {
+        self.process.connect(&self.target, CONNECT_TIMEOUT).await.is_ok()
+    }
+
+    /// Returns whether an engine closes a connection without an answer to a report call.
+    async fn closes_connections<P: Platform>(&self) -> bool {
+        let call = P::report();
+        let (method, path, body) = (call.method, call.path, Bytes::from(call.body));
+        let outgoing = Outgoing { method, path, headers: HeaderMap::new(), body };
+        let response = self.process.send(&self.target, outgoing, REPORT_TIMEOUT).await;
+        matches!(response, Err(Failure::Broken { .. } | Failure::ConnectFailed { .. }))
+    }
+
     /// Records the state of the target of a run that was interrupted at
     /// `interrupted_at`.
     fn record(&self, status: Status, interrupted_at: Time) {
@@ -127,16 +136,3 @@
         );
     }
 }
-
-/// Returns whether an engine closes a connection without an answer to a report call.
-async fn closes_connections<P: Platform>(address: SocketAddr) -> bool {
-    let call = P::report();
-    let (method, path, body) = (call.method, call.path, Bytes::from(call.body));
-    let outgoing = Outgoing { method, path, headers: HeaderMap::new(), body };
-    let response = exchange::send(address, outgoing, REPORT_TIMEOUT).await;
-    matches!(response, Err(Failure::Broken { .. } | Failure::ConnectFailed))
-}
-
-async fn accepts_connections(address: SocketAddr) -> bool {
-    matches!(timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await, Ok(Ok(_)))
-}
--- a/crates/gateway/src/request/transfer.rs
+++ b/crates/gateway/src/request/transfer.rs
@@ -1,6 +1,7 @@
 //! Transfer of a run's memory from a draining engine to another.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use fireflyhoist_policy::lease::Target;
@@ -11,9 +12,10 @@
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
-use crate::connection::exchange::{self, Failure, Outgoing};
+use crate::connection::exchange::{Failure, Outgoing};
 use crate::platform::{Call, Copy, Moved, Platform};
 use crate::process::copy_usage::CopyUsage;
+use crate::process::state::Process;
 use crate::request::attempt::Error;
 use crate::request::{Context, Worker};
 
@@ -63,29 +65,32 @@
 /// would occupy memory and a slot at the other engine for seconds, and that engine would refuse
 /// other answers that must migrate.
 struct Cleanup {
+    process: Arc<Process>,
     call: Option<Call>,
-    from: SocketAddr,
-    to: SocketAddr,
+    from: Target,
+    to: Target,
 }
 
 impl Drop for Cleanup {
     fn drop(&mut self) {
         let Some(call) = self.call.take() else { return };
-        ntex::rt::spawn(free(call, self.from, self.to)).detach();
+        let (process, from, to) = (Arc::clone(&self.process), self.from.clone(), self.to.clone());
+        ntex::rt::spawn(async move { free(&process, call, &from, &to).await }).detach();
     }
 }
 
 /// Frees a copy at both engines by a call to the engine that made it or, if that fails, at the
 /// engine that received it.
-async fn free(call: Call, from: SocketAddr, to: SocketAddr) {
-    let freed = exchange::call(from, outgoing(call.clone()), FREE_TIMEOUT, MAX_REPLY_BYTES).await;
-    let freed = match freed {
-        Err(_) => exchange::call(to, outgoing(call), FREE_TIMEOUT, MAX_REPLY_BYTES).await,
+async fn free(process: &Process, call: Call, from: &Target, to: &Target) {
+    let send = |at, call| process.call(at, outgoing(call), FREE_TIMEOUT, MAX_REPLY_BYTES);
+    let freed = match send(from, call.clone()).await {
+        Err(_) => send(to, call).await,
         freed => freed,
     };
+    let at = to.address;
     match freed {
-        Ok((status, _)) => log::info!(at:% = to, status = status.as_u16(); "unused copy freed"),
-        Err(error) => log::info!(at:% = to, error:% = error; "unused copy left to its timeout"),
+        Ok((status, _)) => log::info!(at:% = at, status = status.as_u16(); "unused copy freed"),
+        Err(error) => log::info!(at:% = at, error:% = error; "unused copy left to its timeout"),
     }
 }
 
@@ -125,7 +130,8 @@
     reservation: CopyUsage,
 ) -> Result<Transferred, Error> {
     let call = Some(P::delete_copy(&first));
-    let cleanup = Cleanup { call, from: from.address, to: to.address };
+    let process = Arc::clone(&worker.process);
+    let cleanup = Cleanup { process, call, from: from.clone(), to: to.clone() };
     let transferred = |name, cleanup| {
         let copy = Copy { at: from.address, name };
         Transferred { to: to.clone(), copy, reservation, cleanup }
@@ -160,7 +166,7 @@
         worker.fleet.spend(&from.id);
         let call = P::move_run(&context.facts.request, to, last);
         let called =
-            exchange::call(from.address, outgoing(call), TRANSFER_TIMEOUT, MAX_REPLY_BYTES).await;
+            worker.process.call(from, outgoing(call), TRANSFER_TIMEOUT, MAX_REPLY_BYTES).await;
         let (status, body): (StatusCode, Bytes) =
             called.map_err(|error| transfer_failed(&error))?;
         match P::decode_move(status, &body) {
--- a/crates/gateway/src/version/engine_poll.rs
+++ b/crates/gateway/src/version/engine_poll.rs
@@ -14,7 +14,7 @@
 use ntex::util::Bytes;
 use tokio::time::sleep;
 
-use crate::connection::exchange::{self, Outgoing};
+use crate::connection::exchange::Outgoing;
 use crate::platform::Platform;
 use crate::process::fleet::Fleet;
 use crate::process::state::Process;
@@ -63,7 +63,7 @@
     let (method, path, body) = (call.method, call.path, Bytes::from(call.body));
     let outgoing = Outgoing { method, path, headers: HeaderMap::new(), body };
     let (status, body) =
-        match exchange::call(target.address, outgoing, REPORT_TIMEOUT, MAX_REPORT_BYTES).await {
+        match process.call(target, outgoing, REPORT_TIMEOUT, MAX_REPORT_BYTES).await {
             Ok(reply) => reply,
             Err(error) => {
                 ::log::info!(target:% = target.id, error:% = error; "no report");
--- /dev/null
+++ b/crates/gateway/tests/support/forwarder.rs
@@ -0,0 +1,92 @@
+//! The forwarder of one host: an HTTP proxy through which its entry opens connections to targets, and
+//! which can stop to open them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+/// What happens to new connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Mode {
+    /// They are opened.
+    Open,
+    /// They are accepted, and nothing comes back.
+    Hang,
+    /// They are closed at once.
+    Refuse,
+}
+
+/// A forwarder on loopback.
+#[derive(Clone, Debug)]
+pub(crate) struct Forwarder {
+    pub(crate) address: SocketAddr,
+    mode: Arc<Mutex<Mode>>,
+    resets: Arc<Notify>,
+}
+
+impl Forwarder {
+    /// Listens on a free port.
+    pub(crate) async fn open() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let own = Self {
+            address: listener.local_addr().expect("bound"),
+            mode: Arc::new(Mutex::new(Mode::Open)),
+            resets: Arc::default(),
+        };
+        let served = own.clone();
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::task::spawn_local(served.clone().serve(stream));
+            }
+        });
+        own
+    }
+
+    /// Sets what happens to new connections; those that are open live on.
+    pub(crate) fn set_mode(&self, mode: Mode) {
+        *self.mode.lock() = mode;
+    }
+
+    /// Resets the connections that are open.
+    pub(crate) fn reset(&self) {
+        self.resets.notify_waiters();
+    }
+
+    async fn serve(self, mut near: TcpStream) {
+        let reset = self.resets.notified();
+        let mode = *self.mode.lock();
+        let _ = near.set_zero_linger();
+        match mode {
+            Mode::Refuse => return,
+            Mode::Hang => {
+                // Ends once the entry gives up.
+                let _ = near.read_to_end(&mut Vec::new()).await;
+                return;
+            }
+            Mode::Open => {}
+        }
+        let Some(mut far) = connect(&mut near).await else { return };
+        tokio::select! {
+            _ = copy_bidirectional(&mut near, &mut far) => {}
+            () = reset => {}
+        }
+    }
+}
+
+/// Reads the request for a tunnel and opens it.
+async fn connect(near: &mut TcpStream) -> Option<TcpStream> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(near.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).ok()?;
+    let to: SocketAddr = head.strip_prefix("CONNECT ")?.split(' ').next()?.parse().ok()?;
+    let opened = TcpStream::connect(to).await;
+    let reply = if opened.is_ok() { "200 OK" } else { "502 Bad Gateway" };
+    near.write_all(format!("HTTP/1.1 {reply}\r\n\r\n").as_bytes()).await.ok()?;
+    opened.ok()
+}
