Let isolated entries use others for their connections to targets

Cause: an entry took each failed connection for a fault of that one target. It tried one after the other, 400 ms each, until the time of its caller was over; nothing in it knew that it reached none, so it used no other way, and callers kept being sent to it. Class: a fault of an entry's own is taken for one of what it looks at.

Change: after a failed connection, unless one was opened since, an entry tries others (policy::isolation). If none accepts, it is isolated: it opens connections through other entries, which relay bytes without reading them, so that headers, permits, limits and at-most-once hold as over a direct connection; it says nothing about targets, and announces its state, by which callers are sent to others. If no other entry has a path either, requests are refused at once. Relays are opened directly only, for known targets, 256 at most per entry. Answers under way continue from their backups.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use fireflyhoist_policy::id;
 use futures_util::future::{AbortHandle, abortable};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -34,6 +35,9 @@
     /// No connection could be opened; the request was not written.
     #[display("cannot connect ({reason}); check that the target is up")]
     ConnectFailed { reason: Refusal },
+    /// This entry reaches no target, neither directly nor through another entry.
+    #[display("no path to any target; check the network of this host")]
+    NoPath,
     /// The connection ended or the bytes received are no valid response; the request may have run.
     #[display("connection failed ({reason}); see the target's log")]
     Broken { reason: String },
@@ -155,7 +159,8 @@
             headers.append(name.clone(), value);
         }
     }
-    Ok(Response { status: head.status, headers, body, idle_timeout: None, _connection: connection })
+    let status = head.status;
+    Ok(Response { status, headers, relay: None, body, idle_timeout: None, _connection: connection })
 }
 
 fn request(
@@ -177,6 +182,8 @@
 pub(crate) struct Response {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
+    /// The entry that relays the connection; `None` where it is direct.
+    pub(crate) relay: Option<id::Host>,
     body: Incoming,
     /// The longest time between two parts of the body; `None` for no limit.
     idle_timeout: Option<Duration>,
--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -61,6 +61,9 @@
     /// Whether its latest call to the registry succeeded.
     #[serde(rename = "registry")]
     pub(crate) registry_up: bool,
+    /// Whether it reaches no target, so that callers should use other entries.
+    #[serde(default)]
+    pub(crate) isolated: bool,
     /// Whether it currently receives changes of targets from the registry.
     pub(crate) watching: bool,
     /// Whether it relies on the receiver to send it each change of targets.
--- a/crates/gateway/src/connection/link.rs
+++ b/crates/gateway/src/connection/link.rs
@@ -12,14 +12,18 @@
 use fireflyhoist_policy::topology::Member;
 use futures_util::{Sink, SinkExt, Stream, StreamExt};
 use parking_lot::Mutex;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::handshake::server::{Request, Response};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::{WebSocketStream, accept_hdr_async_with_config};
 
 use crate::connection::frame::{Frame, MAX_FRAME_BYTES};
 use crate::connection::monitor::{Monitor, MonitoredSocket};
+use crate::connection::relay::{self, Incoming};
 use crate::connection::traffic::Traffic;
 
 /// A link on which no byte arrives for this long is closed: three times the interval of heartbeats
@@ -47,6 +51,8 @@
     Down(id::Host, Loss),
     /// A frame was received.
     Frame(id::Host, Frame),
+    /// Another entry requests a connection to a target.
+    Relay(Box<Incoming>),
 }
 
 /// Why a link ended, and what had been received on it.
@@ -204,9 +210,13 @@
             ntex::rt::spawn(async move {
                 let _ = stream.set_nodelay(true);
                 let (stream, monitor) = MonitoredSocket::new(stream);
-                let accept =
-                    tokio_tungstenite::accept_async_with_config(stream, Some(websocket_config()));
-                if let Ok(Ok(socket)) = timeout(HANDSHAKE_TIMEOUT, accept).await {
+                let Ok(Some((socket, path))) = timeout(HANDSHAKE_TIMEOUT, accept(stream)).await
+                else {
+                    return;
+                };
+                if path == relay::PATH {
+                    links.accept_relay(socket).await;
+                } else {
                     links.run(socket, monitor).await;
                 }
             })
@@ -214,6 +224,12 @@
         }
     }
 
+    async fn accept_relay(&self, socket: WebSocketStream<MonitoredSocket<TcpStream>>) {
+        if let Some(incoming) = Incoming::read(socket).await {
+            let _ = self.events.send(Event::Relay(Box::new(incoming))).await;
+        }
+    }
+
     /// Performs the handshake, then receives and sends frames until the link ends.
     async fn run<S, E>(self: Arc<Self>, socket: S, monitor: Monitor)
     where
@@ -292,7 +308,7 @@
     }
 }
 
-fn websocket_config() -> WebSocketConfig {
+pub(crate) fn websocket_config() -> WebSocketConfig {
     // The default limit is 64 MB, which a faulty peer could make this end hold in memory.
     WebSocketConfig::default()
         .read_buffer_size(8 << 10)
@@ -300,6 +316,21 @@
         .max_frame_size(Some(MAX_FRAME_BYTES))
 }
 
+/// Accepts a WebSocket, and returns it with the path that was requested.
+async fn accept<S>(stream: S) -> Option<(WebSocketStream<S>, String)>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let mut path = String::new();
+    #[expect(clippy::result_large_err, reason = "the library's callback returns it")]
+    let read_path = |request: &Request, response: Response| {
+        request.uri().path().clone_into(&mut path);
+        Ok(response)
+    };
+    let socket = accept_hdr_async_with_config(stream, read_path, Some(websocket_config())).await;
+    socket.ok().map(|socket| (socket, path))
+}
+
 async fn connect(
     address: SocketAddr,
 ) -> Option<(
--- a/crates/gateway/src/connection/mod.rs
+++ b/crates/gateway/src/connection/mod.rs
@@ -1,4 +1,5 @@
-//! Connections: HTTP exchanges with targets and the registry, and links between entries.
+//! Connections: HTTP exchanges with targets and the registry, links between entries, and relays
+//! through them.
 
 pub(crate) mod deflate;
 pub(crate) mod exchange;
@@ -6,4 +7,5 @@
 pub(crate) mod frame;
 pub(crate) mod link;
 pub(crate) mod monitor;
+pub(crate) mod relay;
 pub(crate) mod traffic;
--- a/crates/gateway/src/process/fleet/heartbeat.rs
+++ b/crates/gateway/src/process/fleet/heartbeat.rs
@@ -29,6 +29,7 @@
             targets: self.process.target_list_position(),
             cordons: self.process.cordon_heartbeat_update(),
             registry_up: self.process.is_registry_available(),
+            isolated: self.process.is_isolated(),
             watching: self.process.is_watching(),
             loads,
         }
@@ -140,7 +141,9 @@
         let mut peers = self.peers.lock();
         let Some(peer) = peers.get_mut(from) else { return };
         let differs = |old: &Heartbeat| {
-            old.registry_up != heartbeat.registry_up || old.ready != heartbeat.ready
+            old.registry_up != heartbeat.registry_up
+                || old.ready != heartbeat.ready
+                || old.isolated != heartbeat.isolated
         };
         let view_changes = peer.heartbeat.as_ref().is_none_or(differs);
         let previous = peer.heartbeat.take().and_then(|old| old.cordons);
--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -21,6 +21,7 @@
 use fireflyhoist_policy::backoff::{self, Role};
 use fireflyhoist_policy::bootstrap::Peers;
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::isolation;
 use fireflyhoist_policy::lease::Change;
 use fireflyhoist_policy::migration_queue::Migration;
 use fireflyhoist_policy::permit::{self, Route};
@@ -73,6 +74,16 @@
     last_used: Time,
 }
 
+impl Peer {
+    fn presence(&self) -> Presence {
+        Presence {
+            member: self.member.clone(),
+            ready: self.heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.ready),
+            isolated: self.heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.isolated),
+        }
+    }
+}
+
 /// The live entries and their roles, computed again when either may have changed.
 #[derive(Debug, Default)]
 struct View {
@@ -151,23 +162,33 @@
         fleet
     }
 
-    /// Returns the entries that callers should use now: the active ones that are ready, or this
-    /// entry if it knows none.
+    /// Returns the entries that callers should use now: the active ones that are ready and reach
+    /// targets, or this entry if it knows none.
     pub(crate) fn ready_members(&self) -> Vec<Member> {
         let view = self.view();
-        let serves = |presence: &&Presence| {
-            let own = presence.member.host == self.own.host;
-            let ready = if own { self.process.is_ready() } else { presence.ready };
-            ready && view.actives.contains(&presence.member.host)
+        let current = |presence: &Presence| match presence.member.host == self.own.host {
+            true => self.own_presence(),
+            false => presence.clone(),
         };
-        let mut ready: Vec<Member> =
-            view.alive.iter().filter(serves).map(|p| p.member.clone()).collect();
+        let serves =
+            |presence: &Presence| presence.ready && view.actives.contains(&presence.member.host);
+        let mut ready: Vec<Presence> = view.alive.iter().map(current).filter(serves).collect();
+        isolation::retain_for_callers(&mut ready);
+        let mut ready: Vec<Member> = ready.into_iter().map(|presence| presence.member).collect();
         if ready.is_empty() && self.process.is_ready() {
             ready.push(self.own.clone());
         }
         ready
     }
 
+    fn own_presence(&self) -> Presence {
+        Presence {
+            member: self.own.clone(),
+            ready: self.process.is_ready(),
+            isolated: self.process.is_isolated(),
+        }
+    }
+
     /// Returns whether another entry accepts callers.
     pub(crate) fn has_ready_peer(&self) -> bool {
         self.ready_members().iter().any(|member| member.host != self.own.host)
@@ -384,7 +405,7 @@
 
     /// Computes which entries are alive and the role of each.
     fn refresh(&self) {
-        let own = Presence { member: self.own.clone(), ready: self.process.is_ready() };
+        let own = self.own_presence();
         let mut alive: BTreeMap<id::Host, Presence> = BTreeMap::new();
         let peers = self.peers.lock();
         for presence in peers.values().flat_map(|peer| peer.announced.alive()) {
@@ -392,14 +413,16 @@
         }
         // The heartbeats that this entry receives itself override what others announce.
         for peer in peers.values() {
-            let ready = peer.heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.ready);
-            let presence = Presence { member: peer.member.clone(), ready };
-            alive.insert(peer.member.host.clone(), presence);
+            alive.insert(peer.member.host.clone(), peer.presence());
         }
         drop(peers);
         alive.insert(self.own.host.clone(), own);
         self.process.set_live_entries(alive.len());
         let alive: Vec<Presence> = alive.into_values().collect();
+        let relays = alive.iter().filter(|presence| {
+            presence.ready && !presence.isolated && presence.member.host != self.own.host
+        });
+        self.process.set_relays(relays.map(|presence| presence.member.clone()).collect());
         let members: Vec<Member> = alive.iter().map(|p| p.member.clone()).collect();
         let actives = topology::actives(&members);
         self.process.set_active_entries(actives.len());
@@ -424,6 +447,10 @@
                 Event::Up(member) => self.link_up(member),
                 Event::Down(host, loss) => self.link_down(&host, loss),
                 Event::Frame(host, frame) => self.handle_frame(&host, frame),
+                Event::Relay(incoming) => {
+                    let process = Arc::clone(&self.process);
+                    ntex::rt::spawn(async move { process.relay(*incoming).await }).detach();
+                }
             }
         }
     }
@@ -548,13 +575,9 @@
     /// to each other.
     fn announced(&self) -> Vec<Presence> {
         let peers = self.peers.lock();
-        let presence = |peer: &Peer| Presence {
-            member: peer.member.clone(),
-            ready: peer.heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.ready),
-        };
-        let mut linked: Vec<Presence> = peers.values().map(presence).collect();
+        let mut linked: Vec<Presence> = peers.values().map(Peer::presence).collect();
         drop(peers);
-        linked.push(Presence { member: self.own.clone(), ready: self.process.is_ready() });
+        linked.push(self.own_presence());
         let members: Vec<Member> = linked.iter().map(|one| one.member.clone()).collect();
         let announced: BTreeSet<&id::Host> =
             topology::announced(&members).into_iter().map(|member| &member.host).collect();
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -22,6 +22,8 @@
 /// The current values of the gauges.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct GaugeValues {
+    /// Whether the entry reaches no target.
+    pub(crate) isolated: bool,
     /// Requests in flight.
     pub(crate) open: usize,
     /// The revision of the text in force.
@@ -52,6 +54,7 @@
     older_eras_refused: Counter<u64>,
     limited_sends: Counter<u64>,
     carried: Counter<u64>,
+    relayed: Counter<u64>,
     registry_calls: Counter<u64>,
     answer_begins: Histogram<f64>,
     era: Gauge<u64>,
@@ -60,6 +63,7 @@
     cordoned: Gauge<u64>,
     cold: Gauge<u64>,
     open: Gauge<u64>,
+    isolated: Gauge<u64>,
     revision: Gauge<u64>,
     traffic: Traffic,
 }
@@ -106,6 +110,10 @@
                 "Requests under which targets ended, by decision",
             ),
             carried: counter("fireflyhoist.carried", "Answers carried to another target, by way"),
+            relayed: counter(
+                "fireflyhoist.relayed",
+                "Connections that an isolated entry requested of others, by outcome",
+            ),
             registry_calls: counter("fireflyhoist.registry_calls", "Calls of the registry"),
             answer_begins: meter
                 .f64_histogram("fireflyhoist.answer_begins")
@@ -125,6 +133,7 @@
                 "Requests known to end their targets",
             ),
             open: gauge("fireflyhoist.open_requests", "Requests in progress"),
+            isolated: gauge("fireflyhoist.isolated", "1 while the entry reaches no target"),
             revision: gauge("fireflyhoist.revision", "Revision of the text in force"),
             traffic: Traffic::new(&meter),
             registry,
@@ -175,6 +184,11 @@
         self.carried.add(1, &[KeyValue::new("way", way)]);
     }
 
+    /// Counts a connection that was requested of other entries, by outcome.
+    pub(crate) fn relayed(&self, outcome: &'static str) {
+        self.relayed.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts a call of the registry.
     pub(crate) fn registry_call(&self) {
         self.registry_calls.add(1, &[]);
@@ -188,6 +202,7 @@
     /// Returns all metrics in the text format, with the given values of the gauges.
     pub(crate) fn page(&self, gauges: GaugeValues) -> String {
         self.open.record(gauges.open as u64, &[]);
+        self.isolated.record(u64::from(gauges.isolated), &[]);
         self.revision.record(gauges.revision, &[]);
         self.era.record(gauges.era, &[]);
         self.held_requests.record(gauges.held as u64, &[]);
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -99,6 +99,8 @@
         let server = serve::spawn::<P>(&process, &fleet, listeners).map_err(bind_error)?;
         watcher::spawn::<P>(&process, &fleet);
         engine_poll::spawn::<P>(&process, &fleet);
+        let watched = Arc::clone(&process);
+        ntex::rt::spawn(async move { watched.watch_path().await }).detach();
         let polled = Arc::clone(&process);
         ntex::rt::spawn(async move {
             loop {
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -33,6 +33,7 @@
 use crate::process::metrics::Metrics;
 use crate::process::service_gate::ServiceGate;
 use crate::process::settings::{Bounds, Settings};
+use crate::process::state::path::Path;
 use crate::process::state::poison::Poison;
 
 pub(crate) use poison::CrashCheck;
@@ -77,6 +78,7 @@
     refusals: Mutex<Ledger>,
     /// Requests that targets crashed on.
     poison: Poison,
+    path: Path,
     /// Request rates that targets advertise.
     target_limits: Mutex<Limits>,
     /// Token buckets of limited targets, used for the targets that this entry decides for.
@@ -121,6 +123,7 @@
             copies: Mutex::default(),
             refusals: Mutex::default(),
             poison: Poison::default(),
+            path: Path::default(),
             target_limits: Mutex::default(),
             buckets: Mutex::new(Buckets::with_membership_known_at(
                 Time::ZERO + MEMBERSHIP_SETTLE_TIME,
--- a/crates/gateway/src/process/state/path.rs
+++ b/crates/gateway/src/process/state/path.rs
@@ -1,28 +1,248 @@
-//! Connections to targets. Everything that is sent to a target goes through this module.
+//! Connections to targets, which are opened directly or, while this entry is isolated, through
+//! another one. Everything that is sent to a target goes through this module.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::id;
+use fireflyhoist_policy::isolation::{self, CHECK_TIMEOUT, CHECKED_TARGETS, Detector};
+use fireflyhoist_policy::lease::{State, Target};
+use fireflyhoist_policy::time::Time;
+use fireflyhoist_policy::topology::Member;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use ntex::http::StatusCode;
 use ntex::util::Bytes;
+use parking_lot::Mutex;
+use rand::seq::IteratorRandom;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
+use tokio::time::{sleep, timeout};
+use tokio_util::either::Either;
 
-use crate::connection::exchange::{self, CONNECT_TIMEOUT, Failure, Outgoing, Response};
+use crate::connection::exchange::{self, CONNECT_TIMEOUT, Failure, Outgoing, Refusal, Response};
 use crate::connection::forwarder;
-use crate::process::state::Process;
+use crate::connection::relay::{self, Incoming, OpenError, Relayed};
+use crate::process::state::{Process, millis};
+
+/// How long another entry may take to open a connection: as long as a direct one may take, and a few
+/// round trips more.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The most connections that this entry relays at one time. Each holds two descriptors and some 50 KB.
+const MAX_RELAYED: usize = 256;
+
+/// A connection to a target.
+pub(crate) type Connection = Either<TcpStream, Relayed>;
+
+/// The path of this entry to targets.
+#[derive(Debug)]
+pub(super) struct Path {
+    detector: Mutex<Detector>,
+    /// The entries that reach targets, as far as this one knows.
+    relays: Mutex<Arc<Vec<Member>>>,
+    /// Held while this entry checks whether it reaches any target.
+    check: tokio::sync::Mutex<()>,
+    /// Notified when the entry becomes isolated.
+    isolated: Notify,
+    relayed: Semaphore,
+}
+
+impl Default for Path {
+    fn default() -> Self {
+        Self {
+            detector: Mutex::default(),
+            relays: Mutex::default(),
+            check: tokio::sync::Mutex::default(),
+            isolated: Notify::new(),
+            relayed: Semaphore::new(MAX_RELAYED),
+        }
+    }
+}
 
 impl Process {
-    /// Opens a connection to a target `within` that time.
+    /// Returns whether this entry reaches no target.
+    pub(crate) fn is_isolated(&self) -> bool {
+        self.path.detector.lock().is_isolated()
+    }
+
+    /// Returns whether what becomes of a request at a target may be due to the path of this entry.
+    pub(crate) fn is_path_suspect(&self) -> bool {
+        self.path.detector.lock().is_suspect(self.clock.now())
+    }
+
+    /// Sets the entries that reach targets.
+    pub(crate) fn set_relays(&self, relays: Vec<Member>) {
+        *self.path.relays.lock() = Arc::new(relays);
+    }
+
+    /// Opens a connection to a target, each step of it `within` that time. Returns the entry that
+    /// relays it too, `None` where it is direct.
     pub(crate) async fn connect(
         &self,
         target: &Target,
         within: Duration,
+    ) -> Result<(Connection, Option<id::Host>), Failure> {
+        let began_at = self.clock.now();
+        if !self.is_isolated() {
+            match self.connect_directly(target, within).await {
+                Ok(stream) => return Ok((Either::Left(stream), None)),
+                Err(failure) if self.has_path(target, began_at).await => return Err(failure),
+                Err(_) => {}
+            }
+        }
+        let (stream, relay) = self.connect_through_peer(target, within).await?;
+        Ok((Either::Right(stream), Some(relay)))
+    }
+
+    async fn connect_directly(
+        &self,
+        target: &Target,
+        within: Duration,
     ) -> Result<TcpStream, Failure> {
-        let within = CONNECT_TIMEOUT.min(within);
-        match self.settings.forwarder {
-            Some(forwarder) => forwarder::connect(forwarder, target.address, within).await,
-            None => exchange::connect(target.address, within).await,
+        let now = self.clock.now();
+        let usual = self.path.detector.lock().connect_timeout(now, CONNECT_TIMEOUT);
+        let within = usual.min(within);
+        let stream = match self.settings.forwarder {
+            Some(forwarder) => forwarder::connect(forwarder, target.address, within).await?,
+            None => exchange::connect(target.address, within).await?,
+        };
+        self.record_connected();
+        Ok(stream)
+    }
+
+    async fn connect_through_peer(
+        &self,
+        target: &Target,
+        within: Duration,
+    ) -> Result<(Relayed, id::Host), Failure> {
+        let request = relay::Request { target: target.id.clone() };
+        let known = Arc::clone(&self.path.relays.lock());
+        let relays: Vec<Member> =
+            isolation::relays(&known, &mut rand::rng()).into_iter().cloned().collect();
+        for Member { host, peers, .. } in relays {
+            let error = match relay::open(peers, &request, RELAY_TIMEOUT.min(within)).await {
+                Ok(stream) => {
+                    self.metrics.relayed("opened");
+                    return Ok((stream, host));
+                }
+                Err(error) => error,
+            };
+            log::info!(target:% = target.id, via:% = host, error:% = error; "not relayed");
+            if error == (OpenError::Refused { reason: relay::Refusal::Unreached }) {
+                return Err(Failure::ConnectFailed { reason: Refusal::NotForwarded });
+            }
+        }
+        self.metrics.relayed("failed");
+        Err(Failure::NoPath)
+    }
+
+    /// Returns whether this entry reaches any target, after a connection to `failed` that was begun
+    /// at `began_at` could not be opened.
+    async fn has_path(&self, failed: &Target, began_at: Time) -> bool {
+        let must_check = || self.path.detector.lock().must_check(self.clock.now(), began_at);
+        if !must_check() {
+            return true;
+        }
+        let _turn = self.path.check.lock().await;
+        // Another request may have checked while this one waited.
+        if self.is_isolated() {
+            return false;
+        }
+        if !must_check() {
+            return true;
+        }
+        let checked_at = self.clock.now();
+        let (others, known) = self.draw_targets(CHECKED_TARGETS, Some(&failed.id));
+        if self.reaches_any(&others).await {
+            return true;
+        }
+        let tried = others.len() + 1;
+        let isolated = self.path.detector.lock().record_failed_check(
+            self.clock.now(),
+            checked_at,
+            tried,
+            known,
+        );
+        if isolated {
+            ::log::warn!(tried = tried, known = known; "no target is reached; using other entries");
+            self.path.isolated.notify_one();
+            self.request_heartbeat();
+        }
+        !isolated
+    }
+
+    /// Draws ready targets at random. Returns how many are ready too, with the one left out.
+    fn draw_targets(&self, count: usize, except: Option<&id::Target>) -> (Vec<Target>, usize) {
+        let leases = self.leases.lock();
+        let ready = || leases.all().filter(|target| target.state == State::Ready);
+        let others = ready().filter(|target| Some(&target.id) != except);
+        let drawn = others.choose_multiple(&mut rand::rng(), count);
+        (drawn.into_iter().cloned().collect(), ready().count())
+    }
+
+    /// Returns whether a connection to any of these targets can be opened.
+    async fn reaches_any(&self, targets: &[Target]) -> bool {
+        let connects = targets.iter().map(|target| self.connect_directly(target, CHECK_TIMEOUT));
+        let mut connects: FuturesUnordered<_> = connects.collect();
+        while let Some(connected) = connects.next().await {
+            if connected.is_ok() {
+                return true;
+            }
+        }
+        false
+    }
+
+    fn record_connected(&self) {
+        let now = self.clock.now();
+        let ended = self.path.detector.lock().record_connected(now);
+        if let Some(lasted) = ended {
+            ::log::info!(lasted_ms = millis(lasted); "targets are reached again");
+            self.request_heartbeat();
+        }
+    }
+
+    /// Checks at intervals, while this entry is isolated, whether it reaches targets again. Runs as
+    /// long as the process.
+    pub(crate) async fn watch_path(&self) {
+        loop {
+            self.path.isolated.notified().await;
+            while self.is_isolated() {
+                sleep(isolation::RECHECK_INTERVAL).await;
+                let (targets, _) = self.draw_targets(CHECKED_TARGETS, None);
+                self.reaches_any(&targets).await;
+            }
+        }
+    }
+
+    /// Relays a connection to a target for another entry. It is opened directly, so that relays
+    /// never form a loop.
+    pub(crate) async fn relay(self: &Arc<Self>, incoming: Incoming) {
+        // A leaving entry waits for what it relays.
+        let _open = self.start_request();
+        match self.open_relay(&incoming.request.target).await {
+            Ok((stream, _permit)) => incoming.relay(stream).await,
+            Err(refusal) => incoming.refuse(refusal).await,
+        }
+    }
+
+    async fn open_relay(
+        &self,
+        target: &id::Target,
+    ) -> Result<(TcpStream, SemaphorePermit<'_>), relay::Refusal> {
+        if self.is_leaving() {
+            return Err(relay::Refusal::Busy);
+        }
+        let permit = self.path.relayed.try_acquire().map_err(|_| relay::Refusal::Busy)?;
+        let target = self.target(target).ok_or(relay::Refusal::Unknown)?;
+        if self.is_isolated() {
+            return Err(relay::Refusal::Isolated);
+        }
+        let began_at = self.clock.now();
+        match self.connect_directly(&target, CONNECT_TIMEOUT).await {
+            Ok(stream) => Ok((stream, permit)),
+            Err(_) if self.has_path(&target, began_at).await => Err(relay::Refusal::Unreached),
+            Err(_) => Err(relay::Refusal::Isolated),
         }
     }
 
@@ -34,8 +254,10 @@
         outgoing: Outgoing,
         within: Duration,
     ) -> Result<Response, Failure> {
-        let stream = self.connect(target, within).await?;
-        exchange::send_over(stream, target.address, outgoing, within).await
+        let (stream, relay) = self.connect(target, within).await?;
+        let mut response = exchange::send_over(stream, target.address, outgoing, within).await?;
+        response.relay = relay;
+        Ok(response)
     }
 
     /// Sends a request to a target and reads a small response, all of it `within` that time.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -10,12 +10,16 @@
 
 use crate::connection::exchange::{Failure, Outgoing, Response};
 use crate::platform::{Copy, Platform, TargetHeaders};
-use crate::process::state::millis;
+use crate::process::state::{Process, millis};
 use crate::request::{Context, URGENCY, Worker, liveness};
 
 /// The reason of [`Error::NotSent`] if the target is cordoned.
 const CORDONED: &str = "cordoned";
 
+/// The reason of [`Error::NotSent`] if this entry reaches no target. It says nothing about the one that
+/// was chosen.
+const ISOLATED: &str = "isolated";
+
 /// Why an attempt returned no answer that can be sent to the caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Error {
@@ -31,6 +35,7 @@
     fn from_failure(failure: &Failure) -> Self {
         match failure {
             Failure::ConnectFailed { .. } => Self::NotSent("unreached"),
+            Failure::NoPath => Self::NotSent(ISOLATED),
             Failure::TimedOut => Self::Unknown("late"),
             Failure::Broken { .. } => Self::Unknown("broken"),
             Failure::BodyTooLarge => Self::Unknown("large"),
@@ -49,10 +54,17 @@
         !matches!(self, Self::Unknown(_))
     }
 
+    /// Returns whether this entry reaches no target, so that no other attempt can succeed.
+    pub(crate) fn is_isolated(&self) -> bool {
+        matches!(self, Self::NotSent(ISOLATED))
+    }
+
     /// Returns the outcome that the gate records for the target.
-    pub(crate) fn outcome(&self) -> Outcome {
+    pub(crate) fn outcome(&self, process: &Process) -> Outcome {
         match self {
-            Self::NotSent(CORDONED) => Outcome::Cancelled,
+            Self::NotSent(CORDONED | ISOLATED) => Outcome::Cancelled,
+            // Otherwise an entry that loses its path would have its peers eject targets that work.
+            Self::Unknown(_) if process.is_path_suspect() => Outcome::Cancelled,
             _ => Outcome::Failed,
         }
     }
@@ -96,6 +108,7 @@
         Ok(started) => started.response.status.as_str().to_owned(),
         Err(error) => error.reason().to_owned(),
     };
+    let relay = result.as_ref().ok().and_then(|started| started.response.relay.as_ref());
     worker.process.metrics.attempt(match &result {
         Ok(_) => "answered",
         Err(error) => error.reason(),
@@ -104,6 +117,7 @@
         request = context.facts.request.as_str(), target:% = target, outcome = outcome.as_str(),
         revision = context.table.text().revision, targets:% = worker.process.targets_position(),
         resumed = options.last_event.unwrap_or(0), copy = options.copy.is_some(),
+        via = relay.map_or("", id::Host::as_str),
         ms = millis(elapsed); "attempt"
     );
     result
@@ -148,7 +162,7 @@
                 request = context.facts.request.as_str(), target:% = id, reason:% = reason;
                 "no connection"
             ),
-            Failure::TimedOut | Failure::BodyTooLarge => {}
+            Failure::NoPath | Failure::TimedOut | Failure::BodyTooLarge => {}
         }
         Error::from_failure(&failure)
     })?;
--- a/crates/gateway/src/request/liveness.rs
+++ b/crates/gateway/src/request/liveness.rs
@@ -34,6 +34,9 @@
     /// It was known to be draining when the run was interrupted.
     #[display("leaving")]
     Draining,
+    /// This entry reaches no target, so that nothing is known about this one.
+    #[display("unreachable")]
+    Unreachable,
     /// It accepts no connections, closes them without an answer, or has restarted.
     #[display("ended")]
     Crashed,
@@ -92,13 +95,12 @@
         if !self.was_ready {
             return Status::Draining;
         }
-        let crashed = !self.accepts_connections().await
-            || (self.had_begun && self.closes_connections::<P>().await);
-        if crashed { Status::Crashed } else { Status::Alive }
-    }
-
-    async fn accepts_connections(&self) -> bool {
-        self.process.connect(&self.target, CONNECT_TIMEOUT).await.is_ok()
+        match self.process.connect(&self.target, CONNECT_TIMEOUT).await {
+            Err(Failure::NoPath) => Status::Unreachable,
+            Err(_) => Status::Crashed,
+            Ok(_) if self.had_begun && self.closes_connections::<P>().await => Status::Crashed,
+            Ok(_) => Status::Alive,
+        }
     }
 
     /// Returns whether an engine closes a connection without an answer to a report call.
@@ -128,7 +130,7 @@
                 );
                 self.process.crashes(self.fingerprint)
             }
-            Status::Draining => self.process.crashes(self.fingerprint),
+            Status::Draining | Status::Unreachable => self.process.crashes(self.fingerprint),
         };
         log::info!(
             request = self.request.as_str(), print:% = self.fingerprint, target:% = self.target.id,
--- a/crates/gateway/src/request/migration.rs
+++ b/crates/gateway/src/request/migration.rs
@@ -37,8 +37,9 @@
 /// four crashes without notice, backups with this reserve help far more than they cost.
 const BACKUP_RESERVE: f64 = 0.65;
 
-/// Delay before the next attempt to migrate when every engine is at its limit.
-const LIMITED_DELAY: Duration = Duration::from_millis(150);
+/// Delay before the next attempt to migrate when every engine is at its limit, or when the one that
+/// was chosen can't be reached.
+const RETRY_DELAY: Duration = Duration::from_millis(150);
 
 /// Returns whether an answer is expected to take longer than the notice that an engine or an entry
 /// gives before it stops.
@@ -159,6 +160,10 @@
         Ok(_) => "arrived",
         Err(error) => error.reason(),
     };
+    if matches!(result, Err(Error::NotSent(_))) {
+        // The next attempt may fail as fast.
+        sleep(RETRY_DELAY).await;
+    }
     worker.process.metrics.carried(if result.is_ok() { label } else { "failed" });
     log::info!(
         request = context.facts.request.as_str(), way = label, outcome = outcome; "carried on"
@@ -176,7 +181,7 @@
     let candidates = admission::within_limits(worker, plan.candidates).await;
     let Some(first) = candidates.first().cloned() else {
         // Without a pause all attempts would be used up before any engine accepts more.
-        sleep(LIMITED_DELAY).await;
+        sleep(RETRY_DELAY).await;
         return Err(Error::NotRun("limited"));
     };
     if !matches!(plan.strategy, Strategy::Transfer { .. })
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -150,6 +150,9 @@
                 None
             }
             Ok(answer) => Some(respond(answer)),
+            Err(error) if error.is_isolated() && last && !self.outcome_unknown => {
+                Some(refuse::isolated(&self.context.facts.request))
+            }
             Err(Error::NotSent(_) | Error::NotRun(_)) => {
                 if matches!(finished.result, Err(Error::NotSent(_))) {
                     // Nothing was sent, so this does not count as an attempt.
@@ -202,7 +205,7 @@
     let outcome = match &result {
         Ok(answer) if answer.status.is_server_error() => Outcome::ServerError,
         Ok(_) => Outcome::Whole,
-        Err(error) => error.outcome(),
+        Err(error) => error.outcome(&worker.process),
     };
     pass.finish(outcome);
     if result.is_ok() {
--- a/crates/gateway/src/request/probe.rs
+++ b/crates/gateway/src/request/probe.rs
@@ -21,6 +21,7 @@
 pub(crate) fn metrics(process: &Process) -> Response {
     let page = process.metrics.page(GaugeValues {
         open: process.open_requests(),
+        isolated: process.is_isolated(),
         revision: process.revision(),
         era: process.era(),
         held: process.suspects(),
--- a/crates/gateway/src/request/refuse.rs
+++ b/crates/gateway/src/request/refuse.rs
@@ -15,6 +15,9 @@
 /// When to retry if no target is known to be up; replacements are listed within seconds.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(1_000);
 
+/// When to retry if this entry reaches no target: the directory names other entries by then.
+const ISOLATED_RETRY: Duration = Duration::from_millis(300);
+
 fn respond(request: &SmolStr, problem: Problem) -> Response {
     log::info!(
         request = request.as_str(), status = problem.status, reason = problem.kind.as_str(),
@@ -110,6 +113,12 @@
     respond(request, problem(503, "no-target", detail, Ran::No, Some(NO_TARGET_RETRY)))
 }
 
+/// Refuses a request because this entry has no path to any target.
+pub(crate) fn isolated(request: &SmolStr) -> Response {
+    let detail = "this entry reaches no target; ask which to use, and come back as told";
+    respond(request, problem(503, "isolated", detail, Ran::No, Some(ISOLATED_RETRY)))
+}
+
 /// Refuses a request for the reason that the gate gave.
 pub(crate) fn gate_refusal(request: &SmolStr, refusal: &Refusal) -> Response {
     let detail = "no room now; come back as told";
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -173,7 +173,8 @@
                 if let Some(io) = &self.context.io {
                     io.close();
                 }
-                let outcome = if end == End::Cut { Outcome::Failed } else { Outcome::Cancelled };
+                let failed = end == End::Cut && !self.worker.process.is_path_suspect();
+                let outcome = if failed { Outcome::Failed } else { Outcome::Cancelled };
                 self.pass.finish(outcome);
             }
         }
@@ -223,11 +224,18 @@
                     None => self.handle_lost_run::<P>(),
                 },
                 _ = targets.changed() => self.check_engines(),
-                () = sleep(SILENCE_TIMEOUT), if self.backup.is_some() => silent = true,
+                () = sleep(SILENCE_TIMEOUT), if self.may_leave_silent_run() => silent = true,
             }
         }
     }
 
+    /// Returns whether an answer migrates when its engine falls silent: it has a backup, or this entry
+    /// reaches its engine only through others by now, so that nothing more may arrive on the
+    /// connection.
+    fn may_leave_silent_run(&self) -> bool {
+        self.backup.is_some() || self.worker.process.is_isolated()
+    }
+
     /// Handles the loss of the run before its answer was complete.
     fn handle_lost_run<P: Platform>(&mut self) {
         self.upstream = None;
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -135,6 +135,9 @@
         self.in_flight = false;
         self.outcome_unknown |= !error.did_not_run();
         match error {
+            error if error.is_isolated() && !self.outcome_unknown => {
+                Some(refuse::isolated(request))
+            }
             Error::NotSent(_) => {
                 // Nothing was sent, so this does not count as an attempt.
                 self.attempts -= 1;
@@ -186,7 +189,7 @@
         let mut started = match started {
             Ok(started) => started,
             Err(error) => {
-                pass.finish(error.outcome());
+                pass.finish(error.outcome(&self.worker.process));
                 return Err(error);
             }
         };
--- a/crates/gateway/tests/isolated.rs
+++ b/crates/gateway/tests/isolated.rs
@@ -3,6 +3,8 @@
 mod support;
 
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use fireflyhoist_gateway::native::Native;
@@ -11,7 +13,7 @@
 use fireflyhoist_standin::registry::Registry;
 use support::caller::Request;
 use support::forwarder::{Forwarder, Mode};
-use support::target::{Standin, answer};
+use support::target::{Seen, Standin, Step, answer, event, events, stream_end, stream_head};
 use support::{eventually, route, settings, text, until_ready};
 use tokio::time::{Instant, sleep};
 use yare::parameterized;
@@ -19,14 +21,15 @@
 /// How long an entry may take to notice that it reaches no target.
 const NOTICE: Duration = Duration::from_secs(1);
 
-/// Routes to lookups, with the time that callers in use have for them.
-fn lookups() -> Vec<Route> {
+/// Routes to lookups, with the time that callers in use have for them, and to long answers.
+fn routes() -> Vec<Route> {
     let lookup = |name, kind| Route {
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(150),
         ..route(name, kind)
     };
-    vec![lookup("look", Kind::Safe), lookup("send", Kind::Unsafe)]
+    let page = route("page", Kind::Stream { resumable: false });
+    vec![lookup("look", Kind::Safe), lookup("send", Kind::Unsafe), page]
 }
 
 /// Three entries that know each other; each reaches the targets through a forwarder of its own.
@@ -38,15 +41,22 @@
 
 impl Fleet {
     async fn open() -> Self {
+        Self::open_with(|_| answer(200, "found")).await
+    }
+
+    /// Starts a fleet whose targets run this script.
+    async fn open_with(
+        script: impl Fn(&Seen) -> Vec<Step> + Clone + Send + Sync + 'static,
+    ) -> Self {
         let registry = Registry::open().await;
         let mut targets = Vec::new();
-        for service in ["look", "send"] {
+        for service in ["look", "send", "page"] {
             for nth in 0..3 {
                 let name = format!("t-{service}-{nth}");
-                targets.push(Standin::open(&name, service, |_| answer(200, "found")).await);
+                targets.push(Standin::open(&name, service, script.clone()).await);
             }
         }
-        registry.publish(text(1, lookups()));
+        registry.publish(text(1, routes()));
         targets.iter().for_each(|target| registry.put(target.listed.clone()));
         let (mut entries, mut forwarders) = (Vec::<Gateway>::new(), Vec::new());
         for nth in 0..3 {
@@ -114,3 +124,127 @@
     assert!(fleet.posts() <= 25, "{} sent for 25 asked", fleet.posts());
     assert!(isolated * 3 >= others * 2, "{isolated} of 20 served, {others} of 20 elsewhere");
 }
+
+/// Callers keep being sent to an isolated entry, which only others can serve.
+#[ntex::test]
+async fn callers_are_not_sent_to_an_isolated_entry() {
+    let fleet = Fleet::open().await;
+    fleet.forwarders[0].set_mode(Mode::Hang);
+    fleet.served(0, 2).await;
+    for entry in &fleet.entries {
+        eventually(async || fleet.listed(entry).await == 2).await;
+    }
+    fleet.forwarders[0].set_mode(Mode::Open);
+    for entry in &fleet.entries {
+        eventually(async || fleet.listed(entry).await == 3).await;
+    }
+}
+
+/// An entry keeps using others after its own path is back.
+#[ntex::test]
+async fn connections_are_direct_again_within_a_second() {
+    let fleet = Fleet::open().await;
+    fleet.forwarders[0].set_mode(Mode::Hang);
+    assert_eq!(fleet.served(0, 4).await, 4);
+    fleet.forwarders[0].set_mode(Mode::Open);
+    sleep(Duration::from_secs(1)).await;
+    let before = fleet.forwarders[0].opened();
+    assert_eq!(fleet.served(0, 10).await, 10);
+    assert!(fleet.forwarders[0].opened() >= before + 10, "connections still take a detour");
+}
+
+/// An isolated entry has its peers eject targets that work.
+#[ntex::test]
+async fn an_isolated_entry_ejects_no_target_of_the_others() {
+    let fleet = Fleet::open().await;
+    for _ in 0..3 {
+        fleet.forwarders[0].set_mode(Mode::Refuse);
+        fleet.forwarders[0].reset();
+        fleet.served(0, 6).await;
+        fleet.forwarders[0].set_mode(Mode::Open);
+        sleep(Duration::from_millis(500)).await;
+        fleet.served(0, 6).await;
+    }
+    let is_lookup = |target: &&Standin| target.listed.service.as_str() != "page";
+    let lookups: Vec<&Standin> = fleet.targets.iter().filter(is_lookup).collect();
+    let before: Vec<usize> = lookups.iter().map(|target| target.seen().len()).collect();
+    assert_eq!(fleet.served(1, 60).await, 60);
+    for (target, before) in lookups.into_iter().zip(before) {
+        assert!(target.seen().len() >= before + 5, "{} gets no requests", target.listed.id);
+    }
+}
+
+/// Requests wait for their timeouts at a fleet of which no entry reaches a target, or are said to
+/// have run.
+#[ntex::test]
+async fn requests_are_refused_at_once_if_all_entries_are_isolated() {
+    let fleet = Fleet::open().await;
+    fleet.forwarders.iter().for_each(|forwarder| forwarder.set_mode(Mode::Refuse));
+    for nth in 0..3 {
+        fleet.served(nth, 2).await;
+    }
+    eventually(async || {
+        let answer = Request::new("POST", "/send/x").body("once");
+        let answer = answer.send(fleet.entries[0].callers()).await;
+        answer.status == 503
+            && answer.body.contains("isolated")
+            && answer.header("retry-after").is_some()
+            && answer.took < Duration::from_millis(100)
+    })
+    .await;
+    assert_eq!(fleet.posts(), 0);
+}
+
+/// A target of a cut entry goes on with a request whose caller has left.
+#[ntex::test]
+async fn a_target_notices_through_a_relay_that_the_caller_has_left() {
+    let slow = |_: &Seen| vec![Step::Hang];
+    let fleet = Fleet::open_with(slow).await;
+    fleet.forwarders[0].set_mode(Mode::Refuse);
+    let left = Request::new("GET", "/look/x").open(fleet.entries[0].callers()).await;
+    eventually(async || fleet.targets.iter().any(|target| !target.seen().is_empty())).await;
+    drop(left);
+    let left_at = Instant::now();
+    let closed = || fleet.targets.iter().flat_map(Standin::closed).count();
+    let seen = || fleet.targets.iter().flat_map(Standin::seen).count();
+    eventually(async || closed() == seen()).await;
+    assert!(left_at.elapsed() < Duration::from_millis(500), "it took {:?}", left_at.elapsed());
+}
+
+/// An answer whose connection is lost with the path is cut although its engine still runs it.
+#[parameterized(
+    connections_fall_silent = { false },
+    connections_are_reset = { true },
+)]
+#[test_macro(ntex::test)]
+async fn a_running_answer_continues_through_a_relay(reset: bool) {
+    let cut = Arc::new(AtomicBool::new(false));
+    let is_cut = Arc::clone(&cut);
+    let script = move |seen: &Seen| {
+        let is_cut = Arc::clone(&is_cut);
+        match seen.header("fireflyhoist-copy") {
+            Some(_) => vec![stream_head(), event(3), event(4), stream_end()],
+            None => vec![
+                stream_head(),
+                event(1),
+                event(2),
+                Step::Until(Arc::new(move || is_cut.load(Ordering::Relaxed))),
+                Step::Hang,
+            ],
+        }
+    };
+    let fleet = Fleet::open_with(script).await;
+    let request = Request::stream("/page/x", 500);
+    let entry = fleet.entries[0].callers();
+    let answer = tokio::task::spawn_local(async move { request.send(entry).await });
+    eventually(async || fleet.targets.iter().any(|target| !target.seen().is_empty())).await;
+    sleep(Duration::from_millis(300)).await;
+    fleet.forwarders[0].set_mode(Mode::Hang);
+    cut.store(true, Ordering::Relaxed);
+    if reset {
+        fleet.forwarders[0].reset();
+    }
+    let answer = answer.await.expect("the caller ends");
+    assert!(answer.whole, "cut after {:?}", answer.body);
+    assert_eq!(answer.body, events(1, 4));
+}
--- a/crates/gateway/tests/support/forwarder.rs
+++ b/crates/gateway/tests/support/forwarder.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
@@ -26,6 +27,7 @@
     pub(crate) address: SocketAddr,
     mode: Arc<Mutex<Mode>>,
     resets: Arc<Notify>,
+    opened: Arc<AtomicUsize>,
 }
 
 impl Forwarder {
@@ -36,6 +38,7 @@
             address: listener.local_addr().expect("bound"),
             mode: Arc::new(Mutex::new(Mode::Open)),
             resets: Arc::default(),
+            opened: Arc::default(),
         };
         let served = own.clone();
         tokio::task::spawn_local(async move {
@@ -51,6 +54,11 @@
         *self.mode.lock() = mode;
     }
 
+    /// Returns how many connections were opened so far.
+    pub(crate) fn opened(&self) -> usize {
+        self.opened.load(Ordering::Relaxed)
+    }
+
     /// Resets the connections that are open.
     pub(crate) fn reset(&self) {
         self.resets.notify_waiters();
@@ -70,6 +78,7 @@
             Mode::Open => {}
         }
         let Some(mut far) = connect(&mut near).await else { return };
+        self.opened.fetch_add(1, Ordering::Relaxed);
         tokio::select! {
             _ = copy_bidirectional(&mut near, &mut far) => {}
             () = reset => {}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod hedge;
 pub mod id;
 pub mod idempotency;
+pub mod isolation;
 pub mod lease;
 pub mod length;
 pub mod load;
--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -20,6 +20,9 @@
     pub member: Member,
     /// Whether it accepts new callers.
     pub ready: bool,
+    /// Whether it reaches no target; see [`crate::isolation`].
+    #[serde(default)]
+    pub isolated: bool,
 }
 
 /// The changes between two numbers of one publisher. An update that starts from 0 is the full list.
--- a/crates/policy/tests/directory.rs
+++ b/crates/policy/tests/directory.rs
@@ -90,8 +90,11 @@
             let linked: Vec<Member> =
                 self.entries[n].links.keys().copied().chain([n]).map(member).collect();
             let announced = topology::announced(&linked);
-            let announced =
-                announced.into_iter().map(|m| Presence { member: m.clone(), ready: true });
+            let announced = announced.into_iter().map(|m| Presence {
+                member: m.clone(),
+                ready: true,
+                isolated: false,
+            });
             let Some(update) = self.entries[n].publisher.update(announced) else { continue };
             let snapshot = self.entries[n].publisher.snapshot();
             for other in self.entries[n].links.keys().copied().collect::<Vec<_>>() {
--- a/crates/policy/tests/presence.rs
+++ b/crates/policy/tests/presence.rs
@@ -16,13 +16,16 @@
 }
 
 fn present(n: usize) -> Presence {
-    Presence { member: member(n), ready: true }
+    Presence { member: member(n), ready: true, isolated: false }
 }
 
 /// Returns what a seed announces when it has links to these members.
 fn announcement(linked: &[usize]) -> Vec<Presence> {
     let members: Vec<Member> = linked.iter().map(|n| member(*n)).collect();
-    announced(&members).into_iter().map(|m| Presence { member: m.clone(), ready: true }).collect()
+    announced(&members)
+        .into_iter()
+        .map(|m| Presence { member: m.clone(), ready: true, isolated: false })
+        .collect()
 }
 
 /// Lists that grow with the square of the fleet while all of it starts would overload the links of
