Let the soak cut entries from all targets

The check compares first tries at isolated entries with those at the others as from three seconds after the cut. Plans of seeds without the flag stay as they are.

--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -8,6 +8,7 @@
 
 use crate::PlayError;
 use crate::backend;
+use crate::forwarder::Forwarder;
 use crate::proxy::Proxy;
 
 /// Seconds that an entry has to drain.
@@ -23,6 +24,8 @@
     pub(crate) link: Proxy,
     /// The way of others to it, where links between entries have faults.
     pub(crate) peers: Option<Proxy>,
+    /// Its way to targets, where it may be cut from them.
+    pub(crate) forwarder: Option<Forwarder>,
     pub(crate) child: RefCell<Child>,
     pub(crate) starts: Cell<u32>,
     /// Whether somebody is ending or starting it just now.
@@ -68,6 +71,7 @@
     pub(crate) listen: SocketAddr,
     pub(crate) peers: Option<Proxy>,
     pub(crate) link: Proxy,
+    pub(crate) forwarder: Option<Forwarder>,
 }
 
 impl Place {
@@ -87,15 +91,17 @@
     let host = format!("entry-{nth}");
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
     let own = place.address();
-    let Place { callers, listen, peers, link } = place;
+    let Place { callers, listen, peers, link, forwarder } = place;
+    let via = forwarder.as_ref().map(|one| format!("forwarder = \"{}\"\n", one.address));
     let registry = link.address;
     let settings = format!(
         "host = \"{host}\"\ndomain = \"d-{}\"\ncallers = \"{callers}\"\n\
          readiness = \"127.0.0.1:0\"\ndirectory = \"127.0.0.1:0\"\npeers = \"{own}\"\n\
-         peers_listen = \"{listen}\"\nmetrics = \"127.0.0.1:0\"\npower = 1\nseeds = [{}]\nregistry = \"{registry}\"\n[bounds]\n\
+         peers_listen = \"{listen}\"\n{}metrics = \"127.0.0.1:0\"\npower = 1\nseeds = [{}]\nregistry = \"{registry}\"\n[bounds]\n\
          grace_s = {GRACE_S}\nretry_ratio = 0.2\nretry_burst = 160\nentries_ttl_s = 5\n\
          cold_excess = {}\ncold_margin = {}\n",
         nth % 2,
+        via.unwrap_or_default(),
         seeds.join(","),
         backend::EXCESS,
         backend::MARGIN,
@@ -109,6 +115,7 @@
         callers,
         link,
         peers,
+        forwarder,
         child: RefCell::new(child),
         starts: Cell::default(),
         busy: Cell::default(),
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -75,6 +75,37 @@
     pub(crate) to: Duration,
 }
 
+/// A time during which an entry was cut from all targets.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Isolated {
+    pub(crate) entry: usize,
+    pub(crate) from: Duration,
+    pub(crate) to: Duration,
+}
+
+/// First tries, and how many of them were served.
+#[derive(Clone, Copy, Debug, Default, Display)]
+#[display("{served} of {asked}")]
+struct Tries {
+    asked: usize,
+    served: usize,
+}
+
+impl Tries {
+    fn add(&mut self, asked: &Asked) {
+        self.asked += 1;
+        self.served += usize::from(asked.end == End::Status(200));
+    }
+
+    fn failed(self) -> usize {
+        self.asked - self.served
+    }
+
+    fn share(self) -> f64 {
+        self.served as f64 / self.asked.max(1) as f64
+    }
+}
+
 /// A limit that a target named.
 #[derive(Clone, Debug)]
 pub(crate) struct Limit {
@@ -134,6 +165,8 @@
     pub(crate) ends: Vec<Duration>,
     /// Limits that targets named.
     pub(crate) limits: Vec<Limit>,
+    /// Entries that were cut from all targets.
+    pub(crate) isolations: Vec<Isolated>,
     /// Failure domains that were cordoned.
     pub(crate) cordons: Vec<Span>,
     /// Failure domains whose cordon the registry and its operator disagree about.
@@ -180,6 +213,7 @@
         self.check_poison(&mut broken);
         self.limits.iter().for_each(|limit| self.check_limit(limit, &mut broken));
         self.cordons.iter().for_each(|cordon| self.check_cordon(cordon, &mut broken));
+        self.isolations.iter().for_each(|one| self.check_isolation(one, &mut broken));
         self.cold.iter().for_each(|cold| self.check_cold(cold, &mut broken));
         let due = |asked: &&Asked| asked.from >= self.calm && asked.kind != Kind::Poison;
         let last: Vec<&Asked> = self.asked.iter().filter(due).collect();
@@ -300,6 +334,31 @@
         }
     }
 
+    /// Compares the first tries at entries that are cut from all targets with those at the others, from
+    /// [`SETTLE`] after a cut began.
+    fn check_isolation(&self, isolated: &Isolated, broken: &mut Vec<Violation>) {
+        let (from, to) = (isolated.from + SETTLE, isolated.to);
+        let (mut there, mut elsewhere) = (Tries::default(), Tries::default());
+        let asked = self.asked.iter().filter(|asked| asked.kind != Kind::Poison);
+        for asked in asked.filter(|asked| asked.from >= from && asked.to <= to) {
+            if !self.is_calm(asked.entry, asked.from, asked.to) {
+                continue;
+            }
+            let own = || self.isolations.iter().filter(|one| one.entry == asked.entry);
+            if own().any(|one| one.from + SETTLE <= asked.from && asked.to <= one.to) {
+                there.add(asked);
+            } else if !own().any(|one| one.from <= asked.to && asked.from <= one.to + SETTLE) {
+                elsewhere.add(asked);
+            }
+        }
+        let less = there.share() * 3.0 < elsewhere.share() * 2.0;
+        if less && there.failed() > 10 + (there.asked + elsewhere.asked) / 50 {
+            let promise = "callers of isolated entries are served";
+            let evidence = format!("{there} there, {elsewhere} elsewhere, until {to:?}");
+            broken.push(Violation { promise, at: from, evidence });
+        }
+    }
+
     /// Sums over all entries, whatever happened to them.
     fn check_cold(&self, cold: &Span, broken: &mut Vec<Violation>) {
         let here =
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod backend;
 mod caller;
 mod entry;
+mod forwarder;
 mod ledger;
 mod plan;
 mod proxy;
@@ -43,6 +44,8 @@
     pub restores: bool,
     /// Whether failure domains are cordoned, and targets are cold after a start.
     pub domains: bool,
+    /// Whether entries are cut from all targets.
+    pub isolated: bool,
 }
 
 /// Why a run can't be played.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -30,6 +30,8 @@
     restores: bool,
     /// Failure domains that are cordoned, and targets that are cold after a start, as well.
     domains: bool,
+    /// Entries that are cut from all targets, as well.
+    isolated: bool,
     /// Where logs, timelines and plots of seeds that failed are kept.
     #[bpaf(argument("DIR"), fallback(PathBuf::from("target/soak")))]
     report: PathBuf,
@@ -45,8 +47,8 @@
             return ExitCode::from(if wrong { 2 } else { 0 });
         }
     };
-    let Flags { seconds, processes, links, needy, restores, domains, .. } = flags;
-    let size = Size { seconds, processes, links, needy, restores, domains };
+    let Flags { seconds, processes, links, needy, restores, domains, isolated, .. } = flags;
+    let size = Size { seconds, processes, links, needy, restores, domains, isolated };
     let mut failed = 0;
     for seed in flags.seed..flags.seed + flags.seeds {
         let verdict = match play(seed, size, &flags.report).await {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -74,12 +74,25 @@
     Restore,
     /// A target names a limit, in requests for each ten seconds.
     Limit(usize, u32),
+    /// An entry is cut from all targets for the fault's span.
+    Isolate(usize, Isolation),
     /// A failure domain is cordoned for the fault's span.
     Cordon(usize),
     /// The targets of a failure domain end, and come back together, cold.
     ColdReturn(usize),
 }
 
+/// What becomes of the connections of an entry that is cut from all targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub(crate) enum Isolation {
+    /// All fall silent.
+    Hang,
+    /// All are reset, new ones too.
+    Reset,
+    /// Those that are open live on, new ones are refused.
+    RefuseNew,
+}
+
 /// A fault at its time.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub(crate) struct Planned {
@@ -122,6 +135,9 @@
         if size.domains {
             faults.extend(of_domains(seed, end));
         }
+        if size.isolated {
+            faults.extend(of_isolation(seed, size, end));
+        }
         faults.sort_by_key(|planned| planned.at);
         Self { faults, end: end + Duration::from_secs(4) }
     }
@@ -180,6 +196,35 @@
     faults
 }
 
+/// Cuts of entries from all targets: of one, of half, of those of a failure domain or of all but one;
+/// once, or on and off each second.
+fn of_isolation(seed: u64, size: Size, end: Duration) -> Vec<Planned> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(8));
+    let (mut at, mut faults) = (LEAD, Vec::new());
+    while at < end {
+        let first = rng.random_range(0..size.processes);
+        let entries: Vec<usize> = match rng.random_range(0..4) {
+            0 => vec![first],
+            1 => (0..size.processes / 2).map(|nth| (first + nth) % size.processes).collect(),
+            2 => (0..size.processes).filter(|nth| nth % DOMAINS == first % DOMAINS).collect(),
+            _ => (0..size.processes).filter(|nth| *nth != first).collect(),
+        };
+        let kinds = [Isolation::Hang, Isolation::Reset, Isolation::RefuseNew];
+        let isolation = kinds[rng.random_range(0..kinds.len())];
+        let on_and_off = rng.random_bool(0.2);
+        let (span, count) =
+            if on_and_off { (1_000, 4) } else { (rng.random_range(1_000..7_000), 1) };
+        let span = Duration::from_millis(span);
+        for nth in 0..count {
+            let at = at + 2 * nth * span;
+            let fault = |entry: &usize| Fault::Isolate(*entry, isolation);
+            faults.extend(entries.iter().map(|entry| Planned { at, span, fault: fault(entry) }));
+        }
+        at += (2 * count - 1) * span + Duration::from_millis(rng.random_range(0..3_000));
+    }
+    faults
+}
+
 /// Limits that targets name, some at several of a service, some changed while they are named.
 fn of_limits(seed: u64, end: Duration) -> Vec<Planned> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
--- a/crates/soak/src/seen.rs
+++ b/crates/soak/src/seen.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use crate::ledger::{Asked, Disturbed, Ledger, Limit, Probed, Span};
+use crate::ledger::{Asked, Disturbed, Isolated, Ledger, Limit, Probed, Span};
 
 /// What everyone in a run notes what they see in.
 #[derive(Clone, Debug)]
@@ -91,6 +91,12 @@
         self.ledger.borrow_mut().strays.push(stray);
     }
 
+    /// Notes that an entry was cut from all targets from a time until now.
+    pub(crate) fn isolated(&self, entry: usize, from: Duration) {
+        let isolated = Isolated { entry, from, to: self.now() };
+        self.ledger.borrow_mut().isolations.push(isolated);
+    }
+
     /// Notes that an entry ended by itself.
     pub(crate) fn exited(&self, entry: usize) {
         let exit = (self.now(), entry);
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -19,6 +19,7 @@
 use crate::backend::{self, Backend, Engines, SERVICES};
 use crate::caller::{self, TIMEOUT};
 use crate::entry::{self, Entry, Place};
+use crate::forwarder::Forwarder;
 use crate::ledger::{Ledger, Probed};
 use crate::plan::{BACKENDS, CALM, LEAD, PROOF, Plan};
 use crate::proxy::Proxy;
@@ -79,7 +80,8 @@
             let (callers, listen) = (callers.address(), listen.address());
             let link = Proxy::open(registry.address()).await;
             let peers = if size.links { Some(Proxy::open(listen).await) } else { None };
-            places.push(Place { callers, listen, peers, link });
+            let forwarder = if size.isolated { Some(Forwarder::open().await) } else { None };
+            places.push(Place { callers, listen, peers, link, forwarder });
         }
         let seeds: Vec<SocketAddr> = places.iter().take(3).map(Place::address).collect();
         let mut entries = Vec::new();
--- a/crates/soak/src/world/strike.rs
+++ b/crates/soak/src/world/strike.rs
@@ -12,7 +12,7 @@
 use crate::backend::{self, Backend};
 use crate::caller;
 use crate::entry::{self, GRACE_S};
-use crate::plan::{BACKENDS, DOMAINS, Fault, Planned};
+use crate::plan::{BACKENDS, DOMAINS, Fault, Isolation, Planned};
 use crate::proxy::{Mode, Proxy};
 use crate::world::World;
 
@@ -85,6 +85,7 @@
             Fault::Limit(slot, tenths) => {
                 self.name_limit(slot, f64::from(tenths) / 10.0, span).await
             }
+            Fault::Isolate(nth, isolation) => self.isolate(nth, isolation, span).await,
             Fault::Cordon(domain) => self.cordon(domain, span).await,
             Fault::ColdReturn(domain) => {
                 let slots = (0..self.backends.len()).filter(|slot| slot % DOMAINS == domain);
@@ -309,6 +310,15 @@
         self.cordoned.borrow_mut().remove(&domain);
     }
 
+    async fn isolate(&self, nth: usize, isolation: Isolation, span: Duration) {
+        let forwarder = self.entries[nth].forwarder.iter();
+        let from = self.seen.now();
+        forwarder.clone().for_each(|forwarder| forwarder.set_isolation(Some(isolation)));
+        sleep(span).await;
+        self.seen.isolated(nth, from);
+        forwarder.for_each(|forwarder| forwarder.set_isolation(None));
+    }
+
     async fn crash_owned(self, slot: usize) {
         self.crash(slot).await;
     }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -24,8 +24,15 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_under_faults(seed: u64, seconds: u64) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak");
-    let size =
-        Size { seconds, processes: 3, links: false, needy: false, restores: false, domains: false };
+    let size = Size {
+        seconds,
+        processes: 3,
+        links: false,
+        needy: false,
+        restores: false,
+        domains: false,
+        isolated: false,
+    };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
@@ -42,8 +49,15 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_on_poor_links(seed: u64, seconds: u64, processes: usize) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-links");
-    let size =
-        Size { seconds, processes, links: true, needy: false, restores: false, domains: false };
+    let size = Size {
+        seconds,
+        processes,
+        links: true,
+        needy: false,
+        restores: false,
+        domains: false,
+        isolated: false,
+    };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
@@ -63,8 +77,15 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_before_needy_targets(seed: u64, seconds: u64) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-needy");
-    let size =
-        Size { seconds, processes: 4, links: false, needy: true, restores: false, domains: false };
+    let size = Size {
+        seconds,
+        processes: 4,
+        links: false,
+        needy: true,
+        restores: false,
+        domains: false,
+        isolated: false,
+    };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
@@ -77,8 +98,15 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_while_the_registry_is_restored(seed: u64, seconds: u64) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-restores");
-    let size =
-        Size { seconds, processes: 3, links: false, needy: false, restores: true, domains: false };
+    let size = Size {
+        seconds,
+        processes: 3,
+        links: false,
+        needy: false,
+        restores: true,
+        domains: false,
+        isolated: false,
+    };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
@@ -91,8 +119,36 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_of_failure_domains(seed: u64, seconds: u64) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-domains");
-    let size =
-        Size { seconds, processes: 4, links: false, needy: false, restores: false, domains: true };
+    let size = Size {
+        seconds,
+        processes: 4,
+        links: false,
+        needy: false,
+        restores: false,
+        domains: true,
+        isolated: false,
+    };
+    let verdict = play(seed, size, &report).await.expect("it plays");
+    assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
+    assert!(verdict.served() > 50, "{verdict}");
+}
+
+/// The same while entries are cut from all targets.
+#[parameterized(
+    short = { 1, 6 },
+)]
+#[test_macro(ntex::test)]
+async fn promises_hold_of_isolated_entries(seed: u64, seconds: u64) {
+    let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-isolated");
+    let size = Size {
+        seconds,
+        processes: 4,
+        links: false,
+        needy: false,
+        restores: false,
+        domains: false,
+        isolated: true,
+    };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
