Let the soak compare lookups at isolated entries with those at others

Cause: the check counted all requests that ended within a cut. Callers that wait for six seconds ask too little for it to see anything.

Change: it compares lookups that are answered within a second.

--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -93,12 +93,9 @@
 
 impl Tries {
     fn add(&mut self, asked: &Asked) {
+        let in_time = asked.to <= asked.from + LOOKUP;
         self.asked += 1;
-        self.served += usize::from(asked.end == End::Status(200));
-    }
-
-    fn failed(self) -> usize {
-        self.asked - self.served
+        self.served += usize::from(asked.end == End::Status(200) && in_time);
     }
 
     fn share(self) -> f64 {
@@ -144,6 +141,12 @@
 /// The span in which a target that names a limit may get one and a half times as much, and five more.
 const LIMIT_SPAN: Duration = Duration::from_secs(4);
 
+/// How long callers wait for a lookup where it is compared between entries.
+const LOOKUP: Duration = Duration::from_secs(1);
+
+/// Lookups at isolated entries that are enough for a comparison.
+const COMPARED: usize = 10;
+
 /// The part of requests that must be served once all is calm again.
 const SERVED: f64 = 0.95;
 
@@ -334,25 +337,26 @@
         }
     }
 
-    /// Compares the first tries at entries that are cut from all targets with those at the others, from
+    /// Compares the lookups that callers of isolated entries try first with those at the others, from
     /// [`SETTLE`] after a cut began.
     fn check_isolation(&self, isolated: &Isolated, broken: &mut Vec<Violation>) {
-        let (from, to) = (isolated.from + SETTLE, isolated.to);
+        let (from, to) = (isolated.from + SETTLE, isolated.to.saturating_sub(LOOKUP));
         let (mut there, mut elsewhere) = (Tries::default(), Tries::default());
-        let asked = self.asked.iter().filter(|asked| asked.kind != Kind::Poison);
-        for asked in asked.filter(|asked| asked.from >= from && asked.to <= to) {
-            if !self.is_calm(asked.entry, asked.from, asked.to) {
+        let lookups = self.asked.iter().filter(|a| matches!(a.kind, Kind::Safe | Kind::Unsafe));
+        for asked in lookups.filter(|asked| asked.from >= from && asked.from <= to) {
+            let until = asked.from + LOOKUP;
+            if !self.is_calm(asked.entry, asked.from, until) {
                 continue;
             }
             let own = || self.isolations.iter().filter(|one| one.entry == asked.entry);
-            if own().any(|one| one.from + SETTLE <= asked.from && asked.to <= one.to) {
+            if own().any(|one| one.from + SETTLE <= asked.from && until <= one.to) {
                 there.add(asked);
-            } else if !own().any(|one| one.from <= asked.to && asked.from <= one.to + SETTLE) {
+            } else if !own().any(|one| one.from <= until && asked.from <= one.to + SETTLE) {
                 elsewhere.add(asked);
             }
         }
         let less = there.share() * 3.0 < elsewhere.share() * 2.0;
-        if less && there.failed() > 10 + (there.asked + elsewhere.asked) / 50 {
+        if less && there.asked >= COMPARED {
             let promise = "callers of isolated entries are served";
             let evidence = format!("{there} there, {elsewhere} elsewhere, until {to:?}");
             broken.push(Violation { promise, at: from, evidence });
