Let a leaving entry open connections if no other can

While it drained, for four seconds, the three refused every request.

Cause: entries that are not ready were no candidates for relays, and a leaving one refused them.

Change: such entries are asked last.

--- a/crates/gateway/src/connection/relay.rs
+++ b/crates/gateway/src/connection/relay.rs
@@ -67,7 +67,7 @@
     /// It does not know the target.
     #[display("unknown")]
     Unknown,
-    /// It is leaving, or relays as many connections as it may.
+    /// It relays as many connections as it may.
     #[display("busy")]
     Busy,
     /// It reaches no target either.
--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -419,10 +419,10 @@
         alive.insert(self.own.host.clone(), own);
         self.process.set_live_entries(alive.len());
         let alive: Vec<Presence> = alive.into_values().collect();
-        let relays = alive.iter().filter(|presence| {
-            presence.ready && !presence.isolated && presence.member.host != self.own.host
-        });
-        self.process.set_relays(relays.map(|presence| presence.member.clone()).collect());
+        let relays = alive
+            .iter()
+            .filter(|presence| !presence.isolated && presence.member.host != self.own.host);
+        self.process.set_relays(relays.cloned().collect());
         let members: Vec<Member> = alive.iter().map(|p| p.member.clone()).collect();
         let actives = topology::actives(&members);
         self.process.set_active_entries(actives.len());
--- a/crates/gateway/src/process/state/path.rs
+++ b/crates/gateway/src/process/state/path.rs
@@ -7,6 +7,7 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::isolation::{self, CHECK_TIMEOUT, CHECKED_TARGETS, Detector};
 use fireflyhoist_policy::lease::{State, Target};
+use fireflyhoist_policy::presence::Presence;
 use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::topology::Member;
 use futures_util::StreamExt;
@@ -40,7 +41,7 @@
 pub(super) struct Path {
     detector: Mutex<Detector>,
     /// The entries that reach targets, as far as this one knows.
-    relays: Mutex<Arc<Vec<Member>>>,
+    relays: Mutex<Arc<Vec<Presence>>>,
     /// Held while this entry checks whether it reaches any target.
     check: tokio::sync::Mutex<()>,
     /// Notified when the entry becomes isolated.
@@ -72,7 +73,7 @@
     }
 
     /// Sets the entries that reach targets.
-    pub(crate) fn set_relays(&self, relays: Vec<Member>) {
+    pub(crate) fn set_relays(&self, relays: Vec<Presence>) {
         *self.path.relays.lock() = Arc::new(relays);
     }
 
@@ -230,9 +231,6 @@
         &self,
         target: &id::Target,
     ) -> Result<(TcpStream, SemaphorePermit<'_>), relay::Refusal> {
-        if self.is_leaving() {
-            return Err(relay::Refusal::Busy);
-        }
         let permit = self.path.relayed.try_acquire().map_err(|_| relay::Refusal::Busy)?;
         let target = self.target(target).ok_or(relay::Refusal::Unknown)?;
         if self.is_isolated() {
--- a/crates/gateway/tests/isolated.rs
+++ b/crates/gateway/tests/isolated.rs
@@ -248,3 +248,19 @@
     assert!(answer.whole, "cut after {:?}", answer.body);
     assert_eq!(answer.body, events(1, 4));
 }
+
+/// An entry refuses its callers although the only other entry with a path, which is leaving, could
+/// still open connections.
+#[ntex::test]
+async fn a_leaving_entry_opens_connections_if_no_other_can() {
+    let mut fleet = Fleet::open().await;
+    fleet.forwarders[0].set_mode(Mode::Refuse);
+    fleet.forwarders[2].set_mode(Mode::Refuse);
+    let leaving = fleet.entries.remove(1);
+    fleet.served(0, 4).await;
+    fleet.served(1, 4).await;
+    let drained = tokio::task::spawn_local(leaving.drain());
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(fleet.served(0, 10).await, 10);
+    drained.await.expect("it stops");
+}
--- a/crates/policy/src/isolation.rs
+++ b/crates/policy/src/isolation.rs
@@ -107,12 +107,14 @@
     }
 }
 
-/// Returns the entries through which an isolated one may reach targets, in random order so that they
-/// share the load.
-pub fn relays<'a>(alive: &'a [Member], rng: &mut impl Rng) -> Vec<&'a Member> {
-    let mut relays: Vec<&Member> = alive.iter().collect();
-    let (chosen, _) = relays.partial_shuffle(rng, MAX_RELAYS);
-    chosen.to_vec()
+/// Returns the members of these that an isolated entry asks for connections, in random order so that
+/// they share the load. Members that are not ready come last: one that is leaving may be the only one
+/// with a path.
+pub fn relays<'a>(members: &'a [Presence], rng: &mut impl Rng) -> Vec<&'a Member> {
+    let mut members: Vec<&Presence> = members.iter().collect();
+    members.shuffle(rng);
+    members.sort_by_key(|presence| !presence.ready);
+    members.into_iter().take(MAX_RELAYS).map(|presence| &presence.member).collect()
 }
 
 /// Removes isolated entries from those that callers are told to use.
--- a/crates/policy/tests/isolation.rs
+++ b/crates/policy/tests/isolation.rs
@@ -100,15 +100,20 @@
 #[test]
 fn connections_of_isolated_entries_spread_over_the_others() {
     let mut rng = ChaCha8Rng::seed_from_u64(7);
-    let others: Vec<Member> = (150..300).map(member).collect();
+    let others: Vec<Presence> = (150..300).map(|nth| presence(nth, false)).collect();
     let mut opened = vec![0_u32; 300];
     for _ in 0..150 * 100 {
         let relays = isolation::relays(&others, &mut rng);
         assert_eq!(relays.len(), MAX_RELAYS);
-        let first = others.iter().position(|other| other.host == relays[0].host).expect("known");
+        let first =
+            others.iter().position(|other| other.member.host == relays[0].host).expect("known");
         opened[150 + first] += 1;
     }
     let most = opened.iter().max().expect("entries");
     assert!(*most < 200, "one entry opens {most} connections where 100 are its part");
     assert!(isolation::relays(&[], &mut rng).is_empty());
+    let leaving = Presence { ready: false, ..presence(0, false) };
+    let two = [leaving.clone(), presence(1, false)];
+    let asked = isolation::relays(&two, &mut rng);
+    assert_eq!(asked, [&two[1].member, &two[0].member], "one that is leaving comes last");
 }
