--- a/crates/tool/src/explain.rs
+++ b/crates/tool/src/explain.rs
@@ -293,6 +293,7 @@
         "ends-targets" => "targets ended while they ran the same request",
         "targets-cordoned" => "every target stood in a failure domain that is cordoned",
         "targets-limited" => "every target took only so much, and no more for then",
+        "isolated" => "the entry reached no target, neither directly nor through another entry",
         "targets-resting" => "every target had asked for rest",
         "workspace-limit" => "its workspace had used its share",
         "retry-budget" => "another attempt would have passed the bound on repeats",
--- a/crates/tool/tests/explain.rs
+++ b/crates/tool/tests/explain.rs
@@ -31,6 +31,7 @@
     limited = { "message=refused request=r-1 status=503 reason=targets-limited", "took only so much" },
     resting = { "message=refused request=r-1 status=503 reason=targets-resting", "asked for rest" },
     cordoned = { "message=refused request=r-1 status=503 reason=targets-cordoned", "domain that is cordoned" },
+    isolated = { "message=refused request=r-1 status=503 reason=isolated", "reached no target" },
     leaving = { "message=refused request=r-1 status=503 reason=leaving", "entry was leaving" },
     not_ready = { "message=refused request=r-1 status=503 reason=not-ready", "knew no text" },
     no_route = { "message=refused request=r-1 status=404 reason=no-route", "no route" },
