--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -168,6 +168,8 @@
     pub(crate) ends: Vec<Duration>,
     /// Limits that targets named.
     pub(crate) limits: Vec<Limit>,
+    /// When links between entries were cut or reset.
+    pub(crate) unlinked: Vec<Disturbed>,
     /// Entries that were cut from all targets.
     pub(crate) isolations: Vec<Isolated>,
     /// Failure domains that were cordoned.
@@ -344,7 +346,9 @@
         let lookups = self.asked.iter().filter(|a| matches!(a.kind, Kind::Safe | Kind::Unsafe));
         for asked in lookups {
             let (from, until) = (asked.from, asked.from + LOOKUP);
-            if !self.is_calm(asked.entry, from, until) {
+            // An entry that others don't reach either is not owed their help.
+            let unlinked = |d: &Disturbed| d.from <= until && from <= d.to + SETTLE;
+            if !self.is_calm(asked.entry, from, until) || self.unlinked.iter().any(unlinked) {
                 continue;
             }
             let lasts = |one: &&Isolated| one.from + SETTLE <= from && until <= one.to;
--- a/crates/soak/src/seen.rs
+++ b/crates/soak/src/seen.rs
@@ -50,6 +50,13 @@
         self.ledger.borrow_mut().disturbed.push(Disturbed { entry, from, to: from + span });
     }
 
+    /// Notes that links between entries are cut for a while, or reset.
+    pub(crate) fn unlinked(&self, span: Duration) {
+        let from = self.now();
+        let unlinked = Disturbed { entry: None, from, to: from + span };
+        self.ledger.borrow_mut().unlinked.push(unlinked);
+    }
+
     /// Notes that a version of the text is published.
     pub(crate) fn published(&self, version: u64) {
         let published = (self.now(), version);
--- a/crates/soak/src/world/strike.rs
+++ b/crates/soak/src/world/strike.rs
@@ -81,7 +81,10 @@
                 self.peers(nth, Mode::Narrow, span).await;
                 self.entries[nth].link.set_mode(Mode::Open);
             }
-            Fault::Hush(nth) => self.peers(nth, Mode::Silent, span).await,
+            Fault::Hush(nth) => {
+                self.seen.unlinked(span);
+                self.peers(nth, Mode::Silent, span).await;
+            }
             Fault::Limit(slot, tenths) => {
                 self.name_limit(slot, f64::from(tenths) / 10.0, span).await
             }
@@ -92,6 +95,7 @@
                 slots.for_each(|slot| _ = spawn_local(self.clone().crash_owned(slot)));
             }
             Fault::ResetPeers(nth) => {
+                self.seen.unlinked(Duration::ZERO);
                 self.entries[nth].peers.iter().for_each(Proxy::reset);
             }
         }
