Let the soak play what targets say in their answers

New checks: nothing new after a target's own word, no more than two requests within a rest, no more than two ends of four targets. Plans of seeds without the flags stay as they are.

--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use fireflyhoist_gateway::native::{
-    BACKUP_HEADER, COPY_HEADER, Copied, INSTANCE_HEADER, Move, RATE_LIMIT_HEADER, Report,
+    BACKUP_HEADER, COPY_HEADER, Copied, FRAGILE_HEADER, INSTANCE_HEADER, LEAVING_HEADER, Move,
+    RATE_LIMIT_HEADER, Report,
 };
 use fireflyhoist_policy::cold::Warmup;
 use fireflyhoist_policy::id;
@@ -52,6 +53,10 @@
 pub(crate) const EXCESS: f64 = 1.5;
 pub(crate) const MARGIN: f64 = 2.0;
 
+/// The requests that a plain target runs at one time, as its entry says, and all that it takes while
+/// it is fragile.
+const SLOTS: u32 = 2;
+
 /// The most requests that a cold target bears in a second.
 pub(crate) fn bears() -> f64 {
     WARMUP.per_s.get() * EXCESS + MARGIN
@@ -119,6 +124,15 @@
     losing: Cell<bool>,
     /// What it takes, in requests a second, where it says so.
     limit: Cell<Option<f64>>,
+    /// Whether it says in its answers that it leaves.
+    announcing: Cell<bool>,
+    /// The rest that it asks for while it turns requests away.
+    rest: Cell<Option<Duration>>,
+    /// How many requests it can reject in a second, and when it did.
+    fragile: Cell<Option<u32>>,
+    rejected: RefCell<Vec<Instant>>,
+    /// Plain requests that it runs.
+    busy: Cell<u32>,
     /// Until when it ends where it gets more than it bears.
     cold_until: Cell<Option<Instant>>,
     /// When requests came while it was cold.
@@ -132,6 +146,43 @@
 }
 
 impl Shared {
+    /// Adds to an answer what the target says of itself in all of them.
+    fn say_words(&self, response: &mut Response<Body>) {
+        let number = |number: u32| number.to_string().parse().expect("a number");
+        let headers = response.headers_mut();
+        if let Some(rejects) = self.fragile.get() {
+            headers.insert(FRAGILE_HEADER, number(rejects));
+        }
+        if self.announcing.get() {
+            headers.insert(LEAVING_HEADER, number(1));
+            let request = headers.get(REQUEST_HEADER).and_then(|id| id.to_str().ok());
+            request.into_iter().for_each(|id| self.seen.said(id, &self.instance, None));
+        }
+    }
+
+    /// Turns a request away for want of room; too many of them end the target.
+    fn reject(&self, id: &str) -> Response<Body> {
+        let now = Instant::now();
+        let mut rejected = self.rejected.borrow_mut();
+        rejected.retain(|at| now - *at < Duration::from_secs(1));
+        rejected.push(now);
+        if self.fragile.get().is_some_and(|tolerated| rejected.len() > tolerated as usize) {
+            rejected.clear();
+            self.seen.overloaded(self.service);
+            let _ = self.ended.send(self.slot);
+        }
+        declined(id)
+    }
+
+    /// Turns a request away and asks for rest.
+    fn rest(&self, id: &str, rest: Duration) -> Response<Body> {
+        self.seen.said(id, &self.instance, Some(rest));
+        let mut response = declined(id);
+        let seconds = format!("{:.1}", rest.as_secs_f64()).parse().expect("a number");
+        response.headers_mut().insert("retry-after", seconds);
+        response
+    }
+
     /// Whether it is cold and has got more within a second than it bears.
     fn is_overrun(&self) -> bool {
         let now = Instant::now();
@@ -168,7 +219,7 @@
             state: lease::State::Ready,
             renewal: 1,
             cold_ms: 0,
-            slots: 0,
+            slots: SLOTS,
             start: None,
         };
         let shared = Rc::new(Shared {
@@ -178,6 +229,11 @@
             leaving: Cell::new(false),
             losing: Cell::new(false),
             limit: Cell::new(None),
+            announcing: Cell::new(false),
+            rest: Cell::new(None),
+            fragile: Cell::new(None),
+            rejected: RefCell::default(),
+            busy: Cell::new(0),
             cold_until: Cell::new(None),
             recent: RefCell::default(),
             ended: ended.clone(),
@@ -200,6 +256,7 @@
                                 let limit = limit.to_string().parse().expect("a number");
                                 response.headers_mut().insert(RATE_LIMIT_HEADER, limit);
                             }
+                            shared.say_words(&mut response);
                             let lost = shared.losing.get() && shared.engines.next() % 2 == 0;
                             if lost { Err(io::Error::other("lost")) } else { Ok(response) }
                         }
@@ -229,6 +286,25 @@
         self.shared.leaving.set(true);
     }
 
+    /// Says in its answers from now on that it leaves.
+    pub(crate) fn announce(&self) {
+        self.shared.announcing.set(true);
+    }
+
+    /// Turns requests away and asks for this rest from now on, or takes them again.
+    pub(crate) fn set_rest(&self, rest: Option<Duration>) {
+        self.shared.rest.set(rest);
+    }
+
+    /// Crashes from now on if it rejects more in a second, or no longer does.
+    pub(crate) fn set_fragile(&self, rejects: Option<u32>) {
+        self.shared.fragile.set(rejects);
+    }
+
+    pub(crate) fn service(&self) -> &'static str {
+        self.shared.service
+    }
+
     /// Runs what it is asked, and loses every other answer.
     pub(crate) fn set_losing(&self, losing: bool) {
         self.shared.losing.set(losing);
@@ -284,6 +360,9 @@
         return plain(StatusCode::MISDIRECTED_REQUEST, &id, "");
     }
     shared.seen.arrived(&id, &shared.instance);
+    if let Some(rest) = shared.rest.get() {
+        return shared.rest(&id, rest);
+    }
     if shared.is_overrun() {
         let _ = shared.ended.send(shared.slot);
     }
@@ -299,11 +378,38 @@
         let last = text(LAST_EVENT_HEADER).and_then(|last| last.parse().ok()).unwrap_or(0);
         return stream_run(&shared, &id, copy, last, text(BACKUP_HEADER));
     }
+    if shared.fragile.get().is_some() && shared.busy.get() >= SLOTS {
+        return shared.reject(&id);
+    }
     shared.seen.ran(&id, shared.engines.next());
+    let _running = Busy::begin(&shared);
     sleep(PLAIN).await;
     plain(StatusCode::OK, &id, &format!("{id} done"))
 }
 
+/// Counts a plain request for as long as it runs; its caller may break it off.
+struct Busy(Rc<Shared>);
+
+impl Busy {
+    fn begin(shared: &Rc<Shared>) -> Self {
+        shared.busy.set(shared.busy.get() + 1);
+        Self(Rc::clone(shared))
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.busy.set(self.0.busy.get() - 1);
+    }
+}
+
+/// The answer of a target that did not run a request.
+fn declined(id: &str) -> Response<Body> {
+    let declined = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
+    let declined = declined.header(REQUEST_HEADER, id).header("fireflyhoist-declined", "1");
+    declined.body(full("")).expect("a response")
+}
+
 fn full(text: &str) -> Body {
     Full::new(Bytes::copy_from_slice(text.as_bytes())).map_err(|never| match never {}).boxed()
 }
@@ -347,12 +453,7 @@
     let generation = match copy {
         Some(copy) => match shared.engines.copies.borrow_mut().remove(copy.as_str()) {
             Some(run) => run.generation,
-            None => {
-                let declined = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
-                let declined = declined.header(REQUEST_HEADER, id.as_str());
-                let declined = declined.header("fireflyhoist-declined", "1");
-                return declined.body(full("")).expect("a response");
-            }
+            None => return declined(id),
         },
         None => {
             let generation = shared.engines.next();
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::backend;
-use crate::plan::DOMAINS;
+use crate::plan::{BACKENDS, DOMAINS};
 
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -83,6 +83,16 @@
     pub(crate) to: Duration,
 }
 
+/// What a target said in the answer to a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Word {
+    pub(crate) request: SmolStr,
+    pub(crate) target: SmolStr,
+    pub(crate) at: Duration,
+    /// The rest that it asked for; `None` where it said that it leaves.
+    pub(crate) rest: Option<Duration>,
+}
+
 /// First tries, and how many of them were served.
 #[derive(Clone, Copy, Debug, Default, Display)]
 #[display("{served} of {asked}")]
@@ -141,6 +151,10 @@
 /// The span in which a target that names a limit may get one and a half times as much, and five more.
 const LIMIT_SPAN: Duration = Duration::from_secs(4);
 
+/// After which time a rest must be known to its entry, and the requests that may still come in it.
+const REST_SLACK: Duration = Duration::from_millis(500);
+const RESTED: usize = 2;
+
 /// How long callers wait for a lookup where it is compared between entries.
 const LOOKUP: Duration = Duration::from_secs(1);
 
@@ -172,6 +186,12 @@
     pub(crate) unlinked: Vec<Disturbed>,
     /// Entries that were cut from all targets.
     pub(crate) isolations: Vec<Isolated>,
+    /// What targets said in answers.
+    pub(crate) words: Vec<Word>,
+    /// Times in which the targets of a service were fragile.
+    pub(crate) fragile: Vec<Span>,
+    /// When fragile targets of a service rejected too much.
+    pub(crate) overloads: Vec<(Duration, SmolStr)>,
     /// Failure domains that were cordoned.
     pub(crate) cordons: Vec<Span>,
     /// Failure domains whose cordon the registry and its operator disagree about.
@@ -219,6 +239,8 @@
         self.limits.iter().for_each(|limit| self.check_limit(limit, &mut broken));
         self.cordons.iter().for_each(|cordon| self.check_cordon(cordon, &mut broken));
         self.check_isolations(&mut broken);
+        self.check_words(&mut broken);
+        self.fragile.iter().for_each(|fragile| self.check_overload(fragile, &mut broken));
         self.cold.iter().for_each(|cold| self.check_cold(cold, &mut broken));
         let due = |asked: &&Asked| asked.from >= self.calm && asked.kind != Kind::Poison;
         let last: Vec<&Asked> = self.asked.iter().filter(due).collect();
@@ -369,6 +391,68 @@
         }
     }
 
+    /// Checks that entries heed what targets said in answers to them. A restart or a pause of an entry
+    /// since then excuses it, and so does a cut from all targets.
+    fn check_words(&self, broken: &mut Vec<Violation>) {
+        let asked: BTreeMap<&SmolStr, &Asked> =
+            self.asked.iter().map(|a| (&a.request, a)).collect();
+        let sent: Vec<(&Asked, &SmolStr, Duration)> = self
+            .arrivals
+            .iter()
+            .filter_map(|(request, target, at)| Some((*asked.get(request)?, target, *at)))
+            .collect();
+        for word in &self.words {
+            let Some(told) = asked.get(&word.request).map(|asked| asked.entry) else { continue };
+            let excused = |at: Duration| {
+                let disturbed = self
+                    .disturbed
+                    .iter()
+                    .any(|d| d.entry == Some(told) && d.from <= at && d.to >= word.at);
+                let cut = |one: &Isolated| one.entry == told && one.from <= at && one.to >= word.at;
+                disturbed || self.isolations.iter().any(cut)
+            };
+            let heard = |(asked, target, at): &&(&Asked, &SmolStr, Duration)| {
+                asked.entry == told && **target == word.target && *at > word.at && !excused(*at)
+            };
+            let after = sent.iter().filter(heard);
+            let (promise, at, evidence) = match word.rest {
+                None => {
+                    let mut late = after.filter(|(asked, ..)| asked.from > word.at + IN_FORCE);
+                    let Some((asked, _, at)) = late.next() else { continue };
+                    let evidence =
+                        format!("{} at {}, said at {:?}", asked.request, word.target, word.at);
+                    ("nothing new after its own word", *at, evidence)
+                }
+                Some(rest) => {
+                    let within = |at: Duration| at > word.at + REST_SLACK && at < word.at + rest;
+                    let count = after.filter(|(.., at)| within(*at)).count();
+                    if count <= RESTED {
+                        continue;
+                    }
+                    let evidence =
+                        format!("{} of entry {told} got {count} in {rest:?}", word.target);
+                    ("a target rests", word.at, evidence)
+                }
+            };
+            broken.push(Violation { promise, at, evidence });
+            return;
+        }
+    }
+
+    /// Counts fragile targets that rejected too much, whatever happened to the entries.
+    fn check_overload(&self, fragile: &Span, broken: &mut Vec<Violation>) {
+        let from = fragile.from + SETTLE;
+        let within = |(at, service): &&(Duration, SmolStr)| {
+            *service == fragile.of && *at >= from && *at <= fragile.to
+        };
+        let count = self.overloads.iter().filter(within).count();
+        if count > 2 + BACKENDS / 10 {
+            let promise = "fragile targets do not reject too much";
+            let evidence = format!("{} ended {count} times", fragile.of);
+            broken.push(Violation { promise, at: from, evidence });
+        }
+    }
+
     /// Sums over all entries, whatever happened to them.
     fn check_cold(&self, cold: &Span, broken: &mut Vec<Violation>) {
         let here =
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -29,7 +29,7 @@
 use crate::world::World;
 
 /// How large one run is.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Size {
     /// Seconds of faults.
     pub seconds: u64,
@@ -46,6 +46,10 @@
     pub domains: bool,
     /// Whether entries are cut from all targets.
     pub isolated: bool,
+    /// Whether targets crash if they reject too much.
+    pub overload: bool,
+    /// Whether targets say in answers that they leave, or ask for rest.
+    pub announcements: bool,
 }
 
 /// Why a run can't be played.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -32,6 +32,10 @@
     domains: bool,
     /// Entries that are cut from all targets, as well.
     isolated: bool,
+    /// Targets that crash if they reject too much, as well.
+    overload: bool,
+    /// Targets that say in answers that they leave or ask for rest, as well.
+    announcements: bool,
     /// Where logs, timelines and plots of seeds that failed are kept.
     #[bpaf(argument("DIR"), fallback(PathBuf::from("target/soak")))]
     report: PathBuf,
@@ -47,8 +51,17 @@
             return ExitCode::from(if wrong { 2 } else { 0 });
         }
     };
-    let Flags { seconds, processes, links, needy, restores, domains, isolated, .. } = flags;
-    let size = Size { seconds, processes, links, needy, restores, domains, isolated };
+    let size = Size {
+        seconds: flags.seconds,
+        processes: flags.processes,
+        links: flags.links,
+        needy: flags.needy,
+        restores: flags.restores,
+        domains: flags.domains,
+        isolated: flags.isolated,
+        overload: flags.overload,
+        announcements: flags.announcements,
+    };
     let mut failed = 0;
     for seed in flags.seed..flags.seed + flags.seeds {
         let verdict = match play(seed, size, &flags.report).await {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -76,6 +76,13 @@
     Limit(usize, u32),
     /// An entry is cut from all targets for the fault's span.
     Isolate(usize, Isolation),
+    /// A target says in its answers that it leaves; the registry hears of it seconds later.
+    Announce(usize),
+    /// A target turns requests away for the fault's span, and asks for so many tenths of a second of
+    /// rest.
+    Rest(usize, u32),
+    /// The targets of a service crash if they reject more than so many requests in a second.
+    Fragile(usize, u32),
     /// A failure domain is cordoned for the fault's span.
     Cordon(usize),
     /// The targets of a failure domain end, and come back together, cold.
@@ -138,6 +145,12 @@
         if size.isolated {
             faults.extend(of_isolation(seed, size, end));
         }
+        if size.overload {
+            faults.extend(of_overload(seed, end));
+        }
+        if size.announcements {
+            faults.extend(of_announcements(seed, end));
+        }
         faults.sort_by_key(|planned| planned.at);
         Self { faults, end: end + Duration::from_secs(4) }
     }
@@ -225,6 +238,36 @@
     faults
 }
 
+/// Times in which the targets of a plain service are fragile, one after the other.
+fn of_overload(seed: u64, end: Duration) -> Vec<Planned> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(24));
+    let (mut at, mut faults) = (LEAD, Vec::new());
+    while at < end {
+        let span = Duration::from_millis(rng.random_range(5_000..9_000));
+        let rejects = [1, 3, 50][rng.random_range(0..3)];
+        faults.push(Planned { at, span, fault: Fault::Fragile(rng.random_range(0..2), rejects) });
+        at += span + Duration::from_millis(rng.random_range(500..2_000));
+    }
+    faults
+}
+
+/// Targets that say in their answers that they leave, or turn requests away and ask for rest.
+fn of_announcements(seed: u64, end: Duration) -> Vec<Planned> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(40));
+    let (mut at, mut faults) = (LEAD, Vec::new());
+    while at < end {
+        let slot = rng.random_range(0..3 * BACKENDS);
+        let span = Duration::from_millis(rng.random_range(500..5_000));
+        let fault = match rng.random_bool(0.5) {
+            true => Fault::Announce(slot),
+            false => Fault::Rest(slot, rng.random_range(0..60)),
+        };
+        faults.push(Planned { at, span, fault });
+        at += Duration::from_millis(rng.random_range(300..2_000));
+    }
+    faults
+}
+
 /// Limits that targets name, some at several of a service, some changed while they are named.
 fn of_limits(seed: u64, end: Duration) -> Vec<Planned> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
--- a/crates/soak/src/seen.rs
+++ b/crates/soak/src/seen.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use crate::ledger::{Asked, Disturbed, Isolated, Ledger, Limit, Probed, Span};
+use crate::ledger::{Asked, Disturbed, Isolated, Ledger, Limit, Probed, Span, Word};
 
 /// What everyone in a run notes what they see in.
 #[derive(Clone, Debug)]
@@ -50,6 +50,25 @@
         self.ledger.borrow_mut().disturbed.push(Disturbed { entry, from, to: from + span });
     }
 
+    /// Notes that a target said in the answer to a request that it leaves, or asked for rest.
+    pub(crate) fn said(&self, request: &str, target: &SmolStr, rest: Option<Duration>) {
+        let at = self.now();
+        let word = Word { request: request.into(), target: target.clone(), at, rest };
+        self.ledger.borrow_mut().words.push(word);
+    }
+
+    /// Notes that a fragile target of a service rejected too much.
+    pub(crate) fn overloaded(&self, service: &str) {
+        let overload = (self.now(), service.into());
+        self.ledger.borrow_mut().overloads.push(overload);
+    }
+
+    /// Notes that the targets of a service were fragile from a time until now.
+    pub(crate) fn fragile(&self, service: &str, from: Duration) {
+        let fragile = Span { of: service.into(), from, to: self.now() };
+        self.ledger.borrow_mut().fragile.push(fragile);
+    }
+
     /// Notes that links between entries are cut for a while, or reset.
     pub(crate) fn unlinked(&self, span: Duration) {
         let from = self.now();
--- a/crates/soak/src/world/strike.rs
+++ b/crates/soak/src/world/strike.rs
@@ -9,7 +9,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use crate::backend::{self, Backend};
+use crate::backend::{self, Backend, SERVICES};
 use crate::caller;
 use crate::entry::{self, GRACE_S};
 use crate::plan::{BACKENDS, DOMAINS, Fault, Isolation, Planned};
@@ -89,6 +89,17 @@
                 self.name_limit(slot, f64::from(tenths) / 10.0, span).await
             }
             Fault::Isolate(nth, isolation) => self.isolate(nth, isolation, span).await,
+            Fault::Announce(slot) => self.announce(slot, span).await,
+            Fault::Rest(slot, tenths) => {
+                let instance = self.backends[slot].borrow().listed.instance.clone();
+                let rest = Duration::from_millis(100) * tenths;
+                self.backends[slot].borrow().set_rest(Some(rest));
+                sleep(span).await;
+                if self.backends[slot].borrow().listed.instance == instance {
+                    self.backends[slot].borrow().set_rest(None);
+                }
+            }
+            Fault::Fragile(service, rejects) => self.fragile(service, rejects, span).await,
             Fault::Cordon(domain) => self.cordon(domain, span).await,
             Fault::ColdReturn(domain) => {
                 let slots = (0..self.backends.len()).filter(|slot| slot % DOMAINS == domain);
@@ -314,6 +325,29 @@
         self.cordoned.borrow_mut().remove(&domain);
     }
 
+    /// A target says in its answers that it leaves, and after a time to the registry.
+    async fn announce(&self, slot: usize, span: Duration) {
+        let listed = self.backends[slot].borrow().listed.clone();
+        self.backends[slot].borrow().announce();
+        sleep(span).await;
+        if self.backends[slot].borrow().listed.id == listed.id {
+            self.leave(slot, true).await;
+        }
+    }
+
+    async fn fragile(&self, service: usize, rejects: u32, span: Duration) {
+        let from = self.seen.now();
+        let all = || self.backends.iter().filter(|one| one.borrow().service() == SERVICES[service]);
+        let end = Instant::now() + span;
+        while Instant::now() < end {
+            // Those that were replaced say so too.
+            all().for_each(|one| one.borrow().set_fragile(Some(rejects)));
+            sleep(Duration::from_millis(20)).await;
+        }
+        self.seen.fragile(SERVICES[service], from);
+        all().for_each(|one| one.borrow().set_fragile(None));
+    }
+
     async fn isolate(&self, nth: usize, isolation: Isolation, span: Duration) {
         let forwarder = self.entries[nth].forwarder.iter();
         let from = self.seen.now();
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -24,15 +24,7 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_under_faults(seed: u64, seconds: u64) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak");
-    let size = Size {
-        seconds,
-        processes: 3,
-        links: false,
-        needy: false,
-        restores: false,
-        domains: false,
-        isolated: false,
-    };
+    let size = Size { seconds, processes: 3, ..Size::default() };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
@@ -49,15 +41,7 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_on_poor_links(seed: u64, seconds: u64, processes: usize) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-links");
-    let size = Size {
-        seconds,
-        processes,
-        links: true,
-        needy: false,
-        restores: false,
-        domains: false,
-        isolated: false,
-    };
+    let size = Size { seconds, processes, links: true, ..Size::default() };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
@@ -77,15 +61,7 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_before_needy_targets(seed: u64, seconds: u64) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-needy");
-    let size = Size {
-        seconds,
-        processes: 4,
-        links: false,
-        needy: true,
-        restores: false,
-        domains: false,
-        isolated: false,
-    };
+    let size = Size { seconds, processes: 4, needy: true, ..Size::default() };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
@@ -98,15 +74,7 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_while_the_registry_is_restored(seed: u64, seconds: u64) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-restores");
-    let size = Size {
-        seconds,
-        processes: 3,
-        links: false,
-        needy: false,
-        restores: true,
-        domains: false,
-        isolated: false,
-    };
+    let size = Size { seconds, processes: 3, restores: true, ..Size::default() };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
@@ -119,15 +87,7 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_of_failure_domains(seed: u64, seconds: u64) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-domains");
-    let size = Size {
-        seconds,
-        processes: 4,
-        links: false,
-        needy: false,
-        restores: false,
-        domains: true,
-        isolated: false,
-    };
+    let size = Size { seconds, processes: 4, domains: true, ..Size::default() };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
@@ -140,15 +100,22 @@
 #[test_macro(ntex::test)]
 async fn promises_hold_of_isolated_entries(seed: u64, seconds: u64) {
     let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-isolated");
-    let size = Size {
-        seconds,
-        processes: 4,
-        links: false,
-        needy: false,
-        restores: false,
-        domains: false,
-        isolated: true,
-    };
+    let size = Size { seconds, processes: 4, isolated: true, ..Size::default() };
+    let verdict = play(seed, size, &report).await.expect("it plays");
+    assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
+    assert!(verdict.served() > 50, "{verdict}");
+}
+
+/// The same while targets crash if they reject too much, say in answers that they leave, and ask for
+/// rest.
+#[parameterized(
+    short = { 1, 6 },
+)]
+#[test_macro(ntex::test)]
+async fn promises_hold_of_words_in_answers(seed: u64, seconds: u64) {
+    let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-words");
+    let (overload, announcements) = (true, true);
+    let size = Size { seconds, processes: 4, overload, announcements, ..Size::default() };
     let verdict = play(seed, size, &report).await.expect("it plays");
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
