Take no connection from before a failure as a sign that the path works

What callers would see: when an entry loses its path, requests that are under way there are held back fleet-wide for minutes as if they had crashed their targets, popular ones among them.

Cause: a connection that was opened up to 100 ms before a failure counted as a sign that the path works. An entry with traffic nearly always has one, so that a reset of its connections looked like crashes of their targets, and the liveness checks confirmed them.

Change: only a connection that was opened since the failed one began counts.

--- a/crates/gateway/src/process/state/path.rs
+++ b/crates/gateway/src/process/state/path.rs
@@ -141,7 +141,7 @@
     /// Returns whether this entry reaches any target, after a connection to `failed` that was begun
     /// at `began_at` could not be opened.
     async fn has_path(&self, failed: &Target, began_at: Time) -> bool {
-        let must_check = || self.path.detector.lock().must_check(self.clock.now(), began_at);
+        let must_check = || self.path.detector.lock().must_check(began_at);
         if !must_check() {
             return true;
         }
--- a/crates/policy/src/isolation.rs
+++ b/crates/policy/src/isolation.rs
@@ -28,10 +28,6 @@
 /// How many entries are asked one after another to open a connection.
 pub const MAX_RELAYS: usize = 3;
 
-/// How long an open connection shows that the path works. A target that refuses connections does so
-/// within a round trip, in which few other connections are opened.
-const EVIDENCE_TTL: Duration = Duration::from_millis(100);
-
 /// The number of targets that must fail together, where there are as many.
 const MIN_FAILED: usize = 2;
 
@@ -62,10 +58,10 @@
     }
 
     /// Returns whether it is open if the path works after a connection failed that was begun at
-    /// `began_at`: no connection to any target was opened since.
-    pub fn must_check(&self, now: Time, began_at: Time) -> bool {
-        let recent = |at: Time| at >= began_at || now.since(at) <= EVIDENCE_TTL;
-        !self.connected_at.is_some_and(recent)
+    /// `began_at`: no connection to any target was opened since. One that was opened before shows
+    /// nothing, however recent it is.
+    pub fn must_check(&self, began_at: Time) -> bool {
+        self.connected_at.is_none_or(|at| at < began_at)
     }
 
     /// Records that `failed` targets of `known` were tried since `began_at`, all without success.
--- a/crates/policy/tests/isolation.rs
+++ b/crates/policy/tests/isolation.rs
@@ -38,8 +38,8 @@
 fn a_failed_target_is_no_isolation() {
     let mut detector = Detector::default();
     detector.record_connected(at(1_000));
-    assert!(!detector.must_check(at(1_050), at(1_049)), "a connection was opened just before");
-    assert!(detector.must_check(at(1_600), at(1_200)), "none was opened since");
+    assert!(!detector.must_check(at(990)), "a connection was opened since");
+    assert!(detector.must_check(at(1_001)), "the path may have been lost just then");
     detector.record_connected(at(1_610));
     assert!(
         !detector.record_failed_check(at(1_700), at(1_600), 9, 17),
