Do not take one failed target for isolation where none takes requests

Cause: with no target listed as ready, one failed connection, such as that of a move from an engine that leaves, made the entry isolated, and nothing was left to find out that it is not.

Change: two targets must fail, unless exactly one takes requests.

Result: the case one_that_leaves, red before by reading (a minimum of none was asked for).

--- a/crates/policy/src/isolation.rs
+++ b/crates/policy/src/isolation.rs
@@ -28,7 +28,7 @@
 /// How many entries are asked one after another to open a connection.
 pub const MAX_RELAYS: usize = 3;
 
-/// The number of targets that must fail together, where there are as many.
+/// The number of targets that must fail together, unless only one takes requests.
 const MIN_FAILED: usize = 2;
 
 /// The time after an isolation in which it is expected to return.
@@ -64,8 +64,8 @@
         self.connected_at.is_none_or(|at| at < began_at)
     }
 
-    /// Records that `failed` targets of `known` were tried since `began_at`, all without success.
-    /// Returns whether the entry is isolated by this.
+    /// Records that `failed` targets were tried since `began_at`, all without success, where `known`
+    /// targets take requests. Returns whether the entry is isolated by this.
     pub fn record_failed_check(
         &mut self,
         now: Time,
@@ -74,7 +74,8 @@
         known: usize,
     ) -> bool {
         let connected = self.connected_at.is_some_and(|at| at >= began_at);
-        if connected || failed < MIN_FAILED.min(known) {
+        let required = if known == 1 { 1 } else { MIN_FAILED };
+        if connected || failed < required {
             return false;
         }
         self.isolated_since.get_or_insert(now);
--- a/crates/policy/tests/isolation.rs
+++ b/crates/policy/tests/isolation.rs
@@ -55,6 +55,7 @@
     two = { 2, 2, true },
     only_target = { 1, 1, true },
     one_of_many = { 1, 17, false },
+    one_that_leaves = { 1, 0, false },
 )]
 fn an_entry_without_a_path_is_isolated(failed: usize, known: usize, expected: bool) {
     let mut detector = Detector::default();
