Count ends of fragile targets in the soak by what calm entries caused

Entry 1 had been stopped for 3.8 s; the 22 requests that waited for it went out within 7 ms of its return, before it had heard that the service is fragile, and were all rejected. An entry that has just been stopped owes no bound; the check had not looked at who sent what was rejected.

Change: an end counts if most of what was rejected in the last second came from calm entries.

--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -128,9 +128,9 @@
     announcing: Cell<bool>,
     /// The rest that it asks for while it turns requests away.
     rest: Cell<Option<Duration>>,
-    /// How many requests it can reject in a second, and when it did.
+    /// How many requests it can reject in a second, and those that it did.
     fragile: Cell<Option<u32>>,
-    rejected: RefCell<Vec<Instant>>,
+    rejected: RefCell<Vec<(Instant, SmolStr)>>,
     /// Plain requests that it runs.
     busy: Cell<u32>,
     /// Until when it ends where it gets more than it bears.
@@ -164,11 +164,11 @@
     fn reject(&self, id: &str) -> Response<Body> {
         let now = Instant::now();
         let mut rejected = self.rejected.borrow_mut();
-        rejected.retain(|at| now - *at < Duration::from_secs(1));
-        rejected.push(now);
+        rejected.retain(|(at, _)| now - *at < Duration::from_secs(1));
+        rejected.push((now, id.into()));
         if self.fragile.get().is_some_and(|tolerated| rejected.len() > tolerated as usize) {
-            rejected.clear();
-            self.seen.overloaded(self.service);
+            let requests = rejected.drain(..).map(|(_, request)| request).collect();
+            self.seen.overloaded(self.service, requests);
             let _ = self.ended.send(self.slot);
         }
         declined(id)
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -83,6 +83,15 @@
     pub(crate) to: Duration,
 }
 
+/// A fragile target rejected too much and ended.
+#[derive(Clone, Debug)]
+pub(crate) struct Overload {
+    pub(crate) service: SmolStr,
+    pub(crate) at: Duration,
+    /// The requests that it rejected in the last second.
+    pub(crate) rejected: Vec<SmolStr>,
+}
+
 /// What a target said in the answer to a request.
 #[derive(Clone, Debug)]
 pub(crate) struct Word {
@@ -190,8 +199,8 @@
     pub(crate) words: Vec<Word>,
     /// Times in which the targets of a service were fragile.
     pub(crate) fragile: Vec<Span>,
-    /// When fragile targets of a service rejected too much.
-    pub(crate) overloads: Vec<(Duration, SmolStr)>,
+    /// Fragile targets that rejected too much.
+    pub(crate) overloads: Vec<Overload>,
     /// Failure domains that were cordoned.
     pub(crate) cordons: Vec<Span>,
     /// Failure domains whose cordon the registry and its operator disagree about.
@@ -439,13 +448,21 @@
         }
     }
 
-    /// Counts fragile targets that rejected too much, whatever happened to the entries.
+    /// Counts fragile targets that rejected too much, most of it of calm entries.
     fn check_overload(&self, fragile: &Span, broken: &mut Vec<Violation>) {
         let from = fragile.from + SETTLE;
-        let within = |(at, service): &&(Duration, SmolStr)| {
-            *service == fragile.of && *at >= from && *at <= fragile.to
+        let asked: BTreeMap<&SmolStr, &Asked> =
+            self.asked.iter().map(|a| (&a.request, a)).collect();
+        let counts = |overload: &&Overload| {
+            let at = overload.at;
+            let calm = |request: &&SmolStr| {
+                asked.get(request).is_some_and(|asked| self.is_calm(asked.entry, at, at))
+            };
+            let calm = overload.rejected.iter().filter(calm).count();
+            let within = at >= from && at <= fragile.to && overload.service == fragile.of;
+            within && calm * 2 > overload.rejected.len()
         };
-        let count = self.overloads.iter().filter(within).count();
+        let count = self.overloads.iter().filter(counts).count();
         if count > 2 + BACKENDS / 10 {
             let promise = "fragile targets do not reject too much";
             let evidence = format!("{} ended {count} times", fragile.of);
--- a/crates/soak/src/seen.rs
+++ b/crates/soak/src/seen.rs
@@ -7,7 +7,7 @@
 use smol_str::SmolStr;
 use tokio::time::Instant;
 
-use crate::ledger::{Asked, Disturbed, Isolated, Ledger, Limit, Probed, Span, Word};
+use crate::ledger::{Asked, Disturbed, Isolated, Ledger, Limit, Overload, Probed, Span, Word};
 
 /// What everyone in a run notes what they see in.
 #[derive(Clone, Debug)]
@@ -58,8 +58,8 @@
     }
 
     /// Notes that a fragile target of a service rejected too much.
-    pub(crate) fn overloaded(&self, service: &str) {
-        let overload = (self.now(), service.into());
+    pub(crate) fn overloaded(&self, service: &str, rejected: Vec<SmolStr>) {
+        let overload = Overload { service: service.into(), at: self.now(), rejected };
         self.ledger.borrow_mut().overloads.push(overload);
     }
 
