--- a/crates/gateway/src/process/state/path.rs
+++ b/crates/gateway/src/process/state/path.rs
@@ -154,32 +154,27 @@
             return true;
         }
         let checked_at = self.clock.now();
-        let (others, known) = self.draw_targets(CHECKED_TARGETS, Some(&failed.id));
+        let others = self.draw_targets(CHECKED_TARGETS, Some(&failed.id));
         if self.reaches_any(&others).await {
             return true;
         }
         let tried = others.len() + 1;
-        let isolated = self.path.detector.lock().record_failed_check(
-            self.clock.now(),
-            checked_at,
-            tried,
-            known,
-        );
+        let isolated =
+            self.path.detector.lock().record_failed_check(self.clock.now(), checked_at, tried);
         if isolated {
-            ::log::warn!(tried = tried, known = known; "no target is reached; using other entries");
+            ::log::warn!(tried = tried; "no target is reached; using other entries");
             self.path.isolated.notify_one();
             self.request_heartbeat();
         }
         !isolated
     }
 
-    /// Draws ready targets at random. Returns how many are ready too, with the one left out.
-    fn draw_targets(&self, count: usize, except: Option<&id::Target>) -> (Vec<Target>, usize) {
+    /// Draws ready targets at random.
+    fn draw_targets(&self, count: usize, except: Option<&id::Target>) -> Vec<Target> {
         let leases = self.leases.lock();
-        let ready = || leases.all().filter(|target| target.state == State::Ready);
-        let others = ready().filter(|target| Some(&target.id) != except);
-        let drawn = others.choose_multiple(&mut rand::rng(), count);
-        (drawn.into_iter().cloned().collect(), ready().count())
+        let ready = leases.all().filter(|target| target.state == State::Ready);
+        let others = ready.filter(|target| Some(&target.id) != except);
+        others.choose_multiple(&mut rand::rng(), count).into_iter().cloned().collect()
     }
 
     /// Returns whether a connection to any of these targets can be opened.
@@ -213,7 +208,7 @@
             self.path.isolated.notified().await;
             while self.is_isolated() {
                 sleep(isolation::RECHECK_INTERVAL).await;
-                let (targets, _) = self.draw_targets(CHECKED_TARGETS, None);
+                let targets = self.draw_targets(CHECKED_TARGETS, None);
                 self.reaches_any(&targets).await;
             }
         }
--- a/crates/policy/src/isolation.rs
+++ b/crates/policy/src/isolation.rs
@@ -28,7 +28,8 @@
 /// How many entries are asked one after another to open a connection.
 pub const MAX_RELAYS: usize = 3;
 
-/// The number of targets that must fail together, unless only one takes requests.
+/// The number of targets that must fail together. Of a single one it can't be told whether it has
+/// crashed.
 const MIN_FAILED: usize = 2;
 
 /// The time after an isolation in which it is expected to return.
@@ -64,18 +65,11 @@
         self.connected_at.is_none_or(|at| at < began_at)
     }
 
-    /// Records that `failed` targets were tried since `began_at`, all without success, where `known`
-    /// targets take requests. Returns whether the entry is isolated by this.
-    pub fn record_failed_check(
-        &mut self,
-        now: Time,
-        began_at: Time,
-        failed: usize,
-        known: usize,
-    ) -> bool {
+    /// Records that `failed` targets were tried since `began_at`, all without success. Returns whether
+    /// the entry is isolated by this.
+    pub fn record_failed_check(&mut self, now: Time, began_at: Time, failed: usize) -> bool {
         let connected = self.connected_at.is_some_and(|at| at >= began_at);
-        let required = if known == 1 { 1 } else { MIN_FAILED };
-        if connected || failed < required {
+        if connected || failed < MIN_FAILED {
             return false;
         }
         self.isolated_since.get_or_insert(now);
