Keep what arrived at which target in the soak's report

A red check of cold targets names a target and a second. Which requests came there, and from which entries, could not be told from the report afterwards. It holds the arrivals now, beside what callers asked.

--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -29,6 +29,8 @@
     std::fs::write(directory.join("plan.json"), plan_text)?;
     let asked = serde_json::to_string(&seen.asked).map_err(io::Error::other)?;
     std::fs::write(directory.join("asked.json"), asked)?;
+    let arrivals = serde_json::to_string(&seen.arrivals).map_err(io::Error::other)?;
+    std::fs::write(directory.join("arrivals.json"), arrivals)?;
     std::fs::write(directory.join("verdict.txt"), format!("{verdict}\n"))?;
     std::fs::write(directory.join("timeline.svg"), plot(plan, seen, verdict))
 }
