Count requests to cold targets against the limit that the asker knows

Cause: the owner of a target counted requests for permits against the limit that it knew itself. An owner that had not learned that the target is cold, or that there is one, knew no limit and granted everything.

Evidence: a log line at the owner.

Change: the request for a permit names the limit that the asking entry knows. The owner counts it against the stricter of that and its own; where neither knows one, it says when to ask again. Sends without a permit are counted so as well. An entry of an earlier build names no limit and waits where the owner knows none.

--- a/crates/gateway/src/process/fleet/owner.rs
+++ b/crates/gateway/src/process/fleet/owner.rs
@@ -76,7 +76,7 @@
         within: Duration,
     ) -> Option<Duration> {
         let owner = match self.permit_route(&permit.key(), None) {
-            Route::Own => return self.decide(&permit),
+            Route::Own => return self.decide(&self.own.host, &permit),
             Route::Unreachable => return Some(UNREACHABLE_RETRY),
             Route::Send(owner) => owner,
         };
@@ -114,7 +114,7 @@
             Permit::ColdSend(update) => self.process.apply_cold_update(update),
             Permit::Slot(request) => self.apply_tolerance(from, request.update.clone()),
         }
-        reply(self.decide(&permit));
+        reply(self.decide(from, &permit));
     }
 
     /// Delivers a reply to the waiting request, or forwards it to the leaf that sent the request.
@@ -131,15 +131,16 @@
         }
     }
 
-    /// Decides on a permit at its owner: `None` grants it, `Some` is the time to wait.
-    fn decide(&self, permit: &Permit) -> Option<Duration> {
+    /// Decides on a permit that `from` requests at its owner: `None` grants it, `Some` is the time to
+    /// wait.
+    fn decide(&self, from: &id::Host, permit: &Permit) -> Option<Duration> {
         match permit {
             Permit::Trial(record) => match self.process.try_trial(record.fingerprint) {
                 Decision::Allow | Decision::Trial => None,
                 Decision::Refuse(wait) => Some(wait),
             },
             Permit::LimitedSend(update) => self.process.try_send(&update.target),
-            Permit::ColdSend(update) => self.process.try_send(&update.target),
+            Permit::ColdSend(update) => self.process.try_cold_send(update, from),
             Permit::Slot(request) => self.process.grant_slot(request),
         }
     }
--- a/crates/gateway/src/process/fleet/target_limits.rs
+++ b/crates/gateway/src/process/fleet/target_limits.rs
@@ -52,7 +52,7 @@
             Some(Permit::Trial(_) | Permit::Slot(_)) | None => return,
         };
         match self.permit_route(target.as_str(), None) {
-            Route::Own => self.process.spend(target),
+            Route::Own => self.process.spend(target, None),
             Route::Send(owner) => self.links.send(&owner, &frame),
             Route::Unreachable => {}
         }
@@ -61,8 +61,12 @@
     /// Counts a request that another entry sent without permission, or forwards the frame to the
     /// owner of the target.
     pub(super) fn handle_spent(&self, from: &id::Host, target: id::Target, frame: Frame) {
+        let update = match &frame {
+            Frame::ColdSend(update) => Some(update),
+            _ => None,
+        };
         match self.permit_route(target.as_str(), Some(from)) {
-            Route::Own => self.process.spend(&target),
+            Route::Own => self.process.spend(&target, update),
             Route::Send(owner) => self.links.send(&owner, &frame),
             Route::Unreachable => {}
         }
--- a/crates/gateway/src/process/state/target_limits.rs
+++ b/crates/gateway/src/process/state/target_limits.rs
@@ -90,10 +90,33 @@
         self.buckets.lock().try_send(self.clock.now(), target, &allowance)
     }
 
+    /// The same for a request that `from` wants to send to a target which it knows to be cold. Logs
+    /// the limit that the request is counted against.
+    pub(crate) fn try_cold_send(&self, update: &cold::Update, from: &id::Host) -> Option<Duration> {
+        let target = &update.target;
+        let (allowance, asked) = (self.allowance(target), self.asked_limit(update));
+        let now = self.clock.now();
+        let wait = self.buckets.lock().try_cold_send(now, target, &allowance, asked);
+        let max = allowance.with_cold(asked).cold.map(|limit| limit.max_per_second());
+        ::log::debug!(
+            target:% = target, from:% = from, known = allowance.cold.is_some(),
+            max_per_s:? = max, granted = wait.is_none(); "cold send decided"
+        );
+        wait
+    }
+
+    /// Returns the limit of a cold target as another entry knows it.
+    fn asked_limit(&self, update: &cold::Update) -> Option<cold::Limit> {
+        let bounds = self.bounds();
+        let (excess, margin) = (bounds.cold_excess, bounds.cold_margin);
+        update.per_s.map(|per_s| cold::Limit { per_s, excess, margin })
+    }
+
     /// Takes a token for a request that is sent whether or not there is one. Only the entry that
     /// decides for the target calls it.
-    pub(crate) fn spend(&self, target: &id::Target) {
-        let allowance = self.allowance(target);
+    pub(crate) fn spend(&self, target: &id::Target, update: Option<&cold::Update>) {
+        let asked = update.and_then(|update| self.asked_limit(update));
+        let allowance = self.allowance(target).with_cold(asked);
         self.buckets.lock().spend(self.clock.now(), target, &allowance);
     }
 
@@ -102,13 +125,14 @@
     pub(crate) fn required_permit(&self, target: &id::Target) -> Option<Permit> {
         let now = self.clock.now();
         let Allowance { advertised, cold } = self.allowance(target);
-        if cold.is_some() {
+        if let Some(limit) = cold {
             let start = self.leases.lock().get(target)?.start;
             let remaining_ms = millis(self.cold_remaining(target));
             return Some(Permit::ColdSend(cold::Update {
                 target: target.clone(),
                 start,
                 remaining_ms,
+                per_s: Some(limit.per_s),
             }));
         }
         advertised?;
--- a/crates/gateway/tests/cold.rs
+++ b/crates/gateway/tests/cold.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use fireflyhoist_gateway::native::Native;
 use fireflyhoist_policy::cold::Warmup;
 use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::rendezvous;
 use fireflyhoist_policy::route::{Kind, Route};
 use fireflyhoist_policy::unit::RequestRate;
 use fireflyhoist_standin::registry::Registry;
@@ -91,11 +93,7 @@
         fleet.push(entry);
     }
     // Until entries know each other, each would own all token buckets.
-    for entry in &fleet {
-        let known = Request::get("/v1/entries?domain=hala-a");
-        let all = async || known.send(entry.directory()).await.body.matches("entry-").count();
-        eventually(async || all().await == entries).await;
-    }
+    until_linked(&fleet).await;
     fleet
 }
 
@@ -160,6 +158,72 @@
     }
 }
 
+/// Guards against an owner that does not list a cold target, having missed its start, granting all
+/// requests that others ask it for.
+#[ntex::test]
+async fn an_owner_that_does_not_list_a_cold_target_limits_it() {
+    let (first, second) = (registry().await, registry().await);
+    let warm = Recorder::open("web-1", "a").await;
+    [&first, &second].iter().for_each(|registry| registry.put(warm.listed.clone()));
+    let (sender, proxy) = entry_behind_proxy(&first, "entry-0", &[]).await;
+    let seeds = [proxy.address()];
+    let (owner, owner_proxy) = entry_behind_proxy(&second, "entry-1", &seeds).await;
+    let fleet = [sender, owner];
+    until_linked(&fleet).await;
+    [&proxy, &owner_proxy].iter().for_each(|proxy| proxy.stall());
+    until_unlinked(&fleet).await;
+    // The registries are at the same position afterwards, so neither entry counts as behind.
+    let cold = Recorder::open(&owned_by("entry-1", "entry-0"), "b").await;
+    let other = Recorder::open("other-1", "a").await;
+    let listed = Target { service: "none".parse().expect("a name"), ..other.listed.clone() };
+    first.put(cold.cold(1));
+    second.put(listed);
+    [&proxy, &owner_proxy].iter().for_each(|proxy| proxy.resume());
+    until_linked(&fleet).await;
+    send_for(&fleet[..1], COLD_PERIOD / 2).await;
+    assert!(cold.peak() <= MAX_PER_SECOND, "{} requests in a second", cold.peak());
+    assert!(cold.count() >= 1);
+}
+
+/// Returns the name of a target whose permits the first entry grants.
+fn owned_by(owner: &str, other: &str) -> String {
+    let names = (2..).map(|n| format!("web-{n}"));
+    let owned = |name: &String| *rendezvous::rank(name, &[owner, other], |name| name)[0] == owner;
+    names.into_iter().find(owned).expect("one of them")
+}
+
+async fn entry_behind_proxy(
+    registry: &Registry,
+    name: &str,
+    seeds: &[SocketAddr],
+) -> (Gateway, Proxy) {
+    let (proxy, pending) = Proxy::open();
+    let mut settings = settings(name, registry.address(), seeds);
+    (settings.peers_listen, settings.peers) = (Some(settings.peers), proxy.address());
+    (settings.bounds.cold_excess, settings.bounds.cold_margin) = (1.5, 1.0);
+    let entry = Gateway::bind::<Native>(settings, "none".into()).await.expect("an entry");
+    pending.forward_to(entry.peers_listen());
+    until_ready(&entry).await;
+    (entry, proxy)
+}
+
+async fn until_linked(fleet: &[Gateway]) {
+    until_listed(fleet, fleet.len()).await;
+}
+
+async fn until_unlinked(fleet: &[Gateway]) {
+    until_listed(fleet, 1).await;
+}
+
+/// Waits until each entry names this many entries to callers.
+async fn until_listed(fleet: &[Gateway], count: usize) {
+    let known = Request::get("/v1/entries?domain=hala-a");
+    for entry in fleet {
+        let listed = async || known.send(entry.directory()).await.body.matches("entry-").count();
+        eventually(async || listed().await == count).await;
+    }
+}
+
 /// Guards against a target that becomes cold without a restart being treated as warm.
 #[ntex::test]
 async fn a_target_that_becomes_cold_again_is_rate_limited() {
--- a/crates/gateway/tests/support/proxy.rs
+++ b/crates/gateway/tests/support/proxy.rs
@@ -73,6 +73,11 @@
         self.state.stalled.store(true, Ordering::Relaxed);
     }
 
+    /// Forwards bytes again.
+    pub(crate) fn resume(&self) {
+        self.state.stalled.store(false, Ordering::Relaxed);
+    }
+
     /// Uses small packets on new connections. The size of a send buffer depends on that of packets
     /// and is two megabytes and more on loopback, where no write would ever have to wait.
     pub(crate) fn use_small_packets(&self) {
--- a/crates/policy/src/cold.rs
+++ b/crates/policy/src/cold.rs
@@ -39,10 +39,18 @@
     pub fn max_per_second(&self) -> f64 {
         (self.per_s.get() * self.excess + self.margin).max(0.0).floor()
     }
+
+    /// Returns the stricter of what two entries know of the limit of one target.
+    pub fn strictest(one: Option<Self>, other: Option<Self>) -> Option<Self> {
+        match (one, other) {
+            (Some(one), Some(other)) if other.per_s.get() < one.per_s.get() => Some(other),
+            (one, other) => one.or(other),
+        }
+    }
 }
 
 /// The cold state of one target, as entries announce it to each other.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Update {
     /// The target.
     pub target: id::Target,
@@ -51,4 +59,7 @@
     /// For how many milliseconds the target is still cold.
     #[serde(rename = "left")]
     pub remaining_ms: u64,
+    /// The requests a second that it takes meanwhile; `None` from entries that do not say.
+    #[serde(default)]
+    pub per_s: Option<RequestRate>,
 }
--- a/crates/policy/src/token_bucket.rs
+++ b/crates/policy/src/token_bucket.rs
@@ -45,6 +45,10 @@
 /// at which requests follow each other if the bucket holds only one.
 const MAX_REFILL_RATIO: f64 = 0.85;
 
+/// The time after which an entry asks again for a request to a cold target whose limit neither it nor
+/// the owner knows.
+const UNKNOWN_LIMIT_RETRY: Duration = Duration::from_millis(300);
+
 /// The lowest rate to divide by, in requests a second; stands for a rate of zero.
 const MIN_DIVISOR: f64 = 1e-9;
 
@@ -57,6 +61,13 @@
     pub cold: Option<cold::Limit>,
 }
 
+impl Allowance {
+    /// Returns the same with the stricter of its limit and another for while the target is cold.
+    pub fn with_cold(self, cold: Option<cold::Limit>) -> Self {
+        Self { cold: cold::Limit::strictest(self.cold, cold), ..self }
+    }
+}
+
 /// How a bucket is refilled.
 #[derive(Clone, Copy, Debug)]
 struct Refill {
@@ -192,6 +203,24 @@
         self.bucket(now, target).try_take(now, refill)
     }
 
+    /// Grants one request to a target that the asking entry knows to be cold, with the limit `asked`.
+    ///
+    /// The owner may not have learned yet that the target is cold, or that there is such a target. A
+    /// request is counted against the limit that the asking entry knows then. It is never granted
+    /// without a limit, since each of the other entries would get its requests granted as well.
+    pub fn try_cold_send(
+        &mut self,
+        now: Time,
+        target: &id::Target,
+        allowance: &Allowance,
+        asked: Option<cold::Limit>,
+    ) -> Option<Duration> {
+        match allowance.with_cold(asked) {
+            Allowance { cold: None, .. } => Some(UNKNOWN_LIMIT_RETRY),
+            allowance => self.try_send(now, target, &allowance),
+        }
+    }
+
     /// Counts a request that is sent regardless of the limit.
     pub fn spend(&mut self, now: Time, target: &id::Target, allowance: &Allowance) {
         let Some(refill) = self.refill(now, allowance) else { return };
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -84,6 +84,26 @@
     assert!(max as f64 <= max_allowed(&scenario), "{max} in a second");
 }
 
+/// Guards against an owner that has not learned yet that a target is cold granting all that others
+/// ask for.
+#[parameterized(
+    two_entries = { 2, Fault::None },
+    four_entries = { 4, Fault::None },
+    thirty_entries = { 30, Fault::None },
+    many_entries = { 300, Fault::None },
+    restarts = { 30, Fault::Restarts },
+    partition = { 30, Fault::Partition },
+)]
+fn owner_that_learns_late_grants_no_more(entries: usize, fault: Fault) {
+    for lag in [100, 500, 1_000, 3_000] {
+        let lag = Duration::from_millis(lag);
+        let scenario = Scenario { lag, fault, ..scenario(entries, 4.0, 2.0, Traffic::AllEntries) };
+        let max = Simulation::new(scenario).run().max_per_second();
+        println!("{max} in a second of {:.1}, within {lag:?}", max_allowed(&scenario));
+        assert!(max as f64 <= max_allowed(&scenario), "{max} in a second, within {lag:?}");
+    }
+}
+
 /// Guards against cold targets that stay unused although more requests arrive than they take.
 #[parameterized(
     one_a_second = { scenario(30, 1.0, 0.0, Traffic::AllEntries), 0.5 },
@@ -208,6 +228,7 @@
         target: target(0, 1, 1).id,
         start: Some(Start::new(start)),
         remaining_ms: 3_000,
+        per_s: None,
     };
     assert!(!leases.apply_cold_update(at(0), &update(2)));
     assert!(leases.apply_cold_update(at(0), &update(1)));
--- a/crates/policy/tests/support/cold_fleet.rs
+++ b/crates/policy/tests/support/cold_fleet.rs
@@ -68,6 +68,8 @@
     pub(crate) margin: f64,
     pub(crate) traffic: Traffic,
     pub(crate) fault: Fault,
+    /// The time within which each entry learns, at a time of its own, that the targets are cold.
+    pub(crate) lag: Duration,
 }
 
 impl Default for Scenario {
@@ -82,6 +84,7 @@
             margin: 0.0,
             traffic: Traffic::AllEntries,
             fault: Fault::None,
+            lag: Duration::ZERO,
         }
     }
 }
@@ -127,6 +130,8 @@
 
 struct Entry {
     buckets: Buckets,
+    /// When it learns that the targets are cold. It sends them nothing before.
+    informed_at: Time,
     blocked_until: Vec<Time>,
     /// Remaining tokens of the entry's own shares, and when they were last refilled, for
     /// [`Strategy::StaticShares`].
@@ -150,6 +155,7 @@
         let targets = (0..scenario.targets).map(|n| format!("t-{n}").parse().expect("a name"));
         let entry = |_| Entry {
             buckets: Buckets::default(),
+            informed_at: Time::ZERO,
             blocked_until: vec![Time::ZERO; scenario.targets],
             share_buckets: vec![(0.0, Time::ZERO); scenario.targets],
         };
@@ -171,6 +177,10 @@
             let buckets = &mut simulation.entries[nth].buckets;
             buckets.set_alive(Time::ZERO, scenario.entries);
             buckets.set_alive(Time::ZERO, reachable);
+            if !scenario.lag.is_zero() {
+                let lag = simulation.rng.random_range(Duration::ZERO..scenario.lag);
+                simulation.entries[nth].informed_at = Time::ZERO + lag;
+            }
         }
         simulation
     }
@@ -221,6 +231,10 @@
         }
     }
 
+    fn is_informed(&self, entry: usize) -> bool {
+        self.now >= self.entries[entry].informed_at
+    }
+
     fn cold_limit(&self) -> Limit {
         let Scenario { per_s, excess, margin, .. } = self.scenario;
         Limit { per_s: RequestRate::new(per_s), excess, margin }
@@ -232,7 +246,7 @@
         let blocked_until = &self.entries[entry].blocked_until;
         let available: Vec<usize> =
             (0..self.scenario.targets).filter(|n| blocked_until[*n] <= self.now).collect();
-        if available.is_empty() || waited >= TIMEOUT {
+        if available.is_empty() || waited >= TIMEOUT || !self.is_informed(entry) {
             self.results.sent_elsewhere += 1;
             return;
         }
@@ -277,10 +291,12 @@
     }
 
     fn decide(&mut self, entry: usize, target: usize, requested_at: Time, owner: usize) {
-        let allowance = Allowance { advertised: None, cold: Some(self.cold_limit()) };
+        let cold = self.is_informed(owner).then(|| self.cold_limit());
+        let allowance = Allowance { advertised: None, cold };
         let (now, id) = (self.now, self.targets[target].clone());
         let delay = if owner == entry { Duration::ZERO } else { ONE_WAY_DELAY };
-        match self.entries[owner].buckets.try_send(now, &id, &allowance) {
+        let asked = Some(self.cold_limit());
+        match self.entries[owner].buckets.try_cold_send(now, &id, &allowance, asked) {
             None => self.send(target),
             Some(wait) => self.block(entry, target, wait, requested_at, delay),
         }
