Drop the token buckets of targets that another entry owns

Cause: an entry kept the bucket of a target while another entry owned it, and the bucket filled up. Each change of the owner gave the target a whole burst.

Change: whenever the live entries change, an entry drops the buckets of targets that it does not own, of cold ones and of those that advertise a limit. An owner begins with an empty bucket.

--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -432,7 +432,12 @@
         let actives: BTreeSet<id::Host> =
             actives.into_iter().map(|member| member.host.clone()).collect();
         self.process.set_order(Order::of(self.own.host.clone(), actives.iter().cloned().collect()));
-        *self.view.lock() = Arc::new(View { alive, actives, links });
+        let view = Arc::new(View { alive, actives, links });
+        *self.view.lock() = Arc::clone(&view);
+        let (own, linked) = (&self.own.host, BTreeSet::new());
+        let known = permit::View { own, actives: &view.actives, linked: &linked };
+        let is_active = view.actives.contains(own);
+        self.process.retain_owned_buckets(|target| is_active && known.owns(target.as_str()));
     }
 
     /// Returns the linked entries, split into actives and leaves.
--- a/crates/gateway/src/process/state/target_limits.rs
+++ b/crates/gateway/src/process/state/target_limits.rs
@@ -154,6 +154,11 @@
         self.target_limits.lock().apply(self.clock.now(), updates)
     }
 
+    /// Drops the token buckets of targets that this entry no longer decides for.
+    pub(crate) fn retain_owned_buckets(&self, owns: impl Fn(&id::Target) -> bool) {
+        self.buckets.lock().retain_owned(owns);
+    }
+
     /// Drops the limits and token buckets of targets that are no longer listed.
     pub(super) fn retain_limits(&self, leases: &Leases) {
         let mut limits = self.target_limits.lock();
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -47,6 +47,11 @@
         relays.next().map_or(Route::Unreachable, |relay| Route::Send((*relay).clone()))
     }
 
+    /// Returns whether this entry decides on the permits of a key.
+    pub fn owns(&self, key: &str) -> bool {
+        self.ranked(key).first().is_none_or(|owner| *owner == self.own)
+    }
+
     /// Returns where a request of another active entry goes. It is relayed only to an owner of a
     /// higher weight, so that it never comes back, however views differ.
     pub fn relay(&self, key: &str) -> Route {
--- a/crates/policy/src/token_bucket.rs
+++ b/crates/policy/src/token_bucket.rs
@@ -233,6 +233,15 @@
         self.buckets.entry(target.clone()).or_insert_with(|| Bucket::new(now))
     }
 
+    /// Drops the buckets of targets that this entry no longer owns. Called whenever owners may have
+    /// changed.
+    ///
+    /// Another entry grants requests to them meanwhile. A bucket that filled up in this time would
+    /// grant the same requests once more when this entry becomes the owner again.
+    pub fn retain_owned(&mut self, owns: impl Fn(&id::Target) -> bool) {
+        self.buckets.retain(|target, _| owns(target));
+    }
+
     /// Drops the buckets of targets for which `is_limited` returns false.
     pub fn retain(&mut self, is_limited: impl Fn(&id::Target) -> bool) {
         self.buckets.retain(|target, _| is_limited(target));
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -104,6 +104,29 @@
     }
 }
 
+/// Guards against each of several owners that follow each other granting what it saved up meanwhile.
+#[parameterized(two_entries = { 2 }, four_entries = { 4 }, thirty_entries = { 30 }, many_entries = { 300 })]
+fn owners_in_turn_grant_no_more(entries: usize) {
+    for lasts in [100, 300, 700, 1_000] {
+        check_max_per_second(entries, Fault::OwnerChanges(Duration::from_millis(lasts)));
+    }
+}
+
+fn check_max_per_second(entries: usize, fault: Fault) {
+    for (per_s, margin) in [(4.0, 2.0), (1.0, 0.0), (20.0, 5.0)] {
+        let rate = 30.0 * per_s * entries.min(10) as f64;
+        let scenario = Scenario {
+            fault,
+            requests_per_second: rate,
+            ..scenario(entries, per_s, margin, Traffic::AllEntries)
+        };
+        let max = Simulation::new(scenario).run().max_per_second();
+        let allowed = scenario.per_s * scenario.excess + scenario.margin;
+        println!("{max} in a second of {allowed:.1}, {fault:?}");
+        assert!(max as f64 <= allowed, "{max} in a second of {allowed:.1}, {fault:?}");
+    }
+}
+
 /// Guards against cold targets that stay unused although more requests arrive than they take.
 #[parameterized(
     one_a_second = { scenario(30, 1.0, 0.0, Traffic::AllEntries), 0.5 },
--- a/crates/policy/tests/support/cold_fleet.rs
+++ b/crates/policy/tests/support/cold_fleet.rs
@@ -22,6 +22,9 @@
 /// How long an entry tries to send a request to a cold target.
 const TIMEOUT: Duration = Duration::from_millis(100);
 
+/// The interval at which entries look which targets they own.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How long the targets are cold, from the beginning on.
 pub(crate) const COLD_PERIOD: Duration = Duration::from_secs(6);
 
@@ -53,6 +56,8 @@
     UnevenPartition,
     /// All entries lose their buckets each second.
     Restarts,
+    /// Two entries own all targets in turn, each for such a time.
+    OwnerChanges(Duration),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -123,9 +128,21 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
-    Request { entry: usize, requested_at: Time },
-    Decide { entry: usize, target: usize, requested_at: Time, owner: usize },
-    Arrive { target: usize },
+    Request {
+        entry: usize,
+        requested_at: Time,
+    },
+    Decide {
+        entry: usize,
+        target: usize,
+        requested_at: Time,
+        owner: usize,
+    },
+    /// All entries look which targets they own.
+    Check,
+    Arrive {
+        target: usize,
+    },
 }
 
 struct Entry {
@@ -138,6 +155,13 @@
     share_buckets: Vec<(f64, Time)>,
 }
 
+/// Returns the entries by their rank for a target.
+fn rank(target: &id::Target, entries: usize) -> Vec<usize> {
+    let names: Vec<(usize, String)> = (0..entries).map(|n| (n, format!("entry-{n}"))).collect();
+    let ranked = rendezvous::rank(target.as_str(), &names, |(_, name)| name);
+    ranked.into_iter().map(|(n, _)| *n).collect()
+}
+
 pub(crate) struct Simulation {
     scenario: Scenario,
     rng: ChaCha8Rng,
@@ -145,14 +169,16 @@
     events: BinaryHeap<Reverse<(Time, u64, Event)>>,
     sequence: u64,
     entries: Vec<Entry>,
-    names: Vec<(usize, String)>,
+    /// The entries by their rank for each target.
+    rankings: Vec<Vec<usize>>,
     targets: Vec<id::Target>,
     results: Results,
 }
 
 impl Simulation {
     pub(crate) fn new(scenario: Scenario) -> Self {
-        let targets = (0..scenario.targets).map(|n| format!("t-{n}").parse().expect("a name"));
+        let targets: Vec<id::Target> =
+            (0..scenario.targets).map(|n| format!("t-{n}").parse().expect("a name")).collect();
         let entry = |_| Entry {
             buckets: Buckets::default(),
             informed_at: Time::ZERO,
@@ -165,8 +191,8 @@
             events: BinaryHeap::new(),
             sequence: 0,
             entries: (0..scenario.entries).map(entry).collect(),
-            names: (0..scenario.entries).map(|n| (n, format!("entry-{n}"))).collect(),
-            targets: targets.collect(),
+            rankings: targets.iter().map(|target| rank(target, scenario.entries)).collect(),
+            targets,
             results: Results { arrivals: vec![Vec::new(); scenario.targets], ..Results::default() },
             scenario,
         };
@@ -197,6 +223,11 @@
             let requested_at = Time::ZERO + at;
             self.schedule(at, Event::Request { entry, requested_at });
         }
+        if matches!(self.scenario.fault, Fault::OwnerChanges(_)) {
+            for nth in 0..COLD_PERIOD.as_millis() / CHECK_INTERVAL.as_millis() {
+                self.schedule(CHECK_INTERVAL * nth as u32, Event::Check);
+            }
+        }
         let mut second = 0;
         while let Some(Reverse((now, _, event))) = self.events.pop() {
             self.now = now;
@@ -208,6 +239,7 @@
                 });
             }
             match event {
+                Event::Check => self.check(),
                 Event::Request { entry, requested_at } => self.route(entry, requested_at),
                 Event::Decide { entry, target, requested_at, owner } => {
                     self.decide(entry, target, requested_at, owner);
@@ -227,7 +259,28 @@
         match self.scenario.fault {
             Fault::Partition => one % 2 == other % 2,
             Fault::UnevenPartition => one.is_multiple_of(3) == other.is_multiple_of(3),
-            Fault::None | Fault::Restarts => true,
+            _ => true,
+        }
+    }
+
+    /// Returns the owner of a target, as `entry` sees it.
+    fn owner(&self, entry: usize, target: usize) -> usize {
+        if let Fault::OwnerChanges(lasts) = self.scenario.fault {
+            return (self.now.since(Time::ZERO).as_millis() / lasts.as_millis() % 2) as usize;
+        }
+        let ranked = &self.rankings[target];
+        let knows = |n: &&usize| self.can_reach(entry, **n);
+        *ranked.iter().find(knows).expect("an entry knows itself")
+    }
+
+    fn check(&mut self) {
+        for entry in 0..self.scenario.entries {
+            let owned: Vec<bool> =
+                (0..self.scenario.targets).map(|n| self.owner(entry, n) == entry).collect();
+            let owns = |id: &id::Target| {
+                self.targets.iter().position(|target| target == id).is_some_and(|n| owned[n])
+            };
+            self.entries[entry].buckets.retain_owned(owns);
         }
     }
 
@@ -253,10 +306,7 @@
         let target = available[self.rng.random_range(0..available.len())];
         match self.scenario.strategy {
             Strategy::Owner => {
-                let reached: Vec<(usize, String)> =
-                    self.names.iter().filter(|(n, _)| self.can_reach(entry, *n)).cloned().collect();
-                let ranked = rendezvous::rank(self.targets[target].as_str(), &reached, |(_, n)| n);
-                let owner = ranked[0].0;
+                let owner = self.owner(entry, target);
                 let delay = if owner == entry { Duration::ZERO } else { ONE_WAY_DELAY };
                 self.results.owner_requests += 1;
                 self.schedule(delay, Event::Decide { entry, target, requested_at, owner });
