Use permits for cold targets only shortly after they were granted

Found in virtual time: entries that are stopped for 0.2 s give a target that takes one request in any second two.

Cause: the owner counts a request when it grants the permit, but the entry that asked may be stopped before it uses it, may wait for a connection for up to 0.4 s, and resumes a run only after its memory was copied. Such a permit comes on top of those that were granted since.

Change: a permit for a cold target may be used within 0.15 s after it was asked for, which is checked when the connection is open. Otherwise nothing was sent, and the request goes on. A run that was copied asks again.

Dropping the buckets of a stopped entry changed nothing in virtual time and is left out. The new wait after a copy has no test of its own.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -38,6 +38,9 @@
     /// The target asked for rest, which is not over; nothing was sent.
     #[display("target rests; try another, or later")]
     Resting,
+    /// The permit to send was granted too long ago; nothing was sent.
+    #[display("permit expired; ask for another")]
+    PermitExpired,
     /// This entry reaches no target, neither directly nor through another entry.
     #[display("no path to any target; check the network of this host")]
     NoPath,
--- a/crates/gateway/src/process/state/path.rs
+++ b/crates/gateway/src/process/state/path.rs
@@ -7,6 +7,7 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::isolation::{self, CHECK_TIMEOUT, CHECKED_TARGETS, Detector};
 use fireflyhoist_policy::lease::{State, Target};
+use fireflyhoist_policy::permit::Grant;
 use fireflyhoist_policy::presence::Presence;
 use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::topology::Member;
@@ -252,11 +253,26 @@
         target: &Target,
         outgoing: Outgoing,
         within: Duration,
+    ) -> Result<Response, Failure> {
+        self.send_permitted(target, outgoing, within, None).await
+    }
+
+    /// The same for a request that was permitted by the owner of the target, unless the permit is
+    /// outdated once the connection is open.
+    pub(crate) async fn send_permitted(
+        &self,
+        target: &Target,
+        outgoing: Outgoing,
+        within: Duration,
+        grant: Option<Grant>,
     ) -> Result<Response, Failure> {
         if self.is_resting(target) {
             return Err(Failure::Resting);
         }
         let (stream, relay) = self.connect(target, within).await?;
+        if grant.is_some_and(|grant| !grant.is_current(self.clock.now())) {
+            return Err(Failure::PermitExpired);
+        }
         let mut response = match exchange::send_over(stream, target.address, outgoing, within).await
         {
             Ok(response) => response,
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -7,6 +7,7 @@
 use fireflyhoist_policy::gate::{Reason, Refusal};
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::permit::Grant;
 use tokio::time::sleep;
 
 use crate::connection::frame::Permit;
@@ -30,6 +31,8 @@
 /// The permission to send a request to a target.
 pub(crate) struct Admission {
     pub(crate) pass: Pass,
+    /// The permit of the target's owner, if that is cold.
+    pub(crate) grant: Option<Grant>,
     /// Its place at the target, if that is fragile.
     pub(crate) slot: Option<Slot>,
 }
@@ -56,12 +59,15 @@
             }
             Err(refusal) => return Err(log_refusal(context, refusal)),
         };
-        if let Some((exclusion, wait)) = check_limit(worker, pass.target()).await {
-            context.gate.suspend_target(pass.target(), wait, exclusion);
-            // The retry budget has been charged for this attempt already.
-            retry = false;
-            continue;
-        }
+        let grant = match check_limit(worker, pass.target()).await {
+            Ok(grant) => grant,
+            Err((exclusion, wait)) => {
+                context.gate.suspend_target(pass.target(), wait, exclusion);
+                // The retry budget has been charged for this attempt already.
+                retry = false;
+                continue;
+            }
+        };
         let slot = match worker.fleet.acquire_slot(pass.target()).await {
             Ok(slot) => slot,
             Err(wait) => {
@@ -72,7 +78,7 @@
         };
         return match quarantine::acquire(worker, context).await {
             Some(wait) => Err(Rejection::Quarantined(wait)),
-            None => Ok(Admission { pass, slot }),
+            None => Ok(Admission { pass, grant, slot }),
         };
     }
 }
@@ -94,35 +100,46 @@
     Rejection::Refused(refusal)
 }
 
-/// Asks the entry that owns the target's token bucket for one request. Returns why and for how long
-/// the target accepts no more, or `None` if the request may be sent now.
-async fn check_limit(worker: &Worker, target: &id::Target) -> Option<(Exclusion, Duration)> {
-    let permit = worker.process.required_permit(target)?;
+/// Asks the entry that owns the target's token bucket for one request. Returns the permit if the
+/// target is cold, which crashes if it is used late, or why and for how long it accepts no more.
+pub(crate) async fn check_limit(
+    worker: &Worker,
+    target: &id::Target,
+) -> Result<Option<Grant>, (Exclusion, Duration)> {
+    let Some(permit) = worker.process.required_permit(target) else { return Ok(None) };
     let exclusion = match permit {
         Permit::ColdSend(_) => Exclusion::Cold,
         Permit::LimitedSend(_) | Permit::Trial(_) | Permit::Slot(_) => Exclusion::Limited,
     };
+    let grant = Grant::new(worker.process.clock.now());
     let wait = worker.fleet.request_permit(permit, SEND_TIMEOUT).await;
     worker
         .process
         .metrics
         .limited_send(exclusion, if wait.is_some() { "elsewhere" } else { "sent" });
-    wait.map(|wait| (exclusion, wait))
+    match wait {
+        Some(wait) => Err((exclusion, wait)),
+        None => Ok((exclusion == Exclusion::Cold).then_some(grant)),
+    }
 }
 
 /// Filters targets, given in order of preference, to those that accept a request now: all targets
-/// without a limit or, if there are none, the first target whose limit grants the request.
-pub(crate) async fn within_limits(worker: &Worker, targets: Vec<Target>) -> Vec<Target> {
+/// without a limit or, if there are none, the first target whose limit grants the request, with the
+/// permit.
+pub(crate) async fn within_limits(
+    worker: &Worker,
+    targets: Vec<Target>,
+) -> (Vec<Target>, Option<Grant>) {
     let limited = |target: &Target| worker.process.required_permit(&target.id).is_some();
     let (limited, unlimited): (Vec<Target>, Vec<Target>) =
         targets.into_iter().filter(|target| !worker.process.is_resting(target)).partition(limited);
     if !unlimited.is_empty() {
-        return unlimited;
+        return (unlimited, None);
     }
     for target in limited {
-        if check_limit(worker, &target.id).await.is_none() {
-            return vec![target];
+        if let Ok(grant) = check_limit(worker, &target.id).await {
+            return (vec![target], grant);
         }
     }
-    Vec::new()
+    (Vec::new(), None)
 }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -5,6 +5,7 @@
 
 use fireflyhoist_policy::fragility::Ending;
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::permit::Grant;
 use fireflyhoist_policy::request::Outcome;
 use fireflyhoist_policy::time::Time;
 use ntex::http::HeaderMap;
@@ -23,6 +24,9 @@
 /// The reason of [`Error::NotSent`] if the target takes nothing new.
 const LEAVING: &str = "leaving";
 
+/// The reason of [`Error::NotSent`] if the permit to send was granted too long ago.
+const PERMIT_EXPIRED: &str = "permit-expired";
+
 /// The reason of [`Error::NotSent`] if the target asked for rest.
 const RESTING: &str = "resting";
 
@@ -47,6 +51,7 @@
             Failure::ConnectFailed { .. } => Self::NotSent("unreached"),
             Failure::NoPath => Self::NotSent(ISOLATED),
             Failure::Resting => Self::NotSent(RESTING),
+            Failure::PermitExpired => Self::NotSent(PERMIT_EXPIRED),
             Failure::TimedOut => Self::Unknown("late"),
             Failure::Broken { .. } => Self::Unknown("broken"),
             Failure::BodyTooLarge => Self::Unknown("large"),
@@ -81,7 +86,9 @@
     /// Returns the outcome that the gate records for the target.
     pub(crate) fn outcome(&self, process: &Process) -> Outcome {
         match self {
-            Self::NotSent(CORDONED | ISOLATED | LEAVING | RESTING) => Outcome::Cancelled,
+            Self::NotSent(CORDONED | ISOLATED | LEAVING | PERMIT_EXPIRED | RESTING) => {
+                Outcome::Cancelled
+            }
             // Otherwise an entry that loses its path would have its peers eject targets that work.
             Self::Unknown(_) if process.is_path_suspect() => Outcome::Cancelled,
             _ => Outcome::Failed,
@@ -105,6 +112,8 @@
     pub(crate) copy: Option<Copy>,
     /// The last event sent to the caller, after which the target resumes.
     pub(crate) last_event: Option<u64>,
+    /// The permit of the target's owner, if that is cold.
+    pub(crate) grant: Option<Grant>,
 }
 
 /// Sends the request to a target and waits for the head of its answer.
@@ -175,7 +184,7 @@
         body: context.body.clone(),
     };
     let sent_at = worker.process.clock.now();
-    let response = worker.process.send(&target, outgoing, time_left).await;
+    let response = worker.process.send_permitted(&target, outgoing, time_left, options.grant).await;
     let response = response.map_err(|failure| {
         match failure {
             Failure::Broken { .. } => {
@@ -185,7 +194,11 @@
                 request = context.facts.request.as_str(), target:% = id, reason:% = reason;
                 "no connection"
             ),
-            Failure::Resting | Failure::NoPath | Failure::TimedOut | Failure::BodyTooLarge => {}
+            Failure::Resting
+            | Failure::PermitExpired
+            | Failure::NoPath
+            | Failure::TimedOut
+            | Failure::BodyTooLarge => {}
         }
         Error::from_failure(&failure)
     })?;
--- a/crates/gateway/src/request/migration.rs
+++ b/crates/gateway/src/request/migration.rs
@@ -13,6 +13,7 @@
 use fireflyhoist_policy::fragility::Ending;
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::permit::Grant;
 use fireflyhoist_policy::unit::Tokens;
 use ntex::http::StatusCode;
 use tokio::time::sleep;
@@ -42,6 +43,9 @@
 /// was chosen can't be reached.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// How often a run whose memory was transferred asks for a permit before it resumes at its source.
+const MAX_PERMIT_TRIES: usize = 4;
+
 /// Returns whether an answer is expected to take longer than the notice that an engine or an entry
 /// gives before it stops.
 pub(crate) fn is_long(context: &Context) -> bool {
@@ -179,7 +183,7 @@
     plan: Plan,
 ) -> Result<Resumed, Error> {
     let request = &context.facts.request;
-    let candidates = admission::within_limits(worker, plan.candidates).await;
+    let (candidates, grant) = admission::within_limits(worker, plan.candidates).await;
     let Some(first) = candidates.first().cloned() else {
         // Without a pause all attempts would be used up before any engine accepts more.
         sleep(RETRY_DELAY).await;
@@ -193,7 +197,7 @@
     match plan.strategy {
         Strategy::Backup => {
             let copy = Copy { at: first.address, name: request.clone() };
-            begin::<P>(worker, context, &first, Some(copy), &plan.last_event).await
+            begin::<P>(worker, context, &first, Some(copy), &plan.last_event, grant).await
         }
         Strategy::Transfer { from, remaining, memory } => {
             let queued_at = worker.process.clock.now();
@@ -210,21 +214,47 @@
             // The rest of the migration does not use the link between the two engines.
             drop(turn);
             let (last_event, copy) = (&plan.last_event, Some(transferred.copy.clone()));
-            let resumed =
-                match resume::<P>(worker, context, &transferred.to, copy.clone(), last_event).await
-                {
-                    // The source has stopped the run and still holds all of its memory.
-                    Err(error) if error.did_not_run() => {
-                        worker.fleet.spend(&from.id);
-                        resume::<P>(worker, context, &from, copy, last_event).await
-                    }
-                    result => result,
-                };
+            let grant = renew_permit(worker, &transferred.to, grant).await;
+            let resumed = match resume::<P>(
+                worker,
+                context,
+                &transferred.to,
+                copy.clone(),
+                last_event,
+                grant,
+            )
+            .await
+            {
+                // The source has stopped the run and still holds all of its memory.
+                Err(error) if error.did_not_run() => {
+                    worker.fleet.spend(&from.id);
+                    resume::<P>(worker, context, &from, copy, last_event, None).await
+                }
+                result => result,
+            };
             let reservation = resumed.is_ok().then(|| transferred.keep());
             resumed.map(|resumed| Resumed { reservation, ..resumed })
         }
-        Strategy::Restart => begin::<P>(worker, context, &first, None, &plan.last_event).await,
+        Strategy::Restart => {
+            begin::<P>(worker, context, &first, None, &plan.last_event, grant).await
+        }
+    }
+}
+
+/// Returns a permit for an engine to which the memory of a run was transferred, if it is cold. The
+/// transfer mostly takes longer than a permit may be used.
+async fn renew_permit(worker: &Worker, to: &Target, grant: Option<Grant>) -> Option<Grant> {
+    let now = worker.process.clock.now();
+    if grant.is_none_or(|grant| grant.is_current(now)) {
+        return grant;
+    }
+    for _ in 0..MAX_PERMIT_TRIES {
+        match admission::check_limit(worker, &to.id).await {
+            Ok(renewed) => return renewed,
+            Err((_, wait)) => sleep(wait).await,
+        }
     }
+    grant
 }
 
 /// Resumes a request at an engine that has not reserved room for it.
@@ -234,9 +264,10 @@
     to: &Target,
     copy: Option<Copy>,
     last_event: &Cell<Option<u64>>,
+    grant: Option<Grant>,
 ) -> Result<Resumed, Error> {
     let slot = worker.fleet.acquire_slot(&to.id).await.map_err(|_| Error::NotSent("crowded"))?;
-    let resumed = resume::<P>(worker, context, to, copy, last_event).await;
+    let resumed = resume::<P>(worker, context, to, copy, last_event, grant).await;
     if let Some(slot) = slot {
         slot.end(resumed.as_ref().map_or_else(Error::ending, |_| Ending::Accepted));
     }
@@ -250,8 +281,9 @@
     to: &Target,
     copy: Option<Copy>,
     last_event: &Cell<Option<u64>>,
+    grant: Option<Grant>,
 ) -> Result<Resumed, Error> {
-    let options = Options { backup: None, copy, last_event: last_event.get() };
+    let options = Options { backup: None, copy, last_event: last_event.get(), grant };
     let started = attempt::send::<P>(worker, context, &to.id, &options).await?;
     match started.response.status {
         StatusCode::OK => Ok(Resumed { target: to.id.clone(), started, reservation: None }),
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -6,6 +6,7 @@
 use fireflyhoist_policy::fragility::Ending;
 use fireflyhoist_policy::gate::{Outcome, Reason, Refusal};
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::permit::Grant;
 use fireflyhoist_policy::route::Kind;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -208,9 +209,9 @@
     context: &Context,
     admission: Admission,
 ) -> Finished {
-    let Admission { pass, slot } = admission;
+    let Admission { pass, grant, slot } = admission;
     let target = pass.target().clone();
-    let result = fetch::<P>(worker, context, &target).await;
+    let result = fetch::<P>(worker, context, &target, grant).await;
     let outcome = match &result {
         Ok(answer) if answer.status.is_server_error() => Outcome::ServerError,
         Ok(_) => Outcome::Whole,
@@ -230,9 +231,11 @@
     worker: &Worker,
     context: &Context,
     target: &id::Target,
+    grant: Option<Grant>,
 ) -> Result<Answer, Error> {
     let listed = worker.process.target(target).ok_or(Error::NotRun("gone"))?;
-    let started = attempt::send::<P>(worker, context, target, &Options::default()).await?;
+    let options = Options { grant, ..Options::default() };
+    let started = attempt::send::<P>(worker, context, target, &options).await?;
     let Started { mut response, began_at } = started;
     let body = match response.read_body(MAX_ANSWER_BYTES).await {
         Ok(body) => body,
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -179,13 +179,13 @@
     }
 
     async fn attempt<P: Platform>(&mut self, admission: Admission) -> Result<Response, Error> {
-        let Admission { pass, slot } = admission;
+        let Admission { pass, grant, slot } = admission;
         self.attempts += 1;
         self.in_flight = true;
         self.worker.process.request_heartbeat();
         let backup = Backup::choose(self.worker, &self.context, &pass, pass.target());
         let options =
-            Options { backup: backup.as_ref().map(Backup::address), ..Options::default() };
+            Options { backup: backup.as_ref().map(Backup::address), grant, ..Options::default() };
         let started = attempt::send::<P>(self.worker, &self.context, pass.target(), &options).await;
         let mut started = match started {
             Ok(started) => started,
--- a/crates/gateway/src/request/transfer.rs
+++ b/crates/gateway/src/request/transfer.rs
@@ -187,7 +187,9 @@
     log::info!(error:% = error; "move broken");
     match error {
         // The engine got no call, so it has not stopped the run.
-        Failure::Resting | Failure::NoPath => Error::NotSent("move not sent"),
+        Failure::Resting | Failure::PermitExpired | Failure::NoPath => {
+            Error::NotSent("move not sent")
+        }
         _ => Error::Unknown("move broken"),
     }
 }
--- a/crates/gateway/tests/cold.rs
+++ b/crates/gateway/tests/cold.rs
@@ -14,8 +14,10 @@
 use fireflyhoist_policy::route::{Kind, Route};
 use fireflyhoist_policy::unit::RequestRate;
 use fireflyhoist_standin::registry::Registry;
+use futures_util::future::join_all;
 use parking_lot::Mutex;
 use support::caller::Request;
+use support::forwarder::{Forwarder, Mode};
 use support::proxy::Proxy;
 use support::target::{Standin, answer};
 use support::{eventually, fleet_behind_proxies, route, settings, text, until_ready};
@@ -185,6 +187,34 @@
     assert!(cold.count() >= 1);
 }
 
+/// Guards against permits that are used long after they were granted, on top of those granted since.
+#[ntex::test]
+async fn an_outdated_permit_is_not_used() {
+    let registry = registry().await;
+    let warm = Recorder::open("web-1", "a").await;
+    registry.put(warm.listed.clone());
+    let forwarder = Forwarder::open().await;
+    let mut settings = settings("entry-0", registry.address(), &[]);
+    (settings.bounds.cold_excess, settings.bounds.cold_margin) = (1.5, 1.0);
+    settings.forwarder = Some(forwarder.address);
+    let entry = Gateway::bind::<Native>(settings, "none".into()).await.expect("an entry");
+    until_ready(&entry).await;
+    // An entry that has just started grants nothing for cold targets.
+    sleep(Duration::from_secs(2)).await;
+    let cold = Recorder::open("web-2", "b").await;
+    registry.put(cold.cold(1));
+    forwarder.set_mode(Mode::Late(Duration::from_millis(200)));
+    // Until connections are late for all requests.
+    sleep(Duration::from_millis(300)).await;
+    let entry = [entry];
+    let callers = (0..8).map(|_| send_for(&entry, COLD_PERIOD / 2));
+    let served: usize = join_all(callers).await.into_iter().sum();
+    assert!(served >= 1 && cold.count() == 0, "{} of {served}", cold.count());
+    forwarder.set_mode(Mode::Open);
+    send_for(&entry, COLD_PERIOD / 3).await;
+    assert!(cold.count() >= 1, "none of {served}");
+}
+
 /// Returns the name of a target whose permits the first entry grants.
 fn owned_by(owner: &str, other: &str) -> String {
     let names = (2..).map(|n| format!("web-{n}"));
--- a/crates/gateway/tests/support/forwarder.rs
+++ b/crates/gateway/tests/support/forwarder.rs
@@ -4,17 +4,21 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
+use tokio::time::sleep;
 
 /// What happens to new connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Mode {
     /// They are opened.
     Open,
+    /// They are opened after this time.
+    Late(Duration),
     /// They are accepted, and nothing comes back.
     Hang,
     /// They are closed at once.
@@ -75,6 +79,7 @@
                 let _ = near.read_to_end(&mut Vec::new()).await;
                 return;
             }
+            Mode::Late(delay) => sleep(delay).await,
             Mode::Open => {}
         }
         let Some(mut far) = connect(&mut near).await else { return };
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -7,9 +7,16 @@
 //! reached in this way, nobody grants it.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::id;
 use crate::rendezvous;
+use crate::time::Time;
+
+/// How long after it was asked for a permit may be used. With requests that are sent at different
+/// times after their permits a target may get two in a second although it is granted fewer; see
+/// [`token_bucket`](crate::token_bucket).
+const GRANT_TTL: Duration = Duration::from_millis(150);
 
 /// Where a request for a permit goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -74,3 +81,24 @@
         rendezvous::rank(key, &hosts, |host| host.as_str()).into_iter().copied().collect()
     }
 }
+
+/// A permit that was granted.
+///
+/// An entry may be stopped between its question and the use of the answer, or wait for a connection.
+/// Used late, the permit would come on top of those that the owner has granted since.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Grant {
+    asked_at: Time,
+}
+
+impl Grant {
+    /// Creates a permit that was asked for at this time.
+    pub const fn new(asked_at: Time) -> Self {
+        Self { asked_at }
+    }
+
+    /// Returns whether it may be used at `now`.
+    pub fn is_current(self, now: Time) -> bool {
+        now.since(self.asked_at) <= GRANT_TTL
+    }
+}
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -112,6 +112,14 @@
     }
 }
 
+/// Guards against entries that were stopped using permits of the time before.
+#[parameterized(two_entries = { 2 }, four_entries = { 4 }, thirty_entries = { 30 }, many_entries = { 300 })]
+fn entries_that_were_stopped_send_no_more(entries: usize) {
+    for lasts in [200, 500, 1_000, 2_000] {
+        check_max_per_second(entries, Fault::Stops(Duration::from_millis(lasts)));
+    }
+}
+
 fn check_max_per_second(entries: usize, fault: Fault) {
     for (per_s, margin) in [(4.0, 2.0), (1.0, 0.0), (20.0, 5.0)] {
         let rate = 30.0 * per_s * entries.min(10) as f64;
--- a/crates/policy/tests/support/cold_fleet.rs
+++ b/crates/policy/tests/support/cold_fleet.rs
@@ -6,6 +6,7 @@
 
 use fireflyhoist_policy::cold::Limit;
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::permit::Grant;
 use fireflyhoist_policy::rendezvous;
 use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::token_bucket::{Allowance, Buckets};
@@ -25,6 +26,9 @@
 /// The interval at which entries look which targets they own.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The time after which a stopped entry counts as lost.
+const SILENCE: Duration = Duration::from_millis(900);
+
 /// How long the targets are cold, from the beginning on.
 pub(crate) const COLD_PERIOD: Duration = Duration::from_secs(6);
 
@@ -58,6 +62,8 @@
     Restarts,
     /// Two entries own all targets in turn, each for such a time.
     OwnerChanges(Duration),
+    /// Entries are stopped in turn, each for such a time. Others own their targets meanwhile.
+    Stops(Duration),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -138,7 +144,14 @@
         requested_at: Time,
         owner: usize,
     },
-    /// All entries look which targets they own.
+    /// A permit reaches the entry that asked for it.
+    Granted {
+        entry: usize,
+        target: usize,
+        requested_at: Time,
+        grant: Grant,
+    },
+    /// All entries that are not stopped look which targets they own.
     Check,
     Arrive {
         target: usize,
@@ -223,7 +236,7 @@
             let requested_at = Time::ZERO + at;
             self.schedule(at, Event::Request { entry, requested_at });
         }
-        if matches!(self.scenario.fault, Fault::OwnerChanges(_)) {
+        if matches!(self.scenario.fault, Fault::OwnerChanges(_) | Fault::Stops(_)) {
             for nth in 0..COLD_PERIOD.as_millis() / CHECK_INTERVAL.as_millis() {
                 self.schedule(CHECK_INTERVAL * nth as u32, Event::Check);
             }
@@ -238,8 +251,19 @@
                     entry.buckets.set_alive(now, self.scenario.entries);
                 });
             }
+            if let Some(resumed_at) = self.stopped_until(event) {
+                let resumed = resumed_at.since(now);
+                self.schedule(resumed, event);
+                continue;
+            }
             match event {
                 Event::Check => self.check(),
+                Event::Granted { entry, target, requested_at, grant } => {
+                    match grant.is_current(now) {
+                        true => self.send(target),
+                        false => self.route(entry, requested_at),
+                    }
+                }
                 Event::Request { entry, requested_at } => self.route(entry, requested_at),
                 Event::Decide { entry, target, requested_at, owner } => {
                     self.decide(entry, target, requested_at, owner);
@@ -263,18 +287,42 @@
         }
     }
 
+    /// Returns when the entry that handles an event goes on, if it is stopped.
+    fn stopped_until(&self, event: Event) -> Option<Time> {
+        let entry = match event {
+            Event::Request { entry, .. } | Event::Granted { entry, .. } => entry,
+            Event::Decide { owner, .. } => owner,
+            Event::Arrive { .. } | Event::Check => return None,
+        };
+        let (stopped, since) = self.stopped()?;
+        let Fault::Stops(lasts) = self.scenario.fault else { return None };
+        (entry == stopped).then(|| since + lasts)
+    }
+
+    /// Returns the entry that is stopped, and since when.
+    fn stopped(&self) -> Option<(usize, Time)> {
+        let Fault::Stops(lasts) = self.scenario.fault else { return None };
+        let nth = self.now.since(Time::ZERO).as_millis() / lasts.as_millis();
+        Some((nth as usize % self.scenario.entries, Time::ZERO + lasts * nth as u32))
+    }
+
     /// Returns the owner of a target, as `entry` sees it.
     fn owner(&self, entry: usize, target: usize) -> usize {
         if let Fault::OwnerChanges(lasts) = self.scenario.fault {
             return (self.now.since(Time::ZERO).as_millis() / lasts.as_millis() % 2) as usize;
         }
+        let lost = |n: usize| match self.stopped() {
+            Some((stopped, since)) => n == stopped && self.now.since(since) >= SILENCE,
+            None => false,
+        };
         let ranked = &self.rankings[target];
-        let knows = |n: &&usize| self.can_reach(entry, **n);
+        let knows = |n: &&usize| self.can_reach(entry, **n) && (**n == entry || !lost(**n));
         *ranked.iter().find(knows).expect("an entry knows itself")
     }
 
     fn check(&mut self) {
-        for entry in 0..self.scenario.entries {
+        let stopped = self.stopped().map(|(entry, _)| entry);
+        for entry in (0..self.scenario.entries).filter(|entry| Some(*entry) != stopped) {
             let owned: Vec<bool> =
                 (0..self.scenario.targets).map(|n| self.owner(entry, n) == entry).collect();
             let owns = |id: &id::Target| {
@@ -347,7 +395,10 @@
         let delay = if owner == entry { Duration::ZERO } else { ONE_WAY_DELAY };
         let asked = Some(self.cold_limit());
         match self.entries[owner].buckets.try_cold_send(now, &id, &allowance, asked) {
-            None => self.send(target),
+            None => {
+                let grant = Grant::new(now - delay);
+                self.schedule(delay, Event::Granted { entry, target, requested_at, grant });
+            }
             Some(wait) => self.block(entry, target, wait, requested_at, delay),
         }
     }
@@ -366,6 +417,6 @@
 
     fn send(&mut self, target: usize) {
         let jitter = Duration::from_millis(self.rng.random_range(0..JITTER_MS));
-        self.schedule(ONE_WAY_DELAY * 2 + jitter, Event::Arrive { target });
+        self.schedule(ONE_WAY_DELAY + jitter, Event::Arrive { target });
     }
 }
