Send nothing to targets that this entry has just seen crash

Three requests that may not be repeated were sent to a target within half a second after it had crashed and were answered answer-lost, two of them by entries that had logged the crash.

Cause: a failed request makes an entry leave the target alone, but a run that breaks off and goes on at another target is no failed request. Placement did not know of the crash, and what forwards connections accepts them for a dead target.

Change: a check that finds a target crashed for certain suspends it for a second. If no target is left, requests are refused at once, not run. A new start under the same name ends the suspension. A connection that was not opened in time proves nothing and suspends nothing.

Other entries still learn of a crash by themselves.

--- a/crates/gateway/src/process/state/targets.rs
+++ b/crates/gateway/src/process/state/targets.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use fireflyhoist_policy::exclusion::Exclusion;
 use fireflyhoist_policy::gate::{Listing, TargetUpdate};
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::{self, Change, Target};
@@ -20,6 +21,10 @@
 /// replaced, thousands change within seconds at every entry.
 const MAX_LOGGED_CHANGES: usize = 16;
 
+/// How long a target that was seen to have crashed is left out: longer than the registry takes to
+/// notice that its lease is not renewed, mostly.
+const CRASH_PAUSE: Duration = Duration::from_secs(1);
+
 impl Process {
     /// Lets gates act on the time and drops targets and cordons that have expired.
     pub(crate) fn poll_gates(&self) {
@@ -35,6 +40,18 @@
         self.expire_cordons();
     }
 
+    /// Sends a target that has just been seen to have crashed nothing more until the registry says what
+    /// became of it, or for [`CRASH_PAUSE`].
+    pub(crate) fn suspend_crashed(&self, crashed: &Target) {
+        let listed = self.target(&crashed.id);
+        if listed.is_none_or(|listed| listed.is_restart_of(crashed)) {
+            return;
+        }
+        if let Some(gate) = self.gate(&crashed.service) {
+            gate.suspend_target(&crashed.id, CRASH_PAUSE, Exclusion::Crashed);
+        }
+    }
+
     /// Takes the outcomes of requests at targets that are due to be sent to other entries.
     pub(crate) fn take_outcomes(&self) -> Vec<TargetOutcome> {
         let gates = self.gates.read();
--- a/crates/gateway/src/request/liveness.rs
+++ b/crates/gateway/src/request/liveness.rs
@@ -17,7 +17,7 @@
 use ntex::util::Bytes;
 use smol_str::SmolStr;
 
-use crate::connection::exchange::{CONNECT_TIMEOUT, Failure, Outgoing};
+use crate::connection::exchange::{CONNECT_TIMEOUT, Failure, Outgoing, Refusal};
 use crate::platform::Platform;
 use crate::process::state::{CrashCheck, Process, millis};
 use crate::request::{Context, Worker};
@@ -97,12 +97,22 @@
         }
         match self.process.connect(&self.target, CONNECT_TIMEOUT).await {
             Err(Failure::NoPath) => Status::Unreachable,
-            Err(_) => Status::Crashed,
-            Ok(_) if self.had_begun && self.closes_connections::<P>().await => Status::Crashed,
+            // It may only stand still.
+            Err(Failure::ConnectFailed { reason: Refusal::TimedOut }) => Status::Crashed,
+            Err(_) => self.suspend_crashed(),
+            Ok(_) if self.had_begun && self.closes_connections::<P>().await => {
+                self.suspend_crashed()
+            }
             Ok(_) => Status::Alive,
         }
     }
 
+    /// Sends nothing more to the target, which has crashed for certain.
+    fn suspend_crashed(&self) -> Status {
+        self.process.suspend_crashed(&self.target);
+        Status::Crashed
+    }
+
     /// Returns whether an engine closes a connection without an answer to a report call.
     async fn closes_connections<P: Platform>(&self) -> bool {
         let call = P::report();
--- a/crates/gateway/tests/broken_runs.rs
+++ b/crates/gateway/tests/broken_runs.rs
@@ -2,12 +2,17 @@
 
 mod support;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
 use fireflyhoist_gateway::Gateway;
 use fireflyhoist_policy::route::{Kind, Route};
 use fireflyhoist_standin::registry::Registry;
 use support::caller::Request;
 use support::proxy::Proxy;
-use support::target::{Seen, Standin, Step, answer, event, listed, stream_head};
+use support::target::{
+    Seen, Standin, Step, answer, event, events, listed, stream_end, stream_head,
+};
 use support::{eventually, gateway, route, text};
 use yare::parameterized;
 
@@ -58,6 +63,40 @@
     eventually(async || !broken_runs(&gateway, "ended").await.is_empty()).await;
 }
 
+/// Guards against requests being lost at an engine that this entry has just seen crash, while the
+/// registry still lists it and what forwards connections to it accepts them.
+#[ntex::test]
+async fn a_crashed_engine_gets_no_more_requests() {
+    let registry = Registry::open().await;
+    let page = Route { name: "page".into(), prefix: "/page/".into(), ..route("web", STREAM) };
+    let again = route("web", Kind::Stream { resumable: true });
+    let mut text = text(1, vec![again]);
+    text.routes.push(page);
+    registry.publish(text);
+    let has_crashed = Arc::new(AtomicBool::new(false));
+    let script = move |seen: &Seen| match seen.body.as_str() {
+        "crash" if has_crashed.swap(true, Ordering::SeqCst) => {
+            vec![stream_head(), event(2), stream_end()]
+        }
+        "crash" => vec![stream_head(), event(1), Step::End],
+        _ => vec![stream_head(), event(1), stream_end()],
+    };
+    let mut targets = Vec::new();
+    for name in ["t-1", "t-2"] {
+        let target = Standin::open(name, "web", script.clone()).await;
+        let forwarder = Proxy::to(target.listed.address);
+        registry.put(listed(name, "web", forwarder.address()));
+        targets.push((target, forwarder));
+    }
+    let gateway = gateway(&registry).await;
+    let crash = Request::stream("/web/x", 20).body("crash").send(gateway.callers()).await;
+    assert_eq!(crash.body, events(1, 2));
+    eventually(async || broken_runs(&gateway, "ended").await == "1").await;
+    let page = async |_| Request::stream("/page/x", 20).body("b").send(gateway.callers()).await;
+    let pages = futures_util::future::join_all((0..20).map(page)).await;
+    pages.iter().for_each(|page| assert_eq!(page.status, 200, "{page:?}"));
+}
+
 /// Guards against an error response of a target being counted as a broken run.
 #[ntex::test]
 async fn an_error_response_is_not_a_broken_run() {
--- a/crates/policy/src/exclusion.rs
+++ b/crates/policy/src/exclusion.rs
@@ -31,6 +31,9 @@
     /// It asked for rest.
     #[display("resting")]
     Resting,
+    /// It has just been seen to have crashed, and is still listed.
+    #[display("crashed")]
+    Crashed,
     /// A request has just failed there.
     #[display("failed")]
     Failed,
--- a/crates/policy/src/gate/targets.rs
+++ b/crates/policy/src/gate/targets.rs
@@ -127,7 +127,7 @@
     pub fn restarted(&mut self, now: Time, target: &id::Target) {
         if let Some(at) = self.index.get(target) {
             self.targets[*at].stagger = Delay::since(now);
-            self.targets[*at].end_rest();
+            self.targets[*at].end_suspension_of_start();
         }
     }
 
@@ -214,6 +214,7 @@
         Exclusion::Crowded => {
             Verdict::Refuse(Refusal { reason: Reason::Crowded, retry_after: left })
         }
+        Exclusion::Crashed => refuse(rng, Reason::NoTarget, left),
         _ => refuse(rng, Reason::Limited, left),
     }
 }
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -134,9 +134,9 @@
         (!left.is_zero()).then_some((left, self.suspension))
     }
 
-    /// Ends its rest, which an earlier start asked for.
-    pub(crate) fn end_rest(&mut self) {
-        if self.suspension == Exclusion::Resting {
+    /// Ends its rest, which an earlier start asked for, and the suspension because that crashed.
+    pub(crate) fn end_suspension_of_start(&mut self) {
+        if matches!(self.suspension, Exclusion::Resting | Exclusion::Crashed) {
             self.suspended_until = Time::ZERO;
         }
     }
