Compare lookups of isolated entries unless the fault of links is theirs

A lookup is left out now if the links of others to its own entry have a fault, or to every entry that is not cut itself.

The verdict of a play says how many lookups were compared. How many were before is not known, since nothing counted them.

--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -191,7 +191,7 @@
     pub(crate) ends: Vec<Duration>,
     /// Limits that targets named.
     pub(crate) limits: Vec<Limit>,
-    /// When links between entries were cut or reset.
+    /// When the links of others to an entry were cut or reset.
     pub(crate) unlinked: Vec<Disturbed>,
     /// Entries that were cut from all targets.
     pub(crate) isolations: Vec<Isolated>,
@@ -207,6 +207,8 @@
     pub(crate) strays: Vec<(Duration, SmolStr)>,
     /// Targets that were cold.
     pub(crate) cold: Vec<Span>,
+    /// Entry processes in the run.
+    pub(crate) entries: usize,
     /// Processes that ended by themselves.
     pub(crate) exits: Vec<(Duration, usize)>,
     /// When all must have recovered.
@@ -370,29 +372,44 @@
         }
     }
 
-    /// Compares the lookups that callers of isolated entries try first, from [`SETTLE`] after a cut
-    /// began, with those at the other entries meanwhile.
-    fn check_isolations(&self, broken: &mut Vec<Violation>) {
+    /// Counts the lookups that callers of isolated entries try first, from [`SETTLE`] after a cut began,
+    /// and those at the other entries meanwhile.
+    fn isolated_tries(&self) -> (Tries, Tries) {
         let (mut there, mut elsewhere) = (Tries::default(), Tries::default());
         let lookups = self.asked.iter().filter(|a| matches!(a.kind, Kind::Safe | Kind::Unsafe));
         for asked in lookups {
             let (from, until) = (asked.from, asked.from + LOOKUP);
-            // An entry that others don't reach either is not owed their help.
-            let unlinked = |d: &Disturbed| d.from <= until && from <= d.to + SETTLE;
-            if !self.is_calm(asked.entry, from, until) || self.unlinked.iter().any(unlinked) {
+            let touches = |d: &&Disturbed| d.from <= until && from <= d.to + SETTLE;
+            let unlinked: BTreeSet<usize> =
+                self.unlinked.iter().filter(touches).filter_map(|d| d.entry).collect();
+            let cut = |one: &&Isolated| one.from <= until && from <= one.to + SETTLE;
+            let cut: BTreeSet<usize> =
+                self.isolations.iter().filter(cut).map(|one| one.entry).collect();
+            // An entry that others don't reach either, or that reaches none, is not owed their help.
+            let helped = (0..self.entries).any(|h| !unlinked.contains(&h) && !cut.contains(&h));
+            if !self.is_calm(asked.entry, from, until) || unlinked.contains(&asked.entry) || !helped
+            {
                 continue;
             }
             let lasts = |one: &&Isolated| one.from + SETTLE <= from && until <= one.to;
-            let touches = |one: &&Isolated| one.from <= until && from <= one.to + SETTLE;
             let own = |one: &&Isolated| one.entry == asked.entry;
             if self.isolations.iter().filter(lasts).any(|one| own(&one)) {
                 there.add(asked);
-            } else if self.isolations.iter().any(|one| lasts(&one))
-                && !self.isolations.iter().filter(touches).any(|one| own(&one))
-            {
+            } else if self.isolations.iter().any(|one| lasts(&one)) && !cut.contains(&asked.entry) {
                 elsewhere.add(asked);
             }
         }
+        (there, elsewhere)
+    }
+
+    /// How many lookups at isolated entries are compared with others.
+    pub(crate) fn compared(&self) -> usize {
+        self.isolated_tries().0.asked
+    }
+
+    /// Compares lookups at isolated entries with those elsewhere.
+    fn check_isolations(&self, broken: &mut Vec<Violation>) {
+        let (there, elsewhere) = self.isolated_tries();
         if there.asked >= COMPARED && there.share() * 3.0 < elsewhere.share() * 2.0 {
             let promise = "callers of isolated entries are served";
             let evidence = format!("{there} there, {elsewhere} elsewhere");
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -70,6 +70,8 @@
     faults: usize,
     asked: usize,
     served: usize,
+    /// Lookups at isolated entries that were compared with others; `None` where none are isolated.
+    compared: Option<usize>,
     violations: Vec<Violation>,
 }
 
@@ -90,6 +92,9 @@
         let word = if self.is_clean() { "clean" } else { "BROKEN" };
         let Self { seed, faults, asked, served, .. } = self;
         write!(f, "seed {seed}: {word}, {faults} faults, {served} of {asked} served")?;
+        if let Some(compared) = self.compared {
+            write!(f, ", {compared} lookups of isolated entries compared")?;
+        }
         self.violations.iter().try_for_each(|violation| write!(f, "\n  {violation}"))
     }
 }
@@ -107,6 +112,7 @@
         faults: plan.faults.len(),
         asked: seen.asked(),
         served: seen.served(),
+        compared: size.isolated.then(|| seen.compared()),
         violations: seen.violations(),
     };
     if verdict.is_clean() {
--- a/crates/soak/src/seen.rs
+++ b/crates/soak/src/seen.rs
@@ -69,10 +69,10 @@
         self.ledger.borrow_mut().fragile.push(fragile);
     }
 
-    /// Notes that links between entries are cut for a while, or reset.
-    pub(crate) fn unlinked(&self, span: Duration) {
+    /// Notes that the links of others to an entry are cut for a while, or reset.
+    pub(crate) fn unlinked(&self, entry: usize, span: Duration) {
         let from = self.now();
-        let unlinked = Disturbed { entry: None, from, to: from + span };
+        let unlinked = Disturbed { entry: Some(entry), from, to: from + span };
         self.ledger.borrow_mut().unlinked.push(unlinked);
     }
 
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -155,7 +155,7 @@
             let _ = child.wait();
         }
         self.backends.iter().for_each(|backend| backend.borrow().crash());
-        self.seen.take()
+        Ledger { entries: self.entries.len(), ..self.seen.take() }
     }
 
     /// The text of the current version.
--- a/crates/soak/src/world/strike.rs
+++ b/crates/soak/src/world/strike.rs
@@ -82,7 +82,7 @@
                 self.entries[nth].link.set_mode(Mode::Open);
             }
             Fault::Hush(nth) => {
-                self.seen.unlinked(span);
+                self.seen.unlinked(nth, span);
                 self.peers(nth, Mode::Silent, span).await;
             }
             Fault::Limit(slot, tenths) => {
@@ -106,7 +106,7 @@
                 slots.for_each(|slot| _ = spawn_local(self.clone().crash_owned(slot)));
             }
             Fault::ResetPeers(nth) => {
-                self.seen.unlinked(Duration::ZERO);
+                self.seen.unlinked(nth, Duration::ZERO);
                 self.entries[nth].peers.iter().for_each(Proxy::reset);
             }
         }
