--- a/crates/gateway/src/process/state/targets.rs
+++ b/crates/gateway/src/process/state/targets.rs
@@ -21,8 +21,8 @@
 /// replaced, thousands change within seconds at every entry.
 const MAX_LOGGED_CHANGES: usize = 16;
 
-/// How long a target that was seen to have crashed is left out: longer than the registry takes to
-/// notice that its lease is not renewed, mostly.
+/// How long a target that was seen to have crashed is left out. It is tried again afterwards if it is
+/// still listed, since the check may have been wrong.
 const CRASH_PAUSE: Duration = Duration::from_secs(1);
 
 impl Process {
@@ -40,8 +40,7 @@
         self.expire_cordons();
     }
 
-    /// Sends a target that has just been seen to have crashed nothing more until the registry says what
-    /// became of it, or for [`CRASH_PAUSE`].
+    /// Leaves out a target that has just been seen to have crashed, while the registry still lists it.
     pub(crate) fn suspend_crashed(&self, crashed: &Target) {
         let listed = self.target(&crashed.id);
         if listed.is_none_or(|listed| listed.is_restart_of(crashed)) {
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -13,9 +13,9 @@
 use crate::rendezvous;
 use crate::time::Time;
 
-/// How long after it was asked for a permit may be used. With requests that are sent at different
-/// times after their permits a target may get two in a second although it is granted fewer; see
-/// [`token_bucket`](crate::token_bucket).
+/// How long after it was asked for a permit may be used. The owner spaces its permits such that
+/// requests which are sent up to this much later than others still keep to the limit of a cold target;
+/// see [`token_bucket`](crate::token_bucket).
 const GRANT_TTL: Duration = Duration::from_millis(150);
 
 /// Where a request for a permit goes.
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -105,7 +105,12 @@
 }
 
 /// Guards against each of several owners that follow each other granting what it saved up meanwhile.
-#[parameterized(two_entries = { 2 }, four_entries = { 4 }, thirty_entries = { 30 }, many_entries = { 300 })]
+#[parameterized(
+    two_entries = { 2 },
+    four_entries = { 4 },
+    thirty_entries = { 30 },
+    many_entries = { 300 },
+)]
 fn owners_in_turn_grant_no_more(entries: usize) {
     for lasts in [100, 300, 700, 1_000] {
         check_max_per_second(entries, Fault::OwnerChanges(Duration::from_millis(lasts)));
@@ -113,7 +118,12 @@
 }
 
 /// Guards against entries that were stopped using permits of the time before.
-#[parameterized(two_entries = { 2 }, four_entries = { 4 }, thirty_entries = { 30 }, many_entries = { 300 })]
+#[parameterized(
+    two_entries = { 2 },
+    four_entries = { 4 },
+    thirty_entries = { 30 },
+    many_entries = { 300 },
+)]
 fn entries_that_were_stopped_send_no_more(entries: usize) {
     for lasts in [200, 500, 1_000, 2_000] {
         check_max_per_second(entries, Fault::Stops(Duration::from_millis(lasts)));
