Decode the version of a target's software and the attempt that a stream takes up

What callers saw: streams with events of two versions. Targets now carry the version of their registry entry, an attempt logs that of its target, and a request that takes up a stream logs after which event and of which attempt. Nothing is decided by them yet.

Entries of an earlier release send lists without versions; such a version is unknown and does not replace a known one.

--- a/crates/bench/src/target_change.rs
+++ b/crates/bench/src/target_change.rs
@@ -59,6 +59,7 @@
         start: Some(Start::new(1)),
         cold_ms: 0,
         slots: 0,
+        software: None,
     }
 }
 
--- a/crates/gateway/src/header.rs
+++ b/crates/gateway/src/header.rs
@@ -5,6 +5,8 @@
 use ntex::http::header::{DATE, HeaderName, HeaderValue, RETRY_AFTER};
 use ntex::http::{HeaderMap, StatusCode};
 
+use crate::platform::Resumed;
+
 /// Returns a header's value as trimmed text; `None` where the header is absent or its value is not
 /// text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
@@ -17,6 +19,11 @@
     text(headers, name)?.parse().ok()
 }
 
+/// Returns which attempt a request takes up again, as the header of this name says.
+pub fn resumed(headers: &HeaderMap, name: &str) -> Resumed {
+    Resumed::parse(headers.get_all(name).map(|value| value.to_str().ok().map(str::trim)))
+}
+
 /// Returns how long a response with status 503 asks to be left alone; `None` where it does not, or
 /// where its `Retry-After` is neither a number of seconds, with or without a fraction, nor a date.
 ///
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::header::{number, rest, set, text};
+use crate::header::{number, rest, resumed, set, text};
 use crate::platform::{
     Call, Copy, DecodeError, Dialect, EngineApi, Item, Moved, Page, Registry, Reply, RequestInfo,
     Resource, TargetHeaders,
@@ -33,6 +33,8 @@
 pub const EXPECTED_TOKENS_HEADER: &str = "fireflyhoist-expected-tokens";
 /// The instance that must answer the request; any other declines it.
 pub const INSTANCE_HEADER: &str = "fireflyhoist-instance";
+/// The request id of the attempt that brought the first event of a stream that is taken up again.
+pub const RESUMED_HEADER: &str = "fireflyhoist-resumed-request";
 /// Rank in the engine's queue; 0 goes first.
 pub const RANK_HEADER: &str = "fireflyhoist-rank";
 /// Address of the engine that keeps a copy of the run.
@@ -80,6 +82,7 @@
             max_tokens: tokens(MAX_TOKENS_HEADER),
             expected_tokens: number(headers, EXPECTED_TOKENS_HEADER).map(Tokens::new),
             last_event: number(headers, LAST_EVENT_HEADER),
+            resumed: resumed(headers, RESUMED_HEADER),
         }
     }
 
@@ -149,13 +152,24 @@
         let listing: Self = serde_json::from_slice(body)
             .map_err(|error| DecodeError { what: error.to_string() })?;
         let text = listing.text.into_iter().map(|text| Item::Text(Box::new(text)));
-        let targets = listing.targets.into_iter().map(Item::Target);
+        let targets = listing.targets.into_iter().map(with_software).map(Item::Target);
         let cordons = listing.cordons.into_iter().map(Item::Cordon);
         let items = text.chain(targets).chain(cordons).map(Ok).collect();
         Ok(Page { items, next: None, revision: listing.revision })
     }
 }
 
+/// Gives a target without a version the empty one: this registry lists versions where there are any.
+fn with_software(change: lease::Change) -> lease::Change {
+    match change {
+        lease::Change::Put(target) => {
+            let software = Some(target.software.clone().unwrap_or_default());
+            lease::Change::Put(lease::Target { software, ..target })
+        }
+        gone @ lease::Change::Gone(_) => gone,
+    }
+}
+
 impl Registry for Native {
     fn era(headers: &HeaderMap) -> Option<u64> {
         number(headers, ERA_HEADER)
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -35,6 +35,39 @@
     pub expected_tokens: Option<Tokens>,
     /// The last event that the caller received on an earlier attempt.
     pub last_event: Option<u64>,
+    /// The attempt that brought the first event of the stream that this one takes up again.
+    pub resumed: Resumed,
+}
+
+/// Longest id of a request that an attempt may name, in bytes.
+const MAX_RESUMED_BYTES: usize = 64;
+
+/// The attempt that a request names as the one that brought the first event of its stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Resumed {
+    /// It names none.
+    #[default]
+    None,
+    /// It names this one.
+    Attempt(SmolStr),
+    /// What it names is no id of one attempt.
+    Invalid,
+}
+
+impl Resumed {
+    /// Reads the values of the header that names the attempt.
+    pub fn parse<'a>(mut values: impl Iterator<Item = Option<&'a str>>) -> Self {
+        let permitted = |c: char| c.is_ascii_graphic() && c != ',';
+        match (values.next(), values.next()) {
+            (None, _) => Self::None,
+            (Some(Some(id)), None)
+                if (1..=MAX_RESUMED_BYTES).contains(&id.len()) && id.chars().all(permitted) =>
+            {
+                Self::Attempt(id.into())
+            }
+            (Some(_), _) => Self::Invalid,
+        }
+    }
 }
 
 /// A copy of a run's engine memory, from which another target resumes the run.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -136,6 +136,7 @@
         Ok(started) => started.response.status.as_str().to_owned(),
         Err(error) => error.reason().to_owned(),
     };
+    let software = worker.process.target(target).and_then(|target| target.software);
     let relay = result.as_ref().ok().and_then(|started| started.response.relay.as_ref());
     worker.process.metrics.attempt(match &result {
         Ok(_) => "answered",
@@ -143,6 +144,7 @@
     });
     log::info!(
         request = context.facts.request.as_str(), target:% = target, outcome = outcome.as_str(),
+        software = software.as_ref().map_or("unknown".to_owned(), ToString::to_string).as_str(),
         revision = context.table.text().revision, targets:% = worker.process.targets_position(),
         resumed = options.last_event.unwrap_or(0), copy = options.copy.is_some(),
         via = relay.map_or("", id::Host::as_str),
--- a/crates/gateway/src/request/migration.rs
+++ b/crates/gateway/src/request/migration.rs
@@ -114,7 +114,7 @@
     /// From its memory, which is transferred from the current engine.
     Transfer {
         /// The engine that runs it now.
-        from: Target,
+        from: Box<Target>,
         /// Number of tokens that it is expected to produce from now on.
         remaining: Tokens,
         /// Number of tokens in its memory.
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -32,7 +32,7 @@
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
-use crate::platform::{Platform, RequestInfo};
+use crate::platform::{Platform, RequestInfo, Resumed};
 use crate::process::fleet::Fleet;
 use crate::process::service_gate::ServiceGate;
 use crate::process::state::{Process, millis};
@@ -226,6 +226,12 @@
             wanted_ms = millis(arrived_at.since(first_sent_at)); "came back"
         );
     }
+    if facts.last_event.is_some() || facts.resumed != Resumed::None {
+        log::info!(
+            request = facts.request.as_str(), after = facts.last_event.unwrap_or(0),
+            resumed:? = facts.resumed; "stream taken up"
+        );
+    }
     let start_timeout =
         route.silence.map_or(request_timeout, |silence| silence.saturating_sub(REFUSAL_MARGIN));
     Ok(Context {
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -298,7 +298,7 @@
                 }
                 (
                     Strategy::Transfer {
-                        from,
+                        from: Box::new(from),
                         remaining: self.remaining_tokens(),
                         memory: self.memory_tokens(),
                     },
--- a/crates/gateway/tests/support/target.rs
+++ b/crates/gateway/tests/support/target.rs
@@ -176,6 +176,7 @@
         cold_ms: 0,
         slots: 0,
         start: None,
+        software: None,
     }
 }
 
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -24,9 +24,10 @@
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::time::Duration;
 
-use derive_more::{Display, FromStr};
+use derive_more::{Display, Error, FromStr};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -74,6 +75,50 @@
     }
 }
 
+/// The longest version of software that is kept, in bytes; it bounds what is kept for each stream.
+const MAX_SOFTWARE_BYTES: usize = 64;
+
+/// The version is too long to be kept.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("the version has {length} bytes; shorten it to at most 64")]
+pub struct SoftwareError {
+    /// The length found, in bytes.
+    length: usize,
+}
+
+/// The version of a target's software. Versions have no order, and two are equal only if their texts
+/// are. Targets whose registry knows no versions all have the empty one.
+#[derive(
+    Clone, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(try_from = "SmolStr", into = "SmolStr")]
+pub struct Software(SmolStr);
+
+impl FromStr for Software {
+    type Err = SoftwareError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.len() {
+            0..=MAX_SOFTWARE_BYTES => Ok(Self(text.into())),
+            length => Err(SoftwareError { length }),
+        }
+    }
+}
+
+impl TryFrom<SmolStr> for Software {
+    type Error = SoftwareError;
+
+    fn try_from(text: SmolStr) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<Software> for SmolStr {
+    fn from(software: Software) -> Self {
+        software.0
+    }
+}
+
 /// One target as described by its registry entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
@@ -102,6 +147,10 @@
     /// How many requests it runs at one time; 0 if this is not known.
     #[serde(default)]
     pub slots: u32,
+    /// The version of its software; `None` if it is not known, as in a list of an entry of an
+    /// earlier release.
+    #[serde(default)]
+    pub software: Option<Software>,
 }
 
 impl Target {
@@ -422,6 +471,9 @@
         if known.is_some_and(|known| known.state == State::Draining) {
             target.state = State::Draining;
         }
+        if target.software.is_none() {
+            target.software = known.and_then(|known| known.software.clone());
+        }
         if target.state == State::Draining && known.is_none() {
             // The draining start may follow one that was ready.
             self.changed.insert(target.id.clone());
--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -39,6 +39,7 @@
         start: Some(Start::new(start)),
         cold_ms,
         slots: 0,
+        software: None,
     }
 }
 
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -18,6 +18,7 @@
         renewal: 1,
         cold_ms: 0,
         slots: 0,
+        software: None,
         start: None,
     }
 }
--- a/crates/policy/tests/registry_restore.rs
+++ b/crates/policy/tests/registry_restore.rs
@@ -31,6 +31,7 @@
         renewal: 1,
         cold_ms: 0,
         slots: 0,
+        software: None,
         start: None,
     }
 }
--- a/crates/policy/tests/rest.rs
+++ b/crates/policy/tests/rest.rs
@@ -19,6 +19,7 @@
         renewal: 1,
         cold_ms: 0,
         slots: 0,
+        software: None,
         start: Some(Start::new(start)),
     }
 }
--- a/crates/policy/tests/support/limited_fleet.rs
+++ b/crates/policy/tests/support/limited_fleet.rs
@@ -39,6 +39,7 @@
         renewal: 1,
         cold_ms: 0,
         slots: 0,
+        software: None,
         start: start.map(Start::new),
     }
 }
--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -221,6 +221,7 @@
             cold_ms: 0,
             slots: SLOTS,
             start: None,
+            software: None,
         };
         let shared = Rc::new(Shared {
             instance,
