--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -67,6 +67,15 @@
             .header("fireflyhoist-max-tokens", &limit.to_string())
     }
 
+    /// Gives it another request id.
+    pub(crate) fn named(mut self, id: &str) -> Self {
+        let before = "fireflyhoist-request: ";
+        let rest = |line: &str| line.strip_prefix(before).map(|_| format!("{before}{id}\r\n"));
+        let line = |line: &str| rest(line).unwrap_or_else(|| line.to_owned());
+        self.head = self.head.split_inclusive('\n').map(line).collect();
+        self
+    }
+
     pub(crate) fn header(mut self, name: &str, value: &str) -> Self {
         self.head.push_str(&format!("{name}: {value}\r\n"));
         self
