Let streams go on only at engines of the version that began them

Cause: an entry knew no version. Runs that begin anew, moves and backups chose any engine of the service, and an entry at which a caller took a stream up could not know where it had begun.

Change: the first event delivered ties a stream to the version of the engine that brought it; until then a repeat is free. Runs that begin anew are sent only to that version; moves and backups only to the version of the run that they copy. The entry that delivers the first event tells three actives, chosen by a hash of workspace and attempt, with its next heartbeat, and again while the stream lasts if they change. An entry that gets a stream to take up asks them, then all. What nobody knows is refused as not run. A stream that is taken up is placed at once at an engine of its version, also a crowded one, and new streams leave versions that at most two engines have to the streams that began there, as long as others have room. Entries of an earlier release are neither told nor asked.

--- a/crates/daemon/src/request/refuse/mod.rs
+++ b/crates/daemon/src/request/refuse/mod.rs
@@ -125,6 +125,7 @@
     let (status, detail) = match refusal.reason {
         Reason::WorkspaceLimit => (429, "the workspace is at its limit; send less or later"),
         Reason::NoTarget => (503, "no target of this service is up; try again later"),
+        Reason::Version => (503, "no engine of the version that began this is up; come back"),
         Reason::Cordoned => (503, "every target's failure domain is cordoned; come back as told"),
         Reason::Limited => (503, "every target takes less for now; come back as told"),
         Reason::Crowded => (503, "no target is sure to have room; try again later"),
--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -11,6 +11,7 @@
 use fireflyhoist_policy::load::Load;
 use fireflyhoist_policy::migration_queue::Migration;
 use fireflyhoist_policy::observation::Outcome;
+use fireflyhoist_policy::origin;
 use fireflyhoist_policy::poison;
 use fireflyhoist_policy::position::Position;
 use fireflyhoist_policy::presence::Update;
@@ -65,6 +66,9 @@
     /// Whether it reaches no target, so that callers should use other entries.
     #[serde(default)]
     pub(crate) isolated: bool,
+    /// Whether it keeps the origins of streams for other entries.
+    #[serde(default)]
+    pub(crate) keeps_origins: bool,
     /// Whether it currently receives changes of targets from the registry.
     pub(crate) watching: bool,
     /// Whether it relies on the receiver to send it each change of targets.
@@ -92,6 +96,8 @@
     ColdSend(cold::Update),
     /// To send a request to a fragile target.
     Slot(SlotRequest),
+    /// To send a stream on, at the version that the reply names. Each entry decides by what it knows.
+    Resumption(origin::Key),
 }
 
 impl Permit {
@@ -102,6 +108,7 @@
             Self::LimitedSend(update) => update.target.to_string(),
             Self::ColdSend(update) => update.target.to_string(),
             Self::Slot(request) => request.target.to_string(),
+            Self::Resumption(key) => key.to_string(),
         }
     }
 }
@@ -162,6 +169,8 @@
     },
     /// New records of requests that were running on targets when these crashed.
     Poison(Vec<poison::Record>),
+    /// The versions of software that began streams.
+    Origins(Vec<origin::Update>),
     /// New or changed limits that targets advertise.
     Limits(Vec<target_limit::Update>),
     /// A target asked for rest over a connection that the receiver relays. It rests from the receiver,
@@ -207,6 +216,9 @@
         id: u64,
         /// Milliseconds until the permit may be requested again; `None` if it is granted.
         wait_ms: Option<u64>,
+        /// The origin of the stream that the permit is for.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        origin: Option<origin::Origin>,
     },
     /// Adds an answer to the migration queue of an engine, which the receiver owns.
     #[serde(rename = "TurnAsk")]
@@ -260,6 +272,7 @@
             Self::Changes { .. } => "changes",
             Self::Refused { .. } => "refused",
             Self::Poison(_) => "poison",
+            Self::Origins(_) => "origins",
             Self::Limits(_)
             | Self::LimitedSend(_)
             | Self::ColdSend(_)
--- a/crates/gateway/src/process/fleet/heartbeat.rs
+++ b/crates/gateway/src/process/fleet/heartbeat.rs
@@ -30,6 +30,7 @@
             cordons: self.process.cordon_heartbeat_update(),
             registry_up: self.process.is_registry_available(),
             isolated: self.process.is_isolated(),
+            keeps_origins: true,
             watching: self.process.is_watching(),
             loads,
         }
@@ -39,6 +40,7 @@
     fn send_to_actives(&self) {
         self.announce_poison();
         self.announce_limits();
+        self.send_origins();
         let (actives, _) = self.actives_and_leaves();
         let view = self.view();
         let outcomes = self.process.take_outcomes();
@@ -146,6 +148,9 @@
                 || old.isolated != heartbeat.isolated
         };
         let view_changes = peer.heartbeat.as_ref().is_none_or(differs);
+        if peer.heartbeat.is_none() {
+            self.origins.keepers_changed();
+        }
         let previous = peer.heartbeat.take().and_then(|old| old.cordons);
         heartbeat.cordons = heartbeat.cordons.or(previous);
         peer.heartbeat = Some(heartbeat);
--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod fragility;
 mod heartbeat;
 mod links;
+mod origin;
 mod owner;
 mod poison;
 mod target_limits;
@@ -45,7 +46,8 @@
 use crate::connection::frame::{Frame, Heartbeat};
 use crate::connection::link::{Event, Links, Loss};
 use crate::process::fleet::catchup::{EncodedTargets, Lag};
-use crate::process::fleet::owner::PendingPermits;
+use crate::process::fleet::origin::Origins;
+use crate::process::fleet::owner::{PendingPermits, Reply};
 use crate::process::migration::Coordinator;
 use crate::process::state::{Process, millis};
 
@@ -121,6 +123,7 @@
     /// Notified after each computation of the view and when a link opens or closes.
     changed: Notify,
     pending_permits: PendingPermits,
+    origins: Origins,
     pub(crate) migrations: Coordinator,
 }
 
@@ -153,6 +156,7 @@
             encoded_targets: Mutex::default(),
             changed: Notify::new(),
             pending_permits: PendingPermits::default(),
+            origins: Origins::default(),
             migrations: Coordinator::default(),
         });
         fleet.refresh();
@@ -160,6 +164,7 @@
         ntex::rt::spawn(Arc::clone(&fleet).maintain_links()).detach();
         ntex::rt::spawn(Arc::clone(&fleet).handle_events(receiver)).detach();
         ntex::rt::spawn(Arc::clone(&fleet).heartbeat_loop()).detach();
+        ntex::rt::spawn(Arc::clone(&fleet).republish_origins()).detach();
         ntex::rt::spawn(Coordinator::run(Arc::clone(&fleet))).detach();
         fleet
     }
@@ -489,6 +494,7 @@
         );
         self.peers.lock().remove(host);
         self.abandon_requests(host);
+        self.origins.keepers_changed();
         self.process.set_peer_usage(host, Vec::new());
         self.stale.notify_one();
         self.changed.notify_waiters();
@@ -503,6 +509,7 @@
             Frame::Text(message) => self.handle_text_message(from, message),
             Frame::TargetsRequest => self.send_targets(from),
             Frame::Poison(records) => self.apply_poison(from, records),
+            Frame::Origins(updates) => self.process.apply_origins(updates),
             Frame::Limits(updates) => self.apply_limits(from, updates),
             Frame::Fragile(update) => self.apply_tolerance(from, update),
             Frame::SlotRelease { target, slots, ending } => {
@@ -519,7 +526,10 @@
                 self.handle_spent(from, update.target.clone(), Frame::ColdSend(update));
             }
             Frame::PermitRequest { id, permit } => self.handle_permit_request(from, id, permit),
-            Frame::PermitReply { id, wait_ms } => self.handle_permit_reply(id, wait_ms),
+            Frame::PermitReply { id, wait_ms, origin } => {
+                let wait = wait_ms.map(Duration::from_millis);
+                self.handle_permit_reply(id, Reply { wait, origin });
+            }
             Frame::MigrationRequest { engine, migration } => {
                 self.migrations.enqueue(self, from, &engine, migration);
             }
--- a/crates/gateway/src/process/fleet/owner.rs
+++ b/crates/gateway/src/process/fleet/owner.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::origin::Origin;
 use fireflyhoist_policy::permit::Route;
 use fireflyhoist_policy::poison::Decision;
 use parking_lot::Mutex;
@@ -28,11 +29,26 @@
 /// The maximum number of permit requests that wait for a reply; beyond it the oldest is dropped.
 const MAX_PENDING: usize = 1_024;
 
+/// A reply to a request for a permit.
+#[derive(Debug)]
+pub(super) struct Reply {
+    /// The time to wait before the permit may be requested again; `None` if it is granted.
+    pub(super) wait: Option<Duration>,
+    /// The origin of the stream that the permit is for.
+    pub(super) origin: Option<Origin>,
+}
+
+impl Reply {
+    fn new(wait: Option<Duration>) -> Self {
+        Self { wait, origin: None }
+    }
+}
+
 /// The recipient of a reply.
 #[derive(Debug)]
 enum Waiter {
     /// A request of this entry.
-    Local(oneshot::Sender<Option<Duration>>),
+    Local(oneshot::Sender<Reply>),
     /// An entry whose permit request was forwarded, and the number of that request there.
     Forwarded(id::Host, u64),
 }
@@ -80,26 +96,41 @@
             Route::Unreachable => return Some(UNREACHABLE_RETRY),
             Route::Send(owner) => owner,
         };
+        self.ask(&owner, permit, within).await.map_or(Some(UNANSWERED_RETRY), |reply| reply.wait)
+    }
+
+    /// Requests a permit from one entry. Returns `None` if it does not reply `within` this time.
+    pub(super) async fn ask(
+        &self,
+        entry: &id::Host,
+        permit: Permit,
+        within: Duration,
+    ) -> Option<Reply> {
         let (sender, receiver) = oneshot::channel();
         let number = self.pending_permits.add(Waiter::Local(sender));
         let key = permit.key();
-        self.links.send(&owner, &Frame::PermitRequest { id: number, permit });
+        self.links.send(entry, &Frame::PermitRequest { id: number, permit });
         let reply = timeout(within, receiver).await;
         self.pending_permits.remove(number);
-        match reply {
-            Ok(Ok(wait)) => wait,
-            Ok(Err(_)) | Err(_) => {
-                log::warn!(about = key.as_str(), keeper:% = owner; "no answer from owner");
-                Some(UNANSWERED_RETRY)
-            }
+        let reply = reply.ok().and_then(Result::ok);
+        if reply.is_none() {
+            log::warn!(about = key.as_str(), keeper:% = entry; "no answer from owner");
         }
+        reply
     }
 
     /// Replies to the permit request of another entry, or forwards that of a leaf to the owner.
     pub(super) fn handle_permit_request(&self, from: &id::Host, number: u64, permit: Permit) {
-        let reply = |wait: Option<Duration>| {
-            self.links.send(from, &Frame::PermitReply { id: number, wait_ms: wait.map(millis) });
+        let send = |Reply { wait, origin }| {
+            let wait_ms = wait.map(millis);
+            self.links.send(from, &Frame::PermitReply { id: number, wait_ms, origin });
         };
+        let reply = |wait| send(Reply::new(wait));
+        if let Permit::Resumption(key) = &permit {
+            let origin = self.process.origin(*key);
+            let wait = origin.is_none().then_some(UNANSWERED_RETRY);
+            return send(Reply { wait, origin });
+        }
         match self.permit_route(&permit.key(), Some(from)) {
             Route::Own => {}
             Route::Unreachable => return reply(Some(UNREACHABLE_RETRY)),
@@ -113,19 +144,22 @@
             Permit::LimitedSend(update) => self.apply_limits(from, vec![update.clone()]),
             Permit::ColdSend(update) => self.process.apply_cold_update(update),
             Permit::Slot(request) => self.apply_tolerance(from, request.update.clone()),
+            Permit::Resumption(_) => {}
         }
         reply(self.decide(from, &permit));
     }
 
     /// Delivers a reply to the waiting request, or forwards it to the leaf that sent the request.
-    pub(super) fn handle_permit_reply(&self, number: u64, wait_ms: Option<u64>) {
+    pub(super) fn handle_permit_reply(&self, number: u64, reply: Reply) {
         match self.pending_permits.remove(number) {
             Some(Waiter::Local(waiter)) => {
                 // A request that no longer waits has been refused already.
-                let _ = waiter.send(wait_ms.map(Duration::from_millis));
+                let _ = waiter.send(reply);
             }
             Some(Waiter::Forwarded(host, id)) => {
-                self.links.send(&host, &Frame::PermitReply { id, wait_ms });
+                let Reply { wait, origin } = reply;
+                let wait_ms = wait.map(millis);
+                self.links.send(&host, &Frame::PermitReply { id, wait_ms, origin });
             }
             None => {}
         }
@@ -142,6 +176,9 @@
             Permit::LimitedSend(update) => self.process.try_send(&update.target),
             Permit::ColdSend(update) => self.process.try_cold_send(update, from),
             Permit::Slot(request) => self.process.grant_slot(request),
+            Permit::Resumption(key) => {
+                self.process.origin(*key).is_none().then_some(UNANSWERED_RETRY)
+            }
         }
     }
 }
--- a/crates/gateway/src/process/service_gate.rs
+++ b/crates/gateway/src/process/service_gate.rs
@@ -122,6 +122,11 @@
         parts.collect::<Vec<_>>().join(" ").into()
     }
 
+    /// Sets the targets whose version few have; see [`Gate::set_scarce`].
+    pub fn set_scarce(&self, scarce: BTreeSet<id::Target>) {
+        self.state.lock().gate.set_scarce(scarce);
+    }
+
     /// Sets which entries send to the targets; see [`Gate::set_order`].
     pub fn set_order(&self, order: Order) {
         self.state.lock().gate.set_order(order);
@@ -211,6 +216,26 @@
         }
     }
 
+    /// Decides at once on a request that may run only at the targets in `allowed`; see
+    /// [`Gate::offer_among`].
+    pub fn admit_among(
+        self: &Arc<Self>,
+        request: Request,
+        allowed: &BTreeSet<id::Target>,
+    ) -> Result<Pass, Refusal> {
+        let id = request.id;
+        let now = self.clock.now();
+        let verdict = self.state.lock().gate.offer_among(now, &mut rand::rng(), request, allowed);
+        match verdict {
+            Verdict::Send(target) => {
+                let gate = Arc::clone(self);
+                Ok(Pass { gate, request: id, target: Some(target), done: false })
+            }
+            Verdict::Refuse(refusal) => Err(refusal),
+            Verdict::Wait => unreachable!("the gate decides on it at once"),
+        }
+    }
+
     /// Lets the gate decide on waiting requests, and notifies those that it decides.
     pub fn poll(&self) {
         let mut state = self.state.lock();
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod cordon;
 mod fragility;
+mod origin;
 mod path;
 mod poison;
 mod rest;
@@ -37,6 +38,7 @@
 use crate::process::metrics::Metrics;
 use crate::process::service_gate::ServiceGate;
 use crate::process::settings::{Bounds, Settings};
+use crate::process::state::origin::Origins;
 use crate::process::state::path::Path;
 use crate::process::state::poison::Poison;
 
@@ -82,6 +84,8 @@
     refusals: Mutex<Ledger>,
     /// Requests that targets crashed on.
     poison: Poison,
+    /// Versions of software that began streams.
+    origins: Origins,
     path: Path,
     /// Services whose targets crash if they reject too much.
     fragile: Mutex<Services>,
@@ -133,6 +137,7 @@
             copies: Mutex::default(),
             refusals: Mutex::default(),
             poison: Poison::default(),
+            origins: Origins::default(),
             path: Path::default(),
             fragile: Mutex::default(),
             grants: Mutex::default(),
--- a/crates/gateway/src/process/state/targets.rs
+++ b/crates/gateway/src/process/state/targets.rs
@@ -87,6 +87,7 @@
             let cordoned = cordoned.map(|target| target.id.clone()).collect();
             drop(cordons);
             gate.set_targets_and_cordons(targets, &cordoned);
+            gate.set_scarce(leases.scarce(service));
         }
         drop((leases, gates));
         self.report_all_usage();
@@ -112,6 +113,7 @@
                 TargetUpdate { target: id.clone(), listed }
             };
             gate.update_targets(&changed.iter().map(update).collect::<Vec<_>>());
+            gate.set_scarce(leases.scarce(service));
         }
         drop((cordons, leases, gates));
         self.report_usage(&changed);
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -1,12 +1,14 @@
 //! Admission: a request is sent to a target once the gate, the target's limit and the quarantine of
 //! poison requests allow it.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use fireflyhoist_policy::exclusion::Exclusion;
-use fireflyhoist_policy::gate::{Reason, Refusal};
+use fireflyhoist_policy::gate::{self, Reason, Refusal};
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::origin::Constraint;
 use fireflyhoist_policy::permit::Grant;
 use tokio::time::sleep;
 
@@ -49,7 +51,7 @@
 ) -> Result<Admission, Rejection> {
     loop {
         let request = context.gate_request(avoid.cloned(), retry);
-        let pass = match context.gate.admit(request).await {
+        let pass = match choose(worker, context, request).await {
             Ok(pass) => pass,
             Err(refusal) if may_wait(worker, context, &refusal) => {
                 sleep(refusal.retry_after).await;
@@ -83,6 +85,22 @@
     }
 }
 
+/// Waits for the gate to choose a target, among those at which the request may run.
+async fn choose(
+    worker: &Worker,
+    context: &Context,
+    request: gate::Request,
+) -> Result<Pass, Refusal> {
+    match &context.constraint {
+        Constraint::Free => context.gate.admit(request).await,
+        Constraint::Version(software) => {
+            let allowed = worker.process.targets_of_version(&context.service.name, software);
+            context.gate.admit_among(request, &allowed)
+        }
+        Constraint::Unknown => context.gate.admit_among(request, &BTreeSet::new()),
+    }
+}
+
 /// Returns whether a refused request should rather wait: a place at a fragile target is free again
 /// within milliseconds.
 fn may_wait(worker: &Worker, context: &Context, refusal: &Refusal) -> bool {
@@ -109,7 +127,9 @@
     let Some(permit) = worker.process.required_permit(target) else { return Ok(None) };
     let exclusion = match permit {
         Permit::ColdSend(_) => Exclusion::Cold,
-        Permit::LimitedSend(_) | Permit::Trial(_) | Permit::Slot(_) => Exclusion::Limited,
+        Permit::LimitedSend(_) | Permit::Trial(_) | Permit::Slot(_) | Permit::Resumption(_) => {
+            Exclusion::Limited
+        }
     };
     let grant = Grant::new(worker.process.clock.now());
     let wait = worker.fleet.request_permit(permit, SEND_TIMEOUT).await;
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -5,6 +5,8 @@
 
 use fireflyhoist_policy::fragility::Ending;
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::origin::Constraint;
 use fireflyhoist_policy::permit::Grant;
 use fireflyhoist_policy::request::Outcome;
 use fireflyhoist_policy::time::Time;
@@ -27,6 +29,10 @@
 /// The reason of [`Error::NotSent`] if the permit to send was granted too long ago.
 const PERMIT_EXPIRED: &str = "permit-expired";
 
+/// The reason of [`Error::NotSent`] if the target's software is of another version than began the
+/// stream.
+const OTHER_VERSION: &str = "other-version";
+
 /// The reason of [`Error::NotSent`] if the target asked for rest.
 const RESTING: &str = "resting";
 
@@ -86,9 +92,9 @@
     /// Returns the outcome that the gate records for the target.
     pub(crate) fn outcome(&self, process: &Process) -> Outcome {
         match self {
-            Self::NotSent(CORDONED | ISOLATED | LEAVING | PERMIT_EXPIRED | RESTING) => {
-                Outcome::Cancelled
-            }
+            Self::NotSent(
+                CORDONED | ISOLATED | LEAVING | OTHER_VERSION | PERMIT_EXPIRED | RESTING,
+            ) => Outcome::Cancelled,
             // Otherwise an entry that loses its path would have its peers eject targets that work.
             Self::Unknown(_) if process.is_path_suspect() => Outcome::Cancelled,
             _ => Outcome::Failed,
@@ -99,6 +105,9 @@
 /// An answer whose head has been received.
 pub(crate) struct Started {
     pub(crate) response: Response,
+    /// The target as it was listed when the request was sent, without its version if it has
+    /// restarted since.
+    pub(crate) target: Target,
     /// When the target began to answer.
     pub(crate) began_at: Time,
 }
@@ -112,6 +121,8 @@
     pub(crate) copy: Option<Copy>,
     /// The last event sent to the caller, after which the target resumes.
     pub(crate) last_event: Option<u64>,
+    /// At which targets the stream may run.
+    pub(crate) constraint: Constraint,
     /// The permit of the target's owner, if that is cold.
     pub(crate) grant: Option<Grant>,
 }
@@ -165,6 +176,9 @@
     if worker.process.is_cordoned(&target) {
         return Err(Error::NotSent(CORDONED));
     }
+    if !options.constraint.allows(&target) {
+        return Err(Error::NotSent(OTHER_VERSION));
+    }
     let resumes_copy = options.copy.is_some();
     if !resumes_copy && !worker.process.is_target_ready(id) {
         return Err(Error::NotSent(LEAVING));
@@ -217,7 +231,13 @@
     if reply.request.as_ref() != Some(&context.facts.request) {
         return Err(Error::Unknown("crossed"));
     }
-    Ok(Started { response, began_at: worker.process.clock.now() })
+    let target = match worker.process.target(id) {
+        Some(listed) if listed.start == target.start && listed.software == target.software => {
+            target
+        }
+        _ => Target { software: None, ..target },
+    };
+    Ok(Started { response, target, began_at: worker.process.clock.now() })
 }
 
 fn stamp_headers<P: Platform>(headers: &HeaderMap, stamp: &TargetHeaders<'_>) -> HeaderMap {
--- a/crates/gateway/src/request/migration.rs
+++ b/crates/gateway/src/request/migration.rs
@@ -13,6 +13,7 @@
 use fireflyhoist_policy::fragility::Ending;
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::origin::Constraint;
 use fireflyhoist_policy::permit::Grant;
 use fireflyhoist_policy::unit::Tokens;
 use ntex::http::StatusCode;
@@ -80,8 +81,11 @@
         }
         let neighbours = worker.process.same_domain_targets(current);
         let candidates = pass.migration_targets(&neighbours, Some(BACKUP_RESERVE));
-        let candidate = candidates.into_iter().find(|candidate| candidate != current)?;
-        let target = worker.process.target(&candidate)?;
+        // An engine of another version could not go on from it.
+        let constraint = Constraint::to(worker.process.target(current)?.software.as_ref());
+        let others = candidates.into_iter().filter(|candidate| candidate != current);
+        let mut listed = others.filter_map(|candidate| worker.process.target(&candidate));
+        let target = listed.find(|target| constraint.allows(target))?;
         let reservation =
             CopyUsage::open(&worker.process, &target.id, context.facts.prompt_tokens.get());
         Some(Self { reservation, listed: target })
@@ -140,6 +144,8 @@
     pub(crate) strategy: Strategy,
     /// Engines that may run it, the best first.
     pub(crate) candidates: Vec<Target>,
+    /// The version that the answer must go on at.
+    pub(crate) constraint: Constraint,
     /// The id of the last event sent to the caller, which grows while a transfer is in progress.
     pub(crate) last_event: Rc<Cell<Option<u64>>>,
 }
@@ -194,10 +200,11 @@
     {
         return Err(Error::NotRun("held back"));
     }
+    let position = Position { last_event: &plan.last_event, constraint: &plan.constraint };
     match plan.strategy {
         Strategy::Backup => {
             let copy = Copy { at: first.address, name: request.clone() };
-            begin::<P>(worker, context, &first, Some(copy), &plan.last_event, grant).await
+            begin::<P>(worker, context, &first, Some(copy), position, grant).await
         }
         Strategy::Transfer { from, remaining, memory } => {
             let queued_at = worker.process.clock.now();
@@ -213,31 +220,23 @@
             let transferred = transferred?;
             // The rest of the migration does not use the link between the two engines.
             drop(turn);
-            let (last_event, copy) = (&plan.last_event, Some(transferred.copy.clone()));
+            let copy = Some(transferred.copy.clone());
             let grant = renew_permit(worker, &transferred.to, grant).await;
-            let resumed = match resume::<P>(
-                worker,
-                context,
-                &transferred.to,
-                copy.clone(),
-                last_event,
-                grant,
-            )
-            .await
-            {
-                // The source has stopped the run and still holds all of its memory.
-                Err(error) if error.did_not_run() => {
-                    worker.fleet.spend(&from.id);
-                    resume::<P>(worker, context, &from, copy, last_event, None).await
-                }
-                result => result,
-            };
+            let resumed =
+                match resume::<P>(worker, context, &transferred.to, copy.clone(), position, grant)
+                    .await
+                {
+                    // The source has stopped the run and still holds all of its memory.
+                    Err(error) if error.did_not_run() => {
+                        worker.fleet.spend(&from.id);
+                        resume::<P>(worker, context, &from, copy, position, None).await
+                    }
+                    result => result,
+                };
             let reservation = resumed.is_ok().then(|| transferred.keep());
             resumed.map(|resumed| Resumed { reservation, ..resumed })
         }
-        Strategy::Restart => {
-            begin::<P>(worker, context, &first, None, &plan.last_event, grant).await
-        }
+        Strategy::Restart => begin::<P>(worker, context, &first, None, position, grant).await,
     }
 }
 
@@ -257,17 +256,26 @@
     grant
 }
 
+/// Where an answer goes on.
+#[derive(Clone, Copy)]
+struct Position<'a> {
+    /// The id of the last event sent to the caller.
+    last_event: &'a Cell<Option<u64>>,
+    /// The version that must go on.
+    constraint: &'a Constraint,
+}
+
 /// Resumes a request at an engine that has not reserved room for it.
 async fn begin<P: Platform>(
     worker: &Worker,
     context: &Context,
     to: &Target,
     copy: Option<Copy>,
-    last_event: &Cell<Option<u64>>,
+    position: Position<'_>,
     grant: Option<Grant>,
 ) -> Result<Resumed, Error> {
     let slot = worker.fleet.acquire_slot(&to.id).await.map_err(|_| Error::NotSent("crowded"))?;
-    let resumed = resume::<P>(worker, context, to, copy, last_event, grant).await;
+    let resumed = resume::<P>(worker, context, to, copy, position, grant).await;
     if let Some(slot) = slot {
         slot.end(resumed.as_ref().map_or_else(Error::ending, |_| Ending::Accepted));
     }
@@ -280,10 +288,12 @@
     context: &Context,
     to: &Target,
     copy: Option<Copy>,
-    last_event: &Cell<Option<u64>>,
+    position: Position<'_>,
     grant: Option<Grant>,
 ) -> Result<Resumed, Error> {
-    let options = Options { backup: None, copy, last_event: last_event.get(), grant };
+    let Position { last_event, constraint } = position;
+    let (last_event, constraint) = (last_event.get(), constraint.clone());
+    let options = Options { backup: None, copy, last_event, constraint, grant };
     let started = attempt::send::<P>(worker, context, &to.id, &options).await?;
     match started.response.status {
         StatusCode::OK => Ok(Resumed { target: to.id.clone(), started, reservation: None }),
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod entries;
 pub(crate) mod liveness;
 pub(crate) mod migration;
+mod origin;
 pub(crate) mod plain;
 pub(crate) mod probe;
 pub(crate) mod quarantine;
@@ -20,6 +21,7 @@
 
 use fireflyhoist_policy::gate;
 use fireflyhoist_policy::id;
+use fireflyhoist_policy::origin::{Constraint, Key};
 use fireflyhoist_policy::request::Class;
 use fireflyhoist_policy::resubmission::Fingerprint;
 use fireflyhoist_policy::route::{Kind, Route, Service, Table};
@@ -32,10 +34,11 @@
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
-use crate::platform::{Platform, RequestInfo, Resumed};
+use crate::platform::{Platform, RequestInfo};
 use crate::process::fleet::Fleet;
 use crate::process::service_gate::ServiceGate;
 use crate::process::state::{Process, millis};
+use crate::request::origin::Resumption;
 
 /// Timeout of callers that send none: below the default timeouts of common clients.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -85,6 +88,10 @@
     /// Fingerprint of workspace, path and body, which identifies the request when it is
     /// resubmitted.
     pub(crate) fingerprint: Fingerprint,
+    /// Identifies this attempt if it begins a stream that its caller takes up again.
+    pub(crate) stream: Key,
+    /// At which engines it may run.
+    pub(crate) constraint: Constraint,
     /// Whether it was granted a trial that has not reached a target yet.
     pub(crate) has_trial: Cell<bool>,
     /// When its caller first sent it: earlier than its arrival if it was refused before.
@@ -207,15 +214,18 @@
         Ok(None) => return Err(refuse::too_large(&facts.request)),
         Err(_) => return Err(refuse::body_timeout(&facts.request)),
     };
+    let workspace_id = workspace.as_ref().map(|workspace| &workspace.id);
+    let Resumption { constraint, service } =
+        origin::resolve(worker, &facts, &route, workspace_id).await?;
     let draw = xxhash_rust::xxh3::xxh3_64(facts.request.as_bytes());
-    let service = route.service(draw).and_then(|name| table.service(name)).cloned();
+    let name = service.as_ref().or_else(|| route.service(draw));
+    let service = name.and_then(|name| table.service(name)).cloned();
     let gate = service.as_ref().and_then(|service| worker.process.gate(&service.name));
     let (Some(service), Some(gate)) = (service, gate) else {
         return Err(refuse::no_target(&facts.request));
     };
     let request_timeout = facts.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
-    let workspace_id = workspace.as_ref().map(|workspace| &workspace.id);
     let fingerprint = Fingerprint::of(workspace_id, &path, &body);
     let first_attempt_at =
         route.kind.is_stream().then(|| worker.process.first_submitted(fingerprint)).flatten();
@@ -226,15 +236,11 @@
             wanted_ms = millis(arrived_at.since(first_sent_at)); "came back"
         );
     }
-    if facts.last_event.is_some() || facts.resumed != Resumed::None {
-        log::info!(
-            request = facts.request.as_str(), after = facts.last_event.unwrap_or(0),
-            resumed:? = facts.resumed; "stream taken up"
-        );
-    }
     let start_timeout =
         route.silence.map_or(request_timeout, |silence| silence.saturating_sub(REFUSAL_MARGIN));
     Ok(Context {
+        stream: Key::of(workspace_id, &facts.request),
+        constraint,
         fingerprint,
         has_trial: Cell::new(false),
         first_sent_at,
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -236,7 +236,7 @@
     let listed = worker.process.target(target).ok_or(Error::NotRun("gone"))?;
     let options = Options { grant, ..Options::default() };
     let started = attempt::send::<P>(worker, context, target, &options).await?;
-    let Started { mut response, began_at } = started;
+    let Started { mut response, began_at, .. } = started;
     let body = match response.read_body(MAX_ANSWER_BYTES).await {
         Ok(body) => body,
         Err(failure) => {
--- a/crates/gateway/src/request/refuse.rs
+++ b/crates/gateway/src/request/refuse.rs
@@ -95,6 +95,18 @@
     respond_with_revision(revision, request, problem(401, "unknown-key", detail, Ran::No, None))
 }
 
+/// Refuses a request that names the attempt it takes up in no valid way.
+pub(crate) fn bad_resumption(request: &SmolStr) -> Response {
+    let detail = "name the one attempt that brought the first event, by its id";
+    respond(request, problem(400, "bad-resumption", detail, Ran::No, None))
+}
+
+/// Refuses to take up a stream, since the version of the engine that began it is not known here.
+pub(crate) fn unknown_origin(request: &SmolStr, after: Duration) -> Response {
+    let detail = "no entry knows which engine began this stream; come back as told, or ask anew";
+    respond(request, problem(503, "unknown-origin", detail, Ran::No, Some(after)))
+}
+
 /// Refuses a request whose body is larger than the limit, or whose connection was lost.
 pub(crate) fn too_large(request: &SmolStr) -> Response {
     let detail = "the body is over the limit or broke off; send less, or send it again";
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -10,7 +10,8 @@
 
 use fireflyhoist_policy::fragility::Ending;
 use fireflyhoist_policy::gate::Outcome;
-use fireflyhoist_policy::lease::Target;
+use fireflyhoist_policy::lease::{Software, Target};
+use fireflyhoist_policy::origin::{Constraint, Origin};
 use fireflyhoist_policy::time::Time;
 use fireflyhoist_policy::unit::Tokens;
 use futures_util::future::{Fuse, FutureExt};
@@ -113,6 +114,10 @@
     upstream: Option<Response>,
     /// The current engine as it was listed when its run began.
     target: Option<Target>,
+    /// The version of the current engine's software.
+    software: Option<Software>,
+    /// The version that goes on with the stream: any until the caller has received an event.
+    constraint: Constraint,
     /// When the current engine began to answer.
     began_at: Time,
     splitter: Splitter,
@@ -142,7 +147,7 @@
         let Run { pass, slot, backup, started, number } = run;
         let (chunks, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
         let last_event = Rc::new(Cell::new(context.facts.last_event));
-        let target = worker.process.target(pass.target());
+        let constraint = context.constraint.clone();
         let relay = Self {
             worker,
             context,
@@ -150,7 +155,9 @@
             slot,
             backup,
             upstream: Some(started.response),
-            target,
+            software: started.target.software.clone(),
+            target: Some(started.target),
+            constraint,
             began_at: started.began_at,
             splitter: Splitter::default(),
             last_event,
@@ -169,6 +176,7 @@
         let started_at = self.worker.process.clock.now();
         let end = self.relay_events::<P>().await;
         let elapsed = self.worker.process.clock.now().since(started_at);
+        self.worker.process.end_stream(self.context.stream);
         log::info!(
             request = self.context.facts.request.as_str(), end:? = end, events = self.events,
             last = self.last_event.get().unwrap_or(0), trips = self.migrations,
@@ -287,26 +295,32 @@
         let engine = self.context.service.engine.as_ref()?;
         let (moves, resumable) = (engine.moves, self.context.route.kind.is_idempotent());
         let process = &self.worker.process;
-        let (strategy, candidates) =
+        // The memory of a run can be used only by the version that made it.
+        let of_run = Constraint::to(self.software.as_ref());
+        let (strategy, constraint, candidates) =
             if let Some(backup) = self.backup.take_if(|_| !self.backup_tried) {
                 self.backup_tried = true;
-                (Strategy::Backup, vec![process.target(backup.target())?])
+                let listed = process.target(backup.target());
+                let usable = listed.into_iter().filter(|target| of_run.allows(target)).collect();
+                (Strategy::Backup, of_run, usable)
             } else if self.upstream.is_some() && moves {
                 let from = process.target(self.pass.target())?;
                 if process.is_resting(&from) {
                     return None;
                 }
+                let candidates = self.candidates(&of_run);
                 (
                     Strategy::Transfer {
                         from: Box::new(from),
                         remaining: self.remaining_tokens(),
                         memory: self.memory_tokens(),
                     },
-                    self.candidates(),
+                    of_run,
+                    candidates,
                 )
             } else if self.upstream.is_none() && resumable && self.may_restart_run() {
                 self.runs += 1;
-                (Strategy::Restart, self.candidates())
+                (Strategy::Restart, self.constraint.clone(), self.candidates(&self.constraint))
             } else {
                 return None;
             };
@@ -314,7 +328,7 @@
             return None;
         }
         self.migrations += 1;
-        Some(Plan { strategy, candidates, last_event: Rc::clone(&self.last_event) })
+        Some(Plan { strategy, candidates, constraint, last_event: Rc::clone(&self.last_event) })
     }
 
     /// Returns whether the route and the retry budget allow one more run.
@@ -323,11 +337,12 @@
     }
 
     /// Returns the engines to which the answer may migrate, the best first.
-    fn candidates(&self) -> Vec<Target> {
+    fn candidates(&self, constraint: &Constraint) -> Vec<Target> {
         let process = &self.worker.process;
         let neighbours = process.same_domain_targets(self.pass.target());
         let candidates = self.pass.migration_targets(&neighbours, None);
-        candidates.iter().filter_map(|candidate| process.target(candidate)).collect()
+        let listed = candidates.iter().filter_map(|candidate| process.target(candidate));
+        listed.filter(|target| constraint.allows(target)).collect()
     }
 
     /// Returns the number of tokens that the answer is expected to produce from now on: what the
@@ -360,7 +375,8 @@
         self.backup = None;
         self.upstream = Some(resumed.started.response);
         self.began_at = resumed.started.began_at;
-        self.target = self.worker.process.target(&resumed.target);
+        self.software = resumed.started.target.software.clone();
+        self.target = Some(resumed.started.target);
         self.splitter = Splitter::default();
         self.backup_tried = false;
     }
@@ -416,6 +432,9 @@
                 }
                 self.last_event.set(Some(id));
             }
+            if self.events == 0 {
+                self.begin_stream();
+            }
             self.events += 1;
             if self.chunks.send(Chunk::Bytes(event.bytes)).await.is_err() {
                 return false;
@@ -425,6 +444,17 @@
         true
     }
 
+    /// Pins the stream to the version of the engine that brought its first event.
+    fn begin_stream(&mut self) {
+        if self.constraint == Constraint::Free {
+            self.constraint = Constraint::to(self.software.as_ref());
+        }
+        if let Constraint::Version(software) = &self.constraint {
+            let (service, software) = (self.context.service.name.clone(), software.clone());
+            self.worker.fleet.begin_stream(self.context.stream, Origin { service, software });
+        }
+    }
+
     /// Reports the length of the answer to the gate and to its backup.
     fn report_progress(&mut self) {
         if let Some(slot) = self.slot.take_if(|_| self.events > 0) {
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -184,8 +184,12 @@
         self.in_flight = true;
         self.worker.process.request_heartbeat();
         let backup = Backup::choose(self.worker, &self.context, &pass, pass.target());
-        let options =
-            Options { backup: backup.as_ref().map(Backup::address), grant, ..Options::default() };
+        let options = Options {
+            backup: backup.as_ref().map(Backup::address),
+            grant,
+            constraint: self.context.constraint.clone(),
+            ..Options::default()
+        };
         let started = attempt::send::<P>(self.worker, &self.context, pass.target(), &options).await;
         let mut started = match started {
             Ok(started) => started,
@@ -218,7 +222,7 @@
         pass: Pass,
         started: &mut Started,
     ) -> Result<Response, Error> {
-        let Started { response, began_at } = started;
+        let Started { response, began_at, .. } = started;
         let server_error = response.status.is_server_error();
         let listed = self.worker.process.target(pass.target());
         pass.finish(if server_error { Outcome::ServerError } else { Outcome::Whole });
--- a/crates/policy/src/gate/migration.rs
+++ b/crates/policy/src/gate/migration.rs
@@ -11,6 +11,7 @@
 
 use crate::gate::Gate;
 use crate::id;
+use crate::request::Request;
 use crate::time::Time;
 use crate::unit::Tokens;
 
@@ -140,6 +141,37 @@
         ranked.into_iter().map(|(_, _, name)| name.clone()).collect()
     }
 
+    /// Chooses among the targets in `allowed` for an answer that goes on after events of an earlier
+    /// run; `None` if none of them is up.
+    ///
+    /// Like one that leaves its target it is sent although it may not fit: it can go on nowhere else,
+    /// and a target that is full declines it.
+    pub(super) fn place_resumed(
+        &self,
+        now: Time,
+        rng: &mut impl Rng,
+        request: &Request,
+        allowed: &BTreeSet<id::Target>,
+    ) -> Option<usize> {
+        let curve = self.curve(request, 0);
+        let indexes = || allowed.iter().filter_map(|name| self.index.get(name).copied());
+        let up: Vec<usize> = indexes().filter(|at| self.targets[*at].is_up(now)).collect();
+        let usable = |at: &usize| self.targets[*at].hard_exclusion(now).is_none();
+        let candidates = if up.is_empty() { indexes().filter(usable).collect() } else { up };
+        let mut ranked: Vec<_> = candidates
+            .into_iter()
+            .map(|at| {
+                let state = &self.targets[at];
+                let failed = Some(&state.name) == request.avoid.as_ref();
+                let full = state.memory.load_with(&curve) > 1.0;
+                let cost = (state.memory.load() + BASE_LOAD) * rng.random_range(0.0..1.0);
+                (failed, full, cost, at)
+            })
+            .collect();
+        ranked.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
+        ranked.first().map(|(.., at)| *at)
+    }
+
     /// Records that a running answer was migrated to another target.
     pub fn transfer(&mut self, now: Time, request: id::Request, to: &id::Target) {
         let Some(&to) = self.index.get(to) else { return };
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -11,7 +11,7 @@
 mod settings;
 mod targets;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -92,6 +92,8 @@
     entries: (usize, Option<usize>),
     targets: Vec<target::State>,
     index: BTreeMap<id::Target, usize>,
+    /// The targets whose version of software few have.
+    scarce: BTreeSet<id::Target>,
     running: HashMap<id::Request, Running>,
     queue: Queue,
     drain: Meter,
@@ -137,6 +139,7 @@
             entries: (1, None),
             targets: Vec::new(),
             index: BTreeMap::new(),
+            scarce: BTreeSet::new(),
             running: HashMap::new(),
             queue,
             drain: Meter::default(),
@@ -219,6 +222,26 @@
         Verdict::Wait
     }
 
+    /// Decides at once on a request whose answer goes on after events of an earlier run, and may do so
+    /// at the targets in `allowed` only.
+    pub fn offer_among(
+        &mut self,
+        now: Time,
+        rng: &mut impl Rng,
+        request: Request,
+        allowed: &BTreeSet<id::Target>,
+    ) -> Verdict {
+        self.refresh_weights(now);
+        if request.retry && !self.retries.try_take() {
+            return refuse(rng, Reason::RetryBudget, RETRY_AFTER.0);
+        }
+        let work = self.work(&request);
+        match self.place_resumed(now, rng, &request, allowed) {
+            Some(at) => self.send(now, at, request, work),
+            None => refuse(rng, Reason::Version, RETRY_AFTER.0),
+        }
+    }
+
     /// Returns the request, moved to [`Class::Spare`] if it can no longer begin by its objective.
     fn classify(&self, now: Time, request: Request) -> Request {
         let late = self.settings.shed_late && request.objective < now + FIRST_TOKEN;
--- a/crates/policy/src/gate/place.rs
+++ b/crates/policy/src/gate/place.rs
@@ -140,12 +140,27 @@
         };
         let has_affinity = settings.affinity && request.prompt.get() >= MIN_AFFINITY_PROMPT;
         let prefix = if has_affinity { request.prefix } else { placement::NO_PREFIX };
+        let common = |state: &target::State| if state.scarce { None } else { candidate(state) };
+        let chosen = match self.scarce.is_empty() {
+            true => None,
+            false => self.choose(rng, prefix, common),
+        };
+        chosen.or_else(|| self.choose(rng, prefix, candidate))
+    }
+
+    /// Chooses one of the targets for which `load` returns a value, for a prompt with this prefix.
+    fn choose(
+        &mut self,
+        rng: &mut impl Rng,
+        prefix: u64,
+        load: impl Fn(&target::State) -> Option<f64>,
+    ) -> Option<usize> {
         let chosen = if prefix == placement::NO_PREFIX {
-            self.draw(rng, candidate);
+            self.draw(rng, load);
             placement::choose_drawn(&self.candidates)
         } else {
-            self.collect(candidate);
-            placement::choose(rng, prefix, &self.candidates, settings.choices)
+            self.collect(load);
+            placement::choose(rng, prefix, &self.candidates, self.settings.choices)
         };
         chosen.map(|at| self.candidate_targets[at])
     }
--- a/crates/policy/src/gate/targets.rs
+++ b/crates/policy/src/gate/targets.rs
@@ -117,6 +117,18 @@
         }
     }
 
+    /// Sets the targets whose version of software few have. New generations are placed there only
+    /// where no other target has room: streams that began there can go on nowhere else.
+    pub fn set_scarce(&mut self, scarce: BTreeSet<id::Target>) {
+        let before = std::mem::replace(&mut self.scarce, scarce);
+        let changes = before.iter().map(|name| (name, false));
+        for (name, is_scarce) in changes.chain(self.scarce.iter().map(|name| (name, true))) {
+            if let Some(at) = self.index.get(name) {
+                self.targets[*at].scarce = is_scarce;
+            }
+        }
+    }
+
     /// Sets the entries that send to the targets, and with them when this entry may begin to send
     /// to a target that has just joined.
     pub fn set_order(&mut self, order: Order) {
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -75,6 +75,10 @@
     }
 }
 
+/// A version that this many targets have at most is left to the streams that it began, which can go
+/// on nowhere else, while other targets have room for new ones.
+const SCARCE_TARGETS: usize = 2;
+
 /// The longest version of software that is kept, in bytes; it bounds what is kept for each stream.
 const MAX_SOFTWARE_BYTES: usize = 64;
 
@@ -204,6 +208,49 @@
     /// Targets that may have begun or ceased to take new work since the last
     /// [`Leases::take_changed`].
     changed: BTreeSet<id::Target>,
+    versions: Versions,
+}
+
+/// The targets that take new work, by service and version.
+#[derive(Debug, Default)]
+struct Versions {
+    targets: BTreeMap<(id::Service, Option<Software>), BTreeSet<id::Target>>,
+    /// Where each target stands in `targets`.
+    index: BTreeMap<id::Target, (id::Service, Option<Software>)>,
+}
+
+impl Versions {
+    /// Sets the service and version of a target; `None` where it takes no new work.
+    fn set(&mut self, id: &id::Target, of: Option<(id::Service, Option<Software>)>) {
+        let before = match &of {
+            Some(of) => self.index.insert(id.clone(), of.clone()),
+            None => self.index.remove(id),
+        };
+        if before == of {
+            return;
+        }
+        if let Some(before) = before
+            && let Some(targets) = self.targets.get_mut(&before)
+        {
+            targets.remove(id);
+            if targets.is_empty() {
+                self.targets.remove(&before);
+            }
+        }
+        if let Some(of) = of {
+            self.targets.entry(of).or_default().insert(id.clone());
+        }
+    }
+
+    /// Returns the versions of a service, with the targets of each.
+    fn of<'a>(
+        &'a self,
+        service: &'a id::Service,
+    ) -> impl Iterator<Item = (Option<&'a Software>, &'a BTreeSet<id::Target>)> {
+        let from = self.targets.range((service.clone(), None)..);
+        let own = from.take_while(move |((of, _), _)| of == service);
+        own.map(|((_, software), targets)| (software.as_ref(), targets))
+    }
 }
 
 /// The lease of a target that is listed, or missing within the grace period.
@@ -382,9 +429,34 @@
         }
         lease.target.state = State::Draining;
         self.changed.insert(id.clone());
+        self.versions.set(id, None);
         true
     }
 
+    /// Returns the targets of one version of a service that take new work.
+    pub fn of_version(&self, service: &id::Service, software: &Software) -> BTreeSet<id::Target> {
+        let mut versions = self.versions.of(service);
+        let of = versions.find(|(known, _)| *known == Some(software));
+        of.map(|(_, targets)| targets.clone()).unwrap_or_default()
+    }
+
+    /// Returns whether the targets of a service that take new work have no versions.
+    pub fn is_unversioned(&self, service: &id::Service) -> bool {
+        let mut versions = self.versions.of(service).peekable();
+        versions.peek().is_some()
+            && versions.all(|(software, _)| software == Some(&Software::default()))
+    }
+
+    /// Returns the targets of those versions of a service that few targets have, if it has several.
+    pub fn scarce(&self, service: &id::Service) -> BTreeSet<id::Target> {
+        let versions: Vec<_> = self.versions.of(service).map(|(_, targets)| targets).collect();
+        if versions.len() < 2 {
+            return BTreeSet::new();
+        }
+        let scarce = versions.into_iter().filter(|targets| targets.len() <= SCARCE_TARGETS);
+        scarce.flatten().cloned().collect()
+    }
+
     /// Returns a target that is listed or was until recently. A removed target may still be
     /// working, and its remaining answers are read from it.
     pub fn get(&self, id: &id::Target) -> Option<&Target> {
@@ -496,6 +568,9 @@
             self.changed.insert(target.id.clone());
         }
         self.missing.remove(&target.id);
+        let ready = target.state == State::Ready;
+        let version = ready.then(|| (target.service.clone(), target.software.clone()));
+        self.versions.set(&target.id, version);
         self.live.insert(target.id.clone(), Lease { target, missing_at: None, cold_until });
         changed || cold_extended
     }
@@ -520,6 +595,7 @@
         if let Some(lease) = self.live.remove(id) {
             self.missing.remove(id);
             self.changed.insert(id.clone());
+            self.versions.set(id, None);
             let tombstone = Tombstone { target: lease.target, created_at: now, position };
             if let Entry::Vacant(vacant) = self.tombstones.entry(id.clone()) {
                 self.tombstone_order.push_back((now, id.clone()));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod migration_queue;
 pub mod observation;
 pub mod order;
+pub mod origin;
 pub mod outlier;
 pub mod permit;
 pub mod placement;
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -88,6 +88,9 @@
     /// No target of the service is known to be up.
     #[display("no-target")]
     NoTarget,
+    /// No target of the version that began the stream is up.
+    #[display("no-target-of-version")]
+    Version,
     /// Every target is in a cordoned failure domain.
     #[display("targets-cordoned")]
     Cordoned,
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -67,6 +67,8 @@
     suspended_until: Time,
     /// Why it receives nothing more.
     suspension: Exclusion,
+    /// Whether few targets have its version of software.
+    pub(crate) scarce: bool,
 }
 
 impl State {
@@ -89,6 +91,7 @@
             failed_until: Time::ZERO,
             suspended_until: Time::ZERO,
             suspension: Exclusion::Limited,
+            scarce: false,
         }
     }
 
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -371,3 +371,76 @@
     leases.expire(at(101_000));
     assert_eq!(leases.get(&target("a").id), None);
 }
+
+fn versioned(name: &str, software: &str) -> Target {
+    Target { software: Some(software.parse().expect("a version")), ..target(name) }
+}
+
+fn of_version(leases: &Leases, software: &str) -> Vec<String> {
+    let service: id::Service = "pages".parse().expect("name");
+    let software = software.parse().expect("a version");
+    leases.of_version(&service, &software).iter().map(ToString::to_string).collect()
+}
+
+/// Guards against targets that are counted to a version that they have no longer: they leave, are
+/// gone, or start again under their names with another one.
+#[test]
+fn targets_are_found_by_the_version_of_their_present_start() {
+    let mut leases = Leases::default();
+    let start = |ms| Some(Start::new(ms));
+    let first = Target { start: start(1), ..versioned("a", "v1") };
+    let all = vec![first, versioned("b", "v1"), versioned("c", "v1"), versioned("d", "v2")];
+    leases.apply_list(at(0), revision(1), all);
+    assert_eq!(of_version(&leases, "v1"), ["a", "b", "c"]);
+    let restarted = Target { start: start(2), ..versioned("a", "v2") };
+    leases.apply_change(at(1), revision(2), Change::Put(restarted));
+    let leaving = Target { state: State::Draining, ..versioned("b", "v1") };
+    leases.apply_change(at(1), revision(3), Change::Put(leaving));
+    assert_eq!(
+        (of_version(&leases, "v1"), of_version(&leases, "v2")),
+        (vec!["c".to_owned()], vec!["a".to_owned(), "d".to_owned()])
+    );
+    // An older copy of the registry names the earlier start.
+    let earlier = Target { start: start(1), ..versioned("a", "v1") };
+    leases.apply_change(at(2), revision(4), Change::Put(earlier));
+    leases.apply_change(at(2), revision(5), Change::Gone("c".parse().expect("name")));
+    leases.expire(at(10_000));
+    assert!(of_version(&leases, "v1").is_empty());
+}
+
+/// Guards against forgetting the version of a target, whose streams could then go on nowhere, because
+/// an entry of an earlier release tells of it too.
+#[test]
+fn a_reading_without_a_version_does_not_replace_a_known_one() {
+    let mut leases = Leases::default();
+    leases.apply_list(at(0), revision(1), vec![target("a")]);
+    assert!(of_version(&leases, "v1").is_empty());
+    leases.apply_change(at(1), revision(1), Change::Put(versioned("a", "v1")));
+    let renewed = Target { renewal: 2, ..target("a") };
+    leases.apply_change(at(2), revision(2), Change::Put(renewed));
+    assert_eq!(of_version(&leases, "v1"), ["a"]);
+    let restarted = Target { start: Some(Start::new(2)), ..target("a") };
+    let known = Target { start: Some(Start::new(1)), ..versioned("a", "v1") };
+    leases.apply_change(at(3), revision(3), Change::Put(known));
+    leases.apply_change(at(4), revision(4), Change::Put(restarted));
+    assert!(of_version(&leases, "v1").is_empty(), "that of another start is not known");
+}
+
+/// Guards against keeping new streams from all targets of a service with one version, and from those
+/// of a version that many have.
+#[test]
+fn a_version_is_scarce_beside_others_only() {
+    let mut leases = Leases::default();
+    let service: id::Service = "pages".parse().expect("name");
+    leases.apply_list(at(0), revision(1), vec![versioned("a", "v1"), versioned("b", "v1")]);
+    assert!(leases.scarce(&service).is_empty());
+    for name in ["c", "d", "e"] {
+        leases.apply_change(at(1), revision(2), Change::Put(versioned(name, "v2")));
+    }
+    let scarce: Vec<String> = leases.scarce(&service).iter().map(ToString::to_string).collect();
+    assert_eq!(scarce, ["a", "b"]);
+    assert!(!leases.is_unversioned(&service));
+    leases.apply_list(at(2), revision(3), vec![versioned("f", "")]);
+    leases.expire(at(10_000));
+    assert!(leases.is_unversioned(&service));
+}
