Play engines of several versions and callers that take streams up in the soak

It checks that no stream holds events of two versions, that each event comes once and in order, and that streams whose version serves go on at least half as often as new ones begin.

--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -13,7 +13,7 @@
 };
 use fireflyhoist_policy::cold::Warmup;
 use fireflyhoist_policy::id;
-use fireflyhoist_policy::lease::{self, Target};
+use fireflyhoist_policy::lease::{self, Software, Target};
 use fireflyhoist_policy::unit::RequestRate;
 use fireflyhoist_wire::caller::{LAST_EVENT_HEADER, REQUEST_HEADER};
 use futures_util::stream;
@@ -32,6 +32,7 @@
 use crate::plan::DOMAINS;
 use crate::proxy::Proxy;
 use crate::seen::Seen;
+use crate::streams;
 
 /// Time between two events of a stream.
 const EVENT: Duration = Duration::from_millis(15);
@@ -62,6 +63,11 @@
     WARMUP.per_s.get() * EXCESS + MARGIN
 }
 
+/// The name of a version.
+pub(crate) fn software(version: u32) -> Software {
+    format!("v{version}").parse().expect("a version")
+}
+
 /// The name of a failure domain.
 pub(crate) fn domain(nth: usize) -> id::Domain {
     format!("d-{nth}").parse().expect("a name")
@@ -140,6 +146,7 @@
     /// Told when a request ends it.
     ended: mpsc::UnboundedSender<usize>,
     slot: usize,
+    software: Option<Software>,
     running: RefCell<BTreeMap<SmolStr, Rc<Running>>>,
     engines: Rc<Engines>,
     seen: Seen,
@@ -197,10 +204,11 @@
 }
 
 impl Backend {
-    /// Starts behind `proxy` under a new name.
+    /// Starts behind `proxy` under a new name, with a version of software or none.
     pub(crate) async fn start(
         slot: usize,
         nth: u32,
+        version: Option<u32>,
         proxy: &Proxy,
         engines: &Rc<Engines>,
         ended: &mpsc::UnboundedSender<usize>,
@@ -221,9 +229,10 @@
             cold_ms: 0,
             slots: SLOTS,
             start: None,
-            software: None,
+            software: version.map(software),
         };
         let shared = Rc::new(Shared {
+            software: listed.software.clone(),
             instance,
             address: proxy.address,
             service,
@@ -344,7 +353,9 @@
     let path = request.uri().path().to_owned();
     let parts: Vec<&str> = path.split('/').collect();
     match parts[..] {
-        ["", "v1", "report"] => return json(&Report { leaving: shared.leaving.get() }),
+        ["", "v1", "report"] => {
+            return json(&Report { leaving: shared.leaving.get(), start: None });
+        }
         ["", "v1", "copies", name] => {
             let key = format!("{}/{name}", shared.address);
             shared.engines.copies.borrow_mut().remove(&key);
@@ -377,7 +388,9 @@
     if shared.service == "page" {
         let copy = text(COPY_HEADER);
         let last = text(LAST_EVENT_HEADER).and_then(|last| last.parse().ok()).unwrap_or(0);
-        return stream_run(&shared, &id, copy, last, text(BACKUP_HEADER));
+        let named = parts.last().filter(|name| name.starts_with(streams::PREFIX));
+        let name = named.map_or_else(|| id.clone(), |name| SmolStr::from(*name));
+        return stream_run(&shared, &id, name, copy, last, text(BACKUP_HEADER));
     }
     if shared.fragile.get().is_some() && shared.busy.get() >= SLOTS {
         return shared.reject(&id);
@@ -447,6 +460,7 @@
 fn stream_run(
     shared: &Rc<Shared>,
     id: &SmolStr,
+    name: SmolStr,
     copy: Option<SmolStr>,
     last: u64,
     backup: Option<SmolStr>,
@@ -466,7 +480,7 @@
     let running = Rc::new(Running { run, stopped: Cell::new(false) });
     shared.running.borrow_mut().insert(id.clone(), Rc::clone(&running));
     let (sender, receiver) = mpsc::channel::<Result<Frame<Bytes>, io::Error>>(4);
-    spawn_local(generate(Rc::clone(shared), id.clone(), running, sender, backup));
+    spawn_local(generate(Rc::clone(shared), id.clone(), name, running, sender, backup));
     let frames = stream::unfold(receiver, |mut receiver| async move {
         receiver.recv().await.map(|frame| (frame, receiver))
     });
@@ -478,11 +492,14 @@
 async fn generate(
     shared: Rc<Shared>,
     id: SmolStr,
+    name: SmolStr,
     running: Rc<Running>,
     sender: mpsc::Sender<Result<Frame<Bytes>, io::Error>>,
     backup: Option<SmolStr>,
 ) {
-    while running.run.get().made < length(&id) {
+    let version = shared.software.as_ref().map(|software| format!(" {software}"));
+    let version = version.unwrap_or_default();
+    while running.run.get().made < length(&name) {
         sleep(EVENT).await;
         if running.stopped.get() {
             // Closed without its end.
@@ -492,7 +509,7 @@
         let Run { generation, made } = running.run.get();
         let run = Run { generation, made: made + 1 };
         running.run.set(run);
-        let event = format!("id: {}\ndata: {id} {generation}\n\n", run.made);
+        let event = format!("id: {}\ndata: {name} {generation}{version}\n\n", run.made);
         if sender.send(Ok(Frame::data(Bytes::from(event)))).await.is_err() {
             break;
         }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -38,7 +38,7 @@
 /// One answer.
 pub(crate) struct Answer {
     pub(crate) status: u16,
-    body: String,
+    pub(crate) body: String,
     closes: bool,
     whole: bool,
 }
@@ -56,16 +56,28 @@
 
 /// Sends one request and reads its answer; `None` where none began.
 pub(crate) async fn ask(sender: &mut Sender, id: &str, path: &str) -> Option<Answer> {
-    let request = hyper::Request::builder()
+    ask_with(sender, id, path, &[]).await
+}
+
+/// The same with more headers.
+pub(crate) async fn ask_with(
+    sender: &mut Sender,
+    id: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> Option<Answer> {
+    let mut request = hyper::Request::builder()
         .method("POST")
         .uri(path)
         .header("host", "svc.example")
         .header("authorization", format!("Bearer {KEY}"))
         .header("fireflyhoist-request", id)
         .header("fireflyhoist-prompt-tokens", "100")
-        .header("fireflyhoist-max-tokens", length(id).to_string())
-        .body(Full::new(Bytes::from_static(b"{}")))
-        .expect("a request");
+        .header("fireflyhoist-max-tokens", length(id).to_string());
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(Bytes::from_static(b"{}"))).expect("a request");
     let response = sender.send_request(request).await.ok()?;
     let status = response.status().as_u16();
     let close = response.headers().get("connection").is_some_and(|value| value == "close");
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -9,6 +9,7 @@
 
 use crate::backend;
 use crate::plan::{BACKENDS, DOMAINS};
+use crate::streams::{self, TakenUp, Try};
 
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -195,6 +196,8 @@
     pub(crate) unlinked: Vec<Disturbed>,
     /// Entries that were cut from all targets.
     pub(crate) isolations: Vec<Isolated>,
+    /// Tries to begin streams and to take them up.
+    pub(crate) tries: Vec<Try>,
     /// What targets said in answers.
     pub(crate) words: Vec<Word>,
     /// Times in which the targets of a service were fragile.
@@ -224,6 +227,10 @@
         self.asked.iter().filter(|asked| asked.end == End::Status(200)).count()
     }
 
+    pub(crate) fn taken_up(&self) -> TakenUp {
+        TakenUp::of(&self.tries)
+    }
+
     /// Whether an entry was in touch from `from` to `to`.
     fn is_calm(&self, entry: usize, from: Duration, to: Duration) -> bool {
         let from = from.saturating_sub(SETTLE);
@@ -250,6 +257,8 @@
         self.limits.iter().for_each(|limit| self.check_limit(limit, &mut broken));
         self.cordons.iter().for_each(|cordon| self.check_cordon(cordon, &mut broken));
         self.check_isolations(&mut broken);
+        let is_calm = |entry, from, to| self.is_calm(entry, from, to);
+        broken.extend(streams::violations(&self.tries, is_calm));
         self.check_words(&mut broken);
         self.fragile.iter().for_each(|fragile| self.check_overload(fragile, &mut broken));
         self.cold.iter().for_each(|cold| self.check_cold(cold, &mut broken));
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod proxy;
 mod report;
 mod seen;
+mod streams;
 mod text;
 mod world;
 
@@ -26,6 +27,7 @@
 
 use crate::ledger::Violation;
 use crate::plan::Plan;
+use crate::streams::TakenUp;
 use crate::world::World;
 
 /// How large one run is.
@@ -50,6 +52,8 @@
     pub overload: bool,
     /// Whether targets say in answers that they leave, or ask for rest.
     pub announcements: bool,
+    /// Whether engines are replaced by ones of other versions, and callers take streams up.
+    pub versions: bool,
 }
 
 /// Why a run can't be played.
@@ -72,6 +76,8 @@
     served: usize,
     /// Lookups at isolated entries that were compared with others; `None` where none are isolated.
     compared: Option<usize>,
+    /// Tries to take streams up, and those that went on; `None` where none are.
+    taken_up: Option<TakenUp>,
     violations: Vec<Violation>,
 }
 
@@ -95,6 +101,9 @@
         if let Some(compared) = self.compared {
             write!(f, ", {compared} lookups of isolated entries compared")?;
         }
+        if let Some(taken_up) = self.taken_up {
+            write!(f, ", {taken_up}")?;
+        }
         self.violations.iter().try_for_each(|violation| write!(f, "\n  {violation}"))
     }
 }
@@ -113,6 +122,7 @@
         asked: seen.asked(),
         served: seen.served(),
         compared: size.isolated.then(|| seen.compared()),
+        taken_up: size.versions.then(|| seen.taken_up()),
         violations: seen.violations(),
     };
     if verdict.is_clean() {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -36,6 +36,8 @@
     overload: bool,
     /// Targets that say in answers that they leave or ask for rest, as well.
     announcements: bool,
+    /// Engines of several versions, and callers that take streams up, as well.
+    versions: bool,
     /// Where logs, timelines and plots of seeds that failed are kept.
     #[bpaf(argument("DIR"), fallback(PathBuf::from("target/soak")))]
     report: PathBuf,
@@ -61,6 +63,7 @@
         isolated: flags.isolated,
         overload: flags.overload,
         announcements: flags.announcements,
+        versions: flags.versions,
     };
     let mut failed = 0;
     for seed in flags.seed..flags.seed + flags.seeds {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -11,6 +11,12 @@
 /// Back ends of each service.
 pub(crate) const BACKENDS: usize = 4;
 
+/// The number of the service that has engines.
+const ENGINE_SERVICE: usize = 2;
+
+/// Versions of engines.
+const VERSIONS: u32 = 3;
+
 /// Failure domains of back ends.
 pub(crate) const DOMAINS: usize = 2;
 
@@ -83,6 +89,8 @@
     Rest(usize, u32),
     /// The targets of a service crash if they reject more than so many requests in a second.
     Fragile(usize, u32),
+    /// An engine leaves, and one of this version takes its place.
+    Upgrade(usize, u32),
     /// A failure domain is cordoned for the fault's span.
     Cordon(usize),
     /// The targets of a failure domain end, and come back together, cold.
@@ -151,6 +159,9 @@
         if size.announcements {
             faults.extend(of_announcements(seed, end));
         }
+        if size.versions {
+            faults.extend(of_versions(seed, size, end));
+        }
         faults.sort_by_key(|planned| planned.at);
         Self { faults, end: end + Duration::from_secs(4) }
     }
@@ -268,6 +279,28 @@
     faults
 }
 
+/// Versions of engines that come and go, as in updates that are rolled out and back, beside engines
+/// that crash and entries that are killed, some of them in series.
+fn of_versions(seed: u64, size: Size, end: Duration) -> Vec<Planned> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(56));
+    let (mut at, mut faults, mut version) = (LEAD, Vec::new(), 0);
+    while at < end {
+        let engine = ENGINE_SERVICE + 3 * rng.random_range(0..BACKENDS);
+        let fault = match rng.random_range(0..8) {
+            0..4 => Fault::Upgrade(engine, version),
+            4..6 => Fault::Crash(engine),
+            _ => Fault::Kill(rng.random_range(0..size.processes)),
+        };
+        if rng.random_bool(0.3) {
+            version = rng.random_range(0..VERSIONS);
+        }
+        faults.push(Planned { at, span: Duration::ZERO, fault });
+        let pause = if rng.random_bool(0.3) { 0..100 } else { 200..1_200 };
+        at += Duration::from_millis(rng.random_range(pause));
+    }
+    faults
+}
+
 /// Limits that targets name, some at several of a service, some changed while they are named.
 fn of_limits(seed: u64, end: Duration) -> Vec<Planned> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
--- a/crates/soak/src/seen.rs
+++ b/crates/soak/src/seen.rs
@@ -1,13 +1,16 @@
 //! What was seen in one run.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use smol_str::SmolStr;
+use fireflyhoist_policy::lease::Target;
+use smol_str::{SmolStr, format_smolstr};
 use tokio::time::Instant;
 
 use crate::ledger::{Asked, Disturbed, Isolated, Ledger, Limit, Overload, Probed, Span, Word};
+use crate::streams::Try;
 
 /// What everyone in a run notes what they see in.
 #[derive(Clone, Debug)]
@@ -15,12 +18,19 @@
     began: Instant,
     over: Rc<Cell<bool>>,
     ledger: Rc<RefCell<Ledger>>,
+    /// The versions of the engines that take requests, by target.
+    versions: Rc<RefCell<BTreeMap<SmolStr, SmolStr>>>,
 }
 
 impl Seen {
     /// Begins now.
     pub(crate) fn open() -> Self {
-        Self { began: Instant::now(), over: Rc::default(), ledger: Rc::default() }
+        Self {
+            began: Instant::now(),
+            over: Rc::default(),
+            ledger: Rc::default(),
+            versions: Rc::default(),
+        }
     }
 
     pub(crate) fn now(&self) -> Duration {
@@ -40,6 +50,28 @@
         self.ledger.borrow_mut().arrivals.push(arrival);
     }
 
+    /// Notes that a target takes requests from now on, if it has a version.
+    pub(crate) fn serves(&self, listed: &Target) {
+        if let Some(software) = &listed.software {
+            let version = format_smolstr!("{software}");
+            self.versions.borrow_mut().insert(listed.instance.clone(), version);
+        }
+    }
+
+    /// Notes that a target takes no requests from now on.
+    pub(crate) fn ceases(&self, listed: &Target) {
+        self.versions.borrow_mut().remove(&listed.instance);
+    }
+
+    /// Returns how many targets of a version take requests.
+    pub(crate) fn serving(&self, version: &SmolStr) -> usize {
+        self.versions.borrow().values().filter(|one| *one == version).count()
+    }
+
+    pub(crate) fn tried(&self, tried: Try) {
+        self.ledger.borrow_mut().tries.push(tried);
+    }
+
     pub(crate) fn asked(&self, asked: Asked) {
         self.ledger.borrow_mut().asked.push(asked);
     }
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -24,7 +24,7 @@
 use crate::plan::{BACKENDS, CALM, LEAD, PROOF, Plan};
 use crate::proxy::Proxy;
 use crate::seen::Seen;
-use crate::{PlayError, Size, text};
+use crate::{PlayError, Size, streams, text};
 
 /// Time between two looks at which text an entry has.
 const PROBE: Duration = Duration::from_millis(250);
@@ -40,6 +40,8 @@
     backends: Rc<Vec<RefCell<Backend>>>,
     proxies: Rc<Vec<Proxy>>,
     starts: Rc<Cell<u32>>,
+    /// The version that each slot's next target has.
+    versions: Rc<RefCell<Vec<u32>>>,
     engines: Rc<Engines>,
     registry: Registry,
     /// Copies of the registry, the oldest first.
@@ -65,7 +67,9 @@
         let (mut proxies, mut backends) = (Vec::new(), Vec::new());
         for slot in 0..SERVICES.len() * BACKENDS {
             let proxy = Proxy::open(registry.address()).await;
-            let backend = Backend::start(slot, 0, &proxy, &engines, &ended, &seen).await;
+            let version = size.versions.then_some(0);
+            let backend = Backend::start(slot, 0, version, &proxy, &engines, &ended, &seen).await;
+            seen.serves(&backend.listed);
             registry.put(backend.listed.clone());
             backends.push(RefCell::new(backend));
             proxies.push(proxy);
@@ -94,6 +98,7 @@
             backends: Rc::new(backends),
             proxies: Rc::new(proxies),
             starts: Rc::default(),
+            versions: Rc::new(RefCell::new(vec![0; SERVICES.len() * BACKENDS])),
             engines,
             registry,
             copies: Rc::default(),
@@ -122,6 +127,12 @@
         if self.size.needy {
             spawn_local(caller::poison(self.seed, addresses.clone(), self.seen.clone()));
         }
+        if self.size.versions {
+            for number in 0..streams::CALLERS {
+                let (entries, seen) = (addresses.clone(), self.seen.clone());
+                spawn_local(streams::run(number, self.seed, entries, seen));
+            }
+        }
         if self.size.isolated {
             for (nth, to) in addresses.iter().enumerate() {
                 spawn_local(caller::look(nth, *to, self.seen.clone()));
--- a/crates/soak/src/world/strike.rs
+++ b/crates/soak/src/world/strike.rs
@@ -88,6 +88,10 @@
             Fault::Limit(slot, tenths) => {
                 self.name_limit(slot, f64::from(tenths) / 10.0, span).await
             }
+            Fault::Upgrade(slot, version) => {
+                self.versions.borrow_mut()[slot] = version;
+                self.leave(slot, true).await;
+            }
             Fault::Isolate(nth, isolation) => self.isolate(nth, isolation, span).await,
             Fault::Announce(slot) => self.announce(slot, span).await,
             Fault::Rest(slot, tenths) => {
@@ -282,6 +286,7 @@
     async fn leave(&self, slot: usize, says: bool) {
         let listed = self.backends[slot].borrow().listed.clone();
         self.backends[slot].borrow().leave();
+        self.seen.ceases(&listed);
         match says {
             true => self.registry.put(Target { state: State::Draining, ..listed.clone() }),
             false => self.registry.remove(&listed),
@@ -363,6 +368,7 @@
 
     async fn crash(&self, slot: usize) {
         let listed = self.backends[slot].borrow().listed.clone();
+        self.seen.ceases(&listed);
         self.backends[slot].borrow().crash();
         sleep(Duration::from_secs(1)).await;
         self.replace(slot, &listed).await;
@@ -378,8 +384,11 @@
         self.proxies[slot].reset();
         self.starts.set(self.starts.get() + 1);
         let (nth, proxy) = (self.starts.get(), &self.proxies[slot]);
-        let next = Backend::start(slot, nth, proxy, &self.engines, &self.ended, &self.seen).await;
+        let version = self.size.versions.then(|| self.versions.borrow()[slot]);
+        let (engines, ended) = (&self.engines, &self.ended);
+        let next = Backend::start(slot, nth, version, proxy, engines, ended, &self.seen).await;
         let next = if self.size.domains { next.cold() } else { next };
+        self.seen.serves(&next.listed);
         self.registry.put(next.listed.clone());
         *self.backends[slot].borrow_mut() = next;
     }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -120,3 +120,17 @@
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
 }
+
+/// The same while engines of several versions come and go, and callers take streams up at any entry.
+#[parameterized(
+    short = { 1, 6 },
+    three_versions = { 12_001, 12 },
+)]
+#[test_macro(ntex::test)]
+async fn promises_hold_while_versions_are_replaced(seed: u64, seconds: u64) {
+    let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-versions");
+    let size = Size { seconds, processes: 4, versions: true, ..Size::default() };
+    let verdict = play(seed, size, &report).await.expect("it plays");
+    assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
+    assert!(verdict.served() > 50, "{verdict}");
+}
