Ask an engine for its start before a stream goes on there

What callers would see: a stream that goes on at another version, where an engine has started again under its name with another version and the registry still lists its earlier start, or has come back from an older copy.

Change: before a stream goes on without a copy of its memory, the engine is asked for its report. One that names another start than the registry gets nothing and is left out until it is listed anew. A suspect engine is tried once.

--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -215,6 +215,9 @@
     /// Whether the engine will stop soon.
     #[serde(default)]
     pub leaving: bool,
+    /// When it started.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub start: Option<lease::Start>,
 }
 
 impl EngineApi for Native {
@@ -237,6 +240,10 @@
         status == StatusCode::OK && report.leaving
     }
 
+    fn report_start(body: &[u8]) -> Option<lease::Start> {
+        serde_json::from_slice::<Report>(body).ok()?.start
+    }
+
     fn decode_move(status: StatusCode, body: &[u8]) -> Moved {
         let copied: Copied = serde_json::from_slice(body).unwrap_or_default();
         match (status, copied.copy) {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -9,7 +9,7 @@
 use derive_more::{Display, Error};
 use fireflyhoist_policy::cordon;
 use fireflyhoist_policy::fragility::Tolerance;
-use fireflyhoist_policy::lease;
+use fireflyhoist_policy::lease::{self, Start};
 use fireflyhoist_policy::route::Text;
 use fireflyhoist_policy::target_limit::Advertisement;
 use fireflyhoist_policy::unit::Tokens;
@@ -246,6 +246,9 @@
     /// Returns whether the body of an engine's report says that it drains.
     fn is_draining(status: StatusCode, body: &[u8]) -> bool;
 
+    /// Returns when the engine started, if the body of its report says so.
+    fn report_start(body: &[u8]) -> Option<Start>;
+
     /// Decodes the reply to a move.
     fn decode_move(status: StatusCode, body: &[u8]) -> Moved;
 }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -11,6 +11,7 @@
 use fireflyhoist_policy::request::Outcome;
 use fireflyhoist_policy::time::Time;
 use ntex::http::HeaderMap;
+use ntex::util::Bytes;
 
 use crate::connection::exchange::{Failure, Outgoing, Response};
 use crate::platform::{Copy, Platform, TargetHeaders};
@@ -40,6 +41,12 @@
 /// was chosen.
 const ISOLATED: &str = "isolated";
 
+/// Timeout of a report call, after which the engine counts as slow.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Maximum size of a report in bytes.
+const MAX_REPORT_BYTES: usize = 1 << 20;
+
 /// Why an attempt returned no answer that can be sent to the caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Error {
@@ -180,6 +187,10 @@
         return Err(Error::NotSent(OTHER_VERSION));
     }
     let resumes_copy = options.copy.is_some();
+    // An engine that has started again holds no copy, so it declines what resumes from one.
+    if options.constraint != Constraint::Free && !resumes_copy {
+        check_start::<P>(worker, &target).await?;
+    }
     if !resumes_copy && !worker.process.is_target_ready(id) {
         return Err(Error::NotSent(LEAVING));
     }
@@ -240,6 +251,32 @@
     Ok(Started { response, target, began_at: worker.process.clock.now() })
 }
 
+/// Checks that an engine is the start that the registry lists, by its own report.
+///
+/// It may have started again under its name with another version of software, and the registry learns
+/// of that only with its next renewal.
+async fn check_start<P: Platform>(worker: &Worker, target: &Target) -> Result<(), Error> {
+    let Some(listed) = target.start else { return Ok(()) };
+    let call = P::report();
+    let (method, path, body) = (call.method, call.path, Bytes::from(call.body));
+    let outgoing = Outgoing { method, path, headers: HeaderMap::new(), body };
+    let called = worker.process.call(target, outgoing, REPORT_TIMEOUT, MAX_REPORT_BYTES).await;
+    match called {
+        Ok(reply) if P::report_start(&reply.body).is_none_or(|start| start == listed) => Ok(()),
+        Ok(_) => {
+            worker.process.suspend_crashed(target);
+            Err(Error::NotSent(OTHER_VERSION))
+        }
+        // It may be slow.
+        Err(Failure::TimedOut) => Ok(()),
+        Err(failure) => match Error::from_failure(&failure) {
+            Error::NotSent(reason) => Err(Error::NotSent(reason)),
+            // Only the report was sent, not the request.
+            _ => Err(Error::NotSent("unreached")),
+        },
+    }
+}
+
 fn stamp_headers<P: Platform>(headers: &HeaderMap, stamp: &TargetHeaders<'_>) -> HeaderMap {
     let mut headers = headers.clone();
     P::set_target_headers(&mut headers, stamp);
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -350,7 +350,10 @@
         let script = move |seen: &Seen| {
             if seen.line().starts_with("GET /v1/report") {
                 let leaving = leaving.lock().as_deref() == Some(name);
-                return answer(200, &serde_json::to_string(&Report { leaving }).expect("JSON"));
+                return answer(
+                    200,
+                    &serde_json::to_string(&Report { leaving, start: None }).expect("JSON"),
+                );
             }
             if seen.line().starts_with("POST /v1/runs/r-1/move") {
                 let request: Move = serde_json::from_str(&seen.body).expect("a move");
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use fireflyhoist_gateway::Gateway;
-use fireflyhoist_gateway::native::{Copied, RESUMED_HEADER};
+use fireflyhoist_gateway::native::{Copied, RESUMED_HEADER, Report};
 use fireflyhoist_policy::lease::{Start, Target};
 use fireflyhoist_policy::route::{Kind, Route};
 use fireflyhoist_standin::registry::Registry;
@@ -60,6 +60,12 @@
     }
 }
 
+/// The report of an engine that started at this time.
+fn report(start: u64) -> Vec<Step> {
+    let report = Report { start: Some(Start::new(start)), ..Report::default() };
+    answer(200, &serde_json::to_string(&report).expect("JSON"))
+}
+
 /// A registry with a route to engines, and the engines.
 struct Engines {
     registry: Registry,
@@ -99,7 +105,21 @@
         script: impl Fn(&Seen) -> Vec<Step> + Send + Sync + 'static,
     ) -> Target {
         let name = format!("e-{}", self.engines.len());
-        let engine = Standin::open(&name, "gen", script).await;
+        let script = move |seen: &Seen| match seen.line().contains("/v1/report") {
+            true => report(1),
+            false => script(seen),
+        };
+        self.start_with_report(&name, version, script).await
+    }
+
+    /// Starts an engine that answers calls for its report by its script as well.
+    async fn start_with_report(
+        &mut self,
+        name: &str,
+        version: &'static str,
+        script: impl Fn(&Seen) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Target {
+        let engine = Standin::open(name, "gen", script).await;
         let software = Some(version.parse().expect("a version"));
         let listed = Target { software, start: Some(Start::new(1)), ..engine.listed.clone() };
         self.registry.put(listed.clone());
@@ -330,6 +350,29 @@
     assert!(answer.body.contains("\"ran\":\"no\""), "{answer:?}");
 }
 
+/// Guards against an engine that has started again under its name with another version, while the
+/// registry still lists its earlier start.
+#[ntex::test]
+async fn an_engine_that_started_again_unseen_gets_no_stream_of_its_earlier_version() {
+    let mut engines = Engines::open_with_first().await;
+    let gateway = gateway(&engines.registry).await;
+    let begun = begin_and_break(&gateway, &mut engines, &[]).await;
+    assert!(!begun.whole);
+    engines.engines[0].0.end();
+    let started_again = |seen: &Seen| match seen.line().contains("/v1/report") {
+        true => report(2),
+        false => finish_or(seen, Step::Reset),
+    };
+    engines.start_with_report("e-again", "v1", started_again).await;
+    sleep(PROPAGATION).await;
+    let refused = take_up("r-1").send(gateway.callers()).await;
+    assert_eq!((refused.status, engines.taken_up().len()), (503, 0), "{refused:?}");
+    engines.start("v1", |seen| finish_or(seen, Step::Reset)).await;
+    sleep(PROPAGATION).await;
+    let taken_up = take_up("r-1").send(gateway.callers()).await;
+    assert_eq!((taken_up.status, taken_up.body), (200, events(BEGUN + 1, ALL)));
+}
+
 /// Guards against refusing streams that are taken up where engines have no versions.
 #[ntex::test]
 async fn streams_without_versions_go_on_anywhere() {
--- a/crates/policy/src/gate/migration.rs
+++ b/crates/policy/src/gate/migration.rs
@@ -157,7 +157,9 @@
         let indexes = || allowed.iter().filter_map(|name| self.index.get(name).copied());
         let up: Vec<usize> = indexes().filter(|at| self.targets[*at].is_up(now)).collect();
         let usable = |at: &usize| self.targets[*at].hard_exclusion(now).is_none();
-        let candidates = if up.is_empty() { indexes().filter(usable).collect() } else { up };
+        // A suspect target is tried once.
+        let try_suspects = up.is_empty() && request.avoid.is_none();
+        let candidates = if try_suspects { indexes().filter(usable).collect() } else { up };
         let mut ranked: Vec<_> = candidates
             .into_iter()
             .map(|at| {
