Read what requests have in common, and log it where a run broke off

What callers saw: engines that crash one after the other under requests of which no two are alike. The log named a run by workspace, path and body alone. Nothing is decided by them yet.

--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::cordon;
+use fireflyhoist_policy::feature;
 use fireflyhoist_policy::lease;
 use fireflyhoist_policy::route::Text;
 use fireflyhoist_policy::target_limit::Advertisement;
@@ -29,6 +30,9 @@
 pub const PROMPT_TOKENS_HEADER: &str = "fireflyhoist-prompt-tokens";
 /// Most tokens that the answer may have.
 pub const MAX_TOKENS_HEADER: &str = "fireflyhoist-max-tokens";
+/// The ids of the parts of the prompt in their order, separated by commas; the last belongs to the
+/// request alone.
+pub const PROMPT_PARTS_HEADER: &str = "fireflyhoist-prompt-parts";
 /// The caller's estimate of the tokens in the answer.
 pub const EXPECTED_TOKENS_HEADER: &str = "fireflyhoist-expected-tokens";
 /// The instance that must answer the request; any other declines it.
@@ -74,6 +78,8 @@
     fn request_info(headers: &HeaderMap) -> RequestInfo {
         let tokens = |name| Tokens::new(number(headers, name).unwrap_or_default());
         let key = text(headers, AUTHORIZATION.as_str());
+        let parts = text(headers, PROMPT_PARTS_HEADER).into_iter();
+        let parts = parts.flat_map(|parts| parts.split(',')).map(str::trim);
         RequestInfo {
             request: text(headers, REQUEST_HEADER).unwrap_or_default().into(),
             timeout: number(headers, TIMEOUT_HEADER).map(Duration::from_millis),
@@ -83,6 +89,7 @@
             expected_tokens: number(headers, EXPECTED_TOKENS_HEADER).map(Tokens::new),
             last_event: number(headers, LAST_EVENT_HEADER),
             resumed: resumed(headers, RESUMED_HEADER),
+            features: feature::of_request(None, parts),
         }
     }
 
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -8,6 +8,7 @@
 
 use derive_more::{Display, Error};
 use fireflyhoist_policy::cordon;
+use fireflyhoist_policy::feature::Feature;
 use fireflyhoist_policy::fragility::Tolerance;
 use fireflyhoist_policy::lease::{self, Start};
 use fireflyhoist_policy::route::Text;
@@ -37,6 +38,8 @@
     pub last_event: Option<u64>,
     /// The attempt that brought the first event of the stream that this one takes up again.
     pub resumed: Resumed,
+    /// What the request has in common with others.
+    pub features: Vec<Feature>,
 }
 
 /// Longest id of a request that an attempt may name, in bytes.
--- a/crates/gateway/src/request/liveness.rs
+++ b/crates/gateway/src/request/liveness.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use derive_more::Display;
+use fireflyhoist_policy::feature::Feature;
 use fireflyhoist_policy::lease::Target;
 use fireflyhoist_policy::resubmission::Fingerprint;
 use fireflyhoist_policy::time::Time;
@@ -55,6 +56,8 @@
     was_ready: bool,
     /// Whether the target is an engine that had begun to answer.
     had_begun: bool,
+    /// What the run had in common with others, if it had written nothing.
+    features: Vec<Feature>,
 }
 
 impl Check {
@@ -66,7 +69,9 @@
         let was_ready = process.is_target_ready(&target.id);
         let (request, fingerprint) = (context.facts.request.clone(), context.fingerprint);
         let target = target.clone();
-        Self { process, request, fingerprint, target, since, was_ready, had_begun: false }
+        let features = context.facts.features.clone();
+        let had_begun = false;
+        Self { process, request, fingerprint, target, since, was_ready, had_begun, features }
     }
 
     /// Sets that the target had begun to answer, if it is an engine of the request's service.
@@ -74,6 +79,11 @@
         Self { had_begun: context.service.engine.is_some(), ..self }
     }
 
+    /// Sets that the target had written events, so that it did not end on beginning to write.
+    pub(crate) fn with_events(self, events: u64) -> Self {
+        if events > 0 { Self { features: Vec::new(), ..self } } else { self }
+    }
+
     /// Checks the target in the background and records the result.
     pub(crate) fn spawn<P: Platform>(self) {
         let inspection = CrashCheck::open(&self.process, self.fingerprint);
@@ -144,7 +154,13 @@
         };
         log::info!(
             request = self.request.as_str(), print:% = self.fingerprint, target:% = self.target.id,
-            fate:% = status, lasted_ms = millis(run_time), ends = crashes; "run broke off"
+            fate:% = status, lasted_ms = millis(run_time), ends = crashes,
+            parts = list(&self.features).as_str(); "run broke off"
         );
     }
 }
+
+/// Returns the text of features in log lines.
+fn list(features: &[Feature]) -> String {
+    features.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
+}
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -125,6 +125,8 @@
     last_event: Rc<Cell<Option<u64>>>,
     /// Number of events sent to the caller.
     events: u64,
+    /// Number of events of the current run.
+    run_events: u64,
     /// Number of attempts to migrate.
     migrations: u32,
     /// Number of runs that began without the memory of an earlier run.
@@ -162,6 +164,7 @@
             splitter: Splitter::default(),
             last_event,
             events: 0,
+            run_events: 0,
             migrations: 0,
             runs: number,
             backup_tried: false,
@@ -264,6 +267,7 @@
         if let Some(target) = &self.target {
             liveness::Check::new(&self.worker, &self.context, target, self.began_at)
                 .with_begun_run(&self.context)
+                .with_events(self.run_events)
                 .spawn::<P>();
         }
     }
@@ -377,6 +381,7 @@
         self.began_at = resumed.started.began_at;
         self.software = resumed.started.target.software.clone();
         self.target = Some(resumed.started.target);
+        self.run_events = 0;
         self.splitter = Splitter::default();
         self.backup_tried = false;
     }
@@ -407,6 +412,7 @@
             self.upstream = None;
             if let Some(target) = self.target.take() {
                 liveness::Check::new(&self.worker, &self.context, &target, self.began_at)
+                    .with_events(self.run_events)
                     .record_crash();
             }
         }
@@ -425,6 +431,7 @@
             return true;
         };
         for event in events {
+            self.run_events += 1;
             if let Some(id) = event.id {
                 // The previous run produced this event while the next one started.
                 if self.last_event.get().is_some_and(|last_event| id <= last_event) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod curve;
 pub mod exclusion;
 pub mod failover;
+pub mod feature;
 pub mod fragility;
 pub mod gate;
 pub mod handle;
