Hold back requests with features that crash engines

Cause: what is held back was known by workspace, path and body, so each such request was new and ended two or three engines.

Change: entries share which features (model, parts of the prompt but the last) the runs had that had written nothing when their engine crashed. From three crashes on a feature is a suspect, and its requests are sent only as trials, which one entry grants for all, four at most. A first event on a feature clears it. A suspect holds a request only together with all features that account for the same crashes, and crashes at one moment count as one, so that what the bad requests share with sound ones, and what ran when engines crash by chance, is not held. Checked before each send: new requests, repeats, runs that begin anew or from a backup, and streams that are taken up. Entries of an earlier release are not told.

--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -5,6 +5,7 @@
 use derive_more::{Display, Error};
 use fireflyhoist_policy::cold;
 use fireflyhoist_policy::cordon;
+use fireflyhoist_policy::feature::Feature;
 use fireflyhoist_policy::fragility;
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::{Change, Target};
@@ -16,6 +17,7 @@
 use fireflyhoist_policy::position::Position;
 use fireflyhoist_policy::presence::Update;
 use fireflyhoist_policy::resubmission::Fingerprint;
+use fireflyhoist_policy::suspicion;
 use fireflyhoist_policy::target_limit;
 use fireflyhoist_policy::topology::Member;
 use fireflyhoist_text::transfer::Message;
@@ -27,6 +29,10 @@
 /// The largest frame that is accepted, in bytes; the list of ten thousand targets fits.
 pub(crate) const MAX_FRAME_BYTES: usize = 2 << 20;
 
+/// The frames that this release reads. Entries from 1 on read origins of streams and suspicions; an
+/// earlier one closes the link on them.
+pub(crate) const PROTOCOL: u32 = 1;
+
 /// The first byte of an uncompressed frame.
 const PLAIN: u8 = 0;
 
@@ -66,9 +72,9 @@
     /// Whether it reaches no target, so that callers should use other entries.
     #[serde(default)]
     pub(crate) isolated: bool,
-    /// Whether it keeps the origins of streams for other entries.
+    /// Which frames the entry reads; see [`PROTOCOL`].
     #[serde(default)]
-    pub(crate) keeps_origins: bool,
+    pub(crate) protocol: u32,
     /// Whether it currently receives changes of targets from the registry.
     pub(crate) watching: bool,
     /// Whether it relies on the receiver to send it each change of targets.
@@ -96,6 +102,8 @@
     ColdSend(cold::Update),
     /// To send a request to a fragile target.
     Slot(SlotRequest),
+    /// To run a trial of a request with features that are suspected of crashing engines.
+    Features(Vec<Feature>),
     /// To send a stream on, at the version that the reply names. Each entry decides by what it knows.
     Resumption(origin::Key),
 }
@@ -108,6 +116,9 @@
             Self::LimitedSend(update) => update.target.to_string(),
             Self::ColdSend(update) => update.target.to_string(),
             Self::Slot(request) => request.target.to_string(),
+            Self::Features(features) => {
+                features.iter().min().map(ToString::to_string).unwrap_or_default()
+            }
             Self::Resumption(key) => key.to_string(),
         }
     }
@@ -169,6 +180,8 @@
     },
     /// New records of requests that were running on targets when these crashed.
     Poison(Vec<poison::Record>),
+    /// Features of requests that engines crashed on, and what clears them.
+    Suspicions(Vec<suspicion::Update>),
     /// The versions of software that began streams.
     Origins(Vec<origin::Update>),
     /// New or changed limits that targets advertise.
@@ -271,7 +284,7 @@
             Self::TargetsRequest | Self::Targets { .. } => "targets",
             Self::Changes { .. } => "changes",
             Self::Refused { .. } => "refused",
-            Self::Poison(_) => "poison",
+            Self::Poison(_) | Self::Suspicions(_) => "poison",
             Self::Origins(_) => "origins",
             Self::Limits(_)
             | Self::LimitedSend(_)
--- a/crates/gateway/src/process/fleet/heartbeat.rs
+++ b/crates/gateway/src/process/fleet/heartbeat.rs
@@ -9,7 +9,7 @@
 use fireflyhoist_policy::observation::Observer;
 use tokio::time::sleep;
 
-use crate::connection::frame::{Frame, Heartbeat, TargetOutcome};
+use crate::connection::frame::{Frame, Heartbeat, PROTOCOL, TargetOutcome};
 use crate::process::fleet::Fleet;
 
 impl Fleet {
@@ -30,7 +30,7 @@
             cordons: self.process.cordon_heartbeat_update(),
             registry_up: self.process.is_registry_available(),
             isolated: self.process.is_isolated(),
-            keeps_origins: true,
+            protocol: PROTOCOL,
             watching: self.process.is_watching(),
             loads,
         }
@@ -40,6 +40,7 @@
     fn send_to_actives(&self) {
         self.announce_poison();
         self.announce_limits();
+        self.announce_suspicions();
         self.send_origins();
         let (actives, _) = self.actives_and_leaves();
         let view = self.view();
@@ -148,13 +149,15 @@
                 || old.isolated != heartbeat.isolated
         };
         let view_changes = peer.heartbeat.as_ref().is_none_or(differs);
-        if peer.heartbeat.is_none() {
-            self.origins.keepers_changed();
-        }
+        let is_new = peer.heartbeat.is_none() && heartbeat.protocol >= PROTOCOL;
         let previous = peer.heartbeat.take().and_then(|old| old.cordons);
         heartbeat.cordons = heartbeat.cordons.or(previous);
         peer.heartbeat = Some(heartbeat);
         drop(peers);
+        if is_new {
+            self.origins.keepers_changed();
+            self.send_suspicion_snapshot(from);
+        }
         if view_changes {
             self.stale.notify_one();
         }
--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod origin;
 mod owner;
 mod poison;
+mod suspicion;
 mod target_limits;
 mod words;
 
@@ -43,7 +44,7 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::time::sleep;
 
-use crate::connection::frame::{Frame, Heartbeat};
+use crate::connection::frame::{Frame, Heartbeat, PROTOCOL};
 use crate::connection::link::{Event, Links, Loss};
 use crate::process::fleet::catchup::{EncodedTargets, Lag};
 use crate::process::fleet::origin::Origins;
@@ -445,6 +446,23 @@
         self.process.retain_owned_buckets(|target| is_active && known.owns(target.as_str()));
     }
 
+    /// Returns the linked entries that read all frames of this release. An entry of an earlier one would
+    /// close the link on a frame that it does not know.
+    fn current_peers(&self) -> Vec<id::Host> {
+        let peers = self.peers.lock();
+        let reads_all = |peer: &&Peer| {
+            peer.heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.protocol >= PROTOCOL)
+        };
+        peers.values().filter(reads_all).map(|peer| peer.member.host.clone()).collect()
+    }
+
+    /// Returns those of them that are active.
+    fn current_actives(&self) -> Vec<id::Host> {
+        let view = self.view();
+        let peers = self.current_peers().into_iter();
+        peers.filter(|host| view.actives.contains(host)).collect()
+    }
+
     /// Returns the linked entries, split into actives and leaves.
     fn actives_and_leaves(&self) -> (Vec<id::Host>, Vec<id::Host>) {
         let view = self.view();
@@ -509,6 +527,7 @@
             Frame::Text(message) => self.handle_text_message(from, message),
             Frame::TargetsRequest => self.send_targets(from),
             Frame::Poison(records) => self.apply_poison(from, records),
+            Frame::Suspicions(updates) => self.apply_suspicions(from, updates),
             Frame::Origins(updates) => self.process.apply_origins(updates),
             Frame::Limits(updates) => self.apply_limits(from, updates),
             Frame::Fragile(update) => self.apply_tolerance(from, update),
--- a/crates/gateway/src/process/fleet/origin.rs
+++ b/crates/gateway/src/process/fleet/origin.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::connection::frame::{Frame, Permit};
-use crate::process::fleet::{Fleet, Peer};
+use crate::process::fleet::Fleet;
 
 /// How long the entries that are asked for an origin may take: about twenty round trips.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(100);
@@ -57,7 +57,7 @@
         if !self.process.try_look_up(workspace) {
             return None;
         }
-        let entries = self.origin_entries();
+        let entries = self.current_actives();
         let keepers: Vec<id::Host> = origin::keepers(key, &entries).into_iter().cloned().collect();
         if let Some(origin) = self.ask_for_origin(key, &keepers).await {
             return Some(origin);
@@ -106,22 +106,10 @@
     }
 
     fn publish_origin(&self, key: Key, origin: &Origin) {
-        let entries = self.origin_entries();
+        let entries = self.current_actives();
         let mut outbox = self.origins.outbox.lock();
         for entry in origin::keepers(key, &entries) {
             outbox.push(entry.clone(), key, origin.clone());
         }
     }
-
-    /// Returns the linked actives that keep origins. An entry of an earlier release would close the
-    /// link on frames that it does not know.
-    fn origin_entries(&self) -> Vec<id::Host> {
-        let view = self.view();
-        let peers = self.peers.lock();
-        let keeps = |peer: &&Peer| {
-            view.actives.contains(&peer.member.host)
-                && peer.heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.keeps_origins)
-        };
-        peers.values().filter(keeps).map(|peer| peer.member.host.clone()).collect()
-    }
 }
--- a/crates/gateway/src/process/fleet/owner.rs
+++ b/crates/gateway/src/process/fleet/owner.rs
@@ -131,6 +131,9 @@
             let wait = origin.is_none().then_some(UNANSWERED_RETRY);
             return send(Reply { wait, origin });
         }
+        if let Permit::Features(features) = &permit {
+            return reply(self.decide_on_features(features));
+        }
         match self.permit_route(&permit.key(), Some(from)) {
             Route::Own => {}
             Route::Unreachable => return reply(Some(UNREACHABLE_RETRY)),
@@ -144,7 +147,7 @@
             Permit::LimitedSend(update) => self.apply_limits(from, vec![update.clone()]),
             Permit::ColdSend(update) => self.process.apply_cold_update(update),
             Permit::Slot(request) => self.apply_tolerance(from, request.update.clone()),
-            Permit::Resumption(_) => {}
+            Permit::Features(_) | Permit::Resumption(_) => {}
         }
         reply(self.decide(from, &permit));
     }
@@ -176,6 +179,7 @@
             Permit::LimitedSend(update) => self.process.try_send(&update.target),
             Permit::ColdSend(update) => self.process.try_cold_send(update, from),
             Permit::Slot(request) => self.process.grant_slot(request),
+            Permit::Features(features) => self.decide_on_features(features),
             Permit::Resumption(key) => {
                 self.process.origin(*key).is_none().then_some(UNANSWERED_RETRY)
             }
--- a/crates/gateway/src/process/fleet/target_limits.rs
+++ b/crates/gateway/src/process/fleet/target_limits.rs
@@ -49,7 +49,10 @@
         let frame = match self.process.required_permit(target) {
             Some(Permit::ColdSend(update)) => Frame::ColdSend(update),
             Some(Permit::LimitedSend(update)) => Frame::LimitedSend(update),
-            Some(Permit::Trial(_) | Permit::Slot(_) | Permit::Resumption(_)) | None => return,
+            Some(
+                Permit::Trial(_) | Permit::Slot(_) | Permit::Features(_) | Permit::Resumption(_),
+            )
+            | None => return,
         };
         match self.permit_route(target.as_str(), None) {
             Route::Own => self.process.spend(target, None),
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -6,6 +6,7 @@
 mod path;
 mod poison;
 mod rest;
+mod suspicion;
 mod target_limits;
 mod targets;
 mod usage;
@@ -41,8 +42,9 @@
 use crate::process::state::origin::Origins;
 use crate::process::state::path::Path;
 use crate::process::state::poison::Poison;
+use crate::process::state::suspicion::Suspicions;
 
-pub(crate) use poison::CrashCheck;
+pub(crate) use poison::{BrokenRun, CrashCheck};
 
 /// Share of the configured retry ratio that the entry's own successes earn. The rest leaves room
 /// for requests that are counted in another window than their retries.
@@ -84,6 +86,8 @@
     refusals: Mutex<Ledger>,
     /// Requests that targets crashed on.
     poison: Poison,
+    /// Features of requests that engines crashed on.
+    suspicions: Suspicions,
     /// Versions of software that began streams.
     origins: Origins,
     path: Path,
@@ -137,6 +141,7 @@
             copies: Mutex::default(),
             refusals: Mutex::default(),
             poison: Poison::default(),
+            suspicions: Suspicions::default(),
             origins: Origins::default(),
             path: Path::default(),
             fragile: Mutex::default(),
--- a/crates/gateway/src/process/state/poison.rs
+++ b/crates/gateway/src/process/state/poison.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fireflyhoist_policy::feature::Feature;
 use fireflyhoist_policy::lease::{Leases, Target};
 use fireflyhoist_policy::poison::{self, Decision, Incarnation, Ledger, Record};
 use fireflyhoist_policy::resubmission::Fingerprint;
@@ -33,6 +34,21 @@
     target: Target,
     /// How long the run had been under way.
     run_time: Duration,
+    /// What the run had in common with others, if it had written nothing.
+    features: Vec<Feature>,
+}
+
+/// A run that broke off.
+#[derive(Debug)]
+pub(crate) struct BrokenRun<'a> {
+    /// When it broke off.
+    pub(crate) at: Time,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) target: &'a Target,
+    /// How long it had been under way.
+    pub(crate) run_time: Duration,
+    /// What it had in common with others, if it had written nothing.
+    pub(crate) features: &'a [Feature],
 }
 
 /// The ledger of crashes, and the runs whose outcome is not known yet.
@@ -75,16 +91,12 @@
 }
 
 impl Process {
-    /// Records that a target crashed at `at` on a request that had run there for `run_time`;
-    /// returns the number of targets that crashed on the request.
-    pub(crate) fn record_crash(
-        &self,
-        at: Time,
-        fingerprint: Fingerprint,
-        target: &Target,
-        run_time: Duration,
-    ) -> usize {
+    /// Records that a target crashed on a run; returns the number of targets that crashed on its
+    /// request.
+    pub(crate) fn record_crash(&self, run: &BrokenRun<'_>) -> usize {
+        let BrokenRun { at, fingerprint, target, run_time, features } = *run;
         let incarnation = Incarnation::of(target);
+        self.record_feature_crash(at, incarnation, features);
         let mut ledger = self.poison.ledger.lock();
         let crashes = ledger.record_crash(self.clock.now(), at, fingerprint, incarnation, run_time);
         drop(ledger);
@@ -92,20 +104,15 @@
         crashes
     }
 
-    /// Records that a run broke off at `at` at a target that accepted a connection right after.
-    pub(crate) fn record_unconfirmed_crash(
-        &self,
-        at: Time,
-        fingerprint: Fingerprint,
-        target: &Target,
-        run_time: Duration,
-    ) {
+    /// Records that a run broke off at a target that accepted a connection right after.
+    pub(crate) fn record_unconfirmed_crash(&self, run: &BrokenRun<'_>) {
+        let BrokenRun { at, fingerprint, target, run_time, features } = *run;
         let mut unconfirmed = self.poison.unconfirmed.lock();
         if unconfirmed.len() >= MAX_UNCONFIRMED {
             unconfirmed.pop_front();
         }
-        let target = target.clone();
-        unconfirmed.push_back(UnconfirmedCrash { at, fingerprint, target, run_time });
+        let (target, features) = (target.clone(), features.to_vec());
+        unconfirmed.push_back(UnconfirmedCrash { at, fingerprint, target, run_time, features });
     }
 
     /// Records the unconfirmed crashes of targets whose leases show that they ended.
@@ -131,8 +138,10 @@
         *unconfirmed = remaining;
         drop(unconfirmed);
         let confirmed: VecDeque<UnconfirmedCrash> = confirmed;
-        for UnconfirmedCrash { at, fingerprint, target, run_time } in confirmed {
-            let crashes = self.record_crash(at, fingerprint, &target, run_time);
+        for UnconfirmedCrash { at, fingerprint, target, run_time, features } in confirmed {
+            let (target, features) = (&target, features.as_slice());
+            let run = BrokenRun { at, fingerprint, target, run_time, features };
+            let crashes = self.record_crash(&run);
             ::log::info!(print:% = fingerprint, target:% = target.id, ends = crashes; "crash of target confirmed");
         }
     }
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -127,9 +127,11 @@
     let Some(permit) = worker.process.required_permit(target) else { return Ok(None) };
     let exclusion = match permit {
         Permit::ColdSend(_) => Exclusion::Cold,
-        Permit::LimitedSend(_) | Permit::Trial(_) | Permit::Slot(_) | Permit::Resumption(_) => {
-            Exclusion::Limited
-        }
+        Permit::LimitedSend(_)
+        | Permit::Trial(_)
+        | Permit::Slot(_)
+        | Permit::Features(_)
+        | Permit::Resumption(_) => Exclusion::Limited,
     };
     let grant = Grant::new(worker.process.clock.now());
     let wait = worker.fleet.request_permit(permit, SEND_TIMEOUT).await;
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -149,6 +149,7 @@
     let elapsed = worker.process.clock.now().since(started_at);
     if !result.as_ref().is_err_and(Error::did_not_run) {
         context.has_trial.set(false);
+        context.has_feature_trial.set(false);
     }
     let outcome = match &result {
         Ok(started) => started.response.status.as_str().to_owned(),
--- a/crates/gateway/src/request/liveness.rs
+++ b/crates/gateway/src/request/liveness.rs
@@ -20,7 +20,7 @@
 
 use crate::connection::exchange::{CONNECT_TIMEOUT, Failure, Outgoing, Refusal};
 use crate::platform::Platform;
-use crate::process::state::{CrashCheck, Process, millis};
+use crate::process::state::{BrokenRun, CrashCheck, Process, millis};
 use crate::request::{Context, Worker};
 
 /// Timeout of a report call, after which the target counts as alive: it may be slow.
@@ -137,17 +137,17 @@
     fn record(&self, status: Status, interrupted_at: Time) {
         let run_time = interrupted_at.since(self.since);
         self.process.metrics.broken_run(status);
+        let run = BrokenRun {
+            at: interrupted_at,
+            fingerprint: self.fingerprint,
+            target: &self.target,
+            run_time,
+            features: &self.features,
+        };
         let crashes = match status {
-            Status::Crashed => {
-                self.process.record_crash(interrupted_at, self.fingerprint, &self.target, run_time)
-            }
+            Status::Crashed => self.process.record_crash(&run),
             Status::Alive => {
-                self.process.record_unconfirmed_crash(
-                    interrupted_at,
-                    self.fingerprint,
-                    &self.target,
-                    run_time,
-                );
+                self.process.record_unconfirmed_crash(&run);
                 self.process.crashes(self.fingerprint)
             }
             Status::Draining | Status::Unreachable => self.process.crashes(self.fingerprint),
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -94,6 +94,8 @@
     pub(crate) constraint: Constraint,
     /// Whether it was granted a trial that has not reached a target yet.
     pub(crate) has_trial: Cell<bool>,
+    /// Whether its features were granted one.
+    pub(crate) has_feature_trial: Cell<bool>,
     /// When its caller first sent it: earlier than its arrival if it was refused before.
     pub(crate) first_sent_at: Time,
     /// When its answer should begin, by the objective of its route.
@@ -243,6 +245,7 @@
         constraint,
         fingerprint,
         has_trial: Cell::new(false),
+        has_feature_trial: Cell::new(false),
         first_sent_at,
         objective: first_sent_at + route.objective,
         start_deadline: arrived_at + start_timeout.min(request_timeout),
--- a/crates/gateway/src/request/probe.rs
+++ b/crates/gateway/src/request/probe.rs
@@ -24,7 +24,7 @@
         isolated: process.is_isolated(),
         revision: process.revision(),
         era: process.era(),
-        held: process.suspects(),
+        held: process.suspects() + process.suspect_features(),
         limited: process.limited_targets(),
         cordoned: process.cordoned_domains(),
         cold: process.cold_targets(),
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -431,6 +431,9 @@
             return true;
         };
         for event in events {
+            if self.run_events == 0 {
+                self.worker.process.record_first_event(&self.context.facts.features);
+            }
             self.run_events += 1;
             if let Some(id) = event.id {
                 // The previous run produced this event while the next one started.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod shutdown;
 pub mod stagger;
 pub mod suppress;
+pub mod suspicion;
 mod target;
 pub mod target_limit;
 pub mod throughput;
