--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -9,7 +9,7 @@
 
 use fireflyhoist_gateway::native::{
     BACKUP_HEADER, COPY_HEADER, Copied, FRAGILE_HEADER, INSTANCE_HEADER, LEAVING_HEADER, Move,
-    RATE_LIMIT_HEADER, Report,
+    PROMPT_PARTS_HEADER, RATE_LIMIT_HEADER, Report,
 };
 use fireflyhoist_policy::cold::Warmup;
 use fireflyhoist_policy::id;
@@ -29,6 +29,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::ledger::Kind;
+use crate::parts;
 use crate::plan::DOMAINS;
 use crate::proxy::Proxy;
 use crate::seen::Seen;
@@ -84,6 +85,9 @@
 /// The services, by the number of their back ends.
 pub(crate) const SERVICES: [&str; 3] = ["look", "send", "page"];
 
+/// The beginning of each event.
+const BEGUN: &str = "id: ";
+
 /// A run's memory.
 #[derive(Clone, Copy, Debug)]
 struct Run {
@@ -112,6 +116,14 @@
     }
 }
 
+/// What differs between back ends of one service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Traits {
+    pub(crate) version: Option<u32>,
+    /// Whether its answers have neither a length nor chunks.
+    pub(crate) unframed: bool,
+}
+
 /// One back end, for as long as its process would live.
 #[derive(Debug)]
 pub(crate) struct Backend {
@@ -147,6 +159,7 @@
     ended: mpsc::UnboundedSender<usize>,
     slot: usize,
     software: Option<Software>,
+    unframed: bool,
     running: RefCell<BTreeMap<SmolStr, Rc<Running>>>,
     engines: Rc<Engines>,
     seen: Seen,
@@ -204,11 +217,11 @@
 }
 
 impl Backend {
-    /// Starts behind `proxy` under a new name, with a version of software or none.
+    /// Starts behind `proxy` under a new name.
     pub(crate) async fn start(
         slot: usize,
         nth: u32,
-        version: Option<u32>,
+        traits: Traits,
         proxy: &Proxy,
         engines: &Rc<Engines>,
         ended: &mpsc::UnboundedSender<usize>,
@@ -229,10 +242,11 @@
             cold_ms: 0,
             slots: SLOTS,
             start: None,
-            software: version.map(software),
+            software: traits.version.map(software),
         };
         let shared = Rc::new(Shared {
             software: listed.software.clone(),
+            unframed: traits.unframed,
             instance,
             address: proxy.address,
             service,
@@ -267,6 +281,11 @@
                                 response.headers_mut().insert(RATE_LIMIT_HEADER, limit);
                             }
                             shared.say_words(&mut response);
+                            if shared.unframed {
+                                // An answer to HTTP/1.0 without a length ends with its connection.
+                                *response.version_mut() = hyper::Version::HTTP_10;
+                                response = response.map(without_length);
+                            }
                             let lost = shared.losing.get() && shared.engines.next() % 2 == 0;
                             if lost { Err(io::Error::other("lost")) } else { Ok(response) }
                         }
@@ -385,6 +404,12 @@
         // The run is over where nobody listens.
         let _ = shared.ended.send(shared.slot);
     }
+    if text(PROMPT_PARTS_HEADER).is_some_and(|parts| parts::is_bad(&parts)) {
+        shared.seen.bad_part_arrived(&id);
+        sleep(POISON).await;
+        shared.seen.ended_on_part();
+        let _ = shared.ended.send(shared.slot);
+    }
     if shared.service == "page" {
         let copy = text(COPY_HEADER);
         let last = text(LAST_EVENT_HEADER).and_then(|last| last.parse().ok()).unwrap_or(0);
@@ -417,6 +442,11 @@
     }
 }
 
+/// A body whose length is not known before its end.
+fn without_length(body: Body) -> Body {
+    StreamBody::new(http_body_util::BodyStream::new(body)).boxed()
+}
+
 /// The answer of a target that did not run a request.
 fn declined(id: &str) -> Response<Body> {
     let declined = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE);
@@ -499,6 +529,7 @@
 ) {
     let version = shared.software.as_ref().map(|software| format!(" {software}"));
     let version = version.unwrap_or_default();
+    let last = running.run.get().made;
     while running.run.get().made < length(&name) {
         sleep(EVENT).await;
         if running.stopped.get() {
@@ -509,7 +540,14 @@
         let Run { generation, made } = running.run.get();
         let run = Run { generation, made: made + 1 };
         running.run.set(run);
-        let event = format!("id: {}\ndata: {name} {generation}{version}\n\n", run.made);
+        let mut event = format!("id: {}\ndata: {name} {generation}{version}\n\n", run.made);
+        if shared.unframed {
+            event = event.split_off(if run.made == last + 1 { 0 } else { BEGUN.len() });
+            if run.made < length(&name) {
+                // Whatever ends the connection before the last event ends it inside one.
+                event.push_str(BEGUN);
+            }
+        }
         if sender.send(Ok(Frame::data(Bytes::from(event)))).await.is_err() {
             break;
         }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -40,7 +40,7 @@
     pub(crate) status: u16,
     pub(crate) body: String,
     closes: bool,
-    whole: bool,
+    pub(crate) whole: bool,
 }
 
 /// Opens a connection.
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -8,6 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::backend;
+use crate::parts::{self, Part};
 use crate::plan::{BACKENDS, DOMAINS};
 use crate::streams::{self, TakenUp, Try};
 
@@ -196,6 +197,8 @@
     pub(crate) unlinked: Vec<Disturbed>,
     /// Entries that were cut from all targets.
     pub(crate) isolations: Vec<Isolated>,
+    /// What was seen of the part that ends targets.
+    pub(crate) part: Part,
     /// Tries to begin streams and to take them up.
     pub(crate) tries: Vec<Try>,
     /// What targets said in answers.
@@ -259,6 +262,7 @@
         self.check_isolations(&mut broken);
         let is_calm = |entry, from, to| self.is_calm(entry, from, to);
         broken.extend(streams::violations(&self.tries, is_calm));
+        broken.extend(parts::violations(&self.part, is_calm));
         self.check_words(&mut broken);
         self.fragile.iter().for_each(|fragile| self.check_overload(fragile, &mut broken));
         self.cold.iter().for_each(|cold| self.check_cold(cold, &mut broken));
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod entry;
 mod forwarder;
 mod ledger;
+mod parts;
 mod plan;
 mod proxy;
 mod report;
@@ -54,6 +55,10 @@
     pub announcements: bool,
     /// Whether engines are replaced by ones of other versions, and callers take streams up.
     pub versions: bool,
+    /// Whether requests share a part of their prompts that ends targets.
+    pub parts: bool,
+    /// Whether targets answer without a length, so that an answer ends with its connection.
+    pub unframed: bool,
 }
 
 /// Why a run can't be played.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -38,6 +38,10 @@
     announcements: bool,
     /// Engines of several versions, and callers that take streams up, as well.
     versions: bool,
+    /// A part of prompts that ends targets, as well.
+    parts: bool,
+    /// Answers that end with their connections, as well.
+    unframed: bool,
     /// Where logs, timelines and plots of seeds that failed are kept.
     #[bpaf(argument("DIR"), fallback(PathBuf::from("target/soak")))]
     report: PathBuf,
@@ -64,6 +68,8 @@
         overload: flags.overload,
         announcements: flags.announcements,
         versions: flags.versions,
+        parts: flags.parts,
+        unframed: flags.unframed,
     };
     let mut failed = 0;
     for seed in flags.seed..flags.seed + flags.seeds {
--- a/crates/soak/src/seen.rs
+++ b/crates/soak/src/seen.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use crate::ledger::{Asked, Disturbed, Isolated, Ledger, Limit, Overload, Probed, Span, Word};
+use crate::parts;
 use crate::streams::Try;
 
 /// What everyone in a run notes what they see in.
@@ -50,6 +51,28 @@
         self.ledger.borrow_mut().arrivals.push(arrival);
     }
 
+    pub(crate) fn asked_with_parts(&self, asked: parts::Asked) {
+        self.ledger.borrow_mut().part.asked.push(asked);
+    }
+
+    /// Notes that a request with the part that ends targets has reached one.
+    pub(crate) fn bad_part_arrived(&self, request: &SmolStr) {
+        let arrival = (self.now(), request.clone());
+        self.ledger.borrow_mut().part.arrivals.push(arrival);
+    }
+
+    /// Notes that a target ended on that part.
+    pub(crate) fn ended_on_part(&self) {
+        let now = self.now();
+        self.ledger.borrow_mut().part.ends.push(now);
+    }
+
+    /// Notes that all entries were killed.
+    pub(crate) fn forgotten(&self) {
+        let now = self.now();
+        self.ledger.borrow_mut().part.forgotten.push(now);
+    }
+
     /// Notes that a target takes requests from now on, if it has a version.
     pub(crate) fn serves(&self, listed: &Target) {
         if let Some(software) = &listed.software {
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -16,7 +16,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use crate::backend::{self, Backend, Engines, SERVICES};
+use crate::backend::{self, Backend, Engines, SERVICES, Traits};
 use crate::caller::{self, TIMEOUT};
 use crate::entry::{self, Entry, Place};
 use crate::forwarder::Forwarder;
@@ -24,7 +24,7 @@
 use crate::plan::{BACKENDS, CALM, LEAD, PROOF, Plan};
 use crate::proxy::Proxy;
 use crate::seen::Seen;
-use crate::{PlayError, Size, streams, text};
+use crate::{PlayError, Size, parts, streams, text};
 
 /// Time between two looks at which text an entry has.
 const PROBE: Duration = Duration::from_millis(250);
@@ -68,7 +68,8 @@
         for slot in 0..SERVICES.len() * BACKENDS {
             let proxy = Proxy::open(registry.address()).await;
             let version = size.versions.then_some(0);
-            let backend = Backend::start(slot, 0, version, &proxy, &engines, &ended, &seen).await;
+            let traits = Traits { version, unframed: size.unframed };
+            let backend = Backend::start(slot, 0, traits, &proxy, &engines, &ended, &seen).await;
             seen.serves(&backend.listed);
             registry.put(backend.listed.clone());
             backends.push(RefCell::new(backend));
@@ -127,6 +128,12 @@
         if self.size.needy {
             spawn_local(caller::poison(self.seed, addresses.clone(), self.seen.clone()));
         }
+        if self.size.parts {
+            for bad in [true, false] {
+                let (entries, seen) = (addresses.clone(), self.seen.clone());
+                spawn_local(parts::run(bad, self.seed, entries, seen));
+            }
+        }
         if self.size.versions {
             for number in 0..streams::CALLERS {
                 let (entries, seen) = (addresses.clone(), self.seen.clone());
--- a/crates/soak/src/world/strike.rs
+++ b/crates/soak/src/world/strike.rs
@@ -9,7 +9,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use crate::backend::{self, Backend, SERVICES};
+use crate::backend::{self, Backend, SERVICES, Traits};
 use crate::caller;
 use crate::entry::{self, GRACE_S};
 use crate::plan::{BACKENDS, DOMAINS, Fault, Isolation, Planned};
@@ -43,6 +43,7 @@
         match fault {
             Fault::Kill(nth) => self.kill(nth).await,
             Fault::KillAll => {
+                self.seen.forgotten();
                 let all = 0..self.entries.len();
                 let kills = all.map(|nth| spawn_local(self.clone().kill_owned(nth)));
                 for kill in kills.collect::<Vec<_>>() {
@@ -386,7 +387,8 @@
         let (nth, proxy) = (self.starts.get(), &self.proxies[slot]);
         let version = self.size.versions.then(|| self.versions.borrow()[slot]);
         let (engines, ended) = (&self.engines, &self.ended);
-        let next = Backend::start(slot, nth, version, proxy, engines, ended, &self.seen).await;
+        let traits = Traits { version, unframed: self.size.unframed };
+        let next = Backend::start(slot, nth, traits, proxy, engines, ended, &self.seen).await;
         let next = if self.size.domains { next.cold() } else { next };
         self.seen.serves(&next.listed);
         self.registry.put(next.listed.clone());
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -134,3 +134,29 @@
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
 }
+
+/// The same while requests of which no two are alike share a part of their prompts that ends targets.
+#[parameterized(
+    short = { 1, 12 },
+)]
+#[test_macro(ntex::test)]
+async fn promises_hold_before_a_part_that_ends_targets(seed: u64, seconds: u64) {
+    let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-parts");
+    let size = Size { seconds, processes: 4, parts: true, ..Size::default() };
+    let verdict = play(seed, size, &report).await.expect("it plays");
+    assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
+    assert!(verdict.served() > 50, "{verdict}");
+}
+
+/// The same while answers have neither a length nor chunks and end with their connections.
+#[parameterized(
+    short = { 1, 6 },
+)]
+#[test_macro(ntex::test)]
+async fn promises_hold_for_answers_without_a_length(seed: u64, seconds: u64) {
+    let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-unframed");
+    let size = Size { seconds, processes: 4, unframed: true, ..Size::default() };
+    let verdict = play(seed, size, &report).await.expect("it plays");
+    assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
+    assert!(verdict.served() > 50, "{verdict}");
+}
