Take a stream without an event that ends with its connection for broken off

What callers would see: a stream that looks complete and is empty, where an engine ended on beginning to write an answer that has neither a length nor chunks. The entry took the end of the connection for that of the answer, so that the run did not go on elsewhere and the crash was not noticed.

Found by new tests of answers that end with their connection, tests/unframed.rs: 2 of 15 were red (ended after the head) and are green; 13 show that plain, large and streamed answers come whole, and that what is broken off within an event or by a reset does not look whole and goes on elsewhere.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use ntex::http::header::{HOST, HeaderValue};
+use ntex::http::header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
 use ntex::http::{HeaderMap, Method, StatusCode};
 use ntex::util::{Bytes, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -222,6 +222,12 @@
         }
     }
 
+    /// Returns whether the body has neither a length nor chunks, so that its end is that of the
+    /// connection.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        !self.headers.contains_key(CONTENT_LENGTH) && !self.headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Reads the rest of the body, and fails if it is more than `limit` bytes.
     pub(crate) async fn read_body(&mut self, limit: usize) -> Result<Bytes, Failure> {
         let mut body = BytesMut::new();
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -418,9 +418,13 @@
         }
     }
 
-    /// Returns whether the answer is complete: the response ended in order and not within an event.
+    /// Returns whether the answer is complete: the response ended in order and not within an event. One
+    /// without an event that ends with its connection was broken off on beginning to write.
     fn is_whole(&self) -> bool {
-        self.splitter.is_empty() && self.upstream.is_some()
+        let is_empty =
+            |upstream: &Response| self.run_events == 0 && upstream.ends_with_connection();
+        let ended_in_order = self.upstream.as_ref().is_some_and(|upstream| !is_empty(upstream));
+        ended_in_order && self.splitter.is_empty()
     }
 
     /// Forwards the events that the caller has not received yet. Returns false once the caller has
