--- a/crates/policy/tests/suspicion.rs
+++ b/crates/policy/tests/suspicion.rs
@@ -127,6 +127,17 @@
     assert!(is_held(&ledger, now, &["a", "bad"]) && !is_held(&ledger, now, &["a", "c"]));
 }
 
+/// Guards against holding back what ran on a failure domain when its engines crashed at once.
+#[test]
+fn crashes_at_one_moment_count_as_one() {
+    let mut ledger = Ledger::default();
+    for nth in 0..10 {
+        let when = at(3 * nth as u64);
+        ledger.record_crash(when, when, engine(nth), &features(&["a"]));
+    }
+    assert!(!is_held(&ledger, at(100), &["a"]));
+}
+
 /// Guards against two bad parts that hide each other.
 #[test]
 fn two_bad_parts_are_held() {
