--- a/crates/bench/src/cost.rs
+++ b/crates/bench/src/cost.rs
@@ -137,6 +137,7 @@
         id: id::Request::new(request as u128),
         workspace: format_smolstr!("workspace-{workspace:04}").try_into().expect("a valid name"),
         class: Class::Overnight,
+        rank: 0,
         prompt: Tokens::new(500),
         limit: Tokens::new(4_096),
         prefix: workspace as u64 + 1,
--- a/crates/bench/src/target_change.rs
+++ b/crates/bench/src/target_change.rs
@@ -135,6 +135,7 @@
             id: id::Request::new(nth as u128),
             workspace: "archive".parse().expect("a valid name"),
             class: Class::Overnight,
+            rank: 0,
             prompt: Tokens::new(3_000),
             limit: Tokens::new(1_000),
             prefix,
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -399,6 +399,7 @@
         id: request(at),
         workspace: format_smolstr!("w{}", arrival.workspace).try_into().expect("a valid name"),
         class: arrival.class,
+        rank: 0,
         prompt: Tokens::new(arrival.prompt),
         limit: Tokens::new(arrival.limit),
         prefix: arrival.prefix,
--- a/crates/daemon/src/request/completion.rs
+++ b/crates/daemon/src/request/completion.rs
@@ -152,6 +152,7 @@
                 id: id::Request::new(rand::random()),
                 workspace,
                 class: self.service.class,
+                rank: 0,
                 prompt: Tokens::new(completion.prompt.len() as u64 / BYTES_PER_TOKEN),
                 limit: Tokens::new(max_tokens),
                 prefix: placement::prefix(&completion.prompt),
--- a/crates/daemon/src/request/plain/mod.rs
+++ b/crates/daemon/src/request/plain/mod.rs
@@ -75,6 +75,7 @@
         id: message.request,
         workspace: message.workspace.clone(),
         class: service.class,
+        rank: 0,
         prompt: Tokens::default(),
         limit: Tokens::default(),
         prefix: 0,
--- a/crates/gateway/src/process/service_gate.rs
+++ b/crates/gateway/src/process/service_gate.rs
@@ -22,6 +22,7 @@
 use tokio::sync::oneshot;
 
 use crate::process::clock::Clock;
+use crate::process::settings::Scheduling;
 
 /// The delay before the callers of a removed service should retry. A text that adds the service
 /// again takes seconds to come into force.
@@ -132,6 +133,17 @@
         self.state.lock().gate.set_order(order);
     }
 
+    /// Applies the switches of the settings.
+    pub fn set_scheduling(&self, scheduling: Scheduling) {
+        self.state.lock().gate.set_scheduling(|settings| {
+            settings.pause_aware = scheduling.pace;
+            settings.ranks = scheduling.ranks;
+            settings.fleet_shares = scheduling.fleet_shares;
+            settings.locality = scheduling.locality;
+        });
+        self.poll();
+    }
+
     /// Sets the objective for the time to an answer; see [`Gate::set_answer_objective`].
     pub fn set_answer_objective(&self, objective: Duration) {
         self.state.lock().gate.set_answer_objective(objective);
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -56,6 +56,27 @@
     pub registry: SocketAddr,
     /// Limits set by the operators.
     pub bounds: Bounds,
+    /// Which mechanisms for contended targets are in use.
+    #[serde(default)]
+    pub scheduling: Scheduling,
+}
+
+/// Switches for the mechanisms of docs/design/contended-fleet.md, all off unless set.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Scheduling {
+    /// Place generations by the pauses that their prompts are predicted to cause.
+    pub pace: bool,
+    /// Reserve prefill at an engine's owner before a generation is sent there.
+    pub reservations: bool,
+    /// Serve requests in the order of their ranks.
+    pub ranks: bool,
+    /// Count what a workspace uses at other entries in its share.
+    pub fleet_shares: bool,
+    /// Prefer targets in the failure domain of this entry.
+    pub locality: bool,
+    /// Send callers away from entries that are loaded beyond what they can carry.
+    pub entry_load: bool,
 }
 
 /// Limits for the whole deployment.
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -38,7 +38,7 @@
 use crate::process::clock::Clock;
 use crate::process::metrics::Metrics;
 use crate::process::service_gate::ServiceGate;
-use crate::process::settings::{Bounds, Settings};
+use crate::process::settings::{Bounds, Scheduling, Settings};
 use crate::process::state::origin::Origins;
 use crate::process::state::path::Path;
 use crate::process::state::poison::Poison;
@@ -72,6 +72,7 @@
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
     bounds: RwLock<Bounds>,
+    scheduling: RwLock<Scheduling>,
     seeds: RwLock<Vec<std::net::SocketAddr>>,
     table: RwLock<Option<Arc<Table>>>,
     gates: RwLock<HashMap<id::Service, Arc<ServiceGate>>>,
@@ -132,6 +133,7 @@
             clock: Clock::start(),
             metrics: Metrics::open()?,
             bounds: RwLock::new(settings.bounds),
+            scheduling: RwLock::new(settings.scheduling),
             seeds: RwLock::new(settings.seeds.clone()),
             table: RwLock::default(),
             gates: RwLock::default(),
@@ -170,13 +172,24 @@
 
     /// Applies the settings that may change at run time; returns whether any of them changed.
     pub(crate) fn reload(&self, settings: Settings) -> bool {
-        let changed =
-            *self.bounds.read() != settings.bounds || *self.seeds.read() != settings.seeds;
+        let scheduling_changed = *self.scheduling.read() != settings.scheduling;
+        let changed = scheduling_changed
+            || *self.bounds.read() != settings.bounds
+            || *self.seeds.read() != settings.seeds;
         *self.bounds.write() = settings.bounds;
         *self.seeds.write() = settings.seeds;
+        if scheduling_changed {
+            *self.scheduling.write() = settings.scheduling;
+            self.gates.read().values().for_each(|gate| gate.set_scheduling(settings.scheduling));
+        }
         changed
     }
 
+    /// Returns the switches of mechanisms for contended targets.
+    pub(crate) fn scheduling(&self) -> Scheduling {
+        *self.scheduling.read()
+    }
+
     pub(crate) fn bounds(&self) -> Bounds {
         *self.bounds.read()
     }
@@ -229,6 +242,7 @@
             let gate = gate
                 .or_insert_with(|| ServiceGate::with_settings(self.clock, self.gate_settings()));
             gate.set_order(order.clone());
+            gate.set_scheduling(self.scheduling());
             if service.engine.is_none()
                 && let Some(objective) = objectives.get(&service.name)
             {
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -171,6 +171,11 @@
         self.retries.set_limits(limits);
     }
 
+    /// Switches mechanisms for contended targets on or off. What runs or waits stays as it is.
+    pub fn set_scheduling(&mut self, update: impl FnOnce(&mut Settings)) {
+        update(&mut self.settings);
+    }
+
     /// Sets the objective for the time between tokens of live generations.
     pub fn set_token_interval(&mut self, token_interval: Duration) {
         self.settings.token_interval = token_interval;
--- a/crates/policy/src/gate/settings.rs
+++ b/crates/policy/src/gate/settings.rs
@@ -38,6 +38,15 @@
     /// Let requests that are past their objective use only spare capacity, and shed those that find
     /// none; see [`crate::shedding`].
     pub shed_late: bool,
+    /// Place generations by the pauses that their prompts are predicted to cause. Effective only
+    /// with a longest pause.
+    pub pause_aware: bool,
+    /// Serve requests in the order of their ranks.
+    pub ranks: bool,
+    /// Count what workspaces use at other entries.
+    pub fleet_shares: bool,
+    /// Prefer targets in the failure domain of the entry.
+    pub locality: bool,
     /// Eject slow and failing targets.
     pub outlier: bool,
     /// Charge retries of overnight generations to the retry budget as well, for operators who bound
@@ -63,6 +72,10 @@
             stagger: true,
             prefill_bound: false,
             shed_late: false,
+            pause_aware: false,
+            ranks: false,
+            fleet_shares: false,
+            locality: false,
             outlier: true,
             charge_overnight: false,
             retries: retry::Limits::default(),
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -50,6 +50,8 @@
     pub workspace: id::Workspace,
     /// The latency class.
     pub class: Class,
+    /// The priority of its workspace or route; 0 is the most urgent.
+    pub rank: u8,
     /// Tokens of the prompt, as estimated by the entry.
     pub prompt: Tokens,
     /// The most tokens that the answer may hold.
--- a/crates/policy/tests/gate.rs
+++ b/crates/policy/tests/gate.rs
@@ -21,6 +21,7 @@
         id: id::Request::new(number),
         workspace: workspace.parse().expect("a name"),
         class,
+        rank: 0,
         prompt: Tokens::new(200),
         limit: Tokens::new(4_096),
         prefix: 0,
--- a/crates/policy/tests/gate_cordon.rs
+++ b/crates/policy/tests/gate_cordon.rs
@@ -60,6 +60,7 @@
         id: id::Request::new(number),
         workspace: "w".parse().expect("a name"),
         class: Class::Live,
+        rank: 0,
         prompt: Tokens::new(PROMPT_TOKENS),
         limit: Tokens::new(40),
         prefix: 0,
--- a/crates/policy/tests/gate_rest.rs
+++ b/crates/policy/tests/gate_rest.rs
@@ -26,6 +26,7 @@
         id: id::Request::new(number),
         workspace: "archive".parse().expect("a name"),
         class,
+        rank: 0,
         prompt: Tokens::new(100),
         limit: Tokens::new(if class == Class::Lookup { 0 } else { 100 }),
         prefix: NO_PREFIX,
--- a/crates/policy/tests/gate_updates.rs
+++ b/crates/policy/tests/gate_updates.rs
@@ -30,6 +30,7 @@
         id: id::Request::new(number),
         workspace: "archive".parse().expect("a name"),
         class: Class::Lookup,
+        rank: 0,
         prompt: Tokens::default(),
         limit: Tokens::default(),
         prefix: 0,
--- a/crates/policy/tests/gate_versions.rs
+++ b/crates/policy/tests/gate_versions.rs
@@ -29,6 +29,7 @@
         id: id::Request::new(number),
         workspace: "archive".parse().expect("a name"),
         class: Class::Live,
+        rank: 0,
         prompt: Tokens::new(200),
         limit: Tokens::new(400),
         prefix: 0,
--- a/crates/policy/tests/migration.rs
+++ b/crates/policy/tests/migration.rs
@@ -22,6 +22,7 @@
         id: id::Request::new(request),
         workspace: "w".parse().expect("name"),
         class: Class::Live,
+        rank: 0,
         prompt: Tokens::new(3_000),
         limit: Tokens::new(2_000),
         prefix: 0,
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -14,6 +14,7 @@
         id: id::Request::new(number),
         workspace: workspace.parse().expect("a name"),
         class,
+        rank: 0,
         prompt: Tokens::new(10),
         limit: Tokens::new(1_000),
         prefix: 0,
--- a/crates/policy/tests/shedding.rs
+++ b/crates/policy/tests/shedding.rs
@@ -36,6 +36,7 @@
         id: id::Request::new(request),
         workspace: "w".parse().expect("a name"),
         class: Class::Overnight,
+        rank: 0,
         prompt: Tokens::new(PROMPT),
         limit: Tokens::new(1_756),
         prefix: 0,
--- a/crates/policy/tests/stagger.rs
+++ b/crates/policy/tests/stagger.rs
@@ -40,6 +40,7 @@
         id: id::Request::new(request),
         workspace: "w".parse().expect("a name"),
         class: Class::Overnight,
+        rank: 0,
         prompt: Tokens::new(PROMPT),
         limit: Tokens::new(1_756),
         prefix: 0,
