--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -16,6 +16,7 @@
 use fireflyhoist_policy::poison;
 use fireflyhoist_policy::position::Position;
 use fireflyhoist_policy::presence::Update;
+use fireflyhoist_policy::reservation::Demand;
 use fireflyhoist_policy::resubmission::Fingerprint;
 use fireflyhoist_policy::suspicion;
 use fireflyhoist_policy::target_limit;
@@ -29,9 +30,15 @@
 /// The largest frame that is accepted, in bytes; the list of ten thousand targets fits.
 pub(crate) const MAX_FRAME_BYTES: usize = 2 << 20;
 
-/// The frames that this release reads. Entries from 1 on read origins of streams and suspicions; an
-/// earlier one closes the link on them.
-pub(crate) const PROTOCOL: u32 = 1;
+/// The frames that this release reads. An entry of an earlier one closes the link on a frame that it
+/// does not know.
+pub(crate) const PROTOCOL: u32 = 2;
+
+/// The protocol from which on entries read origins of streams and suspicions.
+pub(crate) const ORIGINS_PROTOCOL: u32 = 1;
+
+/// The protocol from which on entries read [`Permit::Prefill`].
+pub(crate) const RESERVATIONS_PROTOCOL: u32 = 2;
 
 /// The first byte of an uncompressed frame.
 const PLAIN: u8 = 0;
@@ -104,6 +111,8 @@
     Slot(SlotRequest),
     /// To run a trial of a request with features that are suspected of crashing engines.
     Features(Vec<Feature>),
+    /// To send a prompt to an engine.
+    Prefill(PrefillRequest),
     /// To send a stream on, at the version that the reply names. Each entry decides by what it knows.
     Resumption(origin::Key),
 }
@@ -116,6 +125,7 @@
             Self::LimitedSend(update) => update.target.to_string(),
             Self::ColdSend(update) => update.target.to_string(),
             Self::Slot(request) => request.target.to_string(),
+            Self::Prefill(request) => request.target.to_string(),
             Self::Features(features) => {
                 features.iter().min().map(ToString::to_string).unwrap_or_default()
             }
@@ -135,6 +145,17 @@
     pub(crate) update: fragility::Update,
 }
 
+/// Requests a reservation of prefill at an engine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct PrefillRequest {
+    /// The engine.
+    pub(crate) target: id::Target,
+    /// The entry that is to send the prompt; others may relay its request.
+    pub(crate) entry: id::Host,
+    /// What the prompt needs there.
+    pub(crate) demand: Demand,
+}
+
 /// One message on a link.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Frame {
--- a/crates/gateway/src/process/fleet/heartbeat.rs
+++ b/crates/gateway/src/process/fleet/heartbeat.rs
@@ -9,7 +9,7 @@
 use fireflyhoist_policy::observation::Observer;
 use tokio::time::sleep;
 
-use crate::connection::frame::{Frame, Heartbeat, PROTOCOL, TargetOutcome};
+use crate::connection::frame::{Frame, Heartbeat, ORIGINS_PROTOCOL, PROTOCOL, TargetOutcome};
 use crate::process::fleet::Fleet;
 
 impl Fleet {
@@ -141,6 +141,7 @@
         }
         let loads = std::mem::take(&mut heartbeat.loads);
         self.process.set_peer_usage(from, loads);
+        self.process.end_reservations(from);
         let mut peers = self.peers.lock();
         let Some(peer) = peers.get_mut(from) else { return };
         let differs = |old: &Heartbeat| {
@@ -149,7 +150,7 @@
                 || old.isolated != heartbeat.isolated
         };
         let view_changes = peer.heartbeat.as_ref().is_none_or(differs);
-        let is_new = peer.heartbeat.is_none() && heartbeat.protocol >= PROTOCOL;
+        let is_new = peer.heartbeat.is_none() && heartbeat.protocol >= ORIGINS_PROTOCOL;
         let previous = peer.heartbeat.take().and_then(|old| old.cordons);
         heartbeat.cordons = heartbeat.cordons.or(previous);
         peer.heartbeat = Some(heartbeat);
--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod origin;
 mod owner;
 mod poison;
+mod reservation;
 mod suspicion;
 mod target_limits;
 mod words;
@@ -32,6 +33,7 @@
 use fireflyhoist_policy::position::Position;
 use fireflyhoist_policy::presence::{Presence, Publisher, Subscriber, Update};
 use fireflyhoist_policy::rendezvous;
+use fireflyhoist_policy::reservation::SilentOwners;
 use fireflyhoist_policy::resubmission::Fingerprint;
 use fireflyhoist_policy::stagger::Order;
 use fireflyhoist_policy::time::Time;
@@ -44,7 +46,7 @@
 use tokio::sync::{Notify, mpsc};
 use tokio::time::sleep;
 
-use crate::connection::frame::{Frame, Heartbeat, PROTOCOL};
+use crate::connection::frame::{Frame, Heartbeat, ORIGINS_PROTOCOL};
 use crate::connection::link::{Event, Links, Loss};
 use crate::process::fleet::catchup::{EncodedTargets, Lag};
 use crate::process::fleet::origin::Origins;
@@ -80,6 +82,12 @@
 }
 
 impl Peer {
+    /// Returns whether it reads the frames of this protocol. An entry of an earlier one would close
+    /// the link on a frame that it does not know.
+    fn reads(&self, protocol: u32) -> bool {
+        self.heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.protocol >= protocol)
+    }
+
     fn presence(&self) -> Presence {
         Presence {
             member: self.member.clone(),
@@ -125,6 +133,7 @@
     changed: Notify,
     pending_permits: PendingPermits,
     origins: Origins,
+    silent_owners: Mutex<SilentOwners>,
     pub(crate) migrations: Coordinator,
 }
 
@@ -158,6 +167,7 @@
             changed: Notify::new(),
             pending_permits: PendingPermits::default(),
             origins: Origins::default(),
+            silent_owners: Mutex::default(),
             migrations: Coordinator::default(),
         });
         fleet.refresh();
@@ -446,14 +456,11 @@
         self.process.retain_owned_buckets(|target| is_active && known.owns(target.as_str()));
     }
 
-    /// Returns the linked entries that read all frames of this release. An entry of an earlier one would
-    /// close the link on a frame that it does not know.
+    /// Returns the linked entries that read origins of streams and suspicions.
     fn current_peers(&self) -> Vec<id::Host> {
         let peers = self.peers.lock();
-        let reads_all = |peer: &&Peer| {
-            peer.heartbeat.as_ref().is_some_and(|heartbeat| heartbeat.protocol >= PROTOCOL)
-        };
-        peers.values().filter(reads_all).map(|peer| peer.member.host.clone()).collect()
+        let reads = |peer: &&Peer| peer.reads(ORIGINS_PROTOCOL);
+        peers.values().filter(reads).map(|peer| peer.member.host.clone()).collect()
     }
 
     /// Returns those of them that are active.
--- a/crates/gateway/src/process/fleet/owner.rs
+++ b/crates/gateway/src/process/fleet/owner.rs
@@ -136,7 +136,10 @@
         }
         match self.permit_route(&permit.key(), Some(from)) {
             Route::Own => {}
-            Route::Unreachable => return reply(Some(UNREACHABLE_RETRY)),
+            Route::Unreachable => return reply(unreachable_wait(&permit)),
+            Route::Send(owner) if !self.can_read(&owner, &permit) => {
+                return reply(unreachable_wait(&permit));
+            }
             Route::Send(owner) => {
                 let id = self.pending_permits.add(Waiter::Forwarded(from.clone(), number));
                 return self.links.send(&owner, &Frame::PermitRequest { id, permit });
@@ -147,7 +150,7 @@
             Permit::LimitedSend(update) => self.apply_limits(from, vec![update.clone()]),
             Permit::ColdSend(update) => self.process.apply_cold_update(update),
             Permit::Slot(request) => self.apply_tolerance(from, request.update.clone()),
-            Permit::Features(_) | Permit::Resumption(_) => {}
+            Permit::Features(_) | Permit::Prefill(_) | Permit::Resumption(_) => {}
         }
         reply(self.decide(from, &permit));
     }
@@ -179,6 +182,7 @@
             Permit::LimitedSend(update) => self.process.try_send(&update.target),
             Permit::ColdSend(update) => self.process.try_cold_send(update, from),
             Permit::Slot(request) => self.process.grant_slot(request),
+            Permit::Prefill(request) => self.process.grant_prefill(request),
             Permit::Features(features) => self.decide_on_features(features),
             Permit::Resumption(key) => {
                 self.process.origin(*key).is_none().then_some(UNANSWERED_RETRY)
@@ -186,3 +190,12 @@
         }
     }
 }
+
+/// Returns the reply to a request for a permit whose owner can't be reached: prompts are sent by the
+/// view of their entries then.
+fn unreachable_wait(permit: &Permit) -> Option<Duration> {
+    match permit {
+        Permit::Prefill(_) => None,
+        _ => Some(UNREACHABLE_RETRY),
+    }
+}
--- a/crates/gateway/src/process/fleet/target_limits.rs
+++ b/crates/gateway/src/process/fleet/target_limits.rs
@@ -50,7 +50,11 @@
             Some(Permit::ColdSend(update)) => Frame::ColdSend(update),
             Some(Permit::LimitedSend(update)) => Frame::LimitedSend(update),
             Some(
-                Permit::Trial(_) | Permit::Slot(_) | Permit::Features(_) | Permit::Resumption(_),
+                Permit::Trial(_)
+                | Permit::Slot(_)
+                | Permit::Prefill(_)
+                | Permit::Features(_)
+                | Permit::Resumption(_),
             )
             | None => return,
         };
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::exclusion::Exclusion;
+use fireflyhoist_policy::reservation;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -50,6 +51,7 @@
     attempts: Counter<u64>,
     broken_runs: Counter<u64>,
     held_back: Counter<u64>,
+    reservations: Counter<u64>,
     registry_restores: Counter<u64>,
     older_eras_refused: Counter<u64>,
     limited_sends: Counter<u64>,
@@ -97,6 +99,10 @@
                 "fireflyhoist.limited_sends",
                 "Requests for targets that take only so much, by reason and decision",
             ),
+            reservations: counter(
+                "fireflyhoist.reservations",
+                "Reservations of prefill that were requested, by outcome",
+            ),
             registry_restores: counter(
                 "fireflyhoist.registry_restores",
                 "Times that the registry came back from a copy",
@@ -164,6 +170,11 @@
         self.limited_sends.add(1, &[why, KeyValue::new("decision", decision)]);
     }
 
+    /// Counts a request for a reservation of prefill.
+    pub(crate) fn reservation(&self, outcome: reservation::Outcome) {
+        self.reservations.add(1, &[KeyValue::new("outcome", outcome.to_string())]);
+    }
+
     /// Counts a restore of the registry from a copy.
     pub(crate) fn registry_restore(&self) {
         self.registry_restores.add(1, &[]);
--- a/crates/gateway/src/process/service_gate.rs
+++ b/crates/gateway/src/process/service_gate.rs
@@ -8,12 +8,13 @@
 
 use fireflyhoist_policy::exclusion::Exclusion;
 use fireflyhoist_policy::gate::{
-    Gate, Holding, Outcome, Placement, Reason, Refusal, Report, Request, Settings, TargetUpdate,
-    Verdict,
+    Class, Gate, Holding, Outcome, Placement, Reason, Refusal, Report, Request, Settings,
+    TargetUpdate, Verdict,
 };
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::observation::{self, Observer};
 use fireflyhoist_policy::outlier;
+use fireflyhoist_policy::reservation::{Demand, Room};
 use fireflyhoist_policy::retry;
 use fireflyhoist_policy::stagger::Order;
 use fireflyhoist_policy::unit::Tokens;
@@ -52,6 +53,21 @@
     waiters: HashMap<id::Request, oneshot::Sender<Verdict>>,
 }
 
+impl State {
+    /// Returns the receiver of the later decision on a request that waits.
+    fn add_waiter(
+        &mut self,
+        request: id::Request,
+        verdict: &Verdict,
+    ) -> Option<oneshot::Receiver<Verdict>> {
+        (*verdict == Verdict::Wait).then(|| {
+            let (sender, receiver) = oneshot::channel();
+            self.waiters.insert(request, sender);
+            receiver
+        })
+    }
+}
+
 impl ServiceGate {
     /// Creates a gate with default settings.
     pub fn open(clock: Clock) -> Arc<Self> {
@@ -201,31 +217,14 @@
         let (verdict, waiter) = {
             let mut state = self.state.lock();
             let verdict = state.gate.offer(self.clock.now(), &mut rand::rng(), request);
-            let waiter = (verdict == Verdict::Wait).then(|| {
-                let (sender, receiver) = oneshot::channel();
-                state.waiters.insert(id, sender);
-                receiver
-            });
+            let waiter = state.add_waiter(id, &verdict);
             (verdict, waiter)
         };
         // The gate counts the request from here on. The pass releases what it holds if it is
         // dropped, or if this future is dropped while it waits.
         let mut pass = Pass { gate: Arc::clone(self), request: id, target: None, done: false };
-        let verdict = match waiter {
-            Some(receiver) => receiver.await.unwrap_or(verdict),
-            None => verdict,
-        };
-        match verdict {
-            Verdict::Send(target) => {
-                pass.target = Some(target);
-                Ok(pass)
-            }
-            Verdict::Refuse(refusal) => {
-                pass.done = true;
-                Err(refusal)
-            }
-            Verdict::Wait => unreachable!("a waiting request is decided by Send or Refuse"),
-        }
+        pass.settle(verdict, waiter).await?;
+        Ok(pass)
     }
 
     /// Decides at once on a request that may run only at the targets in `allowed`; see
@@ -297,6 +296,16 @@
         self.poll();
     }
 
+    /// Returns what a target has room for without a request of this entry; see [`Gate::room`].
+    pub fn room(
+        &self,
+        target: &id::Target,
+        class: Class,
+        own: Option<id::Request>,
+    ) -> Option<Room> {
+        self.state.lock().gate.room(self.clock.now(), target, class, own)
+    }
+
     fn finish(&self, request: id::Request, outcome: Outcome) {
         {
             let mut state = self.state.lock();
@@ -323,6 +332,46 @@
         self.target.as_ref().expect("an admitted request has a target")
     }
 
+    /// Waits for the decision on the request if there is none yet, and sets the target.
+    async fn settle(
+        &mut self,
+        verdict: Verdict,
+        waiter: Option<oneshot::Receiver<Verdict>>,
+    ) -> Result<(), Refusal> {
+        let verdict = match waiter {
+            Some(receiver) => receiver.await.unwrap_or(verdict),
+            None => verdict,
+        };
+        match verdict {
+            Verdict::Send(target) => {
+                self.target = Some(target);
+                Ok(())
+            }
+            Verdict::Refuse(refusal) => {
+                self.done = true;
+                Err(refusal)
+            }
+            Verdict::Wait => unreachable!("a waiting request is decided by Send or Refuse"),
+        }
+    }
+
+    /// Returns what the request needs at its target; see [`Gate::demand`].
+    pub fn demand(&self) -> Option<Demand> {
+        self.gate.state.lock().gate.demand(self.request)
+    }
+
+    /// Chooses another target, because the owner of this one deferred the request for `wait`; see
+    /// [`Gate::defer`].
+    pub async fn defer(&mut self, wait: Duration, draw: bool) -> Result<(), Refusal> {
+        let (verdict, waiter) = {
+            let (now, mut state) = (self.gate.clock.now(), self.gate.state.lock());
+            let verdict = state.gate.defer(now, &mut rand::rng(), self.request, wait, draw);
+            let waiter = state.add_waiter(self.request, &verdict);
+            (verdict, waiter)
+        };
+        self.settle(verdict, waiter).await
+    }
+
     /// Records that the answer has `produced` tokens in all. `started` is set for the first token,
     /// after which the target can take the next prompt.
     pub fn progress(&self, produced: Tokens, started: bool) {
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -5,6 +5,7 @@
 mod origin;
 mod path;
 mod poison;
+mod reservation;
 mod rest;
 mod suspicion;
 mod target_limits;
@@ -22,6 +23,7 @@
 use fireflyhoist_policy::gate;
 use fireflyhoist_policy::lease::Leases;
 use fireflyhoist_policy::position::Position;
+use fireflyhoist_policy::reservation::Reservations;
 use fireflyhoist_policy::rest::Rests;
 use fireflyhoist_policy::resubmission::{Fingerprint, Ledger};
 use fireflyhoist_policy::retry;
@@ -96,6 +98,8 @@
     fragile: Mutex<Services>,
     /// Grants of requests to such targets, used for the targets that this entry decides for.
     grants: Mutex<Grants>,
+    /// Reservations of prefill, used for the engines that this entry decides for.
+    reservations: Mutex<Reservations>,
     /// Targets that asked this entry for rest.
     rests: Mutex<Rests>,
     /// Request rates that targets advertise.
@@ -148,6 +152,7 @@
             path: Path::default(),
             fragile: Mutex::default(),
             grants: Mutex::default(),
+            reservations: Mutex::default(),
             rests: Mutex::default(),
             target_limits: Mutex::default(),
             buckets: Mutex::new(Buckets::with_membership_known_at(
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -10,6 +10,7 @@
 use fireflyhoist_policy::lease::Target;
 use fireflyhoist_policy::origin::Constraint;
 use fireflyhoist_policy::permit::Grant;
+use fireflyhoist_policy::reservation;
 use tokio::time::sleep;
 
 use crate::connection::frame::Permit;
@@ -52,6 +53,10 @@
     loop {
         let request = context.gate_request(avoid.cloned(), retry);
         let pass = match choose(worker, context, request).await {
+            Ok(pass) => reserve(worker, context, pass).await,
+            Err(refusal) => Err(refusal),
+        };
+        let pass = match pass {
             Ok(pass) => pass,
             Err(refusal) if may_wait(worker, context, &refusal) => {
                 sleep(refusal.retry_after).await;
@@ -101,6 +106,20 @@
     }
 }
 
+/// Reserves prefill for a generation at the target that was chosen, or at others that are drawn while
+/// owners defer it. Runs that are taken up again may go on at few targets, and are not deferred.
+async fn reserve(worker: &Worker, context: &Context, mut pass: Pass) -> Result<Pass, Refusal> {
+    if context.service.engine.is_none() || context.constraint != Constraint::Free {
+        return Ok(pass);
+    }
+    let mut asked = 0;
+    while let Some(wait) = worker.fleet.reserve(&context.gate, &pass).await {
+        asked += 1;
+        pass.defer(wait, asked % reservation::MAX_ASKS != 0).await?;
+    }
+    Ok(pass)
+}
+
 /// Returns whether a refused request should rather wait: a place at a fragile target is free again
 /// within milliseconds.
 fn may_wait(worker: &Worker, context: &Context, refusal: &Refusal) -> bool {
@@ -130,6 +149,7 @@
         Permit::LimitedSend(_)
         | Permit::Trial(_)
         | Permit::Slot(_)
+        | Permit::Prefill(_)
         | Permit::Features(_)
         | Permit::Resumption(_) => Exclusion::Limited,
     };
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -8,6 +8,7 @@
 
 mod migration;
 mod place;
+mod reservation;
 mod settings;
 mod targets;
 
--- /dev/null
+++ b/crates/policy/src/gate/reservation.rs
@@ -0,0 +1,82 @@
+//! What a chosen request needs and what its target has room for, and requests that are deferred
+//! after their target was chosen.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use crate::curve::Curve;
+use crate::exclusion::Exclusion;
+use crate::gate::{Gate, Outcome, RETRY_AFTER, Reason, Verdict, is_lookup, refuse};
+use crate::id;
+use crate::queue::Item;
+use crate::request::Class;
+use crate::reservation::{Demand, Room};
+use crate::time::Time;
+use crate::unit::Tokens;
+
+impl Gate {
+    /// Returns what a running request needs at its target; `None` if it needs no reservation.
+    pub fn demand(&self, request: id::Request) -> Option<Demand> {
+        let running = self.running.get(&request).filter(|running| !is_lookup(&running.request))?;
+        let class = running.request.class;
+        let memory = self.targets[running.target].memory.increment(class, &running.curve);
+        Some(Demand {
+            class,
+            prompt: running.request.prompt,
+            memory: Tokens::new(memory as u64),
+            mean_prompt: Tokens::new(self.mean_prompt.ceil() as u64),
+        })
+    }
+
+    /// Returns what a target has room for in addition to what is known to run there, without the
+    /// running request `own`, which a reservation is wanted for; `None` if the target is unknown.
+    pub fn room(
+        &self,
+        now: Time,
+        target: &id::Target,
+        class: Class,
+        own: Option<id::Request>,
+    ) -> Option<Room> {
+        let at = *self.index.get(target)?;
+        let state = &self.targets[at];
+        let own = own.and_then(|id| self.running.get(&id)).filter(|running| running.target == at);
+        let (curve, prompt) = own
+            .map_or((Curve::default(), 0), |running| (running.curve, running.request.prompt.get()));
+        Some(Room {
+            unread: Tokens::new(state.all_unread().saturating_sub(prompt)),
+            mean_prompt: Tokens::new(self.mean_prompt.ceil() as u64),
+            free: state.memory.free_without(now, class, &curve),
+            idle: state.memory.is_idle_without(u32::from(own.is_some())),
+        })
+    }
+
+    /// Takes back a request that was chosen for a target and not sent, because the target's owner
+    /// deferred it, and suspends the target for `wait`.
+    ///
+    /// With `draw`, another target is chosen at once if one has room. Otherwise the request waits
+    /// before all others of its workspace, since it had its turn.
+    pub fn defer(
+        &mut self,
+        now: Time,
+        rng: &mut impl Rng,
+        request: id::Request,
+        wait: Duration,
+        draw: bool,
+    ) -> Verdict {
+        let Some(running) = self.running.get(&request) else {
+            return refuse(rng, Reason::NoTarget, RETRY_AFTER.0);
+        };
+        let (request, at) = (running.request.clone(), running.target);
+        self.targets[at].suspend(now + wait, Exclusion::Reserved);
+        self.finish(now, request.id, Outcome::Cancelled);
+        let request = self.classify(now, request);
+        let work = self.work(&request);
+        let curve = self.curve(&request, 0);
+        if draw && let Some(at) = self.place(now, rng, &request, &curve) {
+            return self.send(now, at, request, work);
+        }
+        self.queue.push(now, Item { request, work }, true);
+        Verdict::Wait
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod queue;
 pub mod rendezvous;
 pub mod request;
+pub mod reservation;
 pub mod rest;
 pub mod resubmission;
 pub mod retry;
--- a/crates/policy/src/memory.rs
+++ b/crates/policy/src/memory.rs
@@ -237,6 +237,33 @@
         f64::from(with - without) <= claim.allowance()
     }
 
+    /// Returns by how much an answer that is counted already raises the predicted peak.
+    pub fn increment(&self, class: Class, curve: &Curve) -> f64 {
+        let sigmas = sigmas(class);
+        let mut without = self.own;
+        without.remove(curve);
+        let none = Curve::default();
+        let peak = |own: &Curve| f64::from(Curve::peak_of([own, &self.others, &none], sigmas));
+        peak(&self.own) - peak(&without)
+    }
+
+    /// Returns the memory that is predicted to stay free if `excluded`, which is counted already,
+    /// is left out; infinite before the first report.
+    pub fn free_without(&self, now: Time, class: Class, excluded: &Curve) -> f64 {
+        if self.capacity == 0.0 {
+            return f64::INFINITY;
+        }
+        let mut own = self.own;
+        own.remove(excluded);
+        let peak = Curve::peak_of([&own, &self.others, &Curve::default()], sigmas(class));
+        self.capacity * (1.0 - self.margin(now)) - f64::from(peak)
+    }
+
+    /// Returns whether only the `excluded` streams of this entry run here.
+    pub fn is_idle_without(&self, excluded: u32) -> bool {
+        self.all_streams() <= excluded && self.others.now() <= 0.0
+    }
+
     /// Streams of this entry.
     pub fn streams(&self) -> u32 {
         self.own_streams
--- a/crates/policy/src/permit.rs
+++ b/crates/policy/src/permit.rs
@@ -82,6 +82,12 @@
     }
 }
 
+/// Returns the owner of a key among the active entries; `None` if there are none.
+pub fn owner<'a>(key: &str, actives: &'a BTreeSet<id::Host>) -> Option<&'a id::Host> {
+    let hosts: Vec<&id::Host> = actives.iter().collect();
+    rendezvous::rank(key, &hosts, |host| host.as_str()).first().map(|host| **host)
+}
+
 /// A permit that was granted.
 ///
 /// An entry may be stopped between its question and the use of the answer, or wait for a connection.
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -103,8 +103,7 @@
     /// Returns whether a prompt would start prefill there without waiting behind more prompts than
     /// the bound allows, where `mean_prompt` is the mean prompt length in tokens.
     pub(crate) fn has_prefill_room(&self, prompt: u64, mean_prompt: f64) -> bool {
-        let waiting = self.all_unread();
-        waiting == 0 || (waiting + prompt) as f64 <= MAX_PREFILL_PROMPTS * mean_prompt
+        is_within_prefill_bound(self.all_unread(), prompt, mean_prompt)
     }
 
     /// Records that a prompt was sent.
@@ -203,3 +202,9 @@
         all < bound || own < bound * share
     }
 }
+
+/// Returns whether a prompt may be sent where `waiting` prompt tokens wait for prefill; see
+/// [`MAX_PREFILL_PROMPTS`].
+pub(crate) fn is_within_prefill_bound(waiting: u64, prompt: u64, mean_prompt: f64) -> bool {
+    waiting == 0 || (waiting + prompt) as f64 <= MAX_PREFILL_PROMPTS * mean_prompt
+}
