Keep deferrals apart from suspensions, and deferred requests out of the drain rate

A suspension also excludes a target from migrations and resumed answers, and could refuse requests whose deadline lies within it. A request that is deferred after it had waited counted twice in the drain rate of the queue.

--- a/crates/policy/src/exclusion.rs
+++ b/crates/policy/src/exclusion.rs
@@ -28,9 +28,6 @@
     /// It is fragile, and may have no room for one more request.
     #[display("crowded")]
     Crowded,
-    /// Its owner has granted its prefill or memory to other requests.
-    #[display("reserved")]
-    Reserved,
     /// It asked for rest.
     #[display("resting")]
     Resting,
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -83,6 +83,8 @@
     sampled: (u64, Time),
     /// State of its target when it was chosen.
     placement: Placement,
+    /// Whether it had waited in the queue before.
+    waited: bool,
 }
 
 /// Decides on the requests of one service; see the [module](self).
@@ -416,7 +418,9 @@
             if let Some(at) = self.place(now, rng, &request, &curve) {
                 let item = self.queue.pop(now, class, &workspace)?;
                 self.drain.record(item.work);
-                return Some((request.id, self.send(now, at, item.request, item.work)));
+                let verdict = self.send(now, at, item.request, item.work);
+                self.running.entry(request.id).and_modify(|running| running.waited = true);
+                return Some((request.id, verdict));
             }
         }
         None
@@ -539,6 +543,7 @@
             latest: now,
             sampled: (0, now),
             placement,
+            waited: false,
         };
         self.running.insert(id, running);
         Verdict::Send(target)
--- a/crates/policy/src/gate/place.rs
+++ b/crates/policy/src/gate/place.rs
@@ -119,6 +119,9 @@
             if settings.stagger && !state.stagger.is_over(now, &order, &state.name) {
                 return None;
             }
+            if now < state.deferred_until {
+                return None;
+            }
             if settings.prefill_bound && !state.has_prefill_room(request.prompt.get(), mean_prompt)
             {
                 return None;
--- a/crates/policy/src/gate/reservation.rs
+++ b/crates/policy/src/gate/reservation.rs
@@ -6,7 +6,6 @@
 use rand::Rng;
 
 use crate::curve::Curve;
-use crate::exclusion::Exclusion;
 use crate::gate::{Gate, Outcome, RETRY_AFTER, Reason, Verdict, is_lookup, refuse};
 use crate::id;
 use crate::queue::Item;
@@ -52,10 +51,11 @@
     }
 
     /// Takes back a request that was chosen for a target and not sent, because the target's owner
-    /// deferred it, and suspends the target for `wait`.
+    /// deferred it, and places no prompt there for `wait`.
     ///
-    /// With `draw`, another target is chosen at once if one has room. Otherwise the request waits
-    /// before all others of its workspace, since it had its turn.
+    /// This is no suspension: migrations and answers that go on after an earlier run still use the
+    /// target. With `draw`, another target is chosen at once if one has room. Otherwise the request
+    /// waits before all others of its workspace, since it had its turn.
     pub fn defer(
         &mut self,
         now: Time,
@@ -67,16 +67,21 @@
         let Some(running) = self.running.get(&request) else {
             return refuse(rng, Reason::NoTarget, RETRY_AFTER.0);
         };
-        let (request, at) = (running.request.clone(), running.target);
-        self.targets[at].suspend(now + wait, Exclusion::Reserved);
+        let (request, at, waited) = (running.request.clone(), running.target, running.waited);
+        self.targets[at].deferred_until = now + wait;
         self.finish(now, request.id, Outcome::Cancelled);
         let request = self.classify(now, request);
-        let work = self.work(&request);
-        let curve = self.curve(&request, 0);
+        let (id, work, curve) = (request.id, self.work(&request), self.curve(&request, 0));
         if draw && let Some(at) = self.place(now, rng, &request, &curve) {
-            return self.send(now, at, request, work);
+            let verdict = self.send(now, at, request, work);
+            self.running.entry(id).and_modify(|running| running.waited = waited);
+            return verdict;
         }
-        self.queue.push(now, Item { request, work }, true);
+        self.drain.advance(now, !self.queue.is_empty());
+        if waited {
+            self.drain.take_back(work);
+        }
+        self.queue.put_back(now, Item { request, work }, waited);
         Verdict::Wait
     }
 }
--- a/crates/policy/src/gate/targets.rs
+++ b/crates/policy/src/gate/targets.rs
@@ -226,7 +226,6 @@
         Exclusion::Crowded => {
             Verdict::Refuse(Refusal { reason: Reason::Crowded, retry_after: left })
         }
-        Exclusion::Reserved => refuse(rng, Reason::Deadline, left),
         Exclusion::Crashed => refuse(rng, Reason::NoTarget, left),
         _ => refuse(rng, Reason::Limited, left),
     }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -134,6 +134,15 @@
         if front { flow.items.push_front(item) } else { flow.items.push_back(item) }
     }
 
+    /// Adds a request that could not be sent before all others of its workspace. `waited` tells
+    /// whether it was removed by [`Queue::pop`], and so counts as one that left the queue.
+    pub fn put_back(&mut self, now: Time, item: Item, waited: bool) {
+        if waited && let Some(account) = self.accounts.get_mut(&item.request.workspace) {
+            account.drain.take_back(item.work);
+        }
+        self.push(now, item, true);
+    }
+
     /// Charges work to a workspace, or refunds it where `work` is negative.
     pub fn charge(&mut self, workspace: &id::Workspace, work: f64) {
         let weight = self.weight(workspace);
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -62,6 +62,8 @@
     pub(crate) last_send: u64,
     /// Delay before this entry sends to it after it has joined.
     pub(crate) stagger: Delay,
+    /// Until when no prompt is placed there, since its owner has deferred one.
+    pub(crate) deferred_until: Time,
     failed_until: Time,
     /// Until when it receives nothing more from this entry.
     suspended_until: Time,
@@ -88,6 +90,7 @@
             others_unread: 0,
             last_send: 0,
             stagger,
+            deferred_until: Time::ZERO,
             failed_until: Time::ZERO,
             suspended_until: Time::ZERO,
             suspension: Exclusion::Limited,
--- a/crates/policy/src/throughput.rs
+++ b/crates/policy/src/throughput.rs
@@ -44,6 +44,12 @@
         self.requests += 1.0;
     }
 
+    /// Takes back the record of a request that has returned to the queue.
+    pub fn take_back(&mut self, tokens: f64) {
+        self.work = (self.work - tokens).max(0.0);
+        self.requests = (self.requests - 1.0).max(0.0);
+    }
+
     /// Returns the rate in tokens a second; `None` until enough requests and time are recorded.
     pub fn rate(&self) -> Option<f64> {
         (self.time > 1.0 && self.requests >= MIN_REQUESTS).then(|| (self.work / self.time).max(1.0))
