--- a/crates/gateway/src/process/fleet/reservation.rs
+++ b/crates/gateway/src/process/fleet/reservation.rs
@@ -22,7 +22,9 @@
         let demand = pass.demand()?;
         let target = pass.target().clone();
         let wait = match self.permit_route(target.as_str(), None) {
-            Route::Own => Some(self.process.check_prefill(gate, pass.request(), &target, &demand)),
+            Route::Own => {
+                Some(self.process.grant_own_prefill(gate, pass.request(), &target, &demand))
+            }
             Route::Unreachable => None,
             Route::Send(hop) => {
                 let owner = self.reservation_owner(&target).unwrap_or_else(|| hop.clone());
--- a/crates/gateway/src/process/service_gate.rs
+++ b/crates/gateway/src/process/service_gate.rs
@@ -8,8 +8,8 @@
 
 use fireflyhoist_policy::exclusion::Exclusion;
 use fireflyhoist_policy::gate::{
-    Class, Gate, Holding, Outcome, Placement, Reason, Refusal, Report, Request, Settings,
-    TargetUpdate, Verdict,
+    Gate, Holding, Outcome, Placement, Reason, Refusal, Report, Request, Settings, TargetUpdate,
+    Verdict,
 };
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::observation::{self, Observer};
@@ -297,13 +297,8 @@
     }
 
     /// Returns what a target has room for without a request of this entry; see [`Gate::room`].
-    pub fn room(
-        &self,
-        target: &id::Target,
-        class: Class,
-        own: Option<id::Request>,
-    ) -> Option<Room> {
-        self.state.lock().gate.room(self.clock.now(), target, class, own)
+    pub fn room(&self, target: &id::Target, own: Option<id::Request>) -> Option<Room> {
+        self.state.lock().gate.room(target, own)
     }
 
     fn finish(&self, request: id::Request, outcome: Outcome) {
@@ -357,7 +352,8 @@
 
     /// Returns what the request needs at its target; see [`Gate::demand`].
     pub fn demand(&self) -> Option<Demand> {
-        self.gate.state.lock().gate.demand(self.request)
+        let now = self.gate.clock.now();
+        self.gate.state.lock().gate.demand(now, self.request)
     }
 
     /// Chooses another target, because the owner of this one deferred the request for `wait`; see
--- a/crates/gateway/src/process/state/reservation.rs
+++ b/crates/gateway/src/process/state/reservation.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::id;
-use fireflyhoist_policy::reservation::{Demand, Room};
+use fireflyhoist_policy::reservation::Demand;
 
 use crate::connection::frame::PrefillRequest;
 use crate::process::service_gate::ServiceGate;
@@ -19,12 +19,12 @@
         // The gate is read while the reservations are locked, so that no two requests are granted
         // the same room.
         let mut reservations = self.reservations.lock();
-        let room = gate.and_then(|gate| gate.room(target, demand.class, None));
-        reservations.try_grant(self.clock.now(), entry, target, demand, &room.unwrap_or_default())
+        let room = gate.and_then(|gate| gate.room(target, None)).unwrap_or_default();
+        reservations.try_grant(self.clock.now(), Some(entry), target, demand, &room)
     }
 
-    /// Decides on a request of this entry, which its gate counts already.
-    pub(crate) fn check_prefill(
+    /// Decides in the same way on a request of this entry, which its gate counts already.
+    pub(crate) fn grant_own_prefill(
         &self,
         gate: &ServiceGate,
         request: id::Request,
@@ -32,8 +32,8 @@
         demand: &Demand,
     ) -> Option<Duration> {
         let mut reservations = self.reservations.lock();
-        let room: Option<Room> = gate.room(target, demand.class, Some(request));
-        reservations.check(self.clock.now(), target, demand, &room.unwrap_or_default())
+        let room = gate.room(target, Some(request)).unwrap_or_default();
+        reservations.try_grant(self.clock.now(), None, target, demand, &room)
     }
 
     /// Ends the reservations of an entry that has announced what it holds.
--- a/crates/policy/src/gate/reservation.rs
+++ b/crates/policy/src/gate/reservation.rs
@@ -9,34 +9,29 @@
 use crate::gate::{Gate, Outcome, RETRY_AFTER, Reason, Verdict, is_lookup, refuse};
 use crate::id;
 use crate::queue::Item;
-use crate::request::Class;
 use crate::reservation::{Demand, Room};
 use crate::time::Time;
 use crate::unit::Tokens;
 
 impl Gate {
     /// Returns what a running request needs at its target; `None` if it needs no reservation.
-    pub fn demand(&self, request: id::Request) -> Option<Demand> {
+    pub fn demand(&self, now: Time, request: id::Request) -> Option<Demand> {
         let running = self.running.get(&request).filter(|running| !is_lookup(&running.request))?;
         let class = running.request.class;
-        let memory = self.targets[running.target].memory.increment(class, &running.curve);
+        let memory = &self.targets[running.target].memory;
+        let (memory, spare) = memory.increment(now, class, &running.curve);
         Some(Demand {
             class,
             prompt: running.request.prompt,
             memory: Tokens::new(memory as u64),
+            spare: Tokens::new(spare as u64),
             mean_prompt: Tokens::new(self.mean_prompt.ceil() as u64),
         })
     }
 
     /// Returns what a target has room for in addition to what is known to run there, without the
     /// running request `own`, which a reservation is wanted for; `None` if the target is unknown.
-    pub fn room(
-        &self,
-        now: Time,
-        target: &id::Target,
-        class: Class,
-        own: Option<id::Request>,
-    ) -> Option<Room> {
+    pub fn room(&self, target: &id::Target, own: Option<id::Request>) -> Option<Room> {
         let at = *self.index.get(target)?;
         let state = &self.targets[at];
         let own = own.and_then(|id| self.running.get(&id)).filter(|running| running.target == at);
@@ -45,7 +40,7 @@
         Some(Room {
             unread: Tokens::new(state.all_unread().saturating_sub(prompt)),
             mean_prompt: Tokens::new(self.mean_prompt.ceil() as u64),
-            free: state.memory.free_without(now, class, &curve),
+            free: Tokens::new(state.memory.free_without(&curve) as u64),
             idle: state.memory.is_idle_without(u32::from(own.is_some())),
         })
     }
--- a/crates/policy/src/memory.rs
+++ b/crates/policy/src/memory.rs
@@ -237,26 +237,28 @@
         f64::from(with - without) <= claim.allowance()
     }
 
-    /// Returns by how much an answer that is counted already raises the predicted peak.
-    pub fn increment(&self, class: Class, curve: &Curve) -> f64 {
+    /// Returns by how much an answer that is counted already raises the predicted peak, and how much
+    /// memory is predicted to stay free; the latter is infinite before the first report.
+    pub fn increment(&self, now: Time, class: Class, curve: &Curve) -> (f64, f64) {
         let sigmas = sigmas(class);
         let mut without = self.own;
         without.remove(curve);
         let none = Curve::default();
         let peak = |own: &Curve| f64::from(Curve::peak_of([own, &self.others, &none], sigmas));
-        peak(&self.own) - peak(&without)
+        let with = peak(&self.own);
+        let limit = self.capacity * (1.0 - self.margin(now));
+        let spare = if self.capacity == 0.0 { f64::INFINITY } else { limit - with };
+        (with - peak(&without), spare)
     }
 
-    /// Returns the memory that is predicted to stay free if `excluded`, which is counted already,
-    /// is left out; infinite before the first report.
-    pub fn free_without(&self, now: Time, class: Class, excluded: &Curve) -> f64 {
+    /// Returns the memory that nothing holds now if `excluded`, which is counted already, is left
+    /// out; infinite before the first report.
+    pub fn free_without(&self, excluded: &Curve) -> f64 {
         if self.capacity == 0.0 {
             return f64::INFINITY;
         }
-        let mut own = self.own;
-        own.remove(excluded);
-        let peak = Curve::peak_of([&own, &self.others, &Curve::default()], sigmas(class));
-        self.capacity * (1.0 - self.margin(now)) - f64::from(peak)
+        let held = self.own.now() + self.others.now() - excluded.now();
+        (self.capacity - f64::from(held)).max(0.0)
     }
 
     /// Returns whether only the `excluded` streams of this entry run here.
--- a/crates/policy/src/reservation.rs
+++ b/crates/policy/src/reservation.rs
@@ -31,6 +31,10 @@
 /// time for slow links and busy hosts.
 const TTL: Duration = Duration::from_millis(300);
 
+/// How long an owner counts the memory of its own sends as unknown to others:
+/// [`COALESCE_DELAY`](crate::heartbeat::COALESCE_DELAY) and the delay of a link.
+const OWN_TTL: Duration = Duration::from_millis(30);
+
 /// The shortest time after which a deferred request asks again: a tenth of the prefill of one
 /// prompt, so that an engine hardly waits for the next one.
 const MIN_WAIT: Duration = Duration::from_millis(20);
@@ -57,6 +61,8 @@
     pub prompt: Tokens,
     /// The memory by which the answer raises the predicted peak at the engine.
     pub memory: Tokens,
+    /// The memory that is predicted to stay free beside it, as the entry knows the engine.
+    pub spare: Tokens,
     /// The mean prompt length at the entry, on which the bound on waiting prompts depends.
     pub mean_prompt: Tokens,
 }
@@ -68,9 +74,8 @@
     pub unread: Tokens,
     /// The mean prompt length at the owner.
     pub mean_prompt: Tokens,
-    /// Tokens of memory that are predicted to stay free; negative where the prediction exceeds the
-    /// engine's memory.
-    pub free: f64,
+    /// Tokens of memory that nothing holds now.
+    pub free: Tokens,
     /// Whether nothing runs there.
     pub idle: bool,
 }
@@ -81,7 +86,7 @@
         Self {
             unread: Tokens::default(),
             mean_prompt: Tokens::default(),
-            free: f64::INFINITY,
+            free: Tokens::new(u64::MAX),
             idle: true,
         }
     }
@@ -104,13 +109,31 @@
 /// A granted reservation.
 #[derive(Clone, Debug)]
 struct Grant {
-    entry: id::Host,
+    /// The entry that it was granted to; `None` for the owner.
+    entry: Option<id::Host>,
     target: id::Target,
     prompt: u64,
     memory: u64,
     at: Time,
 }
 
+impl Grant {
+    fn is_current(&self, now: Time) -> bool {
+        now.since(self.at) < if self.entry.is_some() { TTL } else { OWN_TTL }
+    }
+}
+
+/// What is granted at one target and not announced.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pending {
+    /// Prompt tokens of other entries.
+    prompt: u64,
+    /// Memory of other entries.
+    memory: u64,
+    /// Memory of the owner, which its gate counts already.
+    own_memory: u64,
+}
+
 /// The reservations that an owner has granted.
 ///
 /// They live in memory only: a new owner starts from what heartbeats say.
@@ -123,47 +146,49 @@
 }
 
 impl Reservations {
-    /// Grants a reservation to another entry by returning `None`, or returns the time after which to
-    /// ask again.
+    /// Grants a reservation by returning `None`, or returns the time after which to ask again.
+    ///
+    /// `entry` is the entry that asks, or `None` for the owner, whose gate counts the request
+    /// already. `room` is what the owner knows without the request.
     pub fn try_grant(
         &mut self,
         now: Time,
-        entry: &id::Host,
+        entry: Option<&id::Host>,
         target: &id::Target,
         demand: &Demand,
         room: &Room,
     ) -> Option<Duration> {
-        let wait = self.check(now, target, demand, room);
-        if wait.is_none() {
-            self.grants.push(Grant {
-                entry: entry.clone(),
-                target: target.clone(),
-                prompt: demand.prompt.get(),
-                memory: demand.memory.get(),
-                at: now,
-            });
+        self.grants.retain(|grant| grant.is_current(now));
+        if !self.has_room(target, demand, room) {
+            return Some(self.next_wait(now, target));
         }
-        wait
+        self.grants.push(Grant {
+            entry: entry.cloned(),
+            target: target.clone(),
+            prompt: demand.prompt.get(),
+            memory: demand.memory.get(),
+            at: now,
+        });
+        None
     }
 
-    /// Decides on a request of the owner, which its gate counts already.
-    pub fn check(
-        &mut self,
-        now: Time,
-        target: &id::Target,
-        demand: &Demand,
-        room: &Room,
-    ) -> Option<Duration> {
-        self.expire(now);
-        let (prompt, memory) = self.pending(target);
-        let waiting = room.unread.get() + prompt;
+    /// Returns whether a target has room beside what is granted.
+    ///
+    /// The prediction of memory is that of the entry that asks: predictions differ between entries,
+    /// and a request would have to satisfy the stricter of two. The owner adds what that entry can't
+    /// know yet. What is held there must fit in any case, since the entry may have lost links.
+    fn has_room(&self, target: &id::Target, demand: &Demand, room: &Room) -> bool {
+        let pending = self.pending(target);
+        let waiting = room.unread.get() + pending.prompt;
         let mean_prompt = room.mean_prompt.max(demand.mean_prompt).get() as f64;
-        let has_prefill_room =
-            target::is_within_prefill_bound(waiting, demand.prompt.get(), mean_prompt);
+        let prompt = demand.prompt.get();
+        if !target::is_within_prefill_bound(waiting, prompt, mean_prompt) {
+            return false;
+        }
         // As in `Memory::fits`, an idle engine takes any answer.
-        let first = room.idle && memory == 0;
-        let fits = first || (memory + demand.memory.get()) as f64 <= room.free;
-        (!has_prefill_room || !fits).then(|| self.next_wait(now, target))
+        let first = room.idle && pending.memory == 0;
+        let unknown = pending.memory + pending.own_memory;
+        first || (unknown <= demand.spare.get() && pending.memory + prompt <= room.free.get())
     }
 
     /// Returns the time after which a deferred request asks again. Requests that are deferred
@@ -177,19 +202,24 @@
         turn.since(now)
     }
 
-    /// Returns the prompt tokens and the memory at a target that are granted and not announced.
-    fn pending(&self, target: &id::Target) -> (u64, u64) {
-        let there = self.grants.iter().filter(|grant| grant.target == *target);
-        there.fold((0, 0), |(prompt, memory), grant| (prompt + grant.prompt, memory + grant.memory))
+    /// Returns what is granted at a target and not announced.
+    fn pending(&self, target: &id::Target) -> Pending {
+        let mut pending = Pending::default();
+        for grant in self.grants.iter().filter(|grant| grant.target == *target) {
+            match grant.entry {
+                Some(_) => {
+                    pending.prompt += grant.prompt;
+                    pending.memory += grant.memory;
+                }
+                None => pending.own_memory += grant.memory,
+            }
+        }
+        pending
     }
 
     /// Records that an entry has announced what it holds, which includes what it was granted before.
     pub fn announced(&mut self, entry: &id::Host) {
-        self.grants.retain(|grant| grant.entry != *entry);
-    }
-
-    fn expire(&mut self, now: Time) {
-        self.grants.retain(|grant| now.since(grant.at) < TTL);
+        self.grants.retain(|grant| grant.entry.as_ref() != Some(entry));
     }
 
     /// Returns the number of reservations that are granted and not announced.
--- a/crates/policy/tests/reservation.rs
+++ b/crates/policy/tests/reservation.rs
@@ -25,12 +25,8 @@
 /// Memory of an engine in tokens, and its prefill in tokens per millisecond beside running answers.
 const CAPACITY: u64 = 26_798;
 const PREFILL_PER_MS: u64 = 10;
-/// Mean prompt and length of answers in tokens, and how long an answer runs after its prefill.
+/// Mean prompt in tokens.
 const PROMPT: u64 = 2_550;
-const ANSWER: u64 = 8;
-const RUN: Duration = Duration::from_millis(60);
-/// Requests for each engine and second; its prefill takes 3.9.
-const PER_ENGINE: f64 = 3.6;
 const LENGTH: Duration = Duration::from_secs(6);
 /// Network delay, from [`DELAY`] to twice as much.
 const DELAY: Duration = Duration::from_micros(1_400);
@@ -71,6 +67,29 @@
     FrozenOwners,
 }
 
+/// The requests of a run.
+#[derive(Clone, Copy, Debug)]
+struct Work {
+    class: Class,
+    /// Length of answers in tokens, and the time between two of their events, each of 8 tokens.
+    answer: u64,
+    interval: Duration,
+    /// Requests for each engine and second.
+    per_engine: f64,
+}
+
+/// Short answers: the prefill of an engine takes 3.9 prompts a second.
+const SHORT: Work =
+    Work { class: Class::Live, answer: 8, interval: Duration::from_millis(60), per_engine: 3.6 };
+
+/// Long answers: the memory of an engine takes 1.7 a second.
+const LONG: Work = Work {
+    class: Class::Overnight,
+    answer: 744,
+    interval: Duration::from_millis(40),
+    per_engine: 2.4,
+};
+
 #[derive(Debug)]
 enum Event {
     Arrives(usize),
@@ -81,7 +100,7 @@
     Answered { at: usize, ask: u64, owner: usize, wait: Option<Duration> },
     TimedOut { at: usize, ask: u64, owner: usize },
     Begins { at: usize, id: id::Request, engine: usize },
-    Ends { at: usize, id: id::Request },
+    Goes { at: usize, id: id::Request, engine: usize, produced: u64 },
     View { at: usize, changed: usize, active: bool },
 }
 
@@ -105,6 +124,8 @@
     free_at: Time,
     /// Prompts that are sent and not read, with their lengths.
     unread: HashMap<id::Request, u64>,
+    /// Memory that running answers hold at their ends.
+    held: HashMap<id::Request, u64>,
     sent: VecDeque<(Time, usize)>,
 }
 
@@ -116,6 +137,8 @@
     begun: u32,
     /// Prompts sent to an engine beyond its bound, within 50 ms of another entry's.
     beyond: u32,
+    /// The same for the memory of an engine.
+    overfull: u32,
     /// Samples of engines without a prompt while prompts waited at entries, and all samples.
     idle: u32,
     samples: u32,
@@ -124,20 +147,21 @@
 
 impl Counts {
     /// Returns the sums of several runs with different seeds.
-    fn of(entries: usize, engines: usize, reserves: bool, fault: Fault, runs: u64) -> Self {
+    fn of(size: (usize, usize), work: Work, reserves: bool, fault: Fault, runs: u64) -> Self {
         let mut sum = Self::default();
         for seed in 0..runs {
-            let one = Fleet::play(entries, engines, reserves, fault, seed);
+            let one = Fleet::play(size, work, reserves, fault, seed);
             sum.requests += one.requests;
             sum.asks += one.asks;
             sum.unanswered += one.unanswered;
             sum.begun += one.begun;
             sum.beyond += one.beyond;
+            sum.overfull += one.overfull;
             sum.idle += one.idle;
             sum.samples += one.samples;
             sum.waited_ms += one.waited_ms;
         }
-        eprintln!("{entries} {fault:?} {reserves} {sum:?}");
+        eprintln!("{size:?} {fault:?} {reserves} {sum:?}");
         sum
     }
 
@@ -151,6 +175,7 @@
 }
 
 struct Fleet {
+    work: Work,
     reserves: bool,
     fault: Fault,
     now: Time,
@@ -166,7 +191,13 @@
 }
 
 impl Fleet {
-    fn play(entries: usize, engines: usize, reserves: bool, fault: Fault, seed: u64) -> Counts {
+    fn play(
+        (entries, engines): (usize, usize),
+        work: Work,
+        reserves: bool,
+        fault: Fault,
+        seed: u64,
+    ) -> Counts {
         let actives = active_count(entries);
         let all: BTreeSet<id::Host> = (0..actives).map(host).collect();
         let targets: Vec<id::Target> = (0..engines).map(target).collect();
@@ -196,6 +227,7 @@
             }
         };
         let mut fleet = Self {
+            work,
             reserves,
             fault,
             now: Time::ZERO,
@@ -208,7 +240,7 @@
             counts: Counts::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
-        fleet.schedule_load(PER_ENGINE * engines as f64);
+        fleet.schedule_load(work.per_engine * engines as f64);
         fleet.run();
         fleet.counts
     }
@@ -289,9 +321,10 @@
             Event::Announced { from, to, loads } => self.apply(from, to, &loads),
             Event::Asked { from, owner, ask, target, demand } => {
                 let entry = &mut self.entries[owner];
-                let room = entry.gate.room(now, &target, demand.class, None);
+                let room = entry.gate.room(&target, None);
                 let room = room.unwrap_or_default();
-                let wait = entry.reservations.try_grant(now, &host(from), &target, &demand, &room);
+                let wait =
+                    entry.reservations.try_grant(now, Some(&host(from)), &target, &demand, &room);
                 let at = self.arrival(owner, from);
                 self.push(at, Event::Answered { at: from, ask, owner, wait });
             }
@@ -313,13 +346,19 @@
                 self.counts.begun += 1;
                 self.counts.waited_ms += now.since(self.prompts[&id].1).as_secs_f64() * 1e3;
                 self.entries[at].gate.progress(now, id, Tokens::new(1));
-                self.push(now + RUN, Event::Ends { at, id });
+                let event = Event::Goes { at, id, engine, produced: 8 };
+                self.push(now + self.work.interval, event);
                 self.poll(at);
             }
-            Event::Ends { at, id } => {
+            Event::Goes { at, id, engine, produced } => {
                 let gate = &mut self.entries[at].gate;
-                gate.progress(now, id, Tokens::new(ANSWER));
+                gate.progress(now, id, Tokens::new(produced));
+                if produced < self.work.answer {
+                    let event = Event::Goes { at, id, engine, produced: produced + 8 };
+                    return self.push(now + self.work.interval, event);
+                }
                 gate.finish(now, id, Outcome::Whole);
+                self.engines[engine].held.remove(&id);
                 self.poll(at);
             }
             Event::View { at, changed, active } => {
@@ -342,10 +381,10 @@
         let request = Request {
             id,
             workspace: "w".parse().expect("a name"),
-            class: Class::Live,
+            class: self.work.class,
             rank: 0,
             prompt: Tokens::new(prompt),
-            limit: Tokens::new(ANSWER),
+            limit: Tokens::new(self.work.answer),
             prefix: 0,
             objective: self.now + ms(1_500),
             deadline: self.now + ms(6_000),
@@ -378,12 +417,12 @@
         let (now, own) = (self.now, host(at));
         let entry = &mut self.entries[at];
         *entry.asks.entry(id).or_default() += 1;
-        let demand = entry.gate.demand(id).expect("it was chosen");
+        let demand = entry.gate.demand(now, id).expect("it was chosen");
         let owner = permit::owner(target.as_str(), &entry.actives).cloned();
         let owner = owner.unwrap_or_else(|| own.clone());
         if owner == own {
-            let room = entry.gate.room(now, &target, demand.class, Some(id)).unwrap_or_default();
-            let wait = entry.reservations.check(now, &target, &demand, &room);
+            let room = entry.gate.room(&target, Some(id)).unwrap_or_default();
+            let wait = entry.reservations.try_grant(now, None, &target, &demand, &room);
             return self.decided(at, id, &target, wait);
         }
         if !entry.silent.may_ask(now, &owner) {
@@ -419,6 +458,10 @@
         engine.sent.retain(|(sent, _)| now.since(*sent) < UNSEEN);
         let unseen = engine.sent.iter().any(|(_, from)| *from != at);
         self.counts.beyond += u32::from(exceeds && unseen);
+        let all = prompt + self.work.answer;
+        let full = engine.held.values().sum::<u64>() + all > CAPACITY;
+        self.counts.overfull += u32::from(full && unseen);
+        engine.held.insert(id, all);
         engine.sent.push_back((now, at));
         engine.unread.insert(id, prompt);
         let read = Duration::from_micros(prompt * 1_000 / PREFILL_PER_MS);
@@ -501,8 +544,8 @@
     thousand = { 1_000, 120, 1, 4 },
 )]
 fn entries_do_not_meet_at_an_engine(entries: usize, engines: usize, runs: u64, factor: u32) {
-    let alone = Counts::of(entries, engines, false, Fault::None, runs);
-    let reserving = Counts::of(entries, engines, true, Fault::None, runs);
+    let alone = Counts::of((entries, engines), SHORT, false, Fault::None, runs);
+    let reserving = Counts::of((entries, engines), SHORT, true, Fault::None, runs);
     // Each entry has one unread prompt at an engine, so that two alone hardly exceed its bound.
     assert!(entries == 2 || alone.beyond * 10 > alone.requests, "no load: {alone:?}");
     assert!(reserving.beyond * factor <= alone.beyond, "{reserving:?}, {alone:?}");
@@ -510,6 +553,19 @@
     assert!(reserving.asks * 10 <= reserving.requests * 18, "{reserving:?}");
 }
 
+/// Guards against entries that fill the same free memory of an engine before they know of each
+/// other's answers.
+#[parameterized(
+    thirty = { 30, 24 },
+    thousand = { 1_000, 60 },
+)]
+fn answers_do_not_fill_the_same_memory(entries: usize, engines: usize) {
+    let alone = Counts::of((entries, engines), LONG, false, Fault::None, 2);
+    let reserving = Counts::of((entries, engines), LONG, true, Fault::None, 2);
+    assert!(reserving.overfull * 3 <= alone.overfull, "{reserving:?}, {alone:?}");
+    reserving.assert_as_served_as(&alone);
+}
+
 /// Guards against reservations that hold requests up, or have no effect, while owners change each
 /// second and lists differ, links carry nothing, or owners don't answer.
 #[parameterized(
@@ -522,8 +578,8 @@
     many_frozen_owners = { 1_000, 120, 1, Fault::FrozenOwners },
 )]
 fn faults_of_owners_stop_no_prompts(entries: usize, engines: usize, runs: u64, fault: Fault) {
-    let alone = Counts::of(entries, engines, false, fault, runs);
-    let reserving = Counts::of(entries, engines, true, fault, runs);
+    let alone = Counts::of((entries, engines), SHORT, false, fault, runs);
+    let reserving = Counts::of((entries, engines), SHORT, true, fault, runs);
     assert!(reserving.beyond * 3 <= alone.beyond * 2, "{reserving:?}, {alone:?}");
     reserving.assert_as_served_as(&alone);
     assert!(reserving.unanswered * 7 <= reserving.requests * runs as u32, "{reserving:?}");
@@ -538,16 +594,17 @@
         class: Class::Live,
         prompt: Tokens::new(2_000),
         memory: Tokens::new(2_500),
+        spare: Tokens::new(2_000),
         mean_prompt: Tokens::new(2_000),
     };
-    let room = Room { free: 4_000.0, ..Room::default() };
+    let room = Room { idle: false, ..Room::default() };
     let at = |millis| Time::ZERO + ms(millis);
     let mut owned = Reservations::default();
     let mut ask = |now, announced: bool| {
         if announced {
             owned.announced(&entry);
         }
-        owned.try_grant(at(now), &entry, &engine, &demand, &room)
+        owned.try_grant(at(now), Some(&entry), &engine, &demand, &room)
     };
     assert_eq!(ask(0, false), None);
     // The memory suffices for one; those that are deferred together return one after another.
