--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -112,10 +112,10 @@
     if context.service.engine.is_none() || context.constraint != Constraint::Free {
         return Ok(pass);
     }
-    let mut asked = 0;
+    let mut asked = 0_u32;
     while let Some(wait) = worker.fleet.reserve(&context.gate, &pass).await {
         asked += 1;
-        pass.defer(wait, asked % reservation::MAX_ASKS != 0).await?;
+        pass.defer(wait, !asked.is_multiple_of(reservation::MAX_ASKS)).await?;
     }
     Ok(pass)
 }
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -113,6 +113,8 @@
     /// [`Gate::refresh_weights`].
     held: f64,
     sends: u64,
+    /// Until when no queued request is placed, since owners deferred one several times in a row.
+    deferred_until: Time,
     /// Capacity in tokens of the largest engine that has reported; no answer can be longer.
     largest_capacity: u64,
     /// Moving average of the prompt length in tokens; zero before the first prompt.
@@ -155,6 +157,7 @@
             weights_read: Time::ZERO,
             held: 0.0,
             sends: 0,
+            deferred_until: Time::ZERO,
             largest_capacity: UNREPORTED_CAPACITY,
             mean_prompt: 0.0,
             order: Arc::default(),
@@ -412,6 +415,9 @@
 
     /// Sends the next queued request that fits on some target.
     fn send_next(&mut self, now: Time, rng: &mut impl Rng) -> Option<(id::Request, Verdict)> {
+        if now < self.deferred_until {
+            return None;
+        }
         for (class, workspace) in self.queue.next_workspaces() {
             let request = self.queue.head(class, &workspace)?.request.clone();
             let curve = self.curve(&request, 0);
--- a/crates/policy/src/gate/reservation.rs
+++ b/crates/policy/src/gate/reservation.rs
@@ -13,6 +13,9 @@
 use crate::time::Time;
 use crate::unit::Tokens;
 
+/// How long queued requests wait after owners deferred one of them as often as they may be asked.
+const QUEUE_PAUSE: Duration = Duration::from_millis(20);
+
 impl Gate {
     /// Returns what a running request needs at its target; `None` if it needs no reservation.
     pub fn demand(&self, now: Time, request: id::Request) -> Option<Demand> {
@@ -50,7 +53,9 @@
     ///
     /// This is no suspension: migrations and answers that go on after an earlier run still use the
     /// target. With `draw`, another target is chosen at once if one has room. Otherwise the request
-    /// waits before all others of its workspace, since it had its turn.
+    /// waits before all others of its workspace, since it had its turn. Without `draw` the whole
+    /// queue waits for [`QUEUE_PAUSE`]: this entry sees room that owners do not see, and would ask
+    /// again with each announcement.
     pub fn defer(
         &mut self,
         now: Time,
@@ -72,6 +77,9 @@
             self.running.entry(id).and_modify(|running| running.waited = waited);
             return verdict;
         }
+        if !draw {
+            self.deferred_until = now + QUEUE_PAUSE;
+        }
         self.drain.advance(now, !self.queue.is_empty());
         if waited {
             self.drain.take_back(work);
