End reservations by heartbeats with loads only

A leaf sends its loads to its primary active only, and the first heartbeat on a link has none. Such a heartbeat ended a reservation before its prompt was announced.

--- a/crates/gateway/src/process/fleet/heartbeat.rs
+++ b/crates/gateway/src/process/fleet/heartbeat.rs
@@ -140,8 +140,12 @@
             self.process.apply_cordon_update(update.clone());
         }
         let loads = std::mem::take(&mut heartbeat.loads);
+        // A leaf sends loads to its primary active only, and a first heartbeat has none.
+        let has_loads = !loads.is_empty();
         self.process.set_peer_usage(from, loads);
-        self.process.end_reservations(from);
+        if has_loads {
+            self.process.end_reservations(from);
+        }
         let mut peers = self.peers.lock();
         let Some(peer) = peers.get_mut(from) else { return };
         let differs = |old: &Heartbeat| {
--- a/crates/policy/tests/reservation.rs
+++ b/crates/policy/tests/reservation.rs
@@ -502,7 +502,9 @@
     fn apply(&mut self, from: usize, to: usize, loads: &[Load]) {
         let entry = &mut self.entries[to];
         let changed = entry.peers.replace(&host(from), loads.to_vec());
-        entry.reservations.announced(&host(from));
+        if !loads.is_empty() {
+            entry.reservations.announced(&host(from));
+        }
         if changed.is_empty() {
             return;
         }
