--- a/crates/gateway/src/process/fleet/heartbeat.rs
+++ b/crates/gateway/src/process/fleet/heartbeat.rs
@@ -9,7 +9,7 @@
 use fireflyhoist_policy::observation::Observer;
 use tokio::time::sleep;
 
-use crate::connection::frame::{Frame, Heartbeat, PROTOCOL, TargetOutcome};
+use crate::connection::frame::{Frame, Heartbeat, ORIGINS_PROTOCOL, PROTOCOL, TargetOutcome};
 use crate::process::fleet::Fleet;
 
 impl Fleet {
@@ -140,7 +140,12 @@
             self.process.apply_cordon_update(update.clone());
         }
         let loads = std::mem::take(&mut heartbeat.loads);
+        // A leaf sends loads to its primary active only, and a first heartbeat has none.
+        let has_loads = !loads.is_empty();
         self.process.set_peer_usage(from, loads);
+        if has_loads {
+            self.process.end_reservations(from);
+        }
         let mut peers = self.peers.lock();
         let Some(peer) = peers.get_mut(from) else { return };
         let differs = |old: &Heartbeat| {
@@ -149,7 +154,7 @@
                 || old.isolated != heartbeat.isolated
         };
         let view_changes = peer.heartbeat.as_ref().is_none_or(differs);
-        let is_new = peer.heartbeat.is_none() && heartbeat.protocol >= PROTOCOL;
+        let is_new = peer.heartbeat.is_none() && heartbeat.protocol >= ORIGINS_PROTOCOL;
         let previous = peer.heartbeat.take().and_then(|old| old.cordons);
         heartbeat.cordons = heartbeat.cordons.or(previous);
         peer.heartbeat = Some(heartbeat);
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -8,6 +8,7 @@
 
 mod migration;
 mod place;
+mod reservation;
 mod settings;
 mod targets;
 
@@ -82,6 +83,8 @@
     sampled: (u64, Time),
     /// State of its target when it was chosen.
     placement: Placement,
+    /// Whether it had waited in the queue before.
+    waited: bool,
 }
 
 /// Decides on the requests of one service; see the [module](self).
@@ -110,6 +113,8 @@
     /// [`Gate::refresh_weights`].
     held: f64,
     sends: u64,
+    /// Until when no queued request is placed, since owners deferred one several times in a row.
+    deferred_until: Time,
     /// Capacity in tokens of the largest engine that has reported; no answer can be longer.
     largest_capacity: u64,
     /// Moving average of the prompt length in tokens; zero before the first prompt.
@@ -152,6 +157,7 @@
             weights_read: Time::ZERO,
             held: 0.0,
             sends: 0,
+            deferred_until: Time::ZERO,
             largest_capacity: UNREPORTED_CAPACITY,
             mean_prompt: 0.0,
             order: Arc::default(),
@@ -409,13 +415,18 @@
 
     /// Sends the next queued request that fits on some target.
     fn send_next(&mut self, now: Time, rng: &mut impl Rng) -> Option<(id::Request, Verdict)> {
+        if now < self.deferred_until {
+            return None;
+        }
         for (class, workspace) in self.queue.next_workspaces() {
             let request = self.queue.head(class, &workspace)?.request.clone();
             let curve = self.curve(&request, 0);
             if let Some(at) = self.place(now, rng, &request, &curve) {
                 let item = self.queue.pop(now, class, &workspace)?;
                 self.drain.record(item.work);
-                return Some((request.id, self.send(now, at, item.request, item.work)));
+                let verdict = self.send(now, at, item.request, item.work);
+                self.running.entry(request.id).and_modify(|running| running.waited = true);
+                return Some((request.id, verdict));
             }
         }
         None
@@ -538,6 +549,7 @@
             latest: now,
             sampled: (0, now),
             placement,
+            waited: false,
         };
         self.running.insert(id, running);
         Verdict::Send(target)
