Prefer targets in the failure domain of the entry

Targets were drawn without regard to their failure domain, so that in a fleet of three domains two of three requests went to another one. The domains of targets come from their leases.

--- a/crates/bench/src/target_change.rs
+++ b/crates/bench/src/target_change.rs
@@ -105,8 +105,9 @@
                 continue;
             }
             let changed = self.leases.take_changed();
-            let listed =
-                |id: &id::Target| self.leases.is_ready(id).then_some(Listing { cordoned: false });
+            let listed = |id: &id::Target| {
+                self.leases.is_ready(id).then_some(Listing { cordoned: false, domain: None })
+            };
             let changed: Vec<TargetUpdate> = changed
                 .into_iter()
                 .map(|target| TargetUpdate { listed: listed(&target), target })
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -48,6 +48,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    sends: Counter<u64>,
     broken_runs: Counter<u64>,
     held_back: Counter<u64>,
     registry_restores: Counter<u64>,
@@ -89,6 +90,7 @@
         Some(Self {
             requests: counter("fireflyhoist.requests", "Requests by kind and status"),
             attempts: counter("fireflyhoist.attempts", "Attempts at targets by outcome"),
+            sends: counter("fireflyhoist.sends", "Requests sent to targets, by failure domain"),
             broken_runs: counter(
                 "fireflyhoist.broken_runs",
                 "Runs that broke off, by what became of the target",
@@ -153,6 +155,12 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a request that was sent to a target, in the failure domain of this entry or another.
+    pub(crate) fn sent(&self, is_near: bool) {
+        let domain = if is_near { "own" } else { "other" };
+        self.sends.add(1, &[KeyValue::new("domain", domain)]);
+    }
+
     /// Counts a run that broke off, by the status of its target.
     pub(crate) fn broken_run(&self, status: Status) {
         self.broken_runs.add(1, &[KeyValue::new("target", status.to_string())]);
--- a/crates/gateway/src/process/service_gate.rs
+++ b/crates/gateway/src/process/service_gate.rs
@@ -128,6 +128,16 @@
         self.state.lock().gate.set_scarce(scarce);
     }
 
+    /// Sets the failure domain of this entry; see [`Gate::set_own_domain`].
+    pub fn set_own_domain(&self, domain: id::Domain) {
+        self.state.lock().gate.set_own_domain(Some(domain));
+    }
+
+    /// Sets the failure domains of targets; see [`Gate::set_domains`].
+    pub fn set_domains(&self, domains: &BTreeMap<id::Target, id::Domain>) {
+        self.state.lock().gate.set_domains(domains);
+    }
+
     /// Sets which entries send to the targets; see [`Gate::set_order`].
     pub fn set_order(&self, order: Order) {
         self.state.lock().gate.set_order(order);
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -243,6 +243,7 @@
                 .or_insert_with(|| ServiceGate::with_settings(self.clock, self.gate_settings()));
             gate.set_order(order.clone());
             gate.set_scheduling(self.scheduling());
+            gate.set_own_domain(self.settings.domain.clone());
             if service.engine.is_none()
                 && let Some(objective) = objectives.get(&service.name)
             {
--- a/crates/gateway/src/process/state/targets.rs
+++ b/crates/gateway/src/process/state/targets.rs
@@ -1,6 +1,6 @@
 //! The list of targets: how it is read, changed and passed to the gates.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -87,6 +87,8 @@
             let cordoned = cordoned.map(|target| target.id.clone()).collect();
             drop(cordons);
             gate.set_targets_and_cordons(targets, &cordoned);
+            let domain = |target: &Target| (target.id.clone(), target.domain.clone());
+            gate.set_domains(&leases.ready(service).map(domain).collect::<BTreeMap<_, _>>());
             gate.set_scarce(leases.scarce(service));
         }
         drop((leases, gates));
@@ -108,8 +110,11 @@
             let update = |id: &id::Target| {
                 let lease = leases.get(id).filter(|target| target.service == *service);
                 let ready = lease.filter(|_| leases.is_ready(id));
-                let cordoned = |target: &Target| cordons.contains(&target.domain);
-                let listed = ready.map(|target| Listing { cordoned: cordoned(target) });
+                let listing = |target: &Target| Listing {
+                    cordoned: cordons.contains(&target.domain),
+                    domain: Some(target.domain.clone()),
+                };
+                let listed = ready.map(listing);
                 TargetUpdate { target: id.clone(), listed }
             };
             gate.update_targets(&changed.iter().map(update).collect::<Vec<_>>());
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -155,7 +155,11 @@
         Ok(started) => started.response.status.as_str().to_owned(),
         Err(error) => error.reason().to_owned(),
     };
-    let software = worker.process.target(target).and_then(|target| target.software);
+    let listed = worker.process.target(target);
+    if let Some(listed) = listed.as_ref().filter(|_| !matches!(result, Err(Error::NotSent(_)))) {
+        worker.process.metrics.sent(listed.domain == worker.process.settings.domain);
+    }
+    let software = listed.and_then(|target| target.software);
     let relay = result.as_ref().ok().and_then(|started| started.response.relay.as_ref());
     worker.process.metrics.attempt(match &result {
         Ok(_) => "answered",
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -122,7 +122,7 @@
             objective_ms = millis(context.route.objective),
             load:% = format_args!("{:.2}", placement.load), streams = placement.streams,
             unread:% = placement.unread, view_ms = millis(placement.age),
-            late = placement.late; "placed"
+            late = placement.late, near = placement.near; "placed"
         );
     }
 
--- a/crates/policy/src/gate/migration.rs
+++ b/crates/policy/src/gate/migration.rs
@@ -204,6 +204,7 @@
         }
         let removed = self.targets.swap_remove(at);
         self.index.remove(&removed.name);
+        self.near.swap_remove(at, self.targets.len());
         let Some(moved) = self.targets.get(at) else { return };
         self.index.insert(moved.name.clone(), at);
         let from = self.targets.len();
@@ -231,5 +232,6 @@
         for running in self.running.values_mut() {
             running.target = moved[running.target].unwrap_or_default();
         }
+        self.index_domains();
     }
 }
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -20,6 +20,7 @@
 use crate::curve::Curve;
 use crate::id;
 use crate::length::{Predictor, Progress};
+use crate::locality;
 use crate::observation::{self, Observer};
 use crate::outlier::{self, Detector, Ejection, Sample};
 use crate::placement::Candidate;
@@ -119,6 +120,12 @@
     candidate_targets: Vec<usize>,
     /// The indexes of all targets, in the order of the last draw.
     draw_order: Vec<usize>,
+    /// The failure domain of this entry, if known.
+    domain: Option<id::Domain>,
+    /// The targets in this domain.
+    near: locality::Index,
+    /// Mean time of the answers of all targets to plain requests.
+    answers: locality::Mean,
 }
 
 impl Default for Gate {
@@ -158,6 +165,9 @@
             candidates: Vec::new(),
             candidate_targets: Vec::new(),
             draw_order: Vec::new(),
+            domain: None,
+            near: locality::Index::default(),
+            answers: locality::Mean::default(),
         }
     }
 
@@ -349,8 +359,10 @@
                 self.retries.record_success();
                 self.lengths.end(workspace, running.progress, running.produced);
                 if is_lookup(&running.request) {
-                    let sample = Sample::Latency(now.since(running.sent));
-                    self.detector.record(now, &state.name, sample);
+                    let took = now.since(running.sent);
+                    self.detector.record(now, &state.name, Sample::Latency(took));
+                    state.answers.record_target(took);
+                    self.answers.record_service(took);
                     self.detector.record_answer(now, &state.name);
                 }
             }
@@ -514,6 +526,7 @@
             unread: Tokens::new(state.all_unread()),
             age: now.since(state.memory.reported_at()),
             late: request.class == Class::Spare,
+            near: self.domain.is_some() && state.domain == self.domain,
         };
         state.memory.add(now, &curve);
         state.add_unstarted(request.prompt.get());
--- a/crates/policy/src/gate/place.rs
+++ b/crates/policy/src/gate/place.rs
@@ -8,6 +8,7 @@
 use crate::curve::Curve;
 use crate::gate::Gate;
 use crate::id;
+use crate::locality;
 use crate::placement::{self, Candidate};
 use crate::request::{Class, Request};
 use crate::shedding;
@@ -76,11 +77,16 @@
         rng: &mut impl Rng,
         request: &Request,
     ) -> Option<usize> {
-        let sends = self.sends;
-        self.draw(rng, |state| {
+        let (sends, usual) = (self.sends, self.answers);
+        let is_up = |state: &target::State| {
             let up = state.is_up(now) && Some(&state.name) != request.avoid.as_ref();
             up.then(|| state.load(sends))
-        });
+        };
+        if self.settings.locality {
+            self.draw_by_domain(rng, is_up, |state| !state.answers.is_slow(&usual));
+        } else {
+            self.draw(rng, is_up);
+        }
         if self.candidates.is_empty() {
             // A suspect target is better than none, and one that failed another request is better
             // than the one that has just failed this request.
@@ -156,7 +162,11 @@
         load: impl Fn(&target::State) -> Option<f64>,
     ) -> Option<usize> {
         let chosen = if prefix == placement::NO_PREFIX {
-            self.draw(rng, load);
+            if self.settings.locality {
+                self.draw_by_domain(rng, load, |_| true);
+            } else {
+                self.draw(rng, load);
+            }
             placement::choose_drawn(&self.candidates)
         } else {
             self.collect(load);
@@ -172,6 +182,42 @@
     fn draw(&mut self, rng: &mut impl Rng, load: impl Fn(&target::State) -> Option<f64>) {
         self.candidates.clear();
         self.candidate_targets.clear();
+        self.draw_more(rng, load);
+    }
+
+    /// Draws targets as [`Gate::draw`] does, half of them in the failure domain of this entry. A
+    /// target in another domain counts with more load, and so does a near one for which
+    /// `is_preferred` returns false; see [`crate::locality`].
+    fn draw_by_domain(
+        &mut self,
+        rng: &mut impl Rng,
+        load: impl Fn(&target::State) -> Option<f64>,
+        is_preferred: impl Fn(&target::State) -> bool,
+    ) {
+        if self.near.len() == 0 {
+            return self.draw(rng, load);
+        }
+        self.candidates.clear();
+        self.candidate_targets.clear();
+        let own = self.domain.clone();
+        let load = |state: &target::State| {
+            let near = state.domain == own && state.weight >= 1.0 && is_preferred(state);
+            load(state).map(|load| if near { load } else { load + locality::REMOTE_LOAD })
+        };
+        let choices = locality::near_choices(self.settings.choices);
+        for nth in 0..locality::near_tries(choices).min(self.near.len()) {
+            if self.candidates.len() >= choices {
+                break;
+            }
+            let at = self.near.draw(rng, nth);
+            self.add_candidate(at, &load);
+        }
+        self.draw_more(rng, load);
+    }
+
+    /// Draws further targets at random, without those that are candidates already.
+    fn draw_more(&mut self, rng: &mut impl Rng, load: impl Fn(&target::State) -> Option<f64>) {
+        let before = self.candidates.len();
         let count = self.targets.len();
         if self.draw_order.len() != count {
             self.draw_order = (0..count).collect();
@@ -183,16 +229,22 @@
             }
             self.draw_order.swap(nth, rng.random_range(nth..count));
             let at = self.draw_order[nth];
-            let state = &self.targets[at];
-            if state.weight > 0.0
-                && let Some(load) = load(state)
-            {
-                self.candidates.push(Candidate { key: state.key, load, weight: state.weight });
-                self.candidate_targets.push(at);
+            if !self.candidate_targets[..before].contains(&at) {
+                self.add_candidate(at, &load);
             }
         }
     }
 
+    fn add_candidate(&mut self, at: usize, load: &impl Fn(&target::State) -> Option<f64>) {
+        let state = &self.targets[at];
+        if state.weight > 0.0
+            && let Some(load) = load(state)
+        {
+            self.candidates.push(Candidate { key: state.key, load, weight: state.weight });
+            self.candidate_targets.push(at);
+        }
+    }
+
     /// Collects the targets for which `load` returns a value, as candidates with that load.
     fn collect(&mut self, load: impl Fn(&target::State) -> Option<f64>) {
         self.candidates.clear();
--- a/crates/policy/src/gate/targets.rs
+++ b/crates/policy/src/gate/targets.rs
@@ -32,10 +32,12 @@
 }
 
 /// A target that takes new work unless its failure domain is cordoned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listing {
     /// Whether its failure domain is cordoned.
     pub cordoned: bool,
+    /// Its failure domain, if known.
+    pub domain: Option<id::Domain>,
 }
 
 impl Gate {
@@ -81,7 +83,7 @@
     pub fn update_targets(&mut self, now: Time, updates: &[TargetUpdate]) {
         for TargetUpdate { target, listed } in updates {
             match listed {
-                Some(Listing { cordoned }) => self.add_target(now, target, *cordoned),
+                Some(listing) => self.add_target(now, target, listing),
                 None => self.remove_target(target),
             }
         }
@@ -90,7 +92,7 @@
         }
     }
 
-    fn add_target(&mut self, now: Time, target: &id::Target, cordoned: bool) {
+    fn add_target(&mut self, now: Time, target: &id::Target, listing: &Listing) {
         self.detector.add_target(target);
         let next = self.targets.len();
         let at = *self.index.entry(target.clone()).or_insert(next);
@@ -98,7 +100,8 @@
             self.targets.push(target::State::open(target.clone(), Delay::since(now)));
         }
         self.targets[at].listed = true;
-        self.set_target_cordoned(now, at, cordoned);
+        self.set_target_cordoned(now, at, listing.cordoned);
+        self.set_target_domain(at, listing.domain.clone());
     }
 
     fn remove_target(&mut self, target: &id::Target) {
@@ -117,6 +120,32 @@
         }
     }
 
+    /// Sets the failure domain of this entry; see [`crate::locality`].
+    pub fn set_own_domain(&mut self, domain: Option<id::Domain>) {
+        self.domain = domain;
+        self.index_domains();
+    }
+
+    /// Sets the failure domains of targets. That of a target which is not in `domains` is unknown.
+    pub fn set_domains(&mut self, domains: &BTreeMap<id::Target, id::Domain>) {
+        for at in 0..self.targets.len() {
+            let domain = domains.get(&self.targets[at].name).cloned();
+            self.set_target_domain(at, domain);
+        }
+    }
+
+    fn set_target_domain(&mut self, at: usize, domain: Option<id::Domain>) {
+        self.near.set(at, self.domain.is_some() && domain == self.domain);
+        self.targets[at].domain = domain;
+    }
+
+    /// Indexes the targets in the failure domain of this entry again.
+    pub(super) fn index_domains(&mut self) {
+        let is_near = |state: &target::State| state.domain.is_some() && state.domain == self.domain;
+        let near = self.targets.iter().enumerate().filter(|(_, state)| is_near(state));
+        self.near = near.map(|(at, _)| at).collect();
+    }
+
     /// Sets the targets whose version of software few have. New generations are placed there only
     /// where no other target has room: streams that began there can go on nowhere else.
     pub fn set_scarce(&mut self, scarce: BTreeSet<id::Target>) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod lease;
 pub mod length;
 pub mod load;
+pub mod locality;
 pub mod mac;
 pub mod member;
 pub mod memory;
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -145,6 +145,8 @@
     pub age: Duration,
     /// Whether the generation could no longer meet its objective.
     pub late: bool,
+    /// Whether it is known to be in the failure domain of the entry.
+    pub near: bool,
 }
 
 /// The gate's decision on a request.
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -5,6 +5,7 @@
 use crate::concurrency::Limiter;
 use crate::exclusion::Exclusion;
 use crate::id;
+use crate::locality;
 use crate::memory::Memory;
 use crate::placement;
 use crate::share::Share;
@@ -69,6 +70,10 @@
     suspension: Exclusion,
     /// Whether few targets have its version of software.
     pub(crate) scarce: bool,
+    /// Its failure domain, if known.
+    pub(crate) domain: Option<id::Domain>,
+    /// Mean time of its answers to plain requests.
+    pub(crate) answers: locality::Mean,
 }
 
 impl State {
@@ -92,6 +97,8 @@
             suspended_until: Time::ZERO,
             suspension: Exclusion::Limited,
             scarce: false,
+            domain: None,
+            answers: locality::Mean::default(),
         }
     }
 
--- a/crates/policy/tests/gate_updates.rs
+++ b/crates/policy/tests/gate_updates.rs
@@ -42,7 +42,7 @@
 }
 
 fn update(n: usize, listed: Option<bool>) -> TargetUpdate {
-    let listed = listed.map(|cordoned| Listing { cordoned });
+    let listed = listed.map(|cordoned| Listing { cordoned, domain: None });
     TargetUpdate { target: target(n), listed }
 }
 
