Leave overloaded entries out of answers of the directory

Callers choose evenly among the entries that the directory lists, while hosts differ by a factor of five. With the switch entry_load, entries announce in heartbeats what they carry as a part of what they can, and the directory leaves out an entry of a part of its answers that grows above a high watermark and shrinks below a low one; at most half of the entries are left out of one answer.

--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -5,6 +5,7 @@
 use derive_more::{Display, Error};
 use fireflyhoist_policy::cold;
 use fireflyhoist_policy::cordon;
+use fireflyhoist_policy::entry_load::{Exclusions, Pressure};
 use fireflyhoist_policy::feature::Feature;
 use fireflyhoist_policy::fragility;
 use fireflyhoist_policy::id;
@@ -75,6 +76,14 @@
     /// Which frames the entry reads; see [`PROTOCOL`].
     #[serde(default)]
     pub(crate) protocol: u32,
+    /// What it carries, as a part of what it can carry; `None` from an earlier release, and where
+    /// the entry does not measure it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) pressure: Option<Pressure>,
+    /// The entries that its directory leaves out of answers; only to leaves, which receive the
+    /// pressure of two entries at most.
+    #[serde(default, skip_serializing_if = "Exclusions::is_empty")]
+    pub(crate) left_out: Exclusions,
     /// Whether it currently receives changes of targets from the registry.
     pub(crate) watching: bool,
     /// Whether it relies on the receiver to send it each change of targets.
--- a/crates/gateway/src/process/fleet/heartbeat.rs
+++ b/crates/gateway/src/process/fleet/heartbeat.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use fireflyhoist_policy::entry_load::Exclusions;
 use fireflyhoist_policy::heartbeat::{self, Schedule};
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::load::Load;
@@ -31,6 +32,8 @@
             registry_up: self.process.is_registry_available(),
             isolated: self.process.is_isolated(),
             protocol: PROTOCOL,
+            pressure: self.process.pressure(),
+            left_out: Exclusions::default(),
             watching: self.process.is_watching(),
             loads,
         }
@@ -86,10 +89,14 @@
         let (_, leaves) = self.actives_and_leaves();
         let (busy, idle): (Vec<id::Host>, Vec<id::Host>) =
             leaves.into_iter().partition(|leaf| self.process.has_usage(leaf));
-        self.links.send_all(idle.iter(), &Frame::Heartbeat(self.new_heartbeat(Vec::new())));
+        let heartbeat = |loads| Heartbeat {
+            left_out: self.process.announced_exclusions(),
+            ..self.new_heartbeat(loads)
+        };
+        self.links.send_all(idle.iter(), &Frame::Heartbeat(heartbeat(Vec::new())));
         for leaf in &busy {
             let loads = self.process.usage_with(|host| host != leaf);
-            self.links.send(leaf, &Frame::Heartbeat(self.new_heartbeat(loads)));
+            self.links.send(leaf, &Frame::Heartbeat(heartbeat(loads)));
         }
     }
 
@@ -108,12 +115,14 @@
             }
             if !self.is_active() {
                 if schedule.take_due_as_leaf(self.now()) {
+                    self.update_entry_load();
                     self.send_heartbeats();
                     self.process.report_own_usage();
                 }
                 continue;
             }
             let Some(recipients) = schedule.take_due(self.now()) else { continue };
+            self.update_entry_load();
             self.send_to_actives();
             if recipients == heartbeat::Recipients::All {
                 self.send_to_leaves();
--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -7,6 +7,7 @@
 //! from the recipient.
 
 mod catchup;
+mod entry_load;
 pub(crate) mod fragility;
 mod heartbeat;
 mod links;
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -38,6 +38,8 @@
     pub(crate) cordoned: usize,
     /// Cold targets, which have started recently.
     pub(crate) cold: usize,
+    /// Entries that the directory leaves out of answers.
+    pub(crate) left_out: usize,
 }
 
 /// The metrics of one process.
@@ -63,6 +65,7 @@
     limited: Gauge<u64>,
     cordoned: Gauge<u64>,
     cold: Gauge<u64>,
+    left_out: Gauge<u64>,
     open: Gauge<u64>,
     isolated: Gauge<u64>,
     revision: Gauge<u64>,
@@ -125,6 +128,10 @@
                 .build(),
             limited: gauge("fireflyhoist.limited_targets", "Targets that name a limit"),
             cold: gauge("fireflyhoist.cold_targets", "Targets that are cold"),
+            left_out: gauge(
+                "fireflyhoist.entries_left_out",
+                "Entries that the directory leaves out of answers because of their load",
+            ),
             cordoned: gauge("fireflyhoist.cordoned_domains", "Failure domains that are cordoned"),
             era: gauge(
                 "fireflyhoist.registry_era",
@@ -217,6 +224,7 @@
         self.limited.record(gauges.limited as u64, &[]);
         self.cordoned.record(gauges.cordoned as u64, &[]);
         self.cold.record(gauges.cold as u64, &[]);
+        self.left_out.record(gauges.left_out as u64, &[]);
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_else(|error| {
             ::log::warn!(error:% = error; "metrics can't be encoded");
             String::new()
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -1,6 +1,7 @@
 //! The state that all requests of a process share. Each part has a lock of its own.
 
 mod cordon;
+mod entry_load;
 mod fragility;
 mod origin;
 mod path;
@@ -39,6 +40,7 @@
 use crate::process::metrics::Metrics;
 use crate::process::service_gate::ServiceGate;
 use crate::process::settings::{Bounds, Scheduling, Settings};
+use crate::process::state::entry_load::EntryLoad;
 use crate::process::state::origin::Origins;
 use crate::process::state::path::Path;
 use crate::process::state::poison::Poison;
@@ -92,6 +94,7 @@
     /// Versions of software that began streams.
     origins: Origins,
     path: Path,
+    entry_load: EntryLoad,
     /// Services whose targets crash if they reject too much.
     fragile: Mutex<Services>,
     /// Grants of requests to such targets, used for the targets that this entry decides for.
@@ -146,6 +149,7 @@
             suspicions: Suspicions::default(),
             origins: Origins::default(),
             path: Path::default(),
+            entry_load: EntryLoad::default(),
             fragile: Mutex::default(),
             grants: Mutex::default(),
             rests: Mutex::default(),
--- a/crates/gateway/src/request/entries.rs
+++ b/crates/gateway/src/request/entries.rs
@@ -23,7 +23,7 @@
     let Some(domain) = P::entries_query(request.path(), query) else {
         return Response::NotFound().finish();
     };
-    let mut members = fleet.ready_members();
+    let mut members = fleet.listed_members();
     members.sort_by_key(|member| member.domain.as_str() != domain.as_str());
     let entry = |member: Member| Entry {
         host: member.host,
--- a/crates/gateway/src/request/probe.rs
+++ b/crates/gateway/src/request/probe.rs
@@ -28,6 +28,7 @@
         limited: process.limited_targets(),
         cordoned: process.cordoned_domains(),
         cold: process.cold_targets(),
+        left_out: process.exclusions().len(),
     });
     Response::Ok().content_type("text/plain; version=0.0.4").body(page)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod concurrency;
 pub mod cordon;
 pub mod curve;
+pub mod entry_load;
 pub mod exclusion;
 pub mod failover;
 pub mod feature;
--- a/crates/policy/src/locality.rs
+++ b/crates/policy/src/locality.rs
@@ -34,6 +34,10 @@
 /// last eight.
 const SLOW_FACTOR: f64 = 1.25;
 
+/// Difference of these means in seconds that is never slow: delays of the scheduler at the entry's host
+/// make as much.
+const SLOW_MARGIN_S: f64 = 0.005;
+
 /// Weight of a new answer in the mean answer time of a target, so that about the last eight count.
 const TARGET_SMOOTHING: f64 = 1.0 / 8.0;
 
@@ -77,7 +81,7 @@
     /// Returns whether the answers of a target with this mean take clearly longer than `usual`. A
     /// target without an answer counts as usual.
     pub(crate) fn is_slow(&self, usual: &Self) -> bool {
-        self.seconds > SLOW_FACTOR * usual.seconds
+        self.seconds > SLOW_FACTOR * usual.seconds + SLOW_MARGIN_S
     }
 }
 
