--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -39,6 +39,8 @@
     pub(crate) cordoned: usize,
     /// Cold targets, which have started recently.
     pub(crate) cold: usize,
+    /// Entries that the directory leaves out of answers.
+    pub(crate) left_out: usize,
 }
 
 /// The metrics of one process.
@@ -49,6 +51,7 @@
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
     attempts: Counter<u64>,
+    sends: Counter<u64>,
     broken_runs: Counter<u64>,
     held_back: Counter<u64>,
     reservations: Counter<u64>,
@@ -64,6 +67,7 @@
     limited: Gauge<u64>,
     cordoned: Gauge<u64>,
     cold: Gauge<u64>,
+    left_out: Gauge<u64>,
     open: Gauge<u64>,
     isolated: Gauge<u64>,
     revision: Gauge<u64>,
@@ -91,6 +95,7 @@
         Some(Self {
             requests: counter("fireflyhoist.requests", "Requests by kind and status"),
             attempts: counter("fireflyhoist.attempts", "Attempts at targets by outcome"),
+            sends: counter("fireflyhoist.sends", "Requests sent to targets, by failure domain"),
             broken_runs: counter(
                 "fireflyhoist.broken_runs",
                 "Runs that broke off, by what became of the target",
@@ -129,6 +134,10 @@
                 .build(),
             limited: gauge("fireflyhoist.limited_targets", "Targets that name a limit"),
             cold: gauge("fireflyhoist.cold_targets", "Targets that are cold"),
+            left_out: gauge(
+                "fireflyhoist.entries_left_out",
+                "Entries that the directory leaves out of answers because of their load",
+            ),
             cordoned: gauge("fireflyhoist.cordoned_domains", "Failure domains that are cordoned"),
             era: gauge(
                 "fireflyhoist.registry_era",
@@ -159,6 +168,12 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Counts a request that was sent to a target, in the failure domain of this entry or another.
+    pub(crate) fn sent(&self, is_near: bool) {
+        let domain = if is_near { "own" } else { "other" };
+        self.sends.add(1, &[KeyValue::new("domain", domain)]);
+    }
+
     /// Counts a run that broke off, by the status of its target.
     pub(crate) fn broken_run(&self, status: Status) {
         self.broken_runs.add(1, &[KeyValue::new("target", status.to_string())]);
@@ -220,6 +235,7 @@
         self.limited.record(gauges.limited as u64, &[]);
         self.cordoned.record(gauges.cordoned as u64, &[]);
         self.cold.record(gauges.cold as u64, &[]);
+        self.left_out.record(gauges.left_out as u64, &[]);
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_else(|error| {
             ::log::warn!(error:% = error; "metrics can't be encoded");
             String::new()
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -1,6 +1,7 @@
 //! The state that all requests of a process share. Each part has a lock of its own.
 
 mod cordon;
+mod entry_load;
 mod fragility;
 mod origin;
 mod path;
@@ -41,6 +42,7 @@
 use crate::process::metrics::Metrics;
 use crate::process::service_gate::ServiceGate;
 use crate::process::settings::{Bounds, Scheduling, Settings};
+use crate::process::state::entry_load::EntryLoad;
 use crate::process::state::origin::Origins;
 use crate::process::state::path::Path;
 use crate::process::state::poison::Poison;
@@ -94,6 +96,7 @@
     /// Versions of software that began streams.
     origins: Origins,
     path: Path,
+    entry_load: EntryLoad,
     /// Services whose targets crash if they reject too much.
     fragile: Mutex<Services>,
     /// Grants of requests to such targets, used for the targets that this entry decides for.
@@ -150,6 +153,7 @@
             suspicions: Suspicions::default(),
             origins: Origins::default(),
             path: Path::default(),
+            entry_load: EntryLoad::default(),
             fragile: Mutex::default(),
             grants: Mutex::default(),
             reservations: Mutex::default(),
@@ -248,6 +252,7 @@
                 .or_insert_with(|| ServiceGate::with_settings(self.clock, self.gate_settings()));
             gate.set_order(order.clone());
             gate.set_scheduling(self.scheduling());
+            gate.set_own_domain(self.settings.domain.clone());
             if service.engine.is_none()
                 && let Some(objective) = objectives.get(&service.name)
             {
