Place generations by the pauses that their prompts cause

Entries notice an engine's speed only when it is three times slower than the median, and each alone.

Gates now estimate the pace of each target from the time between events, entries add their figures to the loads in heartbeats, and placement avoids targets where a prompt would interrupt answers. A request that can wait is held and does not block those behind it.

--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -38,6 +38,8 @@
     pub(crate) cordoned: usize,
     /// Cold targets, which have started recently.
     pub(crate) cold: usize,
+    /// Targets where a prompt would put running answers at risk.
+    pub(crate) at_risk: usize,
 }
 
 /// The metrics of one process.
@@ -56,12 +58,14 @@
     carried: Counter<u64>,
     relayed: Counter<u64>,
     registry_calls: Counter<u64>,
+    long_pauses: Counter<u64>,
     answer_begins: Histogram<f64>,
     era: Gauge<u64>,
     held_requests: Gauge<u64>,
     limited: Gauge<u64>,
     cordoned: Gauge<u64>,
     cold: Gauge<u64>,
+    at_risk: Gauge<u64>,
     open: Gauge<u64>,
     isolated: Gauge<u64>,
     revision: Gauge<u64>,
@@ -114,6 +118,10 @@
                 "fireflyhoist.relayed",
                 "Connections that an isolated entry requested of others, by outcome",
             ),
+            long_pauses: counter(
+                "fireflyhoist.long_pauses",
+                "Pauses in answers that were longer than their route allows",
+            ),
             registry_calls: counter("fireflyhoist.registry_calls", "Calls of the registry"),
             answer_begins: meter
                 .f64_histogram("fireflyhoist.answer_begins")
@@ -122,6 +130,10 @@
                 .with_boundaries(LATENCY_BOUNDS_S.to_vec())
                 .build(),
             limited: gauge("fireflyhoist.limited_targets", "Targets that name a limit"),
+            at_risk: gauge(
+                "fireflyhoist.targets_at_risk",
+                "Targets where a prompt would interrupt answers for too long",
+            ),
             cold: gauge("fireflyhoist.cold_targets", "Targets that are cold"),
             cordoned: gauge("fireflyhoist.cordoned_domains", "Failure domains that are cordoned"),
             era: gauge(
@@ -194,6 +206,11 @@
         self.registry_calls.add(1, &[]);
     }
 
+    /// Counts a pause in an answer that was longer than its route allows.
+    pub(crate) fn long_pause(&self) {
+        self.long_pauses.add(1, &[]);
+    }
+
     /// Returns the counters of traffic on links.
     pub(crate) fn traffic(&self) -> &Traffic {
         &self.traffic
@@ -209,6 +226,7 @@
         self.limited.record(gauges.limited as u64, &[]);
         self.cordoned.record(gauges.cordoned as u64, &[]);
         self.cold.record(gauges.cold as u64, &[]);
+        self.at_risk.record(gauges.at_risk as u64, &[]);
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_else(|error| {
             ::log::warn!(error:% = error; "metrics can't be encoded");
             String::new()
--- a/crates/gateway/src/process/service_gate.rs
+++ b/crates/gateway/src/process/service_gate.rs
@@ -14,6 +14,7 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::observation::{self, Observer};
 use fireflyhoist_policy::outlier;
+use fireflyhoist_policy::pace::{Figures, Sighting};
 use fireflyhoist_policy::retry;
 use fireflyhoist_policy::stagger::Order;
 use fireflyhoist_policy::unit::Tokens;
@@ -37,6 +38,8 @@
     pub report: Report,
     /// Prompt tokens of other entries whose prefill is not done.
     pub unread: Tokens,
+    /// Its pace and the answers that can be interrupted there, as other entries announce them.
+    pub pace: Figures,
 }
 
 /// The gate of one service and the requests that wait for it.
@@ -149,6 +152,18 @@
         self.state.lock().gate.set_answer_objective(objective);
     }
 
+    /// Sets the longest pause that the routes of the service allow, and the tokens of one event.
+    pub fn set_pauses(&self, longest: Option<Duration>, event_tokens: u32) {
+        let mut state = self.state.lock();
+        state.gate.set_longest_pause(longest);
+        state.gate.set_event_tokens(event_tokens);
+    }
+
+    /// Returns the number of targets where a prompt would put running answers at risk.
+    pub fn targets_at_risk(&self) -> usize {
+        self.state.lock().gate.targets_at_risk(self.clock.now())
+    }
+
     /// Sets the retry budget of this entry.
     pub fn set_retries(&self, limits: retry::Limits) {
         self.state.lock().gate.set_retries(limits);
@@ -159,6 +174,11 @@
         self.state.lock().gate.restarted(self.clock.now(), target);
     }
 
+    /// Forgets the pace of a target that has a new address.
+    pub fn reset_pace(&self, target: &id::Target) {
+        self.state.lock().gate.reset_pace(target);
+    }
+
     /// Applies the values of the text in force: the weights of workspaces, and the objective of the
     /// service for the time between tokens.
     pub fn configure(&self, weights: &BTreeMap<id::Workspace, f64>, token_interval: Duration) {
@@ -292,6 +312,7 @@
         for load in loads {
             state.gate.report(now, &load.target, &load.report, Duration::ZERO);
             state.gate.set_unread(&load.target, load.unread);
+            state.gate.set_pace(now, &load.target, load.pace);
         }
         drop(state);
         self.poll();
@@ -324,13 +345,19 @@
     }
 
     /// Records that the answer has `produced` tokens in all. `started` is set for the first token,
-    /// after which the target can take the next prompt.
-    pub fn progress(&self, produced: Tokens, started: bool) {
+    /// after which the target can take the next prompt. Returns what the latest event showed about
+    /// the target.
+    pub fn progress(&self, produced: Tokens, started: bool) -> Sighting {
         let now = self.gate.clock.now();
-        self.gate.state.lock().gate.progress(now, self.request, produced);
+        let sighting = {
+            let mut state = self.gate.state.lock();
+            state.gate.progress(now, self.request, produced);
+            state.gate.take_sighting()
+        };
         if started {
             self.gate.poll();
         }
+        sighting
     }
 
     /// Returns the id of the request.
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -236,6 +236,7 @@
     fn open_gates(&self, table: &Table) {
         let order = self.order.lock().clone();
         let objectives = table.text().answer_objectives();
+        let longest_pauses = table.text().longest_pauses();
         let mut gates = self.gates.write();
         for service in &table.text().services {
             let gate = gates.entry(service.name.clone());
@@ -243,6 +244,10 @@
                 .or_insert_with(|| ServiceGate::with_settings(self.clock, self.gate_settings()));
             gate.set_order(order.clone());
             gate.set_scheduling(self.scheduling());
+            if let Some(engine) = &service.engine {
+                let longest = longest_pauses.get(&service.name).copied();
+                gate.set_pauses(longest, engine.tokens_per_event);
+            }
             if service.engine.is_none()
                 && let Some(objective) = objectives.get(&service.name)
             {
--- a/crates/gateway/src/process/state/targets.rs
+++ b/crates/gateway/src/process/state/targets.rs
@@ -40,6 +40,11 @@
         self.expire_cordons();
     }
 
+    /// Returns the number of targets where a prompt would put running answers at risk.
+    pub(crate) fn targets_at_risk(&self) -> usize {
+        self.gates.read().values().map(|gate| gate.targets_at_risk()).sum()
+    }
+
     /// Leaves out a target that has just been seen to have crashed, while the registry still lists it.
     pub(crate) fn suspend_crashed(&self, crashed: &Target) {
         let listed = self.target(&crashed.id);
@@ -102,6 +107,9 @@
         for target in leases.take_restarted() {
             gates.values().for_each(|gate| gate.restarted(&target));
         }
+        for target in leases.take_moved() {
+            gates.values().for_each(|gate| gate.reset_pace(&target));
+        }
         let changed = leases.take_changed();
         let cordons = self.cordons.lock();
         for (service, gate) in gates.iter() {
--- a/crates/gateway/src/process/state/usage.rs
+++ b/crates/gateway/src/process/state/usage.rs
@@ -28,8 +28,8 @@
         let gates: Vec<Arc<ServiceGate>> = self.gates.read().values().cloned().collect();
         let mut loads: Vec<Load> = Vec::new();
         for holding in gates.iter().flat_map(|gate| gate.holdings()) {
-            let Holding { target, tokens, streams, unread } = holding;
-            loads.push(Load { target, tokens, streams, unread, copies: Tokens::default() });
+            let Holding { target, tokens, streams, unread, pace } = holding;
+            loads.push(Load { target, tokens, streams, unread, copies: Tokens::default(), pace });
         }
         for (target, tokens) in self.copies.lock().iter() {
             loads.push(Load { copies: Tokens::new(*tokens), ..Load::none(target) });
@@ -92,7 +92,8 @@
             let used = Tokens::new(all.tokens.get() + all.copies.get());
             let report =
                 Report { capacity: engine.memory, used, running: all.streams, ..Report::default() };
-            let load = TargetLoad { target: target.clone(), report, unread: others.unread };
+            let Load { unread, pace, .. } = others;
+            let load = TargetLoad { target: target.clone(), report, unread, pace };
             loads.entry(lease.service.clone()).or_default().push(load);
         }
         drop((leases, peers));
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -474,7 +474,14 @@
         if let Some(slot) = self.slot.take_if(|_| self.events > 0) {
             slot.end(Ending::Accepted);
         }
-        self.pass.progress(Tokens::new(self.produced_tokens()), self.events == 1);
+        let produced = Tokens::new(self.produced_tokens());
+        let sighting = self.pass.progress(produced, self.events == 1);
+        if sighting.long_pause {
+            self.worker.process.metrics.long_pause();
+        }
+        if sighting.slowdown_changed {
+            self.worker.process.request_heartbeat();
+        }
         let memory = self.memory_tokens().get();
         if let Some(backup) = &mut self.backup {
             backup.grow(memory);
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -122,7 +122,9 @@
             objective_ms = millis(context.route.objective),
             load:% = format_args!("{:.2}", placement.load), streams = placement.streams,
             unread:% = placement.unread, view_ms = millis(placement.age),
-            late = placement.late; "placed"
+            late = placement.late,
+            pace_us = placement.pace.map_or(0, |pace| pace.as_micros() as u64),
+            risk = placement.risk; "placed"
         );
     }
 
--- a/crates/policy/src/gate/migration.rs
+++ b/crates/policy/src/gate/migration.rs
@@ -11,6 +11,7 @@
 
 use crate::gate::Gate;
 use crate::id;
+use crate::pace::Figures;
 use crate::request::Request;
 use crate::time::Time;
 use crate::unit::Tokens;
@@ -57,19 +58,26 @@
     pub streams: u32,
     /// Prompt tokens of answers that have not produced their first token.
     pub unread: Tokens,
+    /// The pace of the target as observed, and the answers that prompts can interrupt there.
+    pub pace: Figures,
 }
 
 impl Gate {
-    /// Returns what the running answers of this entry hold at each target where it has any.
+    /// Returns what the running answers of this entry hold at each target where it has any, or where
+    /// it had some lately that showed the target's pace.
     pub fn holdings(&self) -> impl Iterator<Item = Holding> {
-        let busy: BTreeSet<usize> = self.running.values().map(|running| running.target).collect();
-        busy.into_iter().map(|at| {
+        let mut busy: BTreeSet<usize> =
+            self.running.values().map(|running| running.target).collect();
+        busy.extend(self.observed.keys().filter_map(|target| self.index.get(target)));
+        let has_pace = self.pause_bound().is_some();
+        busy.into_iter().map(move |at| {
             let state = &self.targets[at];
             Holding {
                 target: state.name.clone(),
                 tokens: Tokens::new(state.memory.held().0 as u64),
                 streams: state.memory.streams(),
                 unread: Tokens::new(state.unread),
+                pace: if has_pace { state.estimate.figures() } else { Figures::default() },
             }
         })
     }
@@ -190,6 +198,10 @@
         // A sample that spans two engines says nothing about either.
         if let Some(running) = self.running.get_mut(&request) {
             running.sampled = (running.produced, now);
+            running.prompts_waited = None;
+            let interruptible = i32::from(running.interruptible);
+            self.targets[from].estimate.add_interruptible(-interruptible);
+            self.targets[to].estimate.add_interruptible(interruptible);
         }
         self.targets[to].memory.add(now, &curve);
         self.remove_if_unused(from);
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -7,6 +7,7 @@
 //! placement, outlier ejection and retry budgets.
 
 mod migration;
+mod pace;
 mod place;
 mod settings;
 mod targets;
@@ -22,6 +23,7 @@
 use crate::length::{Predictor, Progress};
 use crate::observation::{self, Observer};
 use crate::outlier::{self, Detector, Ejection, Sample};
+use crate::pace::{Sighting, Usual};
 use crate::placement::Candidate;
 use crate::queue::{CAPACITY, Item, Queue};
 pub use crate::request::{Class, Outcome, Placement, Reason, Refusal, Report, Request, Verdict};
@@ -34,6 +36,8 @@
 use crate::unit::Tokens;
 use crate::usage::Usage;
 
+use pace::Choice;
+
 pub use migration::Holding;
 pub use settings::Settings;
 pub use targets::{Listing, TargetUpdate};
@@ -82,6 +86,13 @@
     sampled: (u64, Time),
     /// State of its target when it was chosen.
     placement: Placement,
+    /// Whether prompts waited at its target at the latest event; `None` before the first event at
+    /// that target.
+    prompts_waited: Option<bool>,
+    /// Whether a pause in it was longer than its route allows.
+    interrupted: bool,
+    /// Whether it counts among the answers that can be interrupted.
+    interruptible: bool,
 }
 
 /// Decides on the requests of one service; see the [module](self).
@@ -115,6 +126,17 @@
     /// Moving average of the prompt length in tokens; zero before the first prompt.
     mean_prompt: f64,
     order: Arc<Order>,
+    /// The longest pause that the routes of the service allow.
+    longest_pause: Option<Duration>,
+    /// Tokens of one event.
+    event_tokens: u32,
+    usual: Usual,
+    /// Targets whose pace this entry has observed lately, and when.
+    observed: HashMap<id::Target, Time>,
+    /// Until when targets count as uneven.
+    uneven_until: Time,
+    /// What events have shown since [`Gate::take_sighting`].
+    sighting: Sighting,
     candidates: Vec<Candidate>,
     candidate_targets: Vec<usize>,
     /// The indexes of all targets, in the order of the last draw.
@@ -155,6 +177,12 @@
             largest_capacity: UNREPORTED_CAPACITY,
             mean_prompt: 0.0,
             order: Arc::default(),
+            longest_pause: None,
+            event_tokens: 1,
+            usual: Usual::default(),
+            observed: HashMap::new(),
+            uneven_until: Time::ZERO,
+            sighting: Sighting::default(),
             candidates: Vec::new(),
             candidate_targets: Vec::new(),
             draw_order: Vec::new(),
@@ -210,9 +238,11 @@
         let request = self.classify(now, request);
         let work = self.work(&request);
         let curve = self.curve(&request, 0);
-        if self.queue.is_empty_through(request.class)
-            && let Some(at) = self.place(now, rng, &request, &curve)
-        {
+        let choice = match self.queue.is_empty_through(request.class) {
+            true => self.place(now, rng, &request, &curve),
+            false => Choice::Full,
+        };
+        if let Choice::At(at) = choice {
             return self.send(now, at, request, work);
         }
         if let Some((left, why)) = self.first_suspension(now)
@@ -223,7 +253,11 @@
         if !again && let Some(verdict) = self.refuse_on_arrival(now, rng, &request, work) {
             return verdict;
         }
+        let (id, class, objective) = (request.id, request.class, request.objective);
         self.queue.push(now, Item { request, work }, again);
+        if choice == Choice::Held {
+            self.queue.hold(id, class, objective);
+        }
         Verdict::Wait
     }
 
@@ -269,10 +303,12 @@
     /// `now`.
     pub fn progress(&mut self, now: Time, request: id::Request, produced: Tokens) {
         let produced = produced.get();
-        let Some(running) = self.running.get_mut(&request) else { return };
-        if produced <= running.produced {
+        let is_next = |running: &Running| produced > running.produced;
+        if !self.running.get(&request).is_some_and(is_next) {
             return;
         }
+        self.observe(now, request, produced);
+        let Some(running) = self.running.get_mut(&request) else { return };
         let state = &mut self.targets[running.target];
         let gap =
             now.since(running.latest) / u32::try_from(produced - running.produced).unwrap_or(1);
@@ -304,6 +340,7 @@
         let workspace = running.request.workspace.clone();
         self.lengths.advance(&workspace, &mut running.progress, produced);
         self.update_curve(now, request);
+        self.count_interruptible(request);
     }
 
     /// Replaces the curve of a running answer by one for its present length.
@@ -336,6 +373,7 @@
         let workspace = &running.request.workspace;
         let state = &mut self.targets[running.target];
         state.memory.remove(now, &running.curve);
+        state.estimate.add_interruptible(-i32::from(running.interruptible));
         if running.first.is_none() {
             state.remove_unstarted(running.request.prompt.get());
         }
@@ -409,16 +447,21 @@
 
     /// Sends the next queued request that fits on some target.
     fn send_next(&mut self, now: Time, rng: &mut impl Rng) -> Option<(id::Request, Verdict)> {
-        for (class, workspace) in self.queue.next_workspaces() {
-            let request = self.queue.head(class, &workspace)?.request.clone();
+        let next = self.queue.next_workspaces();
+        for (class, workspace) in &next {
+            let request = self.queue.head(*class, workspace)?.request.clone();
             let curve = self.curve(&request, 0);
-            if let Some(at) = self.place(now, rng, &request, &curve) {
-                let item = self.queue.pop(now, class, &workspace)?;
-                self.drain.record(item.work);
-                return Some((request.id, self.send(now, at, item.request, item.work)));
+            match self.place(now, rng, &request, &curve) {
+                Choice::At(at) => {
+                    let item = self.queue.pop(now, *class, workspace)?;
+                    self.drain.record(item.work);
+                    return Some((request.id, self.send(now, at, item.request, item.work)));
+                }
+                Choice::Held => self.queue.hold(request.id, *class, request.objective),
+                Choice::Full => self.queue.release(request.id),
             }
         }
-        None
+        self.send_behind_held(now, rng, &next)
     }
 
     /// Applies the outcome of a request of another entry at a target.
@@ -507,6 +550,7 @@
     fn send(&mut self, now: Time, at: usize, request: Request, work: f64) -> Verdict {
         let curve = self.curve(&request, 0);
         self.note_prompt(&request);
+        let (pace, risk) = self.pace_and_risk(now, at);
         let state = &mut self.targets[at];
         let placement = Placement {
             load: state.memory.load(),
@@ -514,6 +558,8 @@
             unread: Tokens::new(state.all_unread()),
             age: now.since(state.memory.reported_at()),
             late: request.class == Class::Spare,
+            pace,
+            risk,
         };
         state.memory.add(now, &curve);
         state.add_unstarted(request.prompt.get());
@@ -538,8 +584,12 @@
             latest: now,
             sampled: (0, now),
             placement,
+            prompts_waited: None,
+            interrupted: false,
+            interruptible: false,
         };
         self.running.insert(id, running);
+        self.count_interruptible(id);
         Verdict::Send(target)
     }
 }
--- a/crates/policy/src/gate/place.rs
+++ b/crates/policy/src/gate/place.rs
@@ -7,6 +7,7 @@
 
 use crate::curve::Curve;
 use crate::gate::Gate;
+use crate::gate::pace::Choice;
 use crate::id;
 use crate::placement::{self, Candidate};
 use crate::request::{Class, Request};
@@ -47,6 +48,7 @@
         self.weights_read = now;
         let listed = self.targets.iter().filter(|state| state.is_in_service());
         self.held = listed.map(|state| state.memory.held().1).sum();
+        self.refresh_paces(now);
         if !self.settings.outlier {
             return;
         }
@@ -95,14 +97,14 @@
         placement::choose_drawn(&self.candidates).map(|at| self.candidate_targets[at])
     }
 
-    /// Chooses a target for a generation; `None` if it fits on none now.
+    /// Chooses a target for a generation.
     pub(super) fn place(
         &mut self,
         now: Time,
         rng: &mut impl Rng,
         request: &Request,
         curve: &Curve,
-    ) -> Option<usize> {
+    ) -> Choice {
         let (settings, order) = (self.settings.clone(), Arc::clone(&self.order));
         let (sends, mean_prompt) = (self.sends, self.mean_prompt);
         let live = request.class == Class::Live;
@@ -141,11 +143,22 @@
         let has_affinity = settings.affinity && request.prompt.get() >= MIN_AFFINITY_PROMPT;
         let prefix = if has_affinity { request.prefix } else { placement::NO_PREFIX };
         let common = |state: &target::State| if state.scarce { None } else { candidate(state) };
+        let bound = self.deciding_bound(now).filter(|_| prefix == placement::NO_PREFIX);
+        if let Some(bound) = bound {
+            let chosen = match self.scarce.is_empty() {
+                true => Choice::Full,
+                false => self.choose_by_risk(now, rng, request, &bound, common),
+            };
+            return match chosen {
+                Choice::Full => self.choose_by_risk(now, rng, request, &bound, candidate),
+                chosen => chosen,
+            };
+        }
         let chosen = match self.scarce.is_empty() {
             true => None,
             false => self.choose(rng, prefix, common),
         };
-        chosen.or_else(|| self.choose(rng, prefix, candidate))
+        Choice::of(chosen.or_else(|| self.choose(rng, prefix, candidate)))
     }
 
     /// Chooses one of the targets for which `load` returns a value, for a prompt with this prefix.
@@ -170,6 +183,16 @@
     ///
     /// Where most targets have room, the cost does not depend on how many there are.
     fn draw(&mut self, rng: &mut impl Rng, load: impl Fn(&target::State) -> Option<f64>) {
+        self.draw_up_to(rng, self.settings.choices, load);
+    }
+
+    /// Draws up to so many targets at random for which `load` returns a value.
+    pub(super) fn draw_up_to(
+        &mut self,
+        rng: &mut impl Rng,
+        choices: usize,
+        load: impl Fn(&target::State) -> Option<f64>,
+    ) {
         self.candidates.clear();
         self.candidate_targets.clear();
         let count = self.targets.len();
@@ -178,7 +201,7 @@
         }
         // A partial shuffle: whatever the order before it, the drawn part is uniform.
         for nth in 0..count {
-            if self.candidates.len() >= self.settings.choices {
+            if self.candidates.len() >= choices {
                 return;
             }
             self.draw_order.swap(nth, rng.random_range(nth..count));
--- a/crates/policy/src/gate/targets.rs
+++ b/crates/policy/src/gate/targets.rs
@@ -141,6 +141,7 @@
             self.targets[*at].stagger = Delay::since(now);
             self.targets[*at].end_suspension_of_start();
         }
+        self.reset_pace(target);
     }
 
     /// Applies a load report of a target that was taken `age` ago.
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -205,6 +205,8 @@
     grace_until: Time,
     /// Targets that have restarted since the last [`Leases::take_restarted`].
     restarted: Vec<id::Target>,
+    /// Targets whose address has changed since the last [`Leases::take_moved`].
+    moved: BTreeSet<id::Target>,
     /// Targets that may have begun or ceased to take new work since the last
     /// [`Leases::take_changed`].
     changed: BTreeSet<id::Target>,
@@ -407,6 +409,11 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Takes the targets whose address has changed since the last call.
+    pub fn take_moved(&mut self) -> BTreeSet<id::Target> {
+        std::mem::take(&mut self.moved)
+    }
+
     /// Takes the targets that have restarted under their names since the last call.
     pub fn take_restarted(&mut self) -> Vec<id::Target> {
         std::mem::take(&mut self.restarted)
@@ -539,6 +546,9 @@
         if known.is_some_and(|known| target.is_restart_of(known)) {
             self.restarted.push(target.id.clone());
         }
+        if known.is_some_and(|known| target.address != known.address) {
+            self.moved.insert(target.id.clone());
+        }
         let known = known.filter(|known| !target.is_restart_of(known));
         if known.is_some_and(|known| known.state == State::Draining) {
             target.state = State::Draining;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod order;
 pub mod origin;
 pub mod outlier;
+pub mod pace;
 pub mod permit;
 pub mod placement;
 pub mod poison;
--- a/crates/policy/src/load.rs
+++ b/crates/policy/src/load.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id;
+use crate::pace::Figures;
 use crate::unit::Tokens;
 
 /// The load that one or several entries have on one target.
@@ -25,13 +26,17 @@
     pub unread: Tokens,
     /// Tokens that copies of answers which run elsewhere hold in its memory.
     pub copies: Tokens,
+    /// Its pace as observed, and the answers that prompts can interrupt there.
+    #[serde(default, skip_serializing_if = "Figures::is_none")]
+    pub pace: Figures,
 }
 
 impl Load {
     /// Returns no load on a target.
     pub fn none(target: &id::Target) -> Self {
         let zero = Tokens::default();
-        Self { target: target.clone(), tokens: zero, streams: 0, unread: zero, copies: zero }
+        let pace = Figures::default();
+        Self { target: target.clone(), tokens: zero, streams: 0, unread: zero, copies: zero, pace }
     }
 
     /// Adds the load of another entry on the same target.
@@ -40,6 +45,7 @@
         self.streams += other.streams;
         self.unread += other.unread;
         self.copies += other.copies;
+        self.pace.add(&other.pace);
     }
 
     /// Returns whether nothing is in flight at the target.
@@ -97,12 +103,15 @@
         }
     }
 
-    /// Returns the load of all other entries together on a target.
+    /// Returns the load of all other entries together on a target. Its pace is the median of theirs.
     pub fn total(&self, target: &id::Target) -> Load {
         let mut total = Load::none(target);
         for load in self.by_target.get(target).into_iter().flat_map(HashMap::values) {
             total.add(load);
         }
+        if let Some(loads) = self.by_target.get(target) {
+            total.pace.set_median(loads.values().map(|load| &load.pace));
+        }
         total
     }
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -27,6 +27,9 @@
 /// Workspaces tried in one turn, at most.
 const CANDIDATES: usize = 4;
 
+/// Held requests of one workspace that are passed in one turn, at most.
+const MAX_PASSED: usize = 32;
+
 /// A queued request.
 #[derive(Clone, Debug)]
 pub struct Item {
@@ -69,6 +72,8 @@
     locations: HashMap<id::Request, Location>,
     turns: u32,
     fair: bool,
+    /// Requests that could be sent, but wait for a target where they interrupt nothing.
+    held: BTreeMap<Class, HashMap<id::Request, Time>>,
     /// Whether [`Class::Spare`] is left out of the turns of the lowest class.
     is_spare_last: bool,
 }
@@ -104,9 +109,67 @@
         self.locations.is_empty()
     }
 
-    /// Returns whether no request of this class or a higher one is queued.
+    /// Returns whether no request of this class or a higher one is queued, except for those that are
+    /// held.
     pub fn is_empty_through(&self, class: Class) -> bool {
-        self.classes.range(..=class).all(|(_, flows)| flows.is_empty())
+        self.classes.range(..=class).all(|(class, flows)| {
+            let held = self.held.get(class).map_or(0, HashMap::len);
+            flows.is_empty()
+                || held > 0 && flows.values().map(|flow| flow.items.len()).sum::<usize>() <= held
+        })
+    }
+
+    /// Holds a request with this objective: it could be sent, but waits for a better target, and does
+    /// not block the requests behind it.
+    pub fn hold(&mut self, request: id::Request, class: Class, objective: Time) {
+        self.held.entry(class).or_default().insert(request, objective);
+    }
+
+    /// Ends the hold on requests with an objective until a time.
+    pub fn release_until(&mut self, objective: Time) {
+        self.held.retain(|_, held| {
+            held.retain(|_, of_request| *of_request > objective);
+            !held.is_empty()
+        });
+    }
+
+    /// Ends the hold on a request.
+    pub fn release(&mut self, request: id::Request) {
+        self.held.retain(|_, held| {
+            held.remove(&request);
+            !held.is_empty()
+        });
+    }
+
+    /// Returns up to `count` requests that may be sent although others are held: the first of each
+    /// workspace, except for those in `tried`, and the first behind it that is not held. A class in
+    /// which a request is not held keeps lower classes back.
+    pub fn behind_held(&self, tried: &[(Class, id::Workspace)], count: usize) -> Vec<Request> {
+        let mut behind = Vec::new();
+        if self.held.is_empty() {
+            return behind;
+        }
+        for (class, flows) in &self.classes {
+            let held = self.held.get(class);
+            let is_held = |id| held.is_some_and(|held| held.contains_key(id));
+            let mut workspaces: Vec<&id::Workspace> = flows.keys().collect();
+            workspaces.sort_by(|a, b| self.order(flows, a, b));
+            for workspace in workspaces {
+                let is_tried = tried.iter().any(|(c, w)| c == class && w == workspace);
+                let items = flows.get(workspace).into_iter().flat_map(|flow| &flow.items);
+                let mut items = items.take(MAX_PASSED).map(|item| &item.request);
+                behind.extend(items.next().filter(|_| !is_tried).cloned());
+                behind.extend(items.find(|request| !is_held(&request.id)).cloned());
+            }
+            if behind.len() >= count
+                || flows.values().map(|flow| flow.items.len()).sum::<usize>()
+                    > held.map_or(0, HashMap::len)
+            {
+                break;
+            }
+        }
+        behind.truncate(count);
+        behind
     }
 
     /// Returns whether no request of this workspace is queued in this class.
@@ -200,6 +263,18 @@
         Some(item)
     }
 
+    /// Removes a request for sending that need not be the first of its workspace's queue.
+    pub fn pop_request(&mut self, now: Time, request: id::Request) -> Option<Item> {
+        let item = self.remove(request)?;
+        if let Some(account) = self.accounts.get_mut(&item.request.workspace) {
+            account.drain.advance(now, true);
+            account.drain.record(item.work);
+            self.virtual_time = self.virtual_time.max(account.received);
+        }
+        self.turns = self.turns.wrapping_add(1);
+        Some(item)
+    }
+
     fn take(&mut self, class: Class, workspace: &id::Workspace, at: usize) -> Option<Item> {
         let flows = self.classes.get_mut(&class)?;
         let flow = flows.get_mut(workspace)?;
@@ -210,6 +285,9 @@
             flows.remove(workspace);
             self.evict_account(workspace);
         }
+        if !self.held.is_empty() {
+            self.release(item.request.id);
+        }
         Some(item)
     }
 
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -145,6 +145,10 @@
     pub age: Duration,
     /// Whether the generation could no longer meet its objective.
     pub late: bool,
+    /// The target's time per token, if placement takes it into account.
+    pub pace: Option<Duration>,
+    /// Answers that the prompt puts at risk there; see [`crate::pace`].
+    pub risk: u32,
 }
 
 /// The gate's decision on a request.
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -175,6 +175,20 @@
         }
         strictest
     }
+
+    /// Returns the shortest of the longest pauses that the routes to each service allow. Services
+    /// whose routes have no bound are left out.
+    pub fn longest_pauses(&self) -> HashMap<&id::Service, Duration> {
+        let mut shortest = HashMap::new();
+        for route in &self.routes {
+            let Some(gap) = route.gap else { continue };
+            for part in &route.parts {
+                let longest = shortest.entry(&part.service).or_insert(gap);
+                *longest = gap.min(*longest);
+            }
+        }
+        shortest
+    }
 }
 
 /// A [`Text`] with indexes for lookups on the request path.
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -6,6 +6,7 @@
 use crate::exclusion::Exclusion;
 use crate::id;
 use crate::memory::Memory;
+use crate::pace::Estimate;
 use crate::placement;
 use crate::share::Share;
 use crate::stagger::Delay;
@@ -52,6 +53,8 @@
     pub(crate) share: Share,
     pub(crate) memory: Memory,
     pub(crate) pace: Limiter,
+    /// What is known of its time per token.
+    pub(crate) estimate: Estimate,
     /// Streams that have not produced their first token.
     pub(crate) unstarted: u32,
     /// Prompt tokens of these streams.
@@ -83,6 +86,7 @@
             share: Share::default(),
             memory: Memory::default(),
             pace: Limiter::default(),
+            estimate: Estimate::default(),
             unstarted: 0,
             unread: 0,
             others_unread: 0,
