--- a/crates/policy/src/pace.rs
+++ b/crates/policy/src/pace.rs
@@ -180,18 +180,23 @@
 /// What one or several entries observe at a target.
 ///
 /// Figures of several entries add, and what one entry contributes to the count is bounded by the
-/// number of intervals that it keeps.
+/// number of intervals that it keeps. Field names are short in frames, since heartbeats carry figures
+/// of each target in use.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Figures {
     /// Sum of the observed times per token without prompts, in microseconds, each weighted with its
     /// number of intervals.
+    #[serde(rename = "s")]
     pub sum: u64,
     /// Number of intervals.
+    #[serde(rename = "n")]
     pub count: u32,
     /// Number of entries that see the target in a slowdown.
+    #[serde(rename = "d")]
     pub slowed: u32,
     /// Running answers that are still on time and can be interrupted.
+    #[serde(rename = "i")]
     pub interruptible: u32,
 }
 
