--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -41,6 +41,8 @@
     pub(crate) cold: usize,
     /// Entries that the directory leaves out of answers.
     pub(crate) left_out: usize,
+    /// Targets where a prompt would put running answers at risk.
+    pub(crate) at_risk: usize,
 }
 
 /// The metrics of one process.
@@ -61,6 +63,7 @@
     carried: Counter<u64>,
     relayed: Counter<u64>,
     registry_calls: Counter<u64>,
+    long_pauses: Counter<u64>,
     answer_begins: Histogram<f64>,
     era: Gauge<u64>,
     held_requests: Gauge<u64>,
@@ -68,6 +71,7 @@
     cordoned: Gauge<u64>,
     cold: Gauge<u64>,
     left_out: Gauge<u64>,
+    at_risk: Gauge<u64>,
     open: Gauge<u64>,
     isolated: Gauge<u64>,
     revision: Gauge<u64>,
@@ -125,6 +129,10 @@
                 "fireflyhoist.relayed",
                 "Connections that an isolated entry requested of others, by outcome",
             ),
+            long_pauses: counter(
+                "fireflyhoist.long_pauses",
+                "Pauses in answers that were longer than their route allows",
+            ),
             registry_calls: counter("fireflyhoist.registry_calls", "Calls of the registry"),
             answer_begins: meter
                 .f64_histogram("fireflyhoist.answer_begins")
@@ -133,6 +141,10 @@
                 .with_boundaries(LATENCY_BOUNDS_S.to_vec())
                 .build(),
             limited: gauge("fireflyhoist.limited_targets", "Targets that name a limit"),
+            at_risk: gauge(
+                "fireflyhoist.targets_at_risk",
+                "Targets where a prompt would interrupt answers for too long",
+            ),
             cold: gauge("fireflyhoist.cold_targets", "Targets that are cold"),
             left_out: gauge(
                 "fireflyhoist.entries_left_out",
@@ -220,6 +232,11 @@
         self.registry_calls.add(1, &[]);
     }
 
+    /// Counts a pause in an answer that was longer than its route allows.
+    pub(crate) fn long_pause(&self) {
+        self.long_pauses.add(1, &[]);
+    }
+
     /// Returns the counters of traffic on links.
     pub(crate) fn traffic(&self) -> &Traffic {
         &self.traffic
@@ -236,6 +253,7 @@
         self.cordoned.record(gauges.cordoned as u64, &[]);
         self.cold.record(gauges.cold as u64, &[]);
         self.left_out.record(gauges.left_out as u64, &[]);
+        self.at_risk.record(gauges.at_risk as u64, &[]);
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_else(|error| {
             ::log::warn!(error:% = error; "metrics can't be encoded");
             String::new()
--- a/crates/gateway/src/request/probe.rs
+++ b/crates/gateway/src/request/probe.rs
@@ -29,6 +29,7 @@
         cordoned: process.cordoned_domains(),
         cold: process.cold_targets(),
         left_out: process.exclusions().len(),
+        at_risk: process.targets_at_risk(),
     });
     Response::Ok().content_type("text/plain; version=0.0.4").body(page)
 }
--- a/crates/policy/src/gate/place.rs
+++ b/crates/policy/src/gate/place.rs
@@ -7,6 +7,7 @@
 
 use crate::curve::Curve;
 use crate::gate::Gate;
+use crate::gate::pace::Choice;
 use crate::id;
 use crate::locality;
 use crate::placement::{self, Candidate};
@@ -48,6 +49,7 @@
         self.weights_read = now;
         let listed = self.targets.iter().filter(|state| state.is_in_service());
         self.held = listed.map(|state| state.memory.held().1).sum();
+        self.refresh_paces(now);
         if !self.settings.outlier {
             return;
         }
@@ -101,14 +103,14 @@
         placement::choose_drawn(&self.candidates).map(|at| self.candidate_targets[at])
     }
 
-    /// Chooses a target for a generation; `None` if it fits on none now.
+    /// Chooses a target for a generation.
     pub(super) fn place(
         &mut self,
         now: Time,
         rng: &mut impl Rng,
         request: &Request,
         curve: &Curve,
-    ) -> Option<usize> {
+    ) -> Choice {
         let (settings, order) = (self.settings.clone(), Arc::clone(&self.order));
         let (sends, mean_prompt) = (self.sends, self.mean_prompt);
         let live = request.class == Class::Live;
@@ -150,11 +152,22 @@
         let has_affinity = settings.affinity && request.prompt.get() >= MIN_AFFINITY_PROMPT;
         let prefix = if has_affinity { request.prefix } else { placement::NO_PREFIX };
         let common = |state: &target::State| if state.scarce { None } else { candidate(state) };
+        let bound = self.deciding_bound(now).filter(|_| prefix == placement::NO_PREFIX);
+        if let Some(bound) = bound {
+            let chosen = match self.scarce.is_empty() {
+                true => Choice::Full,
+                false => self.choose_by_risk(now, rng, request, &bound, common),
+            };
+            return match chosen {
+                Choice::Full => self.choose_by_risk(now, rng, request, &bound, candidate),
+                chosen => chosen,
+            };
+        }
         let chosen = match self.scarce.is_empty() {
             true => None,
             false => self.choose(rng, prefix, common),
         };
-        chosen.or_else(|| self.choose(rng, prefix, candidate))
+        Choice::of(chosen.or_else(|| self.choose(rng, prefix, candidate)))
     }
 
     /// Chooses one of the targets for which `load` returns a value, for a prompt with this prefix.
@@ -183,9 +196,19 @@
     ///
     /// Where most targets have room, the cost does not depend on how many there are.
     fn draw(&mut self, rng: &mut impl Rng, load: impl Fn(&target::State) -> Option<f64>) {
+        self.draw_up_to(rng, self.settings.choices, load);
+    }
+
+    /// Draws up to so many targets at random for which `load` returns a value.
+    pub(super) fn draw_up_to(
+        &mut self,
+        rng: &mut impl Rng,
+        choices: usize,
+        load: impl Fn(&target::State) -> Option<f64>,
+    ) {
         self.candidates.clear();
         self.candidate_targets.clear();
-        self.draw_more(rng, load);
+        self.draw_more(rng, choices, load);
     }
 
     /// Draws targets as [`Gate::draw`] does, half of them in the failure domain of this entry. A
@@ -215,11 +238,17 @@
             let at = self.near.draw(rng, nth);
             self.add_candidate(at, &load);
         }
-        self.draw_more(rng, load);
+        self.draw_more(rng, self.settings.choices, load);
     }
 
-    /// Draws further targets at random, without those that are candidates already.
-    fn draw_more(&mut self, rng: &mut impl Rng, load: impl Fn(&target::State) -> Option<f64>) {
+    /// Draws further targets at random, without those that are candidates already, until there are
+    /// `choices` candidates.
+    fn draw_more(
+        &mut self,
+        rng: &mut impl Rng,
+        choices: usize,
+        load: impl Fn(&target::State) -> Option<f64>,
+    ) {
         let before = self.candidates.len();
         let count = self.targets.len();
         if self.draw_order.len() != count {
@@ -227,7 +256,7 @@
         }
         // A partial shuffle: whatever the order before it, the drawn part is uniform.
         for nth in 0..count {
-            if self.candidates.len() >= self.settings.choices {
+            if self.candidates.len() >= choices {
                 return;
             }
             self.draw_order.swap(nth, rng.random_range(nth..count));
@@ -238,6 +267,19 @@
         }
     }
 
+    /// Adds load to the candidates in other failure domains than that of this entry; see
+    /// [`crate::locality`].
+    pub(super) fn prefer_near_candidates(&mut self) {
+        if !self.settings.locality || self.domain.is_none() {
+            return;
+        }
+        for (candidate, at) in self.candidates.iter_mut().zip(&self.candidate_targets) {
+            if self.targets[*at].domain != self.domain {
+                candidate.load += locality::REMOTE_LOAD;
+            }
+        }
+    }
+
     fn add_candidate(&mut self, at: usize, load: &impl Fn(&target::State) -> Option<f64>) {
         let state = &self.targets[at];
         if state.weight > 0.0
--- a/crates/policy/src/gate/reservation.rs
+++ b/crates/policy/src/gate/reservation.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 
 use crate::curve::Curve;
+use crate::gate::pace::Choice;
 use crate::gate::{Gate, Outcome, RETRY_AFTER, Reason, Verdict, is_lookup, refuse};
 use crate::id;
 use crate::queue::Item;
@@ -72,7 +73,7 @@
         self.finish(now, request.id, Outcome::Cancelled);
         let request = self.classify(now, request);
         let (id, work, curve) = (request.id, self.work(&request), self.curve(&request, 0));
-        if draw && let Some(at) = self.place(now, rng, &request, &curve) {
+        if draw && let Choice::At(at) = self.place(now, rng, &request, &curve) {
             let verdict = self.send(now, at, request, work);
             self.running.entry(id).and_modify(|running| running.waited = waited);
             return verdict;
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -147,6 +147,10 @@
     pub late: bool,
     /// Whether it is known to be in the failure domain of the entry.
     pub near: bool,
+    /// The target's time per token, if placement takes it into account.
+    pub pace: Option<Duration>,
+    /// Answers that the prompt puts at risk there; see [`crate::pace`].
+    pub risk: u32,
 }
 
 /// The gate's decision on a request.
