Count what workspaces use at all entries in fair turns and in the reserve

Cause: fair turns and the reserve counted what passed through one entry. A workspace that sends to many entries got a share at each, and with several entries none was ever heavy, since what it held through one was compared with what all hold.

Turns go by the work received lately through all entries, decayed; heavy workspaces leave the reserve free while others wait. Off unless fleet_shares is set.

--- a/crates/gateway/src/connection/frame.rs
+++ b/crates/gateway/src/connection/frame.rs
@@ -6,6 +6,7 @@
 use fireflyhoist_policy::cold;
 use fireflyhoist_policy::cordon;
 use fireflyhoist_policy::feature::Feature;
+use fireflyhoist_policy::fleet_share::Shares;
 use fireflyhoist_policy::fragility;
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease::{Change, Target};
@@ -85,6 +86,11 @@
     /// The load on each target that the entry knows of, without what it learned from the receiver.
     #[serde(rename = "held")]
     pub(crate) loads: Vec<Load>,
+    /// What workspaces use of each service through the sender and the entries that it announces,
+    /// without what it learned from the receiver. `None` if the sender does not announce it, or not
+    /// in each heartbeat.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) shares: Option<Vec<(id::Service, Shares)>>,
 }
 
 /// Permission to send a request, which one entry grants for all.
--- a/crates/gateway/src/process/fleet/heartbeat.rs
+++ b/crates/gateway/src/process/fleet/heartbeat.rs
@@ -33,6 +33,7 @@
             protocol: PROTOCOL,
             watching: self.process.is_watching(),
             loads,
+            shares: None,
         }
     }
 
@@ -42,13 +43,22 @@
         self.announce_limits();
         self.announce_suspicions();
         self.send_origins();
-        let (actives, _) = self.actives_and_leaves();
+        let (actives, leaves) = self.actives_and_leaves();
         let view = self.view();
         let outcomes = self.process.take_outcomes();
+        let with_shares = self.process.take_shares_due_to_actives();
+        if with_shares {
+            // Once for all announcements since the last time: passing each on costs work that grows
+            // with the square of the actives.
+            self.process.report_peer_shares();
+        }
         if self.is_active() {
             // Includes what leaves have in flight; other actives announce their own load.
             let loads = self.process.usage_with(|host| !view.actives.contains(host));
-            let heartbeat = Heartbeat { outcomes, ..self.new_heartbeat(loads) };
+            // An active that was lost is in no list, so what it announced is not passed on.
+            let shares =
+                with_shares.then(|| self.process.shares_with(|host| leaves.contains(host)));
+            let heartbeat = Heartbeat { outcomes, shares, ..self.new_heartbeat(loads) };
             self.links.send_all(actives.iter(), &Frame::Heartbeat(heartbeat));
             return;
         }
@@ -57,9 +67,13 @@
         for active in &actives {
             // The load is sent to one active only, or it would be counted twice.
             let loads = if Some(active) == primary { self.process.own_usage() } else { Vec::new() };
+            let shares = with_shares.then(|| match Some(active) == primary {
+                true => self.process.shares_with(|_| false),
+                false => Vec::new(),
+            });
             let follows = Some(active) == source.as_ref();
             let outcomes = outcomes.clone();
-            let heartbeat = Heartbeat { follows, outcomes, ..self.new_heartbeat(loads) };
+            let heartbeat = Heartbeat { follows, outcomes, shares, ..self.new_heartbeat(loads) };
             self.links.send(active, &Frame::Heartbeat(heartbeat));
         }
     }
@@ -84,12 +98,21 @@
     /// the other entries, each without its own.
     fn send_to_leaves(&self) {
         let (_, leaves) = self.actives_and_leaves();
-        let (busy, idle): (Vec<id::Host>, Vec<id::Host>) =
-            leaves.into_iter().partition(|leaf| self.process.has_usage(leaf));
-        self.links.send_all(idle.iter(), &Frame::Heartbeat(self.new_heartbeat(Vec::new())));
+        let (busy, idle): (Vec<id::Host>, Vec<id::Host>) = leaves
+            .into_iter()
+            .partition(|leaf| self.process.has_usage(leaf) || self.process.has_shares(leaf));
+        let with_shares = self.process.take_shares_due_to_leaves();
+        let shares = with_shares.then(Vec::new);
+        let heartbeat = Heartbeat { shares, ..self.new_heartbeat(Vec::new()) };
+        self.links.send_all(idle.iter(), &Frame::Heartbeat(heartbeat));
         for leaf in &busy {
-            let loads = self.process.usage_with(|host| host != leaf);
-            self.links.send(leaf, &Frame::Heartbeat(self.new_heartbeat(loads)));
+            let loads = match self.process.has_usage(leaf) {
+                true => self.process.usage_with(|host| host != leaf),
+                false => Vec::new(),
+            };
+            let shares = with_shares.then(|| self.process.shares_with(|host| host != leaf));
+            let heartbeat = Heartbeat { shares, ..self.new_heartbeat(loads) };
+            self.links.send(leaf, &Frame::Heartbeat(heartbeat));
         }
     }
 
@@ -141,6 +164,11 @@
         }
         let loads = std::mem::take(&mut heartbeat.loads);
         self.process.set_peer_usage(from, loads);
+        if let Some(shares) = heartbeat.shares.take() {
+            // A leaf learns of all other entries from its primary active.
+            let is_only = !self.is_active() && !shares.is_empty();
+            self.process.set_peer_shares(from, shares, is_only);
+        }
         let mut peers = self.peers.lock();
         let Some(peer) = peers.get_mut(from) else { return };
         let differs = |old: &Heartbeat| {
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -38,6 +38,8 @@
     pub(crate) cordoned: usize,
     /// Cold targets, which have started recently.
     pub(crate) cold: usize,
+    /// Workspaces that hold far more than an equal part, by service.
+    pub(crate) heavy: usize,
 }
 
 /// The metrics of one process.
@@ -62,6 +64,7 @@
     limited: Gauge<u64>,
     cordoned: Gauge<u64>,
     cold: Gauge<u64>,
+    heavy: Gauge<u64>,
     open: Gauge<u64>,
     isolated: Gauge<u64>,
     revision: Gauge<u64>,
@@ -123,6 +126,10 @@
                 .build(),
             limited: gauge("fireflyhoist.limited_targets", "Targets that name a limit"),
             cold: gauge("fireflyhoist.cold_targets", "Targets that are cold"),
+            heavy: gauge(
+                "fireflyhoist.heavy_workspaces",
+                "Workspaces that hold far more than an equal part of the memory in use",
+            ),
             cordoned: gauge("fireflyhoist.cordoned_domains", "Failure domains that are cordoned"),
             era: gauge(
                 "fireflyhoist.registry_era",
@@ -209,6 +216,7 @@
         self.limited.record(gauges.limited as u64, &[]);
         self.cordoned.record(gauges.cordoned as u64, &[]);
         self.cold.record(gauges.cold as u64, &[]);
+        self.heavy.record(gauges.heavy as u64, &[]);
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_else(|error| {
             ::log::warn!(error:% = error; "metrics can't be encoded");
             String::new()
--- a/crates/gateway/src/process/service_gate.rs
+++ b/crates/gateway/src/process/service_gate.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::exclusion::Exclusion;
+use fireflyhoist_policy::fleet_share::{Change, Shares};
 use fireflyhoist_policy::gate::{
     Gate, Holding, Outcome, Placement, Reason, Refusal, Report, Request, Settings, TargetUpdate,
     Verdict,
@@ -285,6 +286,24 @@
         self.state.lock().gate.holdings().collect()
     }
 
+    /// Returns what workspaces use through this entry; see [`Gate::shares`].
+    pub fn shares(&self) -> Shares {
+        self.state.lock().gate.shares(self.clock.now())
+    }
+
+    /// Sets what workspaces use through the other entries, and returns which have become heavy or
+    /// ceased to be.
+    pub fn set_others(&self, others: Shares) -> Vec<Change> {
+        let mut state = self.state.lock();
+        state.gate.set_others(self.clock.now(), others);
+        state.gate.take_heavy_changes()
+    }
+
+    /// Returns the number of heavy workspaces; see [`Gate::heavy_workspaces`].
+    pub fn heavy_workspaces(&self) -> usize {
+        self.state.lock().gate.heavy_workspaces()
+    }
+
     /// Updates the current load of all entries together at several targets.
     pub fn update_loads(&self, loads: &[TargetLoad]) {
         let now = self.clock.now();
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -6,6 +6,7 @@
 mod path;
 mod poison;
 mod rest;
+mod shares;
 mod suspicion;
 mod target_limits;
 mod targets;
@@ -42,6 +43,7 @@
 use crate::process::state::origin::Origins;
 use crate::process::state::path::Path;
 use crate::process::state::poison::Poison;
+use crate::process::state::shares::FleetShares;
 use crate::process::state::suspicion::Suspicions;
 
 pub(crate) use poison::{BrokenRun, CrashCheck};
@@ -104,6 +106,8 @@
     buckets: Mutex<Buckets>,
     /// Memory that other entries use at targets.
     peer_usage: Mutex<load::Peers>,
+    /// What workspaces use through other entries.
+    shares: FleetShares,
     /// Targets at which this entry used memory when that was last passed to the gates.
     used_targets: Mutex<BTreeSet<id::Target>>,
     /// Bumped whenever targets change, so that running answers check whether their target drains.
@@ -154,6 +158,7 @@
                 Time::ZERO + MEMBERSHIP_SETTLE_TIME,
             )),
             peer_usage: Mutex::default(),
+            shares: FleetShares::default(),
             used_targets: Mutex::default(),
             target_changes: watch::channel(0).0,
             early_heartbeat: Notify::new(),
--- a/crates/gateway/src/request/probe.rs
+++ b/crates/gateway/src/request/probe.rs
@@ -28,6 +28,7 @@
         limited: process.limited_targets(),
         cordoned: process.cordoned_domains(),
         cold: process.cold_targets(),
+        heavy: process.heavy_workspaces(),
     });
     Response::Ok().content_type("text/plain; version=0.0.4").body(page)
 }
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -9,6 +9,7 @@
 mod migration;
 mod place;
 mod settings;
+mod shares;
 mod targets;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -18,6 +19,7 @@
 use rand::Rng;
 
 use crate::curve::Curve;
+use crate::fleet_share::{Heavies, Shares};
 use crate::id;
 use crate::length::{Predictor, Progress};
 use crate::observation::{self, Observer};
@@ -99,6 +101,11 @@
     drain: Meter,
     lengths: Predictor,
     usage: Usage,
+    /// What workspaces use through the other entries.
+    others: Shares,
+    heavies: Heavies,
+    /// The part of the targets at which heavy workspaces leave the reserve free.
+    reserved: f64,
     /// Sum of the curves of all running answers.
     own: Curve,
     /// Curve of the request sent last, which stands for an average new request.
@@ -130,7 +137,8 @@
 impl Gate {
     /// Creates a gate without targets.
     pub fn open(settings: Settings) -> Self {
-        let queue = Queue::open(settings.fair).with_spare_last(settings.shed_late);
+        let mut queue = Queue::open(settings.fair).with_spare_last(settings.shed_late);
+        queue.set_fleet_shares(settings.fleet_shares);
         let retries = retry::Budget::with_limits(settings.retries);
         let mut detector = Detector::new();
         detector.set_objective(settings.token_interval);
@@ -145,6 +153,9 @@
             drain: Meter::default(),
             lengths: Predictor::open(),
             usage: Usage::default(),
+            others: Shares::default(),
+            heavies: Heavies::default(),
+            reserved: 1.0,
             own: Curve::default(),
             typical: Curve::default(),
             detector,
@@ -174,6 +185,7 @@
     /// Switches mechanisms for contended targets on or off. What runs or waits stays as it is.
     pub fn set_scheduling(&mut self, update: impl FnOnce(&mut Settings)) {
         update(&mut self.settings);
+        self.apply_fleet_shares();
     }
 
     /// Sets the objective for the time between tokens of live generations.
--- a/crates/policy/src/gate/place.rs
+++ b/crates/policy/src/gate/place.rs
@@ -16,7 +16,7 @@
 
 /// Part of every engine's memory that a heavy workspace leaves to the others. The share of one
 /// entry in it must hold one ordinary answer, or the reserve stays free and no entry may use it.
-const HEAVY_RESERVE: f64 = 0.36;
+pub(super) const HEAVY_RESERVE: f64 = 0.36;
 
 /// A workspace is heavy if it holds more than so many times this entry's equal part of all tokens
 /// held. Without this factor, two ordinary workspaces that share an entry would alternate in being
@@ -41,6 +41,7 @@
     /// Refreshes the weights of targets, and the tokens held at all of them, if the last refresh is
     /// older than [`WEIGHTS_INTERVAL`].
     pub(super) fn refresh_weights(&mut self, now: Time) {
+        self.queue.advance(now);
         if now.since(self.weights_read) < WEIGHTS_INTERVAL {
             return;
         }
@@ -59,14 +60,17 @@
     }
 
     /// Returns how far a workspace is above this entry's equal part of all tokens held, from 0 (not
-    /// heavy) to 1 (the whole reserve applies).
+    /// heavy) to 1 (the whole reserve applies). Where other entries are counted, it is how far what it
+    /// holds through all entries is above an equal part of what all workspaces hold through them.
     fn excess(&self, workspace: &id::Workspace) -> f64 {
+        if self.settings.fleet_shares {
+            return excess_of(self.heavies.parts(workspace));
+        }
         let part = self.held / self.entries.0.max(1) as f64;
         if !self.usage.is_heavy(workspace, HEAVY_FROM * part) {
             return 0.0;
         }
-        let parts = self.usage.held(workspace) / part.max(1.0);
-        ((parts - HEAVY_FROM) / (HEAVY_FULL - HEAVY_FROM)).clamp(0.0, 1.0)
+        excess_of(self.usage.held(workspace) / part.max(1.0))
     }
 
     /// Chooses a target for a lookup, which never waits for the memory of an engine.
@@ -111,6 +115,7 @@
             Class::Spare if settings.shed_late => shedding::RESERVE,
             _ => 0.0,
         };
+        let reserved = if request.class == Class::Live { self.reserved } else { 1.0 };
         let live = settings.pace && live;
         let candidate = |state: &target::State| {
             if !state.is_up(now) || Some(&state.name) == request.avoid.as_ref() {
@@ -127,6 +132,10 @@
             if live && (state.unstarted >= MAX_UNSTARTED || !state.has_stream_room(now, part)) {
                 return None;
             }
+            // All entries leave the reserve free at the same targets. A part of it at each target would
+            // hold no answer.
+            let is_reserved = reserved >= 1.0 || (state.key as f64) < reserved * u64::MAX as f64;
+            let reserve = if is_reserved { reserve } else { 0.0 };
             let (own, total) = state.memory.held();
             let claim = state.memory.claim(
                 now,
@@ -205,3 +214,8 @@
         }
     }
 }
+
+/// Returns how much of the reserve a workspace leaves free that holds so many times an equal part.
+fn excess_of(parts: f64) -> f64 {
+    ((parts - HEAVY_FROM) / (HEAVY_FULL - HEAVY_FROM)).clamp(0.0, 1.0)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod exclusion;
 pub mod failover;
 pub mod feature;
+pub mod fleet_share;
 pub mod fragility;
 pub mod gate;
 pub mod handle;
--- a/crates/policy/src/memory.rs
+++ b/crates/policy/src/memory.rs
@@ -247,6 +247,11 @@
         self.own_streams + self.others_streams
     }
 
+    /// Returns the tokens that the KV cache can hold; zero before the first report.
+    pub fn capacity(&self) -> f64 {
+        self.capacity
+    }
+
     /// Returns the memory in use, as a part of the capacity; before the first report the number of
     /// streams of this entry.
     pub fn load(&self) -> f64 {
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -13,6 +13,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
+use crate::fleet_share::{self, Shares};
 use crate::id;
 use crate::request::{Class, Request};
 use crate::throughput::Meter;
@@ -69,6 +70,8 @@
     locations: HashMap<id::Request, Location>,
     turns: u32,
     fair: bool,
+    /// Work received through all entries, by which turns are given instead of by `accounts`.
+    fleet: Option<fleet_share::Ledger>,
     /// Whether [`Class::Spare`] is left out of the turns of the lowest class.
     is_spare_last: bool,
 }
@@ -90,7 +93,42 @@
         self.weights = weights;
     }
 
-    fn weight(&self, workspace: &id::Workspace) -> f64 {
+    /// Counts the work that other entries give to workspaces in fair turns, or no longer does.
+    pub fn set_fleet_shares(&mut self, is_on: bool) {
+        if is_on != self.fleet.is_some() {
+            self.fleet = is_on.then(fleet_share::Ledger::default);
+        }
+    }
+
+    /// Replaces the work that the other entries gave to workspaces lately.
+    pub fn set_others(&mut self, now: Time, others: &Shares) {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.set_others(now, others);
+        }
+    }
+
+    /// Lets received work decay until `now`, where other entries are counted.
+    pub fn advance(&mut self, now: Time) {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.advance(now);
+        }
+    }
+
+    /// Adds the work that each workspace received lately through this entry, and the memory that its
+    /// queued requests need, to what it uses. Late requests use only what others leave, so nobody
+    /// leaves anything free for them.
+    pub fn add_amounts(&self, amounts: &mut BTreeMap<id::Workspace, fleet_share::Amount>) {
+        for (workspace, received) in self.fleet.iter().flat_map(fleet_share::Ledger::received) {
+            amounts.entry(workspace.clone()).or_default().received += received;
+        }
+        let in_time = self.classes.range(..Class::Spare);
+        for (workspace, flow) in in_time.flat_map(|(_, flows)| flows) {
+            let prompts: u64 = flow.items.iter().map(|item| item.request.prompt.get()).sum();
+            amounts.entry(workspace.clone()).or_default().waiting += prompts + flow.work as u64;
+        }
+    }
+
+    pub(crate) fn weight(&self, workspace: &id::Workspace) -> f64 {
         self.weights.get(workspace).copied().unwrap_or(1.0).max(0.01)
     }
 
@@ -129,6 +167,10 @@
         if !waiting {
             account.received = account.received.max(self.virtual_time);
         }
+        let weight = self.weights.get(&workspace).copied().unwrap_or(1.0).max(0.01);
+        if let Some(fleet) = self.fleet.as_mut().filter(|_| !waiting) {
+            fleet.begin(&workspace, weight);
+        }
         let flow = flows.entry(workspace).or_default();
         flow.work += item.work;
         if front { flow.items.push_front(item) } else { flow.items.push_back(item) }
@@ -141,6 +183,9 @@
         let new = || Account { received: floor, drain: Meter::default() };
         let account = self.accounts.entry(workspace.clone()).or_insert_with(new);
         account.received = (account.received + work / weight).max(0.0);
+        if let Some(fleet) = &mut self.fleet {
+            fleet.charge(workspace, work);
+        }
     }
 
     /// Returns the workspaces to serve next, in order, and their class; at most [`CANDIDATES`], so
@@ -165,7 +210,15 @@
         next.into_iter().map(|workspace| (*class, workspace.clone())).collect()
     }
 
+    /// Returns the work received, divided by the weight, in the order of which workspaces are served.
     fn received(&self, workspace: &id::Workspace) -> f64 {
+        match &self.fleet {
+            Some(fleet) => fleet.level(workspace) / self.weight(workspace),
+            None => self.received_here(workspace),
+        }
+    }
+
+    fn received_here(&self, workspace: &id::Workspace) -> f64 {
         self.accounts.get(workspace).map_or(0.0, |account| account.received)
     }
 
@@ -195,6 +248,10 @@
             account.drain.record(work);
             self.virtual_time = self.virtual_time.max(account.received);
         }
+        let level = self.received(workspace);
+        if let Some(fleet) = &mut self.fleet {
+            fleet.served(level);
+        }
         let item = self.take(class, workspace, 0)?;
         self.turns = self.turns.wrapping_add(1);
         Some(item)
@@ -215,7 +272,7 @@
 
     /// Drops the account of a workspace that is not ahead of the virtual time, if there are many.
     fn evict_account(&mut self, workspace: &id::Workspace) {
-        if self.received(workspace) <= self.virtual_time && self.accounts.len() > CAPACITY {
+        if self.received_here(workspace) <= self.virtual_time && self.accounts.len() > CAPACITY {
             self.accounts.remove(workspace);
         }
     }
@@ -318,7 +375,8 @@
             return higher + flows.values().map(|f| f.work).sum::<f64>();
         }
         let own = flows.get(workspace).map_or(0.0, |f| f.work);
-        let received = |w| self.received(w).max(self.virtual_time);
+        let floor = if self.fleet.is_some() { 0.0 } else { self.virtual_time };
+        let received = |w| self.received(w).max(floor);
         let end = received(workspace) + (own + work) / self.weight(workspace);
         let others = flows.iter().filter(|(w, _)| *w != workspace).map(|(w, flow)| {
             let turns = (end - received(w)).max(0.0) * self.weight(w);
--- a/crates/policy/src/usage.rs
+++ b/crates/policy/src/usage.rs
@@ -39,6 +39,11 @@
         self.held.get(workspace).copied().unwrap_or_default()
     }
 
+    /// Returns the tokens that each workspace holds.
+    pub fn all(&self) -> impl Iterator<Item = (&id::Workspace, f64)> {
+        self.held.iter().map(|(workspace, held)| (workspace, *held))
+    }
+
     /// Returns whether a workspace holds far more than an equal part, and more than `floor` tokens,
     /// while others hold some as well.
     pub fn is_heavy(&self, workspace: &id::Workspace, floor: f64) -> bool {
