--- a/crates/bench/src/ours.rs
+++ b/crates/bench/src/ours.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fireflyhoist_policy::fleet_share::Shares;
 use fireflyhoist_policy::gate::{Gate, Outcome, Report, Request, Verdict};
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::time::Time;
@@ -45,4 +46,12 @@
     fn poll(&mut self, now: Time, rng: &mut ChaCha8Rng) -> Vec<(id::Request, Verdict)> {
         self.0.poll(now, rng)
     }
+
+    fn shares(&mut self, now: Time) -> Option<Shares> {
+        Some(self.0.shares(now))
+    }
+
+    fn set_others(&mut self, now: Time, others: Shares) {
+        self.0.set_others(now, others);
+    }
 }
--- a/crates/bench/src/patterns/mod.rs
+++ b/crates/bench/src/patterns/mod.rs
@@ -6,6 +6,7 @@
 mod brno_night;
 mod build;
 mod burst;
+mod contention;
 mod hot_caller;
 mod hot_prefix;
 mod lag;
@@ -38,6 +39,7 @@
 pub const ALL: &[Pattern] = &[
     Pattern { name: "burst", scene: burst::scene },
     Pattern { name: "hot-caller", scene: hot_caller::scene },
+    Pattern { name: "contention", scene: contention::scene },
     Pattern { name: "others-alone", scene: hot_caller::alone },
     Pattern { name: "hot-prefix", scene: hot_prefix::scene },
     Pattern { name: "slow-target", scene: slow_target::scene },
@@ -64,8 +66,10 @@
 /// Plays ours and every baseline.
 pub fn all(scene: &Scene, seed: u64) -> Vec<Run> {
     let fixed = Admission::Fixed(scene.fixed);
+    let shares = Settings { fleet_shares: true, ..Settings::default() };
     vec![
         ours("ours", scene, seed, &Settings::default()),
+        ours("ours-shares", scene, seed, &shares),
         play("round-robin", scene, seed, Admission::Now, RoundRobin::open),
         play("least-loaded", scene, seed, Admission::Now, LeastLoaded::open),
         play("reserve-max", scene, seed, Admission::Reserve, LeastLoaded::open),
--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fireflyhoist_policy::fleet_share::Shares;
 use fireflyhoist_policy::gate::{Outcome, Report, Request, Verdict};
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::time::Time;
@@ -29,4 +30,12 @@
     fn poll(&mut self, _now: Time, _rng: &mut ChaCha8Rng) -> Vec<(id::Request, Verdict)> {
         Vec::new()
     }
+
+    /// Returns what it announces to the other entries about the use of workspaces.
+    fn shares(&mut self, _now: Time) -> Option<Shares> {
+        None
+    }
+
+    /// Learns what workspaces use at all other entries.
+    fn set_others(&mut self, _now: Time, _others: Shares) {}
 }
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -4,6 +4,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
+use fireflyhoist_policy::fleet_share::{self, Shares};
 use fireflyhoist_policy::gate::{Class, Outcome, Report, Request, Verdict};
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::time::Time;
@@ -32,6 +33,7 @@
     Deliver(usize, usize),
     Arrive(usize),
     Deadline(usize),
+    Shares,
     Tick,
 }
 
@@ -143,6 +145,7 @@
             world.push(scene.changes[at].0, Due::Change(at));
         }
         world.push(Time::ZERO, Due::Tick);
+        world.push(Time::ZERO, Due::Shares);
         if !scene.arrivals.is_empty() {
             world.push(scene.arrivals[0].at, Due::Arrive(0));
         }
@@ -170,6 +173,10 @@
             Due::Deliver(engine, report) => self.deliver(engine, report),
             Due::Arrive(at) => self.arrive(at),
             Due::Deadline(at) => self.give_up(at),
+            Due::Shares => {
+                self.exchange_shares();
+                self.push(self.now + fleet_share::INTERVAL, Due::Shares);
+            }
             Due::Tick => {
                 (0..self.entries.len()).for_each(|entry| self.poll(entry));
                 self.push(self.now + TICK, Due::Tick);
@@ -382,6 +389,18 @@
         }
     }
 
+    /// Lets each entry learn what workspaces use at the others.
+    fn exchange_shares(&mut self) {
+        let now = self.now;
+        let announced: Vec<Option<Shares>> =
+            self.entries.iter_mut().map(|entry| entry.shares(now)).collect();
+        for (at, entry) in self.entries.iter_mut().enumerate() {
+            let others = announced.iter().enumerate().filter(|(from, _)| *from != at);
+            let others = others.filter_map(|(_, shares)| shares.as_ref());
+            entry.set_others(now, Shares::long_sum(others));
+        }
+    }
+
     fn poll(&mut self, entry: usize) {
         let decided = self.entries[entry].poll(self.now, &mut self.rng);
         for (request, verdict) in decided {
