--- a/crates/gateway/src/process/fleet/heartbeat.rs
+++ b/crates/gateway/src/process/fleet/heartbeat.rs
@@ -36,6 +36,7 @@
             left_out: Exclusions::default(),
             watching: self.process.is_watching(),
             loads,
+            shares: None,
         }
     }
 
@@ -45,13 +46,22 @@
         self.announce_limits();
         self.announce_suspicions();
         self.send_origins();
-        let (actives, _) = self.actives_and_leaves();
+        let (actives, leaves) = self.actives_and_leaves();
         let view = self.view();
         let outcomes = self.process.take_outcomes();
+        let with_shares = self.process.take_shares_due_to_actives();
+        if with_shares {
+            // Once for all announcements since the last time: passing each on costs work that grows
+            // with the square of the actives.
+            self.process.report_peer_shares();
+        }
         if self.is_active() {
             // Includes what leaves have in flight; other actives announce their own load.
             let loads = self.process.usage_with(|host| !view.actives.contains(host));
-            let heartbeat = Heartbeat { outcomes, ..self.new_heartbeat(loads) };
+            // An active that was lost is in no list, so what it announced is not passed on.
+            let shares =
+                with_shares.then(|| self.process.shares_with(|host| leaves.contains(host)));
+            let heartbeat = Heartbeat { outcomes, shares, ..self.new_heartbeat(loads) };
             self.links.send_all(actives.iter(), &Frame::Heartbeat(heartbeat));
             return;
         }
@@ -60,9 +70,13 @@
         for active in &actives {
             // The load is sent to one active only, or it would be counted twice.
             let loads = if Some(active) == primary { self.process.own_usage() } else { Vec::new() };
+            let shares = with_shares.then(|| match Some(active) == primary {
+                true => self.process.shares_with(|_| false),
+                false => Vec::new(),
+            });
             let follows = Some(active) == source.as_ref();
             let outcomes = outcomes.clone();
-            let heartbeat = Heartbeat { follows, outcomes, ..self.new_heartbeat(loads) };
+            let heartbeat = Heartbeat { follows, outcomes, shares, ..self.new_heartbeat(loads) };
             self.links.send(active, &Frame::Heartbeat(heartbeat));
         }
     }
@@ -87,16 +101,24 @@
     /// the other entries, each without its own.
     fn send_to_leaves(&self) {
         let (_, leaves) = self.actives_and_leaves();
-        let (busy, idle): (Vec<id::Host>, Vec<id::Host>) =
-            leaves.into_iter().partition(|leaf| self.process.has_usage(leaf));
-        let heartbeat = |loads| Heartbeat {
+        let (busy, idle): (Vec<id::Host>, Vec<id::Host>) = leaves
+            .into_iter()
+            .partition(|leaf| self.process.has_usage(leaf) || self.process.has_shares(leaf));
+        let with_shares = self.process.take_shares_due_to_leaves();
+        let heartbeat = |loads, shares| Heartbeat {
+            shares,
             left_out: self.process.announced_exclusions(),
             ..self.new_heartbeat(loads)
         };
-        self.links.send_all(idle.iter(), &Frame::Heartbeat(heartbeat(Vec::new())));
+        let idle_heartbeat = heartbeat(Vec::new(), with_shares.then(Vec::new));
+        self.links.send_all(idle.iter(), &Frame::Heartbeat(idle_heartbeat));
         for leaf in &busy {
-            let loads = self.process.usage_with(|host| host != leaf);
-            self.links.send(leaf, &Frame::Heartbeat(heartbeat(loads)));
+            let loads = match self.process.has_usage(leaf) {
+                true => self.process.usage_with(|host| host != leaf),
+                false => Vec::new(),
+            };
+            let shares = with_shares.then(|| self.process.shares_with(|host| host != leaf));
+            self.links.send(leaf, &Frame::Heartbeat(heartbeat(loads, shares)));
         }
     }
 
@@ -155,6 +177,11 @@
         if has_loads {
             self.process.end_reservations(from);
         }
+        if let Some(shares) = heartbeat.shares.take() {
+            // A leaf learns of all other entries from its primary active.
+            let is_only = !self.is_active() && !shares.is_empty();
+            self.process.set_peer_shares(from, shares, is_only);
+        }
         let mut peers = self.peers.lock();
         let Some(peer) = peers.get_mut(from) else { return };
         let differs = |old: &Heartbeat| {
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -43,6 +43,8 @@
     pub(crate) left_out: usize,
     /// Targets where a prompt would put running answers at risk.
     pub(crate) at_risk: usize,
+    /// Workspaces that hold far more than an equal part, by service.
+    pub(crate) heavy: usize,
 }
 
 /// The metrics of one process.
@@ -72,6 +74,7 @@
     cold: Gauge<u64>,
     left_out: Gauge<u64>,
     at_risk: Gauge<u64>,
+    heavy: Gauge<u64>,
     open: Gauge<u64>,
     isolated: Gauge<u64>,
     revision: Gauge<u64>,
@@ -150,6 +153,10 @@
                 "fireflyhoist.entries_left_out",
                 "Entries that the directory leaves out of answers because of their load",
             ),
+            heavy: gauge(
+                "fireflyhoist.heavy_workspaces",
+                "Workspaces that hold far more than an equal part of the memory in use",
+            ),
             cordoned: gauge("fireflyhoist.cordoned_domains", "Failure domains that are cordoned"),
             era: gauge(
                 "fireflyhoist.registry_era",
@@ -254,6 +261,7 @@
         self.cold.record(gauges.cold as u64, &[]);
         self.left_out.record(gauges.left_out as u64, &[]);
         self.at_risk.record(gauges.at_risk as u64, &[]);
+        self.heavy.record(gauges.heavy as u64, &[]);
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_else(|error| {
             ::log::warn!(error:% = error; "metrics can't be encoded");
             String::new()
--- a/crates/gateway/src/request/probe.rs
+++ b/crates/gateway/src/request/probe.rs
@@ -30,6 +30,7 @@
         cold: process.cold_targets(),
         left_out: process.exclusions().len(),
         at_risk: process.targets_at_risk(),
+        heavy: process.heavy_workspaces(),
     });
     Response::Ok().content_type("text/plain; version=0.0.4").body(page)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod exclusion;
 pub mod failover;
 pub mod feature;
+pub mod fleet_share;
 pub mod fragility;
 pub mod gate;
 pub mod handle;
