Serve requests in the order of their ranks, and tell returning callers in time

Cause: ranks of routes and workspaces were decoded and used by no decision. Requests that came back after a refusal waited in the lowest class until their start deadline and were refused again, or were refused at once at each return.

Change: with `ranks` on, ranks order requests within a class, with a bounded share of turns for the less urgent; a full queue displaces the least urgent; a new text changes the rank of waiting requests; requests that come back stand by their first arrival, are refused at once where late requests of their rank hardly began lately, and wait after two refusals whatever the forecast says. Rank in the log lines `placed` and `refused`, metrics `fireflyhoist.refusals` and `fireflyhoist.waits`.

--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -1,12 +1,13 @@
 //! Counters, gauges and latency histograms of OpenTelemetry, exported in the Prometheus text
 //! format.
 //!
-//! Labels are kinds of requests and outcomes only, never workspaces or callers, so that the number
+//! Labels are kinds of requests, ranks and outcomes only, never workspaces or callers, so that the number
 //! of time series does not grow with either.
 
 use std::time::Duration;
 
 use fireflyhoist_policy::exclusion::Exclusion;
+use fireflyhoist_policy::gate::Reason;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -19,6 +20,9 @@
 const LATENCY_BOUNDS_S: [f64; 12] =
     [0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.5, 1.0, 1.8, 5.0, 15.0, 60.0];
 
+/// The highest rank that has a label of its own; higher ones are counted with it.
+const MAX_RANK_LABEL: u8 = 15;
+
 /// The current values of the gauges.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct GaugeValues {
@@ -57,6 +61,8 @@
     relayed: Counter<u64>,
     registry_calls: Counter<u64>,
     answer_begins: Histogram<f64>,
+    refusals: Counter<u64>,
+    waits: Histogram<f64>,
     era: Gauge<u64>,
     held_requests: Gauge<u64>,
     limited: Gauge<u64>,
@@ -121,6 +127,16 @@
                 .with_description("From a request's arrival to the head of its answer, by kind")
                 .with_boundaries(LATENCY_BOUNDS_S.to_vec())
                 .build(),
+            refusals: counter(
+                "fireflyhoist.refusals",
+                "Requests that were refused for lack of capacity, by rank and reason",
+            ),
+            waits: meter
+                .f64_histogram("fireflyhoist.waits")
+                .with_unit("s")
+                .with_description("From the arrival of a generation to its placement, by rank")
+                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
+                .build(),
             limited: gauge("fireflyhoist.limited_targets", "Targets that name a limit"),
             cold: gauge("fireflyhoist.cold_targets", "Targets that are cold"),
             cordoned: gauge("fireflyhoist.cordoned_domains", "Failure domains that are cordoned"),
@@ -148,6 +164,16 @@
         self.requests.add(1, &[kind, KeyValue::new("status", i64::from(status))]);
     }
 
+    /// Counts a refusal by the gate.
+    pub(crate) fn refusal(&self, rank: u8, reason: Reason) {
+        self.refusals.add(1, &[rank_label(rank), KeyValue::new("reason", reason.to_string())]);
+    }
+
+    /// Records the time from the arrival of a generation to its placement.
+    pub(crate) fn wait(&self, rank: u8, elapsed: Duration) {
+        self.waits.record(elapsed.as_secs_f64(), &[rank_label(rank)]);
+    }
+
     /// Counts an attempt at a target.
     pub(crate) fn attempt(&self, outcome: &'static str) {
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
@@ -215,3 +241,7 @@
         })
     }
 }
+
+fn rank_label(rank: u8) -> KeyValue {
+    KeyValue::new("rank", i64::from(rank.min(MAX_RANK_LABEL)))
+}
--- a/crates/gateway/src/process/service_gate.rs
+++ b/crates/gateway/src/process/service_gate.rs
@@ -14,6 +14,8 @@
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::observation::{self, Observer};
 use fireflyhoist_policy::outlier;
+use fireflyhoist_policy::rank::{Owner, Ranks};
+use fireflyhoist_policy::resubmission::Resubmission;
 use fireflyhoist_policy::retry;
 use fireflyhoist_policy::stagger::Order;
 use fireflyhoist_policy::unit::Tokens;
@@ -49,7 +51,27 @@
 #[derive(Debug)]
 struct State {
     gate: Gate,
-    waiters: HashMap<id::Request, oneshot::Sender<Verdict>>,
+    waiters: HashMap<id::Request, Waiter>,
+    /// The ranks in the text in force.
+    ranks: Arc<Ranks>,
+}
+
+/// A request that waits for its decision.
+#[derive(Debug)]
+struct Waiter {
+    sender: oneshot::Sender<Verdict>,
+    owner: Owner,
+}
+
+impl State {
+    fn notify(&mut self, decided: Vec<(id::Request, Verdict)>) {
+        for (request, verdict) in decided {
+            if let Some(waiter) = self.waiters.remove(&request) {
+                // A cancelled request releases its place when its pass is dropped.
+                let _ = waiter.sender.send(verdict);
+            }
+        }
+    }
 }
 
 impl ServiceGate {
@@ -60,7 +82,8 @@
 
     /// Creates a gate with the given settings.
     pub fn with_settings(clock: Clock, settings: Settings) -> Arc<Self> {
-        let state = State { gate: Gate::open(settings), waiters: HashMap::new() };
+        let gate = Gate::open(settings);
+        let state = State { gate, waiters: HashMap::new(), ranks: Arc::default() };
         Arc::new(Self { clock, state: Mutex::new(state) })
     }
 
@@ -144,6 +167,24 @@
         self.poll();
     }
 
+    /// Applies the ranks of a text to requests that wait and to those that come later.
+    pub fn set_ranks(&self, ranks: &Arc<Ranks>) {
+        let mut state = self.state.lock();
+        let State { gate, waiters, ranks: current } = &mut *state;
+        if **current == **ranks {
+            return;
+        }
+        *current = Arc::clone(ranks);
+        gate.update_ranks(|request| ranks.rank(&waiters.get(&request)?.owner));
+        drop(state);
+        self.poll();
+    }
+
+    /// Returns the rank of requests of `owner` in the text in force; see [`Ranks::rank`].
+    pub fn rank(&self, owner: &Owner) -> Option<u8> {
+        self.state.lock().ranks.rank(owner)
+    }
+
     /// Sets the objective for the time to an answer; see [`Gate::set_answer_objective`].
     pub fn set_answer_objective(&self, objective: Duration) {
         self.state.lock().gate.set_answer_objective(objective);
@@ -180,7 +221,7 @@
             state.gate.finish(now, request, Outcome::Cancelled);
             let refusal = Refusal { reason: Reason::NoTarget, retry_after: REMOVED_RETRY };
             // The receiver is dropped if the request was cancelled.
-            let _ = waiter.send(Verdict::Refuse(refusal));
+            let _ = waiter.sender.send(Verdict::Refuse(refusal));
         }
     }
 
@@ -196,16 +237,28 @@
     }
 
     /// Waits for the decision on a request, and returns a pass for the target that was chosen.
-    pub async fn admit(self: &Arc<Self>, request: Request) -> Result<Pass, Refusal> {
+    ///
+    /// Its rank is that of `owner` in the text in force, also if that changes while it waits.
+    /// `earlier` holds its earlier attempts if it was refused before.
+    pub async fn admit(
+        self: &Arc<Self>,
+        mut request: Request,
+        owner: Owner,
+        earlier: Option<Resubmission>,
+    ) -> Result<Pass, Refusal> {
         let id = request.id;
         let (verdict, waiter) = {
             let mut state = self.state.lock();
-            let verdict = state.gate.offer(self.clock.now(), &mut rand::rng(), request);
+            request.rank = state.ranks.rank(&owner).unwrap_or(request.rank);
+            let (now, mut rng) = (self.clock.now(), rand::rng());
+            let verdict = state.gate.offer_returned(now, &mut rng, request, earlier);
             let waiter = (verdict == Verdict::Wait).then(|| {
                 let (sender, receiver) = oneshot::channel();
-                state.waiters.insert(id, sender);
+                state.waiters.insert(id, Waiter { sender, owner });
                 receiver
             });
+            let displaced = state.gate.take_displaced();
+            state.notify(displaced);
             (verdict, waiter)
         };
         // The gate counts the request from here on. The pass releases what it holds if it is
@@ -252,12 +305,7 @@
     pub fn poll(&self) {
         let mut state = self.state.lock();
         let decided = state.gate.poll(self.clock.now(), &mut rand::rng());
-        for (request, verdict) in decided {
-            if let Some(waiter) = state.waiters.remove(&request) {
-                // A cancelled request releases its place when its pass is dropped.
-                let _ = waiter.send(verdict);
-            }
-        }
+        state.notify(decided);
     }
 
     /// Returns why a target is ejected and for how long, as shown to operators; `None` if it is not
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -22,8 +22,9 @@
 use fireflyhoist_policy::gate;
 use fireflyhoist_policy::lease::Leases;
 use fireflyhoist_policy::position::Position;
+use fireflyhoist_policy::rank::Ranks;
 use fireflyhoist_policy::rest::Rests;
-use fireflyhoist_policy::resubmission::{Fingerprint, Ledger};
+use fireflyhoist_policy::resubmission::{Fingerprint, Ledger, Resubmission};
 use fireflyhoist_policy::retry;
 use fireflyhoist_policy::route::{Table, Text};
 use fireflyhoist_policy::stagger::Order;
@@ -236,6 +237,7 @@
     fn open_gates(&self, table: &Table) {
         let order = self.order.lock().clone();
         let objectives = table.text().answer_objectives();
+        let ranks = Arc::new(Ranks::of(table.text()));
         let mut gates = self.gates.write();
         for service in &table.text().services {
             let gate = gates.entry(service.name.clone());
@@ -243,6 +245,7 @@
                 .or_insert_with(|| ServiceGate::with_settings(self.clock, self.gate_settings()));
             gate.set_order(order.clone());
             gate.set_scheduling(self.scheduling());
+            gate.set_ranks(&ranks);
             if service.engine.is_none()
                 && let Some(objective) = objectives.get(&service.name)
             {
@@ -318,10 +321,10 @@
         self.refusals.lock().record(now, fingerprint, now - age);
     }
 
-    /// Returns when a request that is submitted again after a refusal was submitted first; `None`
+    /// Returns the earlier attempts of a request that is submitted again after a refusal; `None`
     /// where no refusal is known.
-    pub(crate) fn first_submitted(&self, fingerprint: Fingerprint) -> Option<Time> {
-        self.refusals.lock().since(self.clock.now(), fingerprint)
+    pub(crate) fn resubmission(&self, fingerprint: Fingerprint) -> Option<Resubmission> {
+        self.refusals.lock().find(self.clock.now(), fingerprint)
     }
 
     /// Records whether the latest registry call succeeded; logs each loss and each recovery.
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -92,7 +92,7 @@
     request: gate::Request,
 ) -> Result<Pass, Refusal> {
     match &context.constraint {
-        Constraint::Free => context.gate.admit(request).await,
+        Constraint::Free => context.gate.admit(request, context.owner(), context.earlier).await,
         Constraint::Version(software) => {
             let allowed = worker.process.targets_of_version(&context.service.name, software);
             context.gate.admit_among(request, &allowed)
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -22,8 +22,9 @@
 use fireflyhoist_policy::gate;
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::origin::{Constraint, Key};
+use fireflyhoist_policy::rank::Owner;
 use fireflyhoist_policy::request::Class;
-use fireflyhoist_policy::resubmission::Fingerprint;
+use fireflyhoist_policy::resubmission::{Fingerprint, Resubmission};
 use fireflyhoist_policy::route::{Kind, Route, Service, Table};
 use fireflyhoist_policy::time::Time;
 use futures_util::StreamExt;
@@ -98,6 +99,9 @@
     pub(crate) has_trial: Cell<bool>,
     /// Whether its features were granted one.
     pub(crate) has_feature_trial: Cell<bool>,
+    pub(crate) arrived_at: Time,
+    /// Its earlier attempts, if it was refused before.
+    pub(crate) earlier: Option<Resubmission>,
     /// When its caller first sent it: earlier than its arrival if it was refused before.
     pub(crate) first_sent_at: Time,
     /// When its answer should begin, by the objective of its route.
@@ -138,6 +142,16 @@
         }
     }
 
+    /// Returns what its rank depends on.
+    pub(crate) fn owner(&self) -> Owner {
+        Owner { route: self.route.name.clone(), workspace: self.workspace.clone() }
+    }
+
+    /// Returns its rank in the text in force.
+    pub(crate) fn current_rank(&self) -> u8 {
+        self.gate.rank(&self.owner()).unwrap_or(self.rank)
+    }
+
     fn kind(&self) -> &'static str {
         match self.route.kind {
             Kind::Safe => "safe",
@@ -232,10 +246,10 @@
     let request_timeout = facts.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
     let fingerprint = Fingerprint::of(workspace_id, &path, &body);
-    let first_attempt_at =
-        route.kind.is_stream().then(|| worker.process.first_submitted(fingerprint)).flatten();
-    let first_sent_at = first_attempt_at.unwrap_or(arrived_at);
-    if first_attempt_at.is_some() {
+    let earlier =
+        route.kind.is_stream().then(|| worker.process.resubmission(fingerprint)).flatten();
+    let first_sent_at = earlier.map_or(arrived_at, |earlier| earlier.since);
+    if earlier.is_some() {
         log::info!(
             request = facts.request.as_str(),
             wanted_ms = millis(arrived_at.since(first_sent_at)); "came back"
@@ -249,6 +263,8 @@
         fingerprint,
         has_trial: Cell::new(false),
         has_feature_trial: Cell::new(false),
+        arrived_at,
+        earlier,
         first_sent_at,
         objective: first_sent_at + route.objective,
         start_deadline: arrived_at + start_timeout.min(request_timeout),
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -193,11 +193,11 @@
         match self.refusal.take() {
             // No target takes it any sooner.
             Some(refusal) if refusal.reason == Reason::Resting => {
-                refuse::gate_refusal(request, &refusal)
+                refuse::gate_refusal(self.worker, self.context, &refusal)
             }
             Some(refusal) => {
                 let retry_after = refusal.retry_after.min(after.max(Duration::from_millis(100)));
-                refuse::gate_refusal(request, &Refusal { retry_after, ..refusal })
+                refuse::gate_refusal(self.worker, self.context, &Refusal { retry_after, ..refusal })
             }
             None => refuse::declined(request, after),
         }
--- a/crates/gateway/src/request/refuse.rs
+++ b/crates/gateway/src/request/refuse.rs
@@ -8,6 +8,8 @@
 use ntex::http::{Response, StatusCode};
 use smol_str::SmolStr;
 
+use crate::request::{Context, Worker};
+
 /// When to retry at an entry that has just started: it reads the registry within a few hundred
 /// milliseconds.
 const NOT_READY_RETRY: Duration = Duration::from_millis(400);
@@ -132,10 +134,18 @@
 }
 
 /// Refuses a request for the reason that the gate gave.
-pub(crate) fn gate_refusal(request: &SmolStr, refusal: &Refusal) -> Response {
+pub(crate) fn gate_refusal(worker: &Worker, context: &Context, refusal: &Refusal) -> Response {
     let detail = "no room now; come back as told";
     let kind = refusal.reason.to_string();
-    respond(request, problem(503, &kind, detail, Ran::No, Some(refusal.retry_after)))
+    let problem = problem(503, &kind, detail, Ran::No, Some(refusal.retry_after));
+    let rank = context.current_rank();
+    worker.process.metrics.refusal(rank, refusal.reason);
+    log::info!(
+        request = context.facts.request.as_str(), status = problem.status,
+        reason = problem.kind.as_str(), retry_after_ms = problem.retry_after_ms.unwrap_or(0),
+        rank = rank; "refused"
+    );
+    build(problem)
 }
 
 /// Refuses a request that no target ran: those that were tried declined or were unreachable, or
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -116,13 +116,14 @@
     fn log_placement(&self, pass: &Pass) {
         let (context, process) = (&self.context, &self.worker.process);
         let Some(placement) = pass.placement() else { return };
+        process.metrics.wait(placement.rank, process.clock.now().since(context.arrived_at));
         log::info!(
             request = context.facts.request.as_str(), target:% = pass.target(),
             waited_ms = millis(process.clock.now().since(context.first_sent_at)),
             objective_ms = millis(context.route.objective),
             load:% = format_args!("{:.2}", placement.load), streams = placement.streams,
             unread:% = placement.unread, view_ms = millis(placement.age),
-            late = placement.late; "placed"
+            late = placement.late, rank = placement.rank; "placed"
         );
     }
 
@@ -175,7 +176,7 @@
         // The caller needs the rest of its time for the answer.
         let max = self.context.time_left(now) / RETRY_AFTER_DIVISOR;
         let retry_after = refusal.retry_after.min(max);
-        refuse::gate_refusal(&self.context.facts.request, &Refusal { retry_after, ..refusal })
+        refuse::gate_refusal(self.worker, &self.context, &Refusal { retry_after, ..refusal })
     }
 
     async fn attempt<P: Platform>(&mut self, admission: Admission) -> Result<Response, Error> {
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -8,6 +8,7 @@
 
 mod migration;
 mod place;
+mod rank;
 mod settings;
 mod targets;
 
@@ -18,6 +19,7 @@
 use rand::Rng;
 
 use crate::curve::Curve;
+use crate::forecast::Forecast;
 use crate::id;
 use crate::length::{Predictor, Progress};
 use crate::observation::{self, Observer};
@@ -25,6 +27,7 @@
 use crate::placement::Candidate;
 use crate::queue::{CAPACITY, Item, Queue};
 pub use crate::request::{Class, Outcome, Placement, Reason, Refusal, Report, Request, Verdict};
+use crate::resubmission::Resubmission;
 use crate::retry;
 use crate::shedding;
 use crate::stagger::Order;
@@ -97,6 +100,10 @@
     running: HashMap<id::Request, Running>,
     queue: Queue,
     drain: Meter,
+    /// When late requests can be expected to begin.
+    forecast: Forecast,
+    /// Requests that more urgent ones displaced from the queue and that are to be told.
+    displaced: Vec<(id::Request, Verdict)>,
     lengths: Predictor,
     usage: Usage,
     /// Sum of the curves of all running answers.
@@ -130,7 +137,8 @@
 impl Gate {
     /// Creates a gate without targets.
     pub fn open(settings: Settings) -> Self {
-        let queue = Queue::open(settings.fair).with_spare_last(settings.shed_late);
+        let mut queue = Queue::open(settings.fair).with_spare_last(settings.shed_late);
+        queue.set_ranked(settings.ranks);
         let retries = retry::Budget::with_limits(settings.retries);
         let mut detector = Detector::new();
         detector.set_objective(settings.token_interval);
@@ -143,6 +151,8 @@
             running: HashMap::new(),
             queue,
             drain: Meter::default(),
+            forecast: Forecast::default(),
+            displaced: Vec::new(),
             lengths: Predictor::open(),
             usage: Usage::default(),
             own: Curve::default(),
@@ -174,6 +184,7 @@
     /// Switches mechanisms for contended targets on or off. What runs or waits stays as it is.
     pub fn set_scheduling(&mut self, update: impl FnOnce(&mut Settings)) {
         update(&mut self.settings);
+        self.queue.set_ranked(self.settings.ranks);
     }
 
     /// Sets the objective for the time between tokens of live generations.
@@ -189,6 +200,18 @@
 
     /// Decides on a new request, or on a retry of one that failed before its answer began.
     pub fn offer(&mut self, now: Time, rng: &mut impl Rng, request: Request) -> Verdict {
+        self.offer_returned(now, rng, request, None)
+    }
+
+    /// Decides on a request as [`Gate::offer`] does, with its earlier attempts if it was refused
+    /// before.
+    pub fn offer_returned(
+        &mut self,
+        now: Time,
+        rng: &mut impl Rng,
+        request: Request,
+        earlier: Option<Resubmission>,
+    ) -> Verdict {
         self.refresh_weights(now);
         self.drain.advance(now, !self.queue.is_empty());
         let again = request.retry;
@@ -210,9 +233,12 @@
         let request = self.classify(now, request);
         let work = self.work(&request);
         let curve = self.curve(&request, 0);
-        if self.queue.is_empty_through(request.class)
+        let level = self.queue.level(&request);
+        self.advance_forecast(now);
+        if self.queue.may_pass(level)
             && let Some(at) = self.place(now, rng, &request, &curve)
         {
+            self.queue.record_pass(level, &request.workspace);
             return self.send(now, at, request, work);
         }
         if let Some((left, why)) = self.first_suspension(now)
@@ -220,10 +246,18 @@
         {
             return targets::refuse_suspended(rng, (left, why));
         }
-        if !again && let Some(verdict) = self.refuse_on_arrival(now, rng, &request, work) {
+        let earlier = earlier.filter(|_| self.settings.ranks);
+        if !again && let Some(verdict) = self.refuse_on_arrival(now, rng, &request, earlier, work) {
             return verdict;
         }
-        self.queue.push(now, Item { request, work }, again);
+        if !again
+            && let Some(earlier) = earlier
+            && let Some(verdict) = self.refuse_returned(now, rng, &request, earlier)
+        {
+            return verdict;
+        }
+        let first_sent = earlier.map(|earlier| earlier.since);
+        self.queue.push_returned(now, Item { request, work }, again, first_sent);
         Verdict::Wait
     }
 
@@ -366,18 +400,20 @@
 
     /// Decides on queued requests that can be sent now or whose deadline has passed.
     pub fn poll(&mut self, now: Time, rng: &mut impl Rng) -> Vec<(id::Request, Verdict)> {
+        let mut decided = self.take_displaced();
+        self.advance_forecast(now);
         if self.queue.is_empty() {
-            return Vec::new();
+            return decided;
         }
         self.refresh_weights(now);
         self.drain.advance(now, true);
         self.queue.demote(now, FIRST_TOKEN);
-        let mut decided = Vec::new();
         if self.targets.iter().any(|state| state.cordoned)
             && let Some(verdict) = self.refuse_without_targets(rng)
         {
             let waiting = self.queue.drain();
-            return waiting.into_iter().map(|item| (item.request.id, verdict.clone())).collect();
+            decided.extend(waiting.into_iter().map(|item| (item.request.id, verdict.clone())));
+            return decided;
         }
         if let Some((left, why)) = self.first_suspension(now) {
             for item in self.queue.expire(now + left) {
@@ -385,9 +421,10 @@
                 decided.push((item.request.id, verdict));
             }
         }
+        self.expire_returned(now, rng, &mut decided);
         for item in self.queue.expire(now) {
             let wait = self.drain.wait(self.queue.work_ahead(
-                item.request.class,
+                self.queue.level(&item.request),
                 &item.request.workspace,
                 0.0,
             ));
@@ -409,11 +446,11 @@
 
     /// Sends the next queued request that fits on some target.
     fn send_next(&mut self, now: Time, rng: &mut impl Rng) -> Option<(id::Request, Verdict)> {
-        for (class, workspace) in self.queue.next_workspaces() {
-            let request = self.queue.head(class, &workspace)?.request.clone();
+        for (level, workspace) in self.queue.next_workspaces() {
+            let request = self.queue.head(level, &workspace)?.request.clone();
             let curve = self.curve(&request, 0);
             if let Some(at) = self.place(now, rng, &request, &curve) {
-                let item = self.queue.pop(now, class, &workspace)?;
+                let item = self.queue.pop(now, level, &workspace)?;
                 self.drain.record(item.work);
                 return Some((request.id, self.send(now, at, item.request, item.work)));
             }
@@ -480,13 +517,14 @@
         now: Time,
         rng: &mut impl Rng,
         request: &Request,
+        earlier: Option<Resubmission>,
         work: f64,
     ) -> Option<Verdict> {
-        let ahead = self.queue.work_ahead(request.class, &request.workspace, work);
-        let own = self.queue.own_wait(now, request.class, &request.workspace, work);
-        let wait =
-            self.drain.wait(ahead).max(own).map(|wait| wait.mul_f64(WAIT_FACTOR) + FIRST_TOKEN);
-        if self.queue.len() >= CAPACITY {
+        let level = self.queue.level(request);
+        let ahead = self.queue.work_ahead(level, &request.workspace, work);
+        let own = self.queue.own_wait(now, level, &request.workspace, work);
+        let wait = rank::wait_for(self.drain.wait(ahead).max(own), earlier);
+        if self.queue.len() >= CAPACITY && !self.displace(rng, request.rank) {
             let retry = self.drain.wait(work).unwrap_or(RETRY_AFTER.0);
             return Some(refuse(rng, Reason::QueueFull, retry));
         }
@@ -514,7 +552,11 @@
             unread: Tokens::new(state.all_unread()),
             age: now.since(state.memory.reported_at()),
             late: request.class == Class::Spare,
+            rank: request.rank,
         };
+        if placement.late {
+            self.forecast.record_start(request.rank);
+        }
         state.memory.add(now, &curve);
         state.add_unstarted(request.prompt.get());
         self.sends += 1;
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -145,6 +145,8 @@
     pub age: Duration,
     /// Whether the generation could no longer meet its objective.
     pub late: bool,
+    /// Its rank.
+    pub rank: u8,
 }
 
 /// The gate's decision on a request.
--- a/crates/policy/src/resubmission.rs
+++ b/crates/policy/src/resubmission.rs
@@ -51,11 +51,27 @@
     }
 }
 
+/// The earlier attempts of a request that its caller sends again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Resubmission {
+    /// When it was first received.
+    pub since: Time,
+    /// How often it was refused.
+    pub refusals: u32,
+}
+
+/// A refused request.
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    resubmission: Resubmission,
+    /// When its latest refusal was recorded.
+    recorded: Time,
+}
+
 /// Requests that any entry refused recently.
 #[derive(Debug, Default)]
 pub struct Ledger {
-    /// When each request was first received, and when its latest refusal was recorded.
-    refused: HashMap<Fingerprint, (Time, Time)>,
+    refused: HashMap<Fingerprint, Entry>,
     /// The same requests by the time of the latest refusal.
     eviction: BTreeSet<(Time, Fingerprint)>,
 }
@@ -64,19 +80,28 @@
     /// Records the refusal of a request that was first received at `since`.
     pub fn record(&mut self, now: Time, fingerprint: Fingerprint, since: Time) {
         let earlier = self.refused.get(&fingerprint).copied();
-        if let Some((_, recorded)) = earlier {
+        if let Some(Entry { recorded, .. }) = earlier {
             self.eviction.remove(&(recorded, fingerprint));
         }
-        let since = earlier.map_or(since, |(known, _)| known.min(since));
-        self.refused.insert(fingerprint, (since, now));
+        let (since, refusals) = match earlier.map(|entry| entry.resubmission) {
+            Some(known) => (known.since.min(since), known.refusals.saturating_add(1)),
+            None => (since, 1),
+        };
+        let resubmission = Resubmission { since, refusals };
+        self.refused.insert(fingerprint, Entry { resubmission, recorded: now });
         self.eviction.insert((now, fingerprint));
         self.evict(now);
     }
 
     /// Returns when a request was first received that has been refused before; `None` for others.
     pub fn since(&self, now: Time, fingerprint: Fingerprint) -> Option<Time> {
-        let (since, recorded) = self.refused.get(&fingerprint)?;
-        (now.since(*recorded) < TTL).then_some(*since)
+        self.find(now, fingerprint).map(|resubmission| resubmission.since)
+    }
+
+    /// Returns the earlier attempts of a request that has been refused before; `None` for others.
+    pub fn find(&self, now: Time, fingerprint: Fingerprint) -> Option<Resubmission> {
+        let entry = self.refused.get(&fingerprint)?;
+        (now.since(entry.recorded) < TTL).then_some(entry.resubmission)
     }
 
     fn evict(&mut self, now: Time) {
