--- a/crates/gateway/src/process/service_gate.rs
+++ b/crates/gateway/src/process/service_gate.rs
@@ -16,7 +16,9 @@
 use fireflyhoist_policy::observation::{self, Observer};
 use fireflyhoist_policy::outlier;
 use fireflyhoist_policy::pace::{Figures, Sighting};
+use fireflyhoist_policy::rank::{Owner, Ranks};
 use fireflyhoist_policy::reservation::{Demand, Room};
+use fireflyhoist_policy::resubmission::Resubmission;
 use fireflyhoist_policy::retry;
 use fireflyhoist_policy::stagger::Order;
 use fireflyhoist_policy::unit::Tokens;
@@ -54,7 +56,27 @@
 #[derive(Debug)]
 struct State {
     gate: Gate,
-    waiters: HashMap<id::Request, oneshot::Sender<Verdict>>,
+    waiters: HashMap<id::Request, Waiter>,
+    /// The ranks in the text in force.
+    ranks: Arc<Ranks>,
+}
+
+/// A request that waits for its decision.
+#[derive(Debug)]
+struct Waiter {
+    sender: oneshot::Sender<Verdict>,
+    owner: Option<Owner>,
+}
+
+impl State {
+    fn notify(&mut self, decided: Vec<(id::Request, Verdict)>) {
+        for (request, verdict) in decided {
+            if let Some(waiter) = self.waiters.remove(&request) {
+                // A cancelled request releases its place when its pass is dropped.
+                let _ = waiter.sender.send(verdict);
+            }
+        }
+    }
 }
 
 impl State {
@@ -62,11 +84,12 @@
     fn add_waiter(
         &mut self,
         request: id::Request,
+        owner: Option<Owner>,
         verdict: &Verdict,
     ) -> Option<oneshot::Receiver<Verdict>> {
         (*verdict == Verdict::Wait).then(|| {
             let (sender, receiver) = oneshot::channel();
-            self.waiters.insert(request, sender);
+            self.waiters.insert(request, Waiter { sender, owner });
             receiver
         })
     }
@@ -80,7 +103,8 @@
 
     /// Creates a gate with the given settings.
     pub fn with_settings(clock: Clock, settings: Settings) -> Arc<Self> {
-        let state = State { gate: Gate::open(settings), waiters: HashMap::new() };
+        let gate = Gate::open(settings);
+        let state = State { gate, waiters: HashMap::new(), ranks: Arc::default() };
         Arc::new(Self { clock, state: Mutex::new(state) })
     }
 
@@ -174,6 +198,24 @@
         self.poll();
     }
 
+    /// Applies the ranks of a text to requests that wait and to those that come later.
+    pub fn set_ranks(&self, ranks: &Arc<Ranks>) {
+        let mut state = self.state.lock();
+        let State { gate, waiters, ranks: current } = &mut *state;
+        if **current == **ranks {
+            return;
+        }
+        *current = Arc::clone(ranks);
+        gate.update_ranks(|request| ranks.rank(waiters.get(&request)?.owner.as_ref()?));
+        drop(state);
+        self.poll();
+    }
+
+    /// Returns the rank of requests of `owner` in the text in force; see [`Ranks::rank`].
+    pub fn rank(&self, owner: &Owner) -> Option<u8> {
+        self.state.lock().ranks.rank(owner)
+    }
+
     /// Sets the objective for the time to an answer; see [`Gate::set_answer_objective`].
     pub fn set_answer_objective(&self, objective: Duration) {
         self.state.lock().gate.set_answer_objective(objective);
@@ -227,7 +269,7 @@
             state.gate.finish(now, request, Outcome::Cancelled);
             let refusal = Refusal { reason: Reason::NoTarget, retry_after: REMOVED_RETRY };
             // The receiver is dropped if the request was cancelled.
-            let _ = waiter.send(Verdict::Refuse(refusal));
+            let _ = waiter.sender.send(Verdict::Refuse(refusal));
         }
     }
 
@@ -244,16 +286,35 @@
 
     /// Waits for the decision on a request, and returns a pass for the target that was chosen.
     pub async fn admit(self: &Arc<Self>, request: Request) -> Result<Pass, Refusal> {
+        self.admit_ranked(request, None, None).await
+    }
+
+    /// Waits for the decision on a request like [`ServiceGate::admit`].
+    ///
+    /// Its rank is that of `owner` in the text in force, also if that changes while it waits.
+    /// `earlier` holds its earlier attempts if it was refused before.
+    pub async fn admit_ranked(
+        self: &Arc<Self>,
+        mut request: Request,
+        owner: Option<Owner>,
+        earlier: Option<Resubmission>,
+    ) -> Result<Pass, Refusal> {
         let id = request.id;
         let (verdict, waiter) = {
             let mut state = self.state.lock();
-            let verdict = state.gate.offer(self.clock.now(), &mut rand::rng(), request);
-            let waiter = state.add_waiter(id, &verdict);
+            let rank = owner.as_ref().and_then(|owner| state.ranks.rank(owner));
+            request.rank = rank.unwrap_or(request.rank);
+            let (now, mut rng) = (self.clock.now(), rand::rng());
+            let verdict = state.gate.offer_returned(now, &mut rng, request, earlier);
+            let waiter = state.add_waiter(id, owner.clone(), &verdict);
+            let displaced = state.gate.take_displaced();
+            state.notify(displaced);
             (verdict, waiter)
         };
         // The gate counts the request from here on. The pass releases what it holds if it is
         // dropped, or if this future is dropped while it waits.
-        let mut pass = Pass { gate: Arc::clone(self), request: id, target: None, done: false };
+        let gate = Arc::clone(self);
+        let mut pass = Pass { gate, request: id, owner, target: None, done: false };
         pass.settle(verdict, waiter).await?;
         Ok(pass)
     }
@@ -271,7 +332,7 @@
         match verdict {
             Verdict::Send(target) => {
                 let gate = Arc::clone(self);
-                Ok(Pass { gate, request: id, target: Some(target), done: false })
+                Ok(Pass { gate, request: id, owner: None, target: Some(target), done: false })
             }
             Verdict::Refuse(refusal) => Err(refusal),
             Verdict::Wait => unreachable!("the gate decides on it at once"),
@@ -282,12 +343,7 @@
     pub fn poll(&self) {
         let mut state = self.state.lock();
         let decided = state.gate.poll(self.clock.now(), &mut rand::rng());
-        for (request, verdict) in decided {
-            if let Some(waiter) = state.waiters.remove(&request) {
-                // A cancelled request releases its place when its pass is dropped.
-                let _ = waiter.send(verdict);
-            }
-        }
+        state.notify(decided);
     }
 
     /// Returns why a target is ejected and for how long, as shown to operators; `None` if it is not
@@ -367,6 +423,8 @@
 pub struct Pass {
     gate: Arc<ServiceGate>,
     request: id::Request,
+    /// Whose rank it has; `None` for a request that never waits.
+    owner: Option<Owner>,
     target: Option<id::Target>,
     done: bool,
 }
@@ -412,7 +470,8 @@
         let (verdict, waiter) = {
             let (now, mut state) = (self.gate.clock.now(), self.gate.state.lock());
             let verdict = state.gate.defer(now, &mut rand::rng(), self.request, wait, draw);
-            let waiter = state.add_waiter(self.request, &verdict);
+            let owner = self.owner.clone();
+            let waiter = state.add_waiter(self.request, owner, &verdict);
             (verdict, waiter)
         };
         self.settle(verdict, waiter).await
--- a/crates/policy/src/gate/mod.rs
+++ b/crates/policy/src/gate/mod.rs
@@ -9,6 +9,7 @@
 mod migration;
 mod pace;
 mod place;
+mod rank;
 mod reservation;
 mod settings;
 mod shares;
@@ -22,6 +23,7 @@
 
 use crate::curve::Curve;
 use crate::fleet_share::{Heavies, Shares};
+use crate::forecast::Forecast;
 use crate::id;
 use crate::length::{Predictor, Progress};
 use crate::locality;
@@ -31,6 +33,7 @@
 use crate::placement::Candidate;
 use crate::queue::{CAPACITY, Item, Queue};
 pub use crate::request::{Class, Outcome, Placement, Reason, Refusal, Report, Request, Verdict};
+use crate::resubmission::Resubmission;
 use crate::retry;
 use crate::shedding;
 use crate::stagger::Order;
@@ -114,6 +117,10 @@
     running: HashMap<id::Request, Running>,
     queue: Queue,
     drain: Meter,
+    /// When late requests can be expected to begin.
+    forecast: Forecast,
+    /// Requests that more urgent ones displaced from the queue and that are to be told.
+    displaced: Vec<(id::Request, Verdict)>,
     lengths: Predictor,
     usage: Usage,
     /// What workspaces use through the other entries.
@@ -173,6 +180,7 @@
     pub fn open(settings: Settings) -> Self {
         let mut queue = Queue::open(settings.fair).with_spare_last(settings.shed_late);
         queue.set_fleet_shares(settings.fleet_shares);
+        queue.set_ranked(settings.ranks);
         let retries = retry::Budget::with_limits(settings.retries);
         let mut detector = Detector::new();
         detector.set_objective(settings.token_interval);
@@ -185,6 +193,8 @@
             running: HashMap::new(),
             queue,
             drain: Meter::default(),
+            forecast: Forecast::default(),
+            displaced: Vec::new(),
             lengths: Predictor::open(),
             usage: Usage::default(),
             others: Shares::default(),
@@ -230,6 +240,7 @@
     pub fn set_scheduling(&mut self, update: impl FnOnce(&mut Settings)) {
         update(&mut self.settings);
         self.apply_fleet_shares();
+        self.queue.set_ranked(self.settings.ranks);
     }
 
     /// Sets the objective for the time between tokens of live generations.
@@ -245,6 +256,18 @@
 
     /// Decides on a new request, or on a retry of one that failed before its answer began.
     pub fn offer(&mut self, now: Time, rng: &mut impl Rng, request: Request) -> Verdict {
+        self.offer_returned(now, rng, request, None)
+    }
+
+    /// Decides on a request as [`Gate::offer`] does, with its earlier attempts if it was refused
+    /// before.
+    pub fn offer_returned(
+        &mut self,
+        now: Time,
+        rng: &mut impl Rng,
+        request: Request,
+        earlier: Option<Resubmission>,
+    ) -> Verdict {
         self.refresh_weights(now);
         self.drain.advance(now, !self.queue.is_empty());
         let again = request.retry;
@@ -266,11 +289,14 @@
         let request = self.classify(now, request);
         let work = self.work(&request);
         let curve = self.curve(&request, 0);
-        let choice = match self.queue.is_empty_through(request.class) {
+        let level = self.queue.level(&request);
+        self.advance_forecast(now);
+        let choice = match self.queue.may_pass(level) {
             true => self.place(now, rng, &request, &curve),
             false => Choice::Full,
         };
         if let Choice::At(at) = choice {
+            self.queue.record_pass(level, &request.workspace);
             return self.send(now, at, request, work);
         }
         if let Some((left, why)) = self.first_suspension(now)
@@ -278,13 +304,21 @@
         {
             return targets::refuse_suspended(rng, (left, why));
         }
-        if !again && let Some(verdict) = self.refuse_on_arrival(now, rng, &request, work) {
+        let earlier = earlier.filter(|_| self.settings.ranks);
+        if !again && let Some(verdict) = self.refuse_on_arrival(now, rng, &request, earlier, work) {
             return verdict;
         }
-        let (id, class, objective) = (request.id, request.class, request.objective);
-        self.queue.push(now, Item { request, work }, again);
+        if !again
+            && let Some(earlier) = earlier
+            && let Some(verdict) = self.refuse_returned(now, rng, &request, earlier)
+        {
+            return verdict;
+        }
+        let first_sent = earlier.map(|earlier| earlier.since);
+        let (id, objective) = (request.id, request.objective);
+        self.queue.push_returned(now, Item { request, work }, again, first_sent);
         if choice == Choice::Held {
-            self.queue.hold(id, class, objective);
+            self.queue.hold(id, level, objective);
         }
         Verdict::Wait
     }
@@ -434,18 +468,20 @@
 
     /// Decides on queued requests that can be sent now or whose deadline has passed.
     pub fn poll(&mut self, now: Time, rng: &mut impl Rng) -> Vec<(id::Request, Verdict)> {
+        let mut decided = self.take_displaced();
+        self.advance_forecast(now);
         if self.queue.is_empty() {
-            return Vec::new();
+            return decided;
         }
         self.refresh_weights(now);
         self.drain.advance(now, true);
         self.queue.demote(now, FIRST_TOKEN);
-        let mut decided = Vec::new();
         if self.targets.iter().any(|state| state.cordoned)
             && let Some(verdict) = self.refuse_without_targets(rng)
         {
             let waiting = self.queue.drain();
-            return waiting.into_iter().map(|item| (item.request.id, verdict.clone())).collect();
+            decided.extend(waiting.into_iter().map(|item| (item.request.id, verdict.clone())));
+            return decided;
         }
         if let Some((left, why)) = self.first_suspension(now) {
             for item in self.queue.expire(now + left) {
@@ -453,9 +489,10 @@
                 decided.push((item.request.id, verdict));
             }
         }
+        self.expire_returned(now, rng, &mut decided);
         for item in self.queue.expire(now) {
             let wait = self.drain.wait(self.queue.work_ahead(
-                item.request.class,
+                self.queue.level(&item.request),
                 &item.request.workspace,
                 0.0,
             ));
@@ -481,15 +518,15 @@
             return None;
         }
         let next = self.queue.next_workspaces();
-        for (class, workspace) in &next {
-            let request = self.queue.head(*class, workspace)?.request.clone();
+        for (level, workspace) in &next {
+            let request = self.queue.head(*level, workspace)?.request.clone();
             let curve = self.curve(&request, 0);
             match self.place(now, rng, &request, &curve) {
                 Choice::At(at) => {
-                    let item = self.queue.pop(now, *class, workspace)?;
+                    let item = self.queue.pop(now, *level, workspace)?;
                     return Some((request.id, self.send_waited(now, at, item)));
                 }
-                Choice::Held => self.queue.hold(request.id, *class, request.objective),
+                Choice::Held => self.queue.hold(request.id, *level, request.objective),
                 Choice::Full => self.queue.release(request.id),
             }
         }
@@ -564,13 +601,14 @@
         now: Time,
         rng: &mut impl Rng,
         request: &Request,
+        earlier: Option<Resubmission>,
         work: f64,
     ) -> Option<Verdict> {
-        let ahead = self.queue.work_ahead(request.class, &request.workspace, work);
-        let own = self.queue.own_wait(now, request.class, &request.workspace, work);
-        let wait =
-            self.drain.wait(ahead).max(own).map(|wait| wait.mul_f64(WAIT_FACTOR) + FIRST_TOKEN);
-        if self.queue.len() >= CAPACITY {
+        let level = self.queue.level(request);
+        let ahead = self.queue.work_ahead(level, &request.workspace, work);
+        let own = self.queue.own_wait(now, level, &request.workspace, work);
+        let wait = rank::wait_for(self.drain.wait(ahead).max(own), earlier);
+        if self.queue.len() >= CAPACITY && !self.displace(rng, request.rank) {
             let retry = self.drain.wait(work).unwrap_or(RETRY_AFTER.0);
             return Some(refuse(rng, Reason::QueueFull, retry));
         }
@@ -602,7 +640,11 @@
             near: self.domain.is_some() && state.domain == self.domain,
             pace,
             risk,
+            rank: request.rank,
         };
+        if placement.late {
+            self.forecast.record_start(request.rank);
+        }
         state.memory.add(now, &curve);
         state.add_unstarted(request.prompt.get());
         self.sends += 1;
--- a/crates/policy/src/gate/pace.rs
+++ b/crates/policy/src/gate/pace.rs
@@ -9,6 +9,7 @@
 use crate::id;
 use crate::pace::{Bound, Figures, RECENT, Regime, Sighting, UNEVEN_RATIO};
 use crate::placement::{self, Candidate};
+use crate::rank::Level;
 use crate::request::{Class, Request, Verdict};
 use crate::target;
 use crate::time::Time;
@@ -183,7 +184,7 @@
         &mut self,
         now: Time,
         rng: &mut impl Rng,
-        tried: &[(Class, id::Workspace)],
+        tried: &[(Level, id::Workspace)],
     ) -> Option<(id::Request, Verdict)> {
         self.queue.release_until(now + WAIT_LEAD);
         for request in self.queue.behind_held(tried, MAX_BEHIND) {
@@ -193,7 +194,10 @@
                     let item = self.queue.pop_request(now, request.id)?;
                     return Some((request.id, self.send_waited(now, at, item)));
                 }
-                Choice::Held => self.queue.hold(request.id, request.class, request.objective),
+                Choice::Held => {
+                    let level = self.queue.level(&request);
+                    self.queue.hold(request.id, level, request.objective);
+                }
                 Choice::Full => self.queue.release(request.id),
             }
         }
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -151,6 +151,8 @@
     pub pace: Option<Duration>,
     /// Answers that the prompt puts at risk there; see [`crate::pace`].
     pub risk: u32,
+    /// Its rank.
+    pub rank: u8,
 }
 
 /// The gate's decision on a request.
