--- a/crates/policy/tests/fleet_share.rs
+++ b/crates/policy/tests/fleet_share.rs
@@ -67,14 +67,14 @@
     let demands = large_and_even(load, Demand { way, ..Demand::of(0.0) });
     let [off, on] = both(actives, &demands, Fault::None);
     assert!(on.work_per_second() > 0.92 * off.work_per_second());
-    assert!(on.least(&demands) > 0.6);
+    assert!(on.least(&demands) > 0.75);
     assert!(on.least(&demands) > off.least(&demands) - 0.1);
     assert!(on.parts_of_share(&demands)[0] < 2.0);
 }
 
 /// A workspace that asks for ten times as much does so with many short or few long requests. Counted
 /// in requests, the long ones would take several shares.
-#[parameterized(short = { 600, 20 }, long = { 2_000, 500 })]
+#[parameterized(short = { 600, 20 }, long = { 2_000, 500 }, longest = { 3_000, 900 })]
 fn sizes_of_requests_make_no_difference(prompt: u64, tokens: u64) {
     let large = Demand { prompt, tokens, way: Way::Rotating, ..Demand::of(0.0) };
     let demands = large_and_even(2.0, large);
--- a/crates/policy/tests/scarce_capacity.rs
+++ b/crates/policy/tests/scarce_capacity.rs
@@ -39,16 +39,16 @@
 /// Guards against a kind, a workspace or the requests with the largest prompts being passed over
 /// under overload and while engines are lost.
 #[parameterized(
-    demand_0_8 = { Load { demand: 0.8, ..load() }, 0.0 },
-    demand_1_0 = { Load { demand: 1.0, ..load() }, 0.0 },
-    demand_1_2 = { Load { demand: 1.2, ..load() }, 0.0 },
-    demand_2_0 = { Load { demand: 2.0, ..load() }, 0.0 },
-    equal = { Load { kinds: [short(1), long(1)], ..load() }, 0.0 },
-    inverted = { Load { kinds: [short(2), long(0)], ..load() }, 0.1 },
-    urgent_workspace = { Load { large_rank: Some(0), kinds: [short(2), long(2)], ..load() }, 0.0 },
-    steady_engines = { Load { shrinks: false, ..load() }, 0.0 },
+    demand_0_8 = { Load { demand: 0.8, ..load() } },
+    demand_1_0 = { Load { demand: 1.0, ..load() } },
+    demand_1_2 = { Load { demand: 1.2, ..load() } },
+    demand_2_0 = { Load { demand: 2.0, ..load() } },
+    equal = { Load { kinds: [short(1), long(1)], ..load() } },
+    inverted = { Load { kinds: [short(2), long(0)], ..load() } },
+    urgent_workspace = { Load { large_rank: Some(0), kinds: [short(2), long(2)], ..load() } },
+    steady_engines = { Load { shrinks: false, ..load() } },
 )]
-fn none_is_passed_over(load: Load, margin: f64) {
+fn none_is_passed_over(load: Load) {
     let calls = Fleet::run(load.clone());
     let kind = |kind: usize| served(&load, &calls, |call| call.kind == kind);
     let large = |kind: usize| served(&load, &calls, |call| call.kind == kind && call.is_large);
@@ -62,7 +62,7 @@
     }
     let [one, two] = load.kinds.map(|kind| kind.rank);
     let (urgent, other) = if one <= two { (kind(0), kind(1)) } else { (kind(1), kind(0)) };
-    assert!(urgent >= other - 0.05 - margin, "urgent {urgent}, others {other}");
+    assert!(urgent >= other - 0.05, "urgent {urgent}, others {other}");
 }
 
 /// Guards against callers that come back being sent away again and again, or being sent away
@@ -70,6 +70,7 @@
 /// nevertheless, to see what becomes of them.
 #[parameterized(
     two_entries = { Load { entries: 2, ..load() } },
+    eight_entries = { Load { demand: 1.3, ..load() } },
     thirty_entries = { Load { entries: 30, engines: 12, demand: 3.0, ..load() } },
 )]
 fn returning_callers_are_told_in_time(load: Load) {
