--- a/crates/soak/src/entry.rs
+++ b/crates/soak/src/entry.rs
@@ -14,6 +14,10 @@
 /// Seconds that an entry has to drain.
 pub(crate) const GRACE_S: u64 = 4;
 
+/// Settings with every mechanism for contended targets switched on.
+const SCHEDULING: &str = "[scheduling]\npace = true\nreservations = true\nranks = true\n\
+     fleet_shares = true\nlocality = true\nentry_load = true\n";
+
 /// An entry, whichever process runs as it.
 #[derive(Debug)]
 pub(crate) struct Entry {
@@ -86,6 +90,7 @@
     nth: usize,
     place: Place,
     seeds: &[SocketAddr],
+    scheduling: bool,
     logs: &Path,
 ) -> Result<Entry, PlayError> {
     let host = format!("entry-{nth}");
@@ -99,12 +104,13 @@
          readiness = \"127.0.0.1:0\"\ndirectory = \"127.0.0.1:0\"\npeers = \"{own}\"\n\
          peers_listen = \"{listen}\"\n{}metrics = \"127.0.0.1:0\"\npower = 1\nseeds = [{}]\nregistry = \"{registry}\"\n[bounds]\n\
          grace_s = {GRACE_S}\nretry_ratio = 0.2\nretry_burst = 160\nentries_ttl_s = 5\n\
-         cold_excess = {}\ncold_margin = {}\n",
+         cold_excess = {}\ncold_margin = {}\n{}",
         nth % 2,
         via.unwrap_or_default(),
         seeds.join(","),
         backend::EXCESS,
         backend::MARGIN,
+        if scheduling { SCHEDULING } else { "" },
     );
     let path = logs.join(format!("{host}.toml"));
     std::fs::write(&path, settings).map_err(PlayError::Report)?;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -59,6 +59,8 @@
     pub parts: bool,
     /// Whether targets answer without a length, so that an answer ends with its connection.
     pub unframed: bool,
+    /// Whether entries use all mechanisms for contended targets.
+    pub scheduling: bool,
 }
 
 /// Why a run can't be played.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -42,6 +42,8 @@
     parts: bool,
     /// Answers that end with their connections, as well.
     unframed: bool,
+    /// Entries with all mechanisms for contended targets switched on.
+    scheduling: bool,
     /// Where logs, timelines and plots of seeds that failed are kept.
     #[bpaf(argument("DIR"), fallback(PathBuf::from("target/soak")))]
     report: PathBuf,
@@ -70,6 +72,7 @@
         versions: flags.versions,
         parts: flags.parts,
         unframed: flags.unframed,
+        scheduling: flags.scheduling,
     };
     let mut failed = 0;
     for seed in flags.seed..flags.seed + flags.seeds {
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -91,7 +91,7 @@
         let seeds: Vec<SocketAddr> = places.iter().take(3).map(Place::address).collect();
         let mut entries = Vec::new();
         for (nth, place) in places.into_iter().enumerate() {
-            entries.push(entry::open(nth, place, &seeds, logs)?);
+            entries.push(entry::open(nth, place, &seeds, size.scheduling, logs)?);
         }
         let world = Self {
             entries: Rc::new(entries),
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -160,3 +160,15 @@
     assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
     assert!(verdict.served() > 50, "{verdict}");
 }
+
+/// The same with every mechanism for contended targets switched on, while links between entries are
+/// narrowed, silenced and reset: entries ask each other before they send, and must not depend on it.
+#[parameterized(short = { 1, 6 })]
+#[test_macro(ntex::test)]
+async fn promises_hold_with_scheduling(seed: u64, seconds: u64) {
+    let report = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-scheduling");
+    let size = Size { seconds, processes: 4, links: true, scheduling: true, ..Size::default() };
+    let verdict = play(seed, size, &report).await.expect("it plays");
+    assert!(verdict.is_clean(), "{verdict}\nsee {}", report.display());
+    assert!(verdict.served() > 50, "{verdict}");
+}
