--- a/review/3/run.py
+++ b/review/3/run.py
@@ -25,6 +25,7 @@
 READERS = 72
 EVENTS = 60
 RESTART = 0.5
+ROUNDS = 3
 
 
 def config():
@@ -92,7 +93,7 @@
     try:
         s = socket.create_connection((host, int(port)), timeout=1)
     except OSError:
-        return None, now(), "refused"
+        return now(), now(), "refused"
     try:
         s.settimeout(BUDGET)
         head = (f"POST {path} HTTP/1.1\r\nHost: a.example\r\nFireflyhoist-Request-Id: {request}\r\n"
@@ -177,36 +178,38 @@
     stops = {}
 
     def restart(entry):
+        term = stops[entry.front][-1]
         entry.process.wait()
-        record.say(f"entry {entry.name} has ended, {now() - stops[entry.front]:.2f} s after SIGTERM")
+        record.say(f"entry {entry.name} has ended, {now() - term:.2f} s after SIGTERM")
         # The platform starts the machine again once the time that it grants for the stop is over.
-        time.sleep(max(0.0, stops[entry.front] + GRACE - now()) + RESTART)
+        time.sleep(max(0.0, term + GRACE - now()) + RESTART)
         entry.start()
         entry.wait_ready()
 
-    if trouble:
+    for _ in range(ROUNDS):
+        if not trouble:
+            time.sleep(15)
+            continue
         restarts = []
         for entry in stage.entries:
-            stops[entry.front] = now()
+            stops.setdefault(entry.front, []).append(now())
             entry.signal(signal.SIGTERM)
             restarts.append(threading.Thread(target=restart, args=(entry,)))
             restarts[-1].start()
             time.sleep(GAP)
         for thread in restarts:
             thread.join()
-    else:
-        time.sleep(15)
+        time.sleep(5)
     time.sleep(2)
     stop.set()
     for thread in threads:
         thread.join()
     broken = 0
     for request, address, sent, ended, how in results:
-        term = stops.get(address)
-        if how != "closed" or term is None or sent is None:
-            continue
-        if not term <= sent <= term + GRACE + 1:
+        terms = [term for term in stops.get(address, []) if term <= sent <= term + GRACE + 1]
+        if how != "closed" or not terms:
             continue
+        term = terms[-1]
         stream_request = request.startswith("s")
         passed_on = request in Engine.seen or request in Plain.ran
         counts = passed_on or ended - sent > LOSS_SLACK
