--- a/review/kit/kit.py
+++ b/review/kit/kit.py
@@ -42,14 +42,17 @@
 
 
 def free_ports(count):
-    sockets = []
-    for _ in range(count):
-        s = socket.socket()
-        s.bind(("127.0.0.1", 0))
-        sockets.append(s)
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+    """Returns ports that nothing listens on, below those that systems give to outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(12000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -350,7 +353,7 @@
 
     def wait_ready(self, seconds=15):
         end = time.monotonic() + seconds
-        while time.monotonic() < end:
+        while time.monotonic() < end and self.process.poll() is None:
             if self.is_ready():
                 self.record.say(f"entry {self.name} is ready")
                 return True
@@ -452,19 +455,31 @@
         self.record = Record(os.path.join(folder, "record.txt"))
         self.temp = tempfile.TemporaryDirectory()
         self.store = Store()
-        ports = free_ports(5 * entries)
-        groups = [ports[5 * i:5 * i + 5] for i in range(entries)]
+        self.count = entries
+        self.entries = []
+
+    def start(self):
+        """Starts the entries; with other ports once more if one of them can't bind one."""
+        for _ in range(3):
+            self.place()
+            for entry in self.entries:
+                entry.start()
+            if all(entry.wait_ready() for entry in self.entries):
+                return True
+            self.record.say("an entry did not start, all are started again with other ports")
+            for entry in self.entries:
+                entry.end()
+        return False
+
+    def place(self):
+        ports = free_ports(5 * self.count)
+        groups = [ports[5 * i:5 * i + 5] for i in range(self.count)]
         seeds = [f"127.0.0.1:{group[3]}" for group in groups[:3]]
         self.entries = [
             Entry(f"edge-{ZONES[i % 3]}-{i // 3 + 1}", ZONES[i % 3], self.store, self.record,
                   self.temp.name, group, seeds, BOUNDS)
             for i, group in enumerate(groups)]
 
-    def start(self):
-        for entry in self.entries:
-            entry.start()
-        return all(entry.wait_ready() for entry in self.entries)
-
     def lookup(self, zone="hala-a"):
         """Asks for the addresses of entries, as a client does: up to three, nearest first. Returns
         the addresses, and for how many seconds to keep them; none if there is no answer."""
@@ -486,6 +501,13 @@
 def main(folder, entries, play):
     """Plays a case; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     stage = Stage(folder, entries)
+
+    def give_up(*_):
+        stage.end()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, give_up)
+    signal.signal(signal.SIGINT, give_up)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     code = 2
     try:
