Refuse requests that a draining entry cannot finish

Causes, from the entries' logs of a play and from tests:

- Generations were turned away only if the caller's estimate was 64 tokens or more.
An estimate may be wrong by any factor, so late in a drain it says nothing.
- A generation that waited for an engine when the drain began was not looked at again.
- From the last look at the open requests until the process had ended (up to 300 ms), requests were read, sent to targets and dropped.

Now the decision is made while a request waits to be sent, not once when it arrives. In the first third of the grace period it follows the estimate, later the maximum that the caller allows. After the drain the entry sends nothing more: what it reads until it has ended is refused as not run, and what a target has is answered 502 before the process ends.

The daemon (crates/daemon) refuses all new work when it drains and waits for the rest without a bound, so it does not have this fault.

--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -36,9 +36,17 @@
 /// its [`request::entries::TTL`](crate::request::entries), so some still connect.
 const MIN_DRAIN: Duration = Duration::from_millis(3_500);
 
-/// How long before the end of the grace period the process exits, so that data that it has written
-/// is sent before it is killed.
-const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// How long before the end of the grace period a drain ends, so that the last answers are sent and
+/// the log is written before the process is killed.
+pub(crate) const EXIT_MARGIN: Duration = Duration::from_millis(400);
+
+/// How long the last requests may take to be answered after the drain, and how long the answers may
+/// take to be sent.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(80);
+const SEND_TIME: Duration = Duration::from_millis(20);
+
+/// The interval at which the end of the last requests is checked.
+const CLOSE_POLL: Duration = Duration::from_millis(5);
 
 /// How long the server may take to stop. Connections that it still has end with the process.
 const STOP_TIMEOUT: Duration = Duration::from_millis(100);
@@ -191,8 +199,8 @@
     /// Announces to peers and callers that this entry is leaving, waits until no requests are in
     /// flight or the grace period is over, and stops the server.
     ///
-    /// Callers that connect meanwhile are still served, except for generations, which could not
-    /// complete before the process ends.
+    /// Requests that arrive meanwhile are served if they can end before the process does. Until it
+    /// has ended, the others are refused.
     pub async fn drain(self) {
         let started_at = self.process.clock.now();
         self.process.leave();
@@ -207,6 +215,7 @@
                 break;
             }
         }
+        self.close().await;
         ::log::info!(open = self.process.open_requests(); "stopped");
         log::flush();
         // No answers are left to wait for, and waiting for idle connections would exceed the grace
@@ -215,4 +224,17 @@
             ::log::warn!("server did not stop in time; exiting regardless");
         }
     }
+
+    /// Has all requests answered whose answers have not begun.
+    async fn close(&self) {
+        self.process.close();
+        let answered = async {
+            while self.process.open_requests() > 0 {
+                sleep(CLOSE_POLL).await;
+            }
+        };
+        // Streams that have not ended are cut with the process.
+        let _ = timeout(CLOSE_TIMEOUT, answered).await;
+        sleep(SEND_TIME).await;
+    }
 }
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -40,6 +40,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 
+use crate::process::EXIT_MARGIN;
 use crate::process::clock::Clock;
 use crate::process::metrics::Metrics;
 use crate::process::service_gate::ServiceGate;
@@ -72,6 +73,27 @@
 /// seconds.
 const IDLE_AFTER: Duration = Duration::from_secs(3);
 
+/// What an entry does with requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    Serving,
+    /// It serves those that can end before it stops.
+    Draining,
+    /// It is about to stop, and sends nothing to targets.
+    Closing,
+}
+
+/// The times of a process that leaves.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LeaveTimes {
+    /// How long it has been leaving.
+    pub(crate) since: Duration,
+    /// The part of the grace period that is left.
+    pub(crate) remaining: Duration,
+    /// How long it still waits for answers.
+    pub(crate) open_for: Duration,
+}
+
 /// Shared state of one entry process.
 #[derive(Debug)]
 pub(crate) struct Process {
@@ -129,6 +151,7 @@
     watching: AtomicBool,
     /// When the process began to leave.
     leaving_since: OnceLock<Time>,
+    phase: watch::Sender<Phase>,
     target_list_known: AtomicBool,
     open_requests: AtomicUsize,
     /// Notified when a request arrives while none is open.
@@ -176,6 +199,7 @@
             era: AtomicU64::new(0),
             watching: AtomicBool::new(false),
             leaving_since: OnceLock::new(),
+            phase: watch::channel(Phase::Serving).0,
             target_list_known: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
             busy: Notify::new(),
@@ -400,17 +424,38 @@
     /// Starts to leave: from now on new callers are sent to other entries.
     pub(crate) fn leave(&self) {
         self.leaving_since.get_or_init(|| self.clock.now());
+        self.phase.send_replace(Phase::Draining);
+    }
+
+    /// Ends the drain: requests that have not been sent are refused, and those that have been are
+    /// answered at once.
+    pub(crate) fn close(&self) {
+        self.phase.send_replace(Phase::Closing);
+    }
+
+    pub(crate) fn is_closing(&self) -> bool {
+        *self.phase.borrow() == Phase::Closing
+    }
+
+    /// Waits until the drain has ended.
+    pub(crate) async fn closing(&self) {
+        // The sender lives as long as the process, so there is no error here.
+        let _ = self.phase.subscribe().wait_for(|phase| *phase == Phase::Closing).await;
+    }
+
+    pub(crate) fn watch_phase(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
     }
 
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving_since.get().is_some()
     }
 
-    /// Returns how long the process has been leaving and how long it may still run; `None` where it
-    /// does not leave.
-    pub(crate) fn leave_times(&self) -> Option<(Duration, Duration)> {
+    /// Returns the times of the drain; `None` if the process does not leave.
+    pub(crate) fn leave_times(&self) -> Option<LeaveTimes> {
         let since = self.clock.now().since(*self.leaving_since.get()?);
-        Some((since, self.bounds().grace().saturating_sub(since)))
+        let remaining = self.bounds().grace().saturating_sub(since);
+        Some(LeaveTimes { since, remaining, open_for: remaining.saturating_sub(EXIT_MARGIN) })
     }
 
     /// Returns whether this entry is ready for callers: it has all state that decisions need and is
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -16,7 +16,7 @@
 use crate::connection::frame::Permit;
 use crate::process::fleet::fragility::Slot;
 use crate::process::service_gate::Pass;
-use crate::request::{Context, Worker, quarantine};
+use crate::request::{Context, Worker, drain, quarantine};
 
 /// How long the entry that owns a target's token bucket may take to answer: about twenty round
 /// trips.
@@ -29,6 +29,8 @@
     Refused(Refusal),
     /// It is quarantined, and may be sent again after this time.
     Quarantined(Duration),
+    /// This entry drains, and its caller should retry after this time.
+    Draining(Duration),
 }
 
 /// The permission to send a request to a target.
@@ -40,11 +42,24 @@
     pub(crate) slot: Option<Slot>,
 }
 
-/// Waits until a request may be sent to a target.
+/// Waits until a request may be sent to a target, or would not end before this entry stops.
 ///
 /// `avoid` is the target of the previous attempt. `retry` is set if an earlier attempt may have
 /// reached a target.
 pub(crate) async fn admit(
+    worker: &Worker,
+    context: &Context,
+    avoid: Option<&id::Target>,
+    retry: bool,
+) -> Result<Admission, Rejection> {
+    tokio::select! {
+        biased;
+        after = drain::refused(worker, context) => Err(Rejection::Draining(after)),
+        admission = admit_to_target(worker, context, avoid, retry) => admission,
+    }
+}
+
+async fn admit_to_target(
     worker: &Worker,
     context: &Context,
     avoid: Option<&id::Target>,
--- /dev/null
+++ b/crates/gateway/src/request/drain.rs
@@ -0,0 +1,81 @@
+//! Requests at an entry that drains: one that would not end before the entry stops is refused while
+//! nothing of it has been sent.
+
+use std::time::Duration;
+
+use fireflyhoist_policy::shutdown::{self, Decision, State, Work};
+use tokio::time::timeout;
+
+use crate::request::{Context, Worker, entries, migration};
+
+/// How often the decision on a request that waits is made anew.
+const DECISION_POLL: Duration = Duration::from_millis(50);
+
+/// Waits until this entry would not serve a request that has not been sent, and returns when its
+/// caller should retry.
+pub(crate) async fn refused(worker: &Worker, context: &Context) -> Duration {
+    let process = &worker.process;
+    let mut phase = process.watch_phase();
+    loop {
+        if let Some(after) = retry_after(worker, context) {
+            return after;
+        }
+        // The sender lives as long as the process, so `changed` returns no error here.
+        match process.is_leaving() {
+            true => drop(timeout(DECISION_POLL, phase.changed()).await),
+            false => drop(phase.changed().await),
+        }
+    }
+}
+
+/// Waits until this entry closes, and returns when callers should retry.
+pub(crate) async fn closing(worker: &Worker) -> Duration {
+    loop {
+        worker.process.closing().await;
+        if let Some(after) = closing_retry_after(worker) {
+            return after;
+        }
+    }
+}
+
+/// Returns when callers should retry if this entry is about to stop and sends nothing more.
+pub(crate) fn closing_retry_after(worker: &Worker) -> Option<Duration> {
+    let state = state(worker).filter(|_| worker.process.is_closing())?;
+    Some(shutdown::retry_after(&state))
+}
+
+/// Returns when to retry if this entry drains and the request would not end before it stops.
+fn retry_after(worker: &Worker, context: &Context) -> Option<Duration> {
+    let state = state(worker)?;
+    if worker.process.is_closing() {
+        return Some(shutdown::retry_after(&state));
+    }
+    match shutdown::decide(&state, &work(context)) {
+        Decision::Serve => None,
+        Decision::RetryAfter(after) => Some(after),
+    }
+}
+
+/// Returns the state of this entry if it drains.
+fn state(worker: &Worker) -> Option<State> {
+    let times = worker.process.leave_times()?;
+    Some(State {
+        peers_accept: worker.fleet.has_ready_peer(),
+        draining_for: times.since,
+        remaining: times.remaining,
+        open_for: times.open_for,
+        address_ttl: entries::TTL,
+    })
+}
+
+fn work(context: &Context) -> Work {
+    if !context.route.kind.is_stream() {
+        return Work::Lookup { objective: context.route.objective };
+    }
+    let limit = context.facts.max_tokens;
+    Work::Generation {
+        expected: migration::expected_tokens(context),
+        limit: (limit.get() > 0).then_some(limit),
+        long: migration::is_long(context),
+    }
+}
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod admission;
 pub(crate) mod attempt;
+pub(crate) mod drain;
 pub(crate) mod entries;
 pub(crate) mod liveness;
 pub(crate) mod migration;
@@ -205,6 +206,9 @@
     arrived_at: Time,
 ) -> Result<Context, Response> {
     let facts = P::request_info(request.headers());
+    if let Some(after) = drain::closing_retry_after(worker) {
+        return Err(refuse::draining(&facts.request, after));
+    }
     worker.process.wait_for_initial_sync().await;
     let Some(table) = worker.process.table() else {
         return Err(refuse::not_ready(&facts.request));
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -18,7 +18,7 @@
 use crate::platform::Platform;
 use crate::request::admission::{self, Admission, Rejection};
 use crate::request::attempt::{self, Error, Options, Started, decline_retry_after};
-use crate::request::{Context, Worker, end_to_end, liveness, quarantine, refuse};
+use crate::request::{Context, Worker, drain, end_to_end, liveness, quarantine, refuse};
 
 /// Maximum size of an answer in bytes. Answers are buffered until they are complete, so that a
 /// truncated one is detected and may be fetched again.
@@ -60,10 +60,17 @@
         reached_target: false,
         refusal: None,
         quarantine_wait: None,
+        drain_retry: None,
         server_error: None,
     };
-    // On timeout, a request of which no attempt can have run is refused as safe to retry.
-    let finished = timeout(time_left, dispatch.run::<P>()).await.ok();
+    // A request of which no attempt can have run is refused as safe to retry.
+    let finished = tokio::select! {
+        finished = timeout(time_left, dispatch.run::<P>()) => finished.ok(),
+        after = drain::closing(worker) => Some(match dispatch.may_have_run {
+            true => refuse::answer_lost(request),
+            false => refuse::draining(request, after),
+        }),
+    };
     match finished {
         Some(response) => response,
         None if dispatch.may_have_run => refuse::timed_out(request),
@@ -89,6 +96,8 @@
     refusal: Option<Refusal>,
     /// The time to wait if the request is quarantined.
     quarantine_wait: Option<Duration>,
+    /// When to retry if this entry drains and sends the request no more.
+    drain_retry: Option<Duration>,
     /// The last server error of a target, returned if no attempt succeeds.
     server_error: Option<Answer>,
 }
@@ -112,6 +121,7 @@
                     }
                     Err(Rejection::Quarantined(wait)) => self.quarantine_wait = Some(wait),
                     Err(Rejection::Refused(refusal)) => self.refusal = Some(refusal),
+                    Err(Rejection::Draining(after)) => self.drain_retry = Some(after),
                 }
             }
             let suspect = self.worker.process.crashes(self.context.fingerprint) > 0;
@@ -185,6 +195,9 @@
         if self.outcome_unknown {
             return refuse::answer_lost(request);
         }
+        if let Some(after) = self.drain_retry {
+            return refuse::draining(request, after);
+        }
         if let Some(wait) = self.quarantine_wait {
             return quarantine::refuse(self.worker, self.context, wait);
         }
--- a/crates/gateway/src/request/refuse.rs
+++ b/crates/gateway/src/request/refuse.rs
@@ -73,7 +73,7 @@
     respond(request, problem(503, "ends-targets", detail, Ran::No, Some(after)))
 }
 
-/// Refuses a generation that is not expected to end before this draining entry stops.
+/// Refuses a request that has not run and would not end before this draining entry stops.
 pub(crate) fn draining(request: &SmolStr, after: Duration) -> Response {
     let detail = "this entry is leaving; ask which to use, and come back as told";
     respond(request, problem(503, "leaving", detail, Ran::No, Some(after)))
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -5,7 +5,6 @@
 
 use fireflyhoist_policy::gate::{Outcome, Refusal};
 use fireflyhoist_policy::id;
-use fireflyhoist_policy::shutdown::{self, Decision, State};
 use ntex::http::{Response, StatusCode};
 use tokio::time::timeout;
 
@@ -14,9 +13,9 @@
 use crate::process::state::{RequestGuard, millis};
 use crate::request::admission::{self, Admission, Rejection};
 use crate::request::attempt::{self, Error, Options, Started, decline_retry_after};
-use crate::request::migration::{self, Backup};
+use crate::request::migration::Backup;
 use crate::request::relay::{Relay, Run};
-use crate::request::{Context, Worker, end_to_end, entries, liveness, quarantine, refuse};
+use crate::request::{Context, Worker, drain, end_to_end, liveness, quarantine, refuse};
 
 /// Divisor of the time that a refused caller has left. It may wait for at most this part of it
 /// before it retries, since it needs the rest for the answer.
@@ -32,11 +31,6 @@
     open: RequestGuard,
 ) -> Response {
     let context = Rc::new(context);
-    if migration::is_long(&context)
-        && let Some(after) = drain_retry_after(worker, &context)
-    {
-        return refuse::draining(&context.facts.request, after);
-    }
     let time_left = context.time_left(worker.process.clock.now());
     let mut dispatch = Dispatch {
         worker,
@@ -47,7 +41,10 @@
         in_flight: false,
         outcome_unknown: false,
     };
-    let finished = timeout(time_left, dispatch.run::<P>()).await.ok();
+    let finished = tokio::select! {
+        finished = timeout(time_left, dispatch.run::<P>()) => finished.ok(),
+        after = drain::closing(worker) => Some(dispatch.draining(after)),
+    };
     match finished {
         Some(response) => response,
         None if dispatch.may_have_run() => refuse::timed_out(&context.facts.request),
@@ -55,22 +52,6 @@
     }
 }
 
-/// Returns when to retry if this entry is draining and the answer would not end before it stops.
-fn drain_retry_after(worker: &Worker, context: &Context) -> Option<Duration> {
-    let (since, time_left) = worker.process.leave_times()?;
-    let others = worker.fleet.has_ready_peer();
-    let state = State {
-        peers_accept: others,
-        draining_for: since,
-        remaining: time_left,
-        address_ttl: entries::TTL,
-    };
-    match shutdown::decide(&state, migration::expected_tokens(context)) {
-        Decision::Serve => None,
-        Decision::RetryAfter(after) => Some(after),
-    }
-}
-
 /// The progress of one generation until its answer begins.
 struct Dispatch<'a> {
     worker: &'a Worker,
@@ -98,6 +79,7 @@
                     Ok(admission) => admission,
                     Err(Rejection::Quarantined(wait)) => return self.quarantined(wait),
                     Err(Rejection::Refused(refusal)) => return self.refused(refusal),
+                    Err(Rejection::Draining(after)) => return self.draining(after),
                 };
             avoid = Some(admission.pass.target().clone());
             self.log_placement(&admission.pass);
@@ -181,6 +163,14 @@
         refuse::gate_refusal(self.worker, &self.context, &Refusal { retry_after, ..refusal })
     }
 
+    /// Returns the response if this entry drains and sends the request no more.
+    fn draining(&self, after: Duration) -> Response {
+        match self.may_have_run() {
+            true => refuse::answer_lost(&self.context.facts.request),
+            false => refuse::draining(&self.context.facts.request, after),
+        }
+    }
+
     async fn attempt<P: Platform>(&mut self, admission: Admission) -> Result<Response, Error> {
         let Admission { pass, grant, slot } = admission;
         self.attempts += 1;
--- /dev/null
+++ b/crates/gateway/tests/drain.rs
@@ -0,0 +1,107 @@
+//! An entry that drains cuts no answer that it begins late, and answers each request that it reads.
+
+mod support;
+
+use std::time::Duration;
+
+use fireflyhoist_policy::route::{Kind, Route};
+use fireflyhoist_standin::registry::Registry;
+use support::caller::Request;
+use support::target::{Seen, Standin, Step, event, events, stream_end, stream_head};
+use support::{eventually, gateway, route, text};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use yare::parameterized;
+
+const STREAM: Kind = Kind::Stream { resumable: false };
+
+/// The grace period of the entry.
+const GRACE: Duration = Duration::from_secs(4);
+
+/// Starts a target of the route, and an entry.
+async fn open(
+    route: Route,
+    script: impl Fn(&Seen) -> Vec<Step> + Send + Sync + 'static,
+) -> (Registry, Standin, fireflyhoist_gateway::Gateway) {
+    let registry = Registry::open().await;
+    let service = route.parts[0].service.to_string();
+    registry.publish(text(1, vec![route]));
+    let target = Standin::open("t-1", &service, script).await;
+    registry.put(target.listed.clone());
+    let gateway = gateway(&registry).await;
+    (registry, target, gateway)
+}
+
+/// Returns an answer with 50 ms between its events.
+fn run(events: u64) -> Vec<Step> {
+    let pause = || Step::Wait(Duration::from_millis(50));
+    let each = (1..=events).flat_map(|id| [event(id), pause()]);
+    std::iter::once(stream_head()).chain(each).chain([stream_end()]).collect()
+}
+
+fn generation(maximum: u64, estimate: Option<u64>) -> Request {
+    let request = Request::stream("/gen/x", maximum).body("b");
+    match estimate {
+        Some(tokens) => request.header("fireflyhoist-expected-tokens", &tokens.to_string()),
+        None => request,
+    }
+}
+
+/// Guards against answers that are cut at the end of a drain because their callers' estimates are
+/// too low. Late in a drain only the caller's maximum shows that an answer ends in time.
+#[parameterized(
+    low_estimate = { 1_000, Some(20), 503 },
+    no_estimate = { 1_000, None, 503 },
+    no_maximum = { 0, Some(20), 503 },
+    low_maximum = { 20, Some(20), 200 },
+)]
+#[test_macro(ntex::test)]
+async fn a_late_answer_is_served_if_its_maximum_fits(
+    maximum: u64,
+    estimate: Option<u64>,
+    status: u16,
+) {
+    let produced = if status == 200 { 20 } else { 100 };
+    let (_registry, engine, gateway) = open(route("gen", STREAM), move |_| run(produced)).await;
+    let callers = gateway.callers();
+    spawn_local(gateway.drain());
+    sleep(GRACE * 3 / 8).await;
+    let answer = generation(maximum, estimate).send(callers).await;
+    assert_eq!((answer.status, answer.whole), (status, true), "{answer:?}");
+    if status == 200 {
+        assert_eq!(answer.body, events(1, 20));
+        return;
+    }
+    assert!(answer.body.contains("\"ran\":\"no\""), "{answer:?}");
+    assert!(engine.seen().is_empty(), "it was sent to the engine");
+    // No other entry accepts callers before this one has been replaced.
+    let after = answer.header("retry-after").and_then(|after| after.parse::<f64>().ok());
+    assert!(after.is_some_and(|after| after > GRACE.as_secs_f64() * 5.0 / 8.0), "{answer:?}");
+}
+
+/// Guards against a generation that waits for an engine when the drain begins, and is then cut or
+/// dropped without an answer at its end.
+#[ntex::test]
+async fn a_waiting_generation_is_refused_once_it_would_be_cut() {
+    let hang = |_: &Seen| vec![stream_head(), event(1), Step::Hang];
+    let (_registry, engine, gateway) = open(route("gen", STREAM), hang).await;
+    let callers = gateway.callers();
+    // The prompts of two requests do not fit into the engine's memory.
+    let large = Request::new("POST", "/gen/x")
+        .header("fireflyhoist-prompt-tokens", "60000")
+        .header("fireflyhoist-max-tokens", "1000")
+        .header("fireflyhoist-expected-tokens", "20")
+        .body("b");
+    let running = large.open(callers).await;
+    eventually(async || engine.seen().len() == 1).await;
+    let waiting = spawn_local(async move { large.send(callers).await });
+    sleep(Duration::from_millis(100)).await;
+    spawn_local(gateway.drain());
+    let answer = waiting.await.expect("the caller ends");
+    assert_eq!((answer.status, answer.whole), (503, true), "{answer:?}");
+    assert!(answer.body.contains("\"ran\":\"no\""), "{answer:?}");
+    assert!(answer.body.contains("leaving"), "{answer:?}");
+    assert!(answer.took < GRACE / 2, "{:?}", answer.took);
+    assert_eq!(engine.seen().len(), 1);
+    drop(running);
+}
--- a/crates/policy/src/shutdown.rs
+++ b/crates/policy/src/shutdown.rs
@@ -1,14 +1,14 @@
-//! Decides whether an entry that shuts down serves a generation or sends its caller away.
+//! Decides whether an entry that shuts down serves a request or sends its caller away.
 //!
 //! In a rolling restart, entries are stopped one after the other, each with a grace period of some
 //! seconds. Callers keep connecting to a stopping entry for as long as they cache its address, and
-//! a long answer that begins there is cut when the process ends.
+//! an answer that has not ended when the process does is cut.
 //!
 //! A caller that is told to retry soon would use the addresses that it still caches, reach another
 //! entry that shuts down, and exhaust its retries: where two of six entries stop at a time, 46 of
 //! 47 callers that are sent away are sent away twice. Callers are therefore told to retry once
-//! their cached addresses have expired. Where no other entry accepts callers, answers that can
-//! still finish here are served.
+//! their cached addresses have expired. Where no other entry accepts callers, requests that can
+//! still end here are served.
 
 use std::time::Duration;
 
@@ -18,13 +18,20 @@
 /// answer that does not finish before the process ends is lost, so the bound is higher.
 const MAX_TOKEN_TIME: Duration = Duration::from_millis(15);
 
+/// The longest time from sending a generation to its first token that is usual on a full engine.
+const FIRST_TOKEN_TIME: Duration = Duration::from_millis(500);
+
+/// The longest time that a request other than a generation is expected to take, whatever the
+/// objective of its route.
+const MAX_LOOKUP_TIME: Duration = Duration::from_secs(1);
+
 /// The factor applied to the caller's length estimate: half of all estimates are too short, and one
 /// in five by more than this factor.
 const LENGTH_FACTOR: u64 = 2;
 
-/// The first part of the grace period, in which long answers may still begin. An estimate may be
-/// wrong by any factor, and an answer that begins late in the grace period may be cut although its
-/// caller could have been sent away.
+/// The first part of the grace period, in which answers may begin by their callers' estimates. An
+/// estimate may be wrong by any factor, and an answer that begins late in the grace period may be
+/// cut although its caller could have been sent away.
 const ACCEPT_FRACTION: f64 = 1.0 / 3.0;
 
 /// The shortest retry delay: a round trip and the caller's new connection.
@@ -41,32 +48,72 @@
     pub peers_accept: bool,
     /// How long this entry has been shutting down.
     pub draining_for: Duration,
-    /// How long this entry still runs.
+    /// The part of the grace period that is left.
     pub remaining: Duration,
+    /// How long this entry still waits for answers; less than `remaining`.
+    pub open_for: Duration,
     /// How long callers cache the addresses of entries.
     pub address_ttl: Duration,
 }
 
-/// What to do with a generation.
+/// What is known about how long a request takes once it is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Work {
+    /// A generation.
+    Generation {
+        /// The caller's estimate of its length.
+        expected: Tokens,
+        /// The length that the caller allows; `None` if unlimited.
+        limit: Option<Tokens>,
+        /// Whether it is expected to take longer than the notice that entries give before they
+        /// stop.
+        long: bool,
+    },
+    /// Any other request, with the objective for its answer.
+    Lookup {
+        /// The objective of the route.
+        objective: Duration,
+    },
+}
+
+/// What to do with a request that has not begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
-    /// Serve it here; it is expected to finish in time.
+    /// Serve it here; it is expected to end in time.
     Serve,
     /// Send the caller away, to retry after this delay.
     RetryAfter(Duration),
 }
 
-/// Decides on a long answer with this expected number of tokens.
-pub fn decide(state: &State, expected: Tokens) -> Decision {
-    if state.peers_accept {
-        let cached_for = state.address_ttl.saturating_sub(state.draining_for);
-        return Decision::RetryAfter(cached_for + MIN_RETRY_DELAY);
+/// Decides on a request that has not been sent to a target.
+pub fn decide(state: &State, work: &Work) -> Decision {
+    match is_served(state, work) {
+        true => Decision::Serve,
+        false => Decision::RetryAfter(retry_after(state)),
+    }
+}
+
+/// Returns when a caller that is sent away should retry.
+pub fn retry_after(state: &State) -> Duration {
+    match state.peers_accept {
+        true => state.address_ttl.saturating_sub(state.draining_for) + MIN_RETRY_DELAY,
+        false => state.remaining + RESTART_TIME,
     }
-    let tokens = u32::try_from(expected.get().saturating_mul(LENGTH_FACTOR)).unwrap_or(u32::MAX);
+}
+
+fn is_served(state: &State, work: &Work) -> bool {
+    let (expected, limit, long) = match *work {
+        Work::Generation { expected, limit, long } => (expected, limit, long),
+        Work::Lookup { objective } => return objective.min(MAX_LOOKUP_TIME) < state.open_for,
+    };
+    let ends_in_time = |tokens: u64| {
+        let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+        FIRST_TOKEN_TIME + MAX_TOKEN_TIME.saturating_mul(tokens) < state.open_for
+    };
     let grace = state.draining_for + state.remaining;
-    let accepting = state.draining_for <= grace.mul_f64(ACCEPT_FRACTION);
-    match accepting && MAX_TOKEN_TIME.saturating_mul(tokens) < state.remaining {
-        true => Decision::Serve,
-        false => Decision::RetryAfter(state.remaining + RESTART_TIME),
+    match state.draining_for <= grace.mul_f64(ACCEPT_FRACTION) {
+        true if long && state.peers_accept => false,
+        true => ends_in_time(expected.get().saturating_mul(LENGTH_FACTOR)),
+        false => limit.is_some_and(|limit| ends_in_time(limit.get())),
     }
 }
--- a/crates/policy/tests/shutdown.rs
+++ b/crates/policy/tests/shutdown.rs
@@ -2,16 +2,32 @@
 
 use std::time::Duration;
 
-use fireflyhoist_policy::shutdown::{Decision, State, decide};
+use fireflyhoist_policy::shutdown::{Decision, State, Work, decide};
 use fireflyhoist_policy::unit::Tokens;
 use yare::parameterized;
 
 const ADDRESS_TTL: Duration = Duration::from_secs(1);
+const GRACE_MS: u64 = 7_500;
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
+/// Returns the state of an entry that closes 400 ms before the end of its grace period.
+fn state(peers_accept: bool, draining_for: u64) -> State {
+    State {
+        peers_accept,
+        draining_for: ms(draining_for),
+        remaining: ms(GRACE_MS - draining_for),
+        open_for: ms((GRACE_MS - draining_for).saturating_sub(400)),
+        address_ttl: ADDRESS_TTL,
+    }
+}
+
+fn generation(expected: u64, limit: Option<u64>, long: bool) -> Work {
+    Work::Generation { expected: Tokens::new(expected), limit: limit.map(Tokens::new), long }
+}
+
 /// Guards against a request being refused by several stopping entries in a row and then abandoned:
 /// a caller that retries at once uses cached addresses of entries that are also stopping. It must
 /// be told to retry once these have expired.
@@ -21,13 +37,8 @@
     after_the_ttl = { 2_500, 50 },
 )]
 fn caller_retries_after_its_addresses_expire(draining_for: u64, after: u64) {
-    let state = State {
-        peers_accept: true,
-        draining_for: ms(draining_for),
-        remaining: ms(7_000),
-        address_ttl: ADDRESS_TTL,
-    };
-    assert_eq!(decide(&state, Tokens::new(20)), Decision::RetryAfter(ms(after)));
+    let decided = decide(&state(true, draining_for), &generation(20, Some(1_000), true));
+    assert_eq!(decided, Decision::RetryAfter(ms(after)));
 }
 
 /// All entries are stopped within two seconds. Guards against every request being refused
@@ -39,12 +50,39 @@
     short_but_late_in_the_grace_period = { 20, 4_000, Decision::RetryAfter(Duration::from_millis(4_200)) },
 )]
 fn without_peers_short_answers_are_served(tokens: u64, draining_for: u64, decision: Decision) {
-    let remaining = ms(7_500 - draining_for);
-    let state = State {
-        peers_accept: false,
-        draining_for: ms(draining_for),
-        remaining,
-        address_ttl: ADDRESS_TTL,
-    };
-    assert_eq!(decide(&state, Tokens::new(tokens)), decision);
+    let work = generation(tokens, Some(1_000), true);
+    assert_eq!(decide(&state(false, draining_for), &work), decision);
+}
+
+/// Guards against answers that are cut at the end of the drain because their callers' estimates are
+/// too low. Late in a drain an answer must end in time at the length that its caller allows, whether
+/// other entries accept callers or not.
+#[parameterized(
+    early = { 1_000, Some(4_000), true },
+    late = { 4_000, Some(4_000), false },
+    late_with_a_low_limit = { 4_000, Some(80), true },
+    late_without_a_limit = { 4_000, None, false },
+    too_late_for_a_low_limit = { 5_900, Some(80), false },
+)]
+fn low_estimates_do_not_count_late_in_a_drain(draining_for: u64, limit: Option<u64>, served: bool) {
+    for peers_accept in [false, true] {
+        let decided = decide(&state(peers_accept, draining_for), &generation(20, limit, false));
+        assert_eq!(decided == Decision::Serve, served, "{peers_accept} {decided:?}");
+    }
+}
+
+/// Guards against lookups that are lost when the process ends, and against lookups being refused
+/// while they can still be answered.
+#[parameterized(
+    in_time = { 6_900, 150, true },
+    too_late = { 7_000, 150, false },
+    high_objective = { 6_000, 20_000, true },
+    high_objective_too_late = { 6_200, 20_000, false },
+)]
+fn lookups_are_served_while_they_end_in_time(draining_for: u64, objective: u64, served: bool) {
+    for peers_accept in [false, true] {
+        let work = Work::Lookup { objective: ms(objective) };
+        let decided = decide(&state(peers_accept, draining_for), &work);
+        assert_eq!(decided == Decision::Serve, served, "{peers_accept} {decided:?}");
+    }
 }
