--- a/crates/gateway/tests/drain.rs
+++ b/crates/gateway/tests/drain.rs
@@ -7,10 +7,11 @@
 use fireflyhoist_policy::route::{Kind, Route};
 use fireflyhoist_standin::registry::Registry;
 use support::caller::Request;
-use support::target::{Seen, Standin, Step, event, events, stream_end, stream_head};
-use support::{eventually, gateway, route, text};
+use support::target::{Seen, Standin, Step, answer, event, events, stream_end, stream_head};
+use support::{TEST_TIMEOUT, eventually, gateway, route, text};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use yare::parameterized;
 
 const STREAM: Kind = Kind::Stream { resumable: false };
@@ -105,3 +106,42 @@
     assert_eq!(engine.seen().len(), 1);
     drop(running);
 }
+
+/// Guards against a request that is sent although its body arrived too late in the drain for its
+/// answer.
+#[ntex::test]
+async fn a_request_whose_body_arrives_too_late_is_refused() {
+    let (_registry, target, gateway) = open(route("web", Kind::Unsafe), |_| answer(200, "w")).await;
+    let head = Request::new("POST", "/web/x").header("content-length", "4");
+    let mut caller = head.raw(b"bo").open(gateway.callers()).await;
+    spawn_local(gateway.drain());
+    sleep(GRACE * 3 / 4).await;
+    caller.write_all(b"dy").await.expect("the entry reads");
+    let mut received = String::new();
+    let read = timeout(TEST_TIMEOUT, caller.read_to_string(&mut received)).await;
+    read.expect("in time").expect("an answer");
+    assert!(received.starts_with("HTTP/1.1 503"), "{received}");
+    assert!(received.contains("\"ran\":\"no\""), "{received}");
+    assert!(target.seen().is_empty());
+}
+
+/// Guards against requests on a connection that was open before the drain being dropped or left
+/// without an answer. Each is answered until the connection is closed, which the answer announces.
+#[ntex::test]
+async fn a_kept_connection_is_closed_with_an_answer() {
+    let (_registry, target, gateway) = open(route("web", Kind::Unsafe), |_| answer(200, "w")).await;
+    let first = Request::new("POST", "/web/x").body("b");
+    let kept = first.without("connection: close\r\n");
+    let mut caller = kept.open(gateway.callers()).await;
+    eventually(async || target.seen().len() == 1).await;
+    spawn_local(gateway.drain());
+    sleep(GRACE / 4).await;
+    caller.write_all(&kept.bytes()).await.expect("the entry reads");
+    let mut received = String::new();
+    let read = timeout(TEST_TIMEOUT, caller.read_to_string(&mut received)).await;
+    read.expect("in time").expect("answers");
+    let answers: Vec<&str> = received.split("HTTP/1.1 ").skip(1).collect();
+    assert_eq!(answers.len(), 2, "{received}");
+    assert!(answers.iter().all(|answer| answer.starts_with("200")), "{received}");
+    assert!(answers[1].to_ascii_lowercase().contains("connection: close"), "{received}");
+}
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -92,12 +92,23 @@
         self
     }
 
+    /// Removes a line of the head.
+    pub(crate) fn without(mut self, line: &str) -> Self {
+        self.head = self.head.replace(line, "");
+        self
+    }
+
+    /// Returns the request as it is written.
+    pub(crate) fn bytes(&self) -> Vec<u8> {
+        let mut bytes = format!("{}\r\n", self.head).into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+
     /// Connects and writes the request.
     pub(crate) async fn open(&self, to: SocketAddr) -> TcpStream {
         let mut stream = TcpStream::connect(to).await.expect("the entry listens");
-        let mut bytes = format!("{}\r\n", self.head).into_bytes();
-        bytes.extend_from_slice(&self.body);
-        stream.write_all(&bytes).await.expect("the entry reads");
+        stream.write_all(&self.bytes()).await.expect("the entry reads");
         stream
     }
 
