Log why a request is sent once more

The log of an attempt named its target and outcome, not why it was made, and that of a broken transfer call named neither the request nor the call. Whether a second send was a repeat, a hedge or a running answer that goes on elsewhere could not be told. No decision changes.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -140,6 +140,8 @@
     pub(crate) constraint: Constraint,
     /// The permit of the target's owner, if that is cold.
     pub(crate) grant: Option<Grant>,
+    /// Why it is sent again; `None` the first time.
+    pub(crate) again: Option<&'static str>,
 }
 
 /// Sends the request to a target and waits for the head of its answer.
@@ -178,6 +180,7 @@
         software = software.as_ref().map_or("unknown".to_owned(), ToString::to_string).as_str(),
         revision = context.table.text().revision, targets:% = worker.process.targets_position(),
         resumed = options.last_event.unwrap_or(0), copy = options.copy.is_some(),
+        again = options.again.unwrap_or(""),
         via = relay.map_or("", id::Host::as_str),
         ms = millis(elapsed); "attempt"
     );
--- a/crates/gateway/src/request/migration.rs
+++ b/crates/gateway/src/request/migration.rs
@@ -205,7 +205,8 @@
     {
         return Err(Error::NotRun("held back"));
     }
-    let position = Position { last_event: &plan.last_event, constraint: &plan.constraint };
+    let way = plan.strategy.label();
+    let position = Position { way, last_event: &plan.last_event, constraint: &plan.constraint };
     match plan.strategy {
         Strategy::Backup => {
             let copy = Copy { at: first.address, name: request.clone() };
@@ -255,6 +256,8 @@
 /// Where an answer goes on.
 #[derive(Clone, Copy)]
 struct Position<'a> {
+    /// The name of the strategy.
+    way: &'static str,
     /// The id of the last event sent to the caller.
     last_event: &'a Cell<Option<u64>>,
     /// The version that must go on.
@@ -318,9 +321,10 @@
     position: Position<'_>,
     grant: Option<Grant>,
 ) -> Result<Resumed, Error> {
-    let Position { last_event, constraint } = position;
+    let Position { way, last_event, constraint } = position;
     let (last_event, constraint) = (last_event.get(), constraint.clone());
-    let options = Options { backup: None, copy, last_event, constraint, grant };
+    let again = Some(way);
+    let options = Options { backup: None, copy, last_event, constraint, grant, again };
     let started = attempt::send::<P>(worker, context, &to.id, &options).await?;
     match started.response.status {
         StatusCode::OK => Ok(Resumed { target: to.id.clone(), started, reservation: None }),
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -6,7 +6,6 @@
 use fireflyhoist_policy::fragility::Ending;
 use fireflyhoist_policy::gate::{Outcome, Reason, Refusal};
 use fireflyhoist_policy::id;
-use fireflyhoist_policy::permit::Grant;
 use fireflyhoist_policy::route::Kind;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -62,6 +61,7 @@
         quarantine_wait: None,
         drain_retry: None,
         server_error: None,
+        again: None,
     };
     // A request of which no attempt can have run is refused as safe to retry.
     let finished = tokio::select! {
@@ -100,6 +100,8 @@
     drain_retry: Option<Duration>,
     /// The last server error of a target, returned if no attempt succeeds.
     server_error: Option<Answer>,
+    /// Why the last attempt failed, or the next one is sent before it has.
+    again: Option<&'static str>,
 }
 
 impl Dispatch<'_> {
@@ -122,7 +124,8 @@
                     {
                         if let Some(admission) = self.handle_admission(admission) {
                             avoid = Some(admission.pass.target().clone());
-                            pending.push(attempt_once::<P>(self.worker, self.context, admission));
+                            let (worker, context) = (self.worker, self.context);
+                            pending.push(attempt_once::<P>(worker, context, admission, self.again));
                         }
                     }
                 }
@@ -134,6 +137,7 @@
                 finished = tokio::select! {
                     finished = pending.next() => finished,
                     () = sleep(hedge_delay), if may_hedge && !pending.is_empty() => {
+                        self.again = Some("hedge");
                         send_next = true;
                         continue;
                     }
@@ -141,6 +145,10 @@
             }
             let Some(finished) = finished else { return self.final_response() };
             avoid = Some(finished.target.clone());
+            self.again = Some(match &finished.result {
+                Ok(_) => "server error",
+                Err(error) => error.reason(),
+            });
             if let Some(response) = self.handle_result(finished, pending.is_empty()).await {
                 return response;
             }
@@ -247,10 +255,12 @@
     worker: &Worker,
     context: &Context,
     admission: Admission,
+    again: Option<&'static str>,
 ) -> Finished {
     let Admission { pass, grant, slot } = admission;
     let target = pass.target().clone();
-    let result = fetch::<P>(worker, context, &target, grant).await;
+    let options = Options { grant, again, ..Options::default() };
+    let result = fetch::<P>(worker, context, &target, &options).await;
     let outcome = match &result {
         Ok(answer) if answer.status.is_server_error() => Outcome::ServerError,
         Ok(_) => Outcome::Whole,
@@ -270,11 +280,10 @@
     worker: &Worker,
     context: &Context,
     target: &id::Target,
-    grant: Option<Grant>,
+    options: &Options,
 ) -> Result<Answer, Error> {
     let listed = worker.process.target(target).ok_or(Error::NotRun("gone"))?;
-    let options = Options { grant, ..Options::default() };
-    let started = attempt::send::<P>(worker, context, target, &options).await?;
+    let started = attempt::send::<P>(worker, context, target, options).await?;
     let Started { mut response, began_at, .. } = started;
     let body = match response.read_body(MAX_ANSWER_BYTES).await {
         Ok(body) => body,
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -37,6 +37,7 @@
         reached_target: false,
         in_flight: false,
         outcome_unknown: false,
+        failure: None,
     };
     let finished = tokio::select! {
         finished = timeout(time_left, dispatch.run::<P>()) => finished.ok(),
@@ -61,6 +62,8 @@
     in_flight: bool,
     /// Whether an attempt ended without it being known whether it ran.
     outcome_unknown: bool,
+    /// Why the last attempt failed.
+    failure: Option<&'static str>,
 }
 
 impl Dispatch<'_> {
@@ -114,6 +117,7 @@
         let time_left = self.context.time_left(self.worker.process.clock.now());
         self.reached_target |= !matches!(error, Error::NotSent(_));
         self.in_flight = false;
+        self.failure = Some(error.reason());
         self.outcome_unknown |= !error.did_not_run();
         let isolated = error.is_isolated() && !self.outcome_unknown;
         if isolated && !self.worker.recovers_path(&self.context).await {
@@ -178,6 +182,7 @@
             backup: backup.as_ref().map(Backup::address),
             grant,
             constraint: self.context.constraint.clone(),
+            again: self.failure,
             ..Options::default()
         };
         let started = attempt::send::<P>(self.worker, &self.context, pass.target(), &options).await;
--- a/crates/gateway/src/request/transfer.rs
+++ b/crates/gateway/src/request/transfer.rs
@@ -169,7 +169,13 @@
         let call = P::move_run(&context.facts.request, to, last);
         let called =
             worker.process.call(from, outgoing(call), TRANSFER_TIMEOUT, MAX_REPLY_BYTES).await;
-        let reply = called.map_err(|error| transfer_failed(&error))?;
+        let reply = called.map_err(|error| {
+            log::info!(
+                request = context.facts.request.as_str(), engine:% = from.id, last = last,
+                error:% = error; "move broken"
+            );
+            transfer_failed(&error)
+        })?;
         if P::reply(reply.status, &reply.headers).leaving {
             worker.fleet.drain_target(from);
         }
@@ -184,7 +190,6 @@
 }
 
 fn transfer_failed(error: &Failure) -> Error {
-    log::info!(error:% = error; "move broken");
     match error {
         // The engine got no call, so it has not stopped the run.
         Failure::Resting | Failure::PermitExpired | Failure::NoPath => {
