Let a generation go on elsewhere only once its run has ended

Generations that may run once at most were at work at two engines at a time. An answer with a backup went on there after 0.7 s without an event, though engines that work stand still for a second or more, keep what they were sent and go on with it. A move resumed from its first copy if the call that stops the run was not answered or could not even be sent, and the backup of an answer whose engine leaves was used while that engine still ran it. The class: a timeout or a closed connection was taken for the end of a run, so that two engines owned it.

A run now ends before its generation goes on: its engine stopped it when told to, or answers another call after the connection was closed, accepts no connection, has restarted, or gave no sign of life for longer than engines stand still. While the engine of an open run answers, the run stays there; one that leaves is moved by its engine, and its backup serves if it is lost. The call that stops a run is made again until it is known whether it did. An engine that stopped a run without room for it elsewhere keeps its memory, and the run resumes there; the answer was lost before.

The engine of a_running_answer_leaves_a_leaving_entry now answers calls that move a run, which it took for new runs.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use ntex::http::header::{CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
+use ntex::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, TRANSFER_ENCODING};
 use ntex::http::{HeaderMap, Method, StatusCode};
 use ntex::util::Bytes;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -26,6 +26,7 @@
 
 use crate::connection::buffer::{Buffer, Overfull};
 use crate::connection::metered::{Metered, Progress};
+use crate::platform::Call;
 
 /// How long opening a connection may take: a hundred round trips between failure domains, and less
 /// than half of the shortest timeout of callers in use. A request that is not connected by then is
@@ -94,6 +95,14 @@
     pub(crate) body: Bytes,
 }
 
+impl From<Call> for Outgoing {
+    fn from(call: Call) -> Self {
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        Self { method: call.method, path: call.path, headers, body: Bytes::from(call.body) }
+    }
+}
+
 /// Closes the connection of an exchange when its response is dropped, so that the target notices at
 /// once that the response is no longer wanted.
 ///
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -11,11 +11,11 @@
 use fireflyhoist_policy::request::Outcome;
 use fireflyhoist_policy::time::Time;
 use ntex::http::HeaderMap;
-use ntex::util::Bytes;
 
 use crate::connection::exchange::{Failure, Outgoing, Refusal, Response};
 use crate::platform::{Copy, Platform, TargetHeaders};
 use crate::process::state::{Process, millis};
+use crate::request::fence::Ended;
 use crate::request::{Context, URGENCY, Worker, liveness};
 
 /// The reason of [`Error::NotSent`] if the target is cordoned.
@@ -142,6 +142,8 @@
     pub(crate) grant: Option<Grant>,
     /// Why it is sent again; `None` the first time.
     pub(crate) again: Option<&'static str>,
+    /// How it is known that the run before has ended, if it resumes.
+    pub(crate) run_before: Option<Ended>,
 }
 
 /// Sends the request to a target and waits for the head of its answer.
@@ -181,6 +183,7 @@
         revision = context.table.text().revision, targets:% = worker.process.targets_position(),
         resumed = options.last_event.unwrap_or(0), copy = options.copy.is_some(),
         again = options.again.unwrap_or(""),
+        run_before = options.run_before.map_or(String::new(), |ended| ended.to_string()).as_str(),
         via = relay.map_or("", id::Host::as_str),
         ms = millis(elapsed); "attempt"
     );
@@ -273,10 +276,8 @@
 /// of that only with its next renewal.
 async fn check_start<P: Platform>(worker: &Worker, target: &Target) -> Result<(), Error> {
     let Some(listed) = target.start else { return Ok(()) };
-    let call = P::report();
-    let (method, path, body) = (call.method, call.path, Bytes::from(call.body));
-    let outgoing = Outgoing { method, path, headers: HeaderMap::new(), body };
-    let called = worker.process.call(target, outgoing, REPORT_TIMEOUT, MAX_REPORT_BYTES).await;
+    let call = P::report().into();
+    let called = worker.process.call(target, call, REPORT_TIMEOUT, MAX_REPORT_BYTES).await;
     match called {
         Ok(reply) if P::report_start(&reply.body).is_none_or(|start| start == listed) => Ok(()),
         Ok(_) => {
--- /dev/null
+++ b/crates/gateway/src/request/fence.rs
@@ -0,0 +1,73 @@
+//! Whether a run has ended, which must be known before its generation goes on elsewhere.
+//!
+//! Engines that work may stand still for a second or so. One that does keeps what it was sent, and goes
+//! on with it although its connection was closed meanwhile, so neither silence nor a closed connection
+//! shows that a run has ended. An answer to another call does: an engine that answers has noticed that
+//! the connection of the run is closed.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use fireflyhoist_policy::isolation::STALL_TIME;
+use fireflyhoist_policy::lease::Target;
+use tokio::time::sleep;
+
+use crate::connection::exchange::{Failure, Refusal};
+use crate::platform::Platform;
+use crate::process::state::Process;
+
+/// Delay before an engine that did not answer is asked again.
+const RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Maximum size of a report in bytes.
+const MAX_REPORT_BYTES: usize = 1 << 20;
+
+/// How it is known that a run has ended.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum Ended {
+    /// Its engine has stopped it when it was told to.
+    #[display("stopped")]
+    Stopped,
+    /// Its engine closed the stream after it was told to stop the run.
+    #[display("closed")]
+    Closed,
+    /// Its engine answers other calls.
+    #[display("answered")]
+    Answered,
+    /// Its engine accepts no connections or closes them without an answer.
+    #[display("refused")]
+    Refused,
+    /// Its engine has restarted.
+    #[display("restarted")]
+    Restarted,
+    /// Nothing came from its engine for longer than engines stand still.
+    #[display("silent")]
+    Silent,
+}
+
+/// Asks an engine until it is known to be awake or lost.
+pub(crate) async fn check<P: Platform>(process: &Process, engine: &Target) -> Ended {
+    let give_up_at = process.clock.now() + STALL_TIME;
+    loop {
+        let left = give_up_at.since(process.clock.now());
+        let called = process.call(engine, P::report().into(), left, MAX_REPORT_BYTES).await;
+        match called {
+            Ok(_) | Err(Failure::BodyTooLarge) => return Ended::Answered,
+            Err(
+                Failure::Broken { .. }
+                | Failure::ConnectFailed { reason: Refusal::Refused | Refusal::NotForwarded },
+            ) => return Ended::Refused,
+            Err(
+                Failure::ConnectFailed { reason: Refusal::TimedOut }
+                | Failure::TimedOut
+                | Failure::Resting
+                | Failure::PermitExpired
+                | Failure::NoPath,
+            ) => {}
+        }
+        if process.clock.now() + RETRY_DELAY >= give_up_at {
+            return Ended::Silent;
+        }
+        sleep(RETRY_DELAY).await;
+    }
+}
--- a/crates/gateway/src/request/liveness.rs
+++ b/crates/gateway/src/request/liveness.rs
@@ -15,12 +15,10 @@
 use fireflyhoist_policy::lease::Target;
 use fireflyhoist_policy::resubmission::Fingerprint;
 use fireflyhoist_policy::time::Time;
-use ntex::http::HeaderMap;
-use ntex::util::Bytes;
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
-use crate::connection::exchange::{CONNECT_TIMEOUT, Failure, Outgoing, Refusal};
+use crate::connection::exchange::{CONNECT_TIMEOUT, Failure, Refusal};
 use crate::platform::Platform;
 use crate::process::state::{BrokenRun, Connection, CrashCheck, Process, millis};
 use crate::request::{Context, Worker};
@@ -151,10 +149,8 @@
 
     /// Returns whether an engine closes a connection without an answer to a report call.
     async fn closes_connections<P: Platform>(&self) -> bool {
-        let call = P::report();
-        let (method, path, body) = (call.method, call.path, Bytes::from(call.body));
-        let outgoing = Outgoing { method, path, headers: HeaderMap::new(), body };
-        let response = self.process.send(&self.target, outgoing, REPORT_TIMEOUT).await;
+        let call = P::report().into();
+        let response = self.process.send(&self.target, call, REPORT_TIMEOUT).await;
         matches!(response, Err(Failure::Broken { .. } | Failure::ConnectFailed { .. }))
     }
 
--- a/crates/gateway/src/request/migration.rs
+++ b/crates/gateway/src/request/migration.rs
@@ -1,9 +1,9 @@
 //! Migration of a running generation to another engine.
 //!
-//! Three strategies, in the order in which they are tried: resuming from a backup that was copied
-//! while the answer grew, which takes a few engine steps; transferring the run's memory, which
-//! takes time in proportion to its size; and, if the operators allow it, a new run after the last
-//! event.
+//! A generation goes on elsewhere only once its run has ended ([`fence`](crate::request::fence)).
+//! While an engine works, it stops the run itself when the run's memory is transferred, which takes
+//! time in proportion to its size. A run that was lost resumes from a backup that was copied while
+//! the answer grew or, if the operators allow it, by a new run after the last event.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -25,7 +25,8 @@
 use crate::process::service_gate::Pass;
 use crate::process::state::millis;
 use crate::request::attempt::{self, Error, Options, Started};
-use crate::request::transfer::{self, Transferred};
+use crate::request::fence::Ended;
+use crate::request::transfer::{self, Source, Transferred};
 use crate::request::{Context, Worker, admission, quarantine};
 
 /// Minimum number of expected tokens for which an answer is backed up. Shorter answers end within
@@ -153,6 +154,10 @@
     pub(crate) constraint: Constraint,
     /// The id of the last event sent to the caller, which grows while a transfer is in progress.
     pub(crate) last_event: Rc<Cell<Option<u64>>>,
+    /// Whether the stream of the current run is open.
+    pub(crate) is_open: Rc<Cell<bool>>,
+    /// How it is known that the run has ended; `None` if a transfer ends it.
+    pub(crate) ended: Option<Ended>,
 }
 
 /// An answer that has resumed at another engine.
@@ -163,20 +168,34 @@
     pub(crate) reservation: Option<CopyUsage>,
 }
 
-/// Migrates an answer to the next engine. The old run continues until this returns, except during
-/// the final step of a transfer.
+/// A failed attempt to migrate.
+#[derive(Debug)]
+pub(crate) struct Failed {
+    pub(crate) error: Error,
+    /// The engine that may run the answer now.
+    pub(crate) reached: Option<Target>,
+}
+
+impl From<Error> for Failed {
+    fn from(error: Error) -> Self {
+        Self { error, reached: None }
+    }
+}
+
+/// Migrates an answer to the next engine. A run that has not ended continues until the last step of
+/// its transfer.
 pub(crate) async fn migrate<P: Platform>(
     worker: Worker,
     context: Rc<Context>,
     plan: Plan,
-) -> Result<Resumed, Error> {
+) -> Result<Resumed, Failed> {
     let label = plan.strategy.label();
     let result = try_migrate::<P>(&worker, &context, plan).await;
     let outcome = match &result {
         Ok(_) => "arrived",
-        Err(error) => error.reason(),
+        Err(failed) => failed.error.reason(),
     };
-    if matches!(result, Err(Error::NotSent(_))) {
+    if result.as_ref().is_err_and(|failed| matches!(failed.error, Error::NotSent(_))) {
         // The next attempt may fail as fast.
         sleep(RETRY_DELAY).await;
     }
@@ -192,21 +211,25 @@
     worker: &Worker,
     context: &Context,
     plan: Plan,
-) -> Result<Resumed, Error> {
+) -> Result<Resumed, Failed> {
     let request = &context.facts.request;
     let (candidates, grant) = admission::within_limits(worker, plan.candidates).await;
     let Some(first) = candidates.first().cloned() else {
         // Without a pause all attempts would be used up before any engine accepts more.
         sleep(RETRY_DELAY).await;
-        return Err(Error::NotRun("limited"));
+        return Err(Error::NotRun("limited").into());
     };
     if !matches!(plan.strategy, Strategy::Transfer { .. })
         && quarantine::acquire(worker, context).await.is_some()
     {
-        return Err(Error::NotRun("held back"));
+        return Err(Error::NotRun("held back").into());
     }
-    let way = plan.strategy.label();
-    let position = Position { way, last_event: &plan.last_event, constraint: &plan.constraint };
+    let position = Position {
+        way: plan.strategy.label(),
+        last_event: &plan.last_event,
+        constraint: &plan.constraint,
+        ended: plan.ended,
+    };
     match plan.strategy {
         Strategy::Backup => {
             let copy = Copy { at: first.address, name: request.clone() };
@@ -216,8 +239,10 @@
             let queued_at = worker.process.clock.now();
             let turn = Turn::wait(&worker.fleet, &from.id, request, remaining).await;
             let turn_at = worker.process.clock.now();
+            let source =
+                Source { engine: &from, last_event: &plan.last_event, is_open: &plan.is_open };
             let transferred =
-                transfer::transfer_run::<P>(worker, context, &from, &candidates, memory).await;
+                transfer::transfer_run::<P>(worker, context, &source, &candidates, memory).await;
             log::info!(
                 request = request.as_str(), from:% = from.id, left:% = remaining,
                 waited_ms = millis(turn_at.since(queued_at)),
@@ -227,6 +252,7 @@
             // The rest of the migration does not use the link between the two engines.
             drop(turn);
             let grant = renew_permit(worker, &transferred.to, grant).await;
+            let position = Position { ended: Some(transferred.ended), ..position };
             let resumed =
                 resume_transferred::<P>(worker, context, &from, &transferred, position, grant)
                     .await;
@@ -262,6 +288,8 @@
     last_event: &'a Cell<Option<u64>>,
     /// The version that must go on.
     constraint: &'a Constraint,
+    /// How it is known that the run before has ended.
+    ended: Option<Ended>,
 }
 
 /// Resumes a run whose memory was transferred at the engine that received it or, if that does not run
@@ -275,19 +303,19 @@
     transferred: &Transferred,
     position: Position<'_>,
     mut grant: Option<Grant>,
-) -> Result<Resumed, Error> {
+) -> Result<Resumed, Failed> {
     let (to, copy) = (&transferred.to, Some(&transferred.copy));
     let give_up_at = worker.process.clock.now() + RESUME_TIMEOUT;
     loop {
         let at_destination = resume::<P>(worker, context, to, copy.cloned(), position, grant).await;
-        let Err(error) = at_destination else { return at_destination };
-        if !error.did_not_run() {
-            return Err(error);
+        let Err(failed) = at_destination else { return at_destination };
+        if !failed.error.did_not_run() {
+            return Err(failed);
         }
         worker.fleet.spend(&from.id);
         let at_source = resume::<P>(worker, context, from, copy.cloned(), position, None).await;
-        let unsent = matches!(at_source, Err(Error::NotSent(_)));
-        if !unsent || worker.process.clock.now() >= give_up_at {
+        let is_unsent = |failed: &Failed| matches!(failed.error, Error::NotSent(_));
+        if !at_source.as_ref().is_err_and(is_unsent) || worker.process.clock.now() >= give_up_at {
             return at_source;
         }
         sleep(RETRY_DELAY).await;
@@ -303,11 +331,13 @@
     copy: Option<Copy>,
     position: Position<'_>,
     grant: Option<Grant>,
-) -> Result<Resumed, Error> {
+) -> Result<Resumed, Failed> {
     let slot = worker.fleet.acquire_slot(&to.id).await.map_err(|_| Error::NotSent("crowded"))?;
     let resumed = resume::<P>(worker, context, to, copy, position, grant).await;
     if let Some(slot) = slot {
-        slot.end(resumed.as_ref().map_or_else(Error::ending, |_| Ending::Accepted));
+        slot.end(
+            resumed.as_ref().map_or_else(|failed| failed.error.ending(), |_| Ending::Accepted),
+        );
     }
     resumed
 }
@@ -320,14 +350,24 @@
     copy: Option<Copy>,
     position: Position<'_>,
     grant: Option<Grant>,
-) -> Result<Resumed, Error> {
-    let Position { way, last_event, constraint } = position;
-    let (last_event, constraint) = (last_event.get(), constraint.clone());
-    let again = Some(way);
-    let options = Options { backup: None, copy, last_event, constraint, grant, again };
-    let started = attempt::send::<P>(worker, context, &to.id, &options).await?;
-    match started.response.status {
-        StatusCode::OK => Ok(Resumed { target: to.id.clone(), started, reservation: None }),
-        _ => Err(Error::Unknown("refused")),
-    }
+) -> Result<Resumed, Failed> {
+    let options = Options {
+        backup: None,
+        copy,
+        last_event: position.last_event.get(),
+        constraint: position.constraint.clone(),
+        grant,
+        again: Some(position.way),
+        run_before: position.ended,
+    };
+    let started = attempt::send::<P>(worker, context, &to.id, &options).await;
+    let error = match started {
+        Ok(started) if started.response.status == StatusCode::OK => {
+            return Ok(Resumed { target: to.id.clone(), started, reservation: None });
+        }
+        Ok(_) => Error::Unknown("refused"),
+        Err(error) => error,
+    };
+    let reached = (!error.did_not_run()).then(|| to.clone());
+    Err(Failed { error, reached })
 }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod body;
 pub(crate) mod drain;
 pub(crate) mod entries;
+pub(crate) mod fence;
 pub(crate) mod liveness;
 pub(crate) mod migration;
 mod origin;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -3,6 +3,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use fireflyhoist_policy::fragility::Ending;
@@ -15,7 +16,7 @@
 use futures_util::pin_mut;
 use ntex::util::Bytes;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::connection::exchange::Response;
 use crate::platform::Platform;
@@ -24,11 +25,12 @@
 use crate::request::answer::{Cause, Stage};
 use crate::request::attempt::{Error, Started};
 use crate::request::body::{self, Body, Chunk};
-use crate::request::migration::{self, Backup, Plan, Resumed, Strategy};
+use crate::request::fence::{self, Ended};
+use crate::request::migration::{self, Backup, Failed, Plan, Resumed, Strategy};
 use crate::request::sse::Splitter;
 use crate::request::{Context, Worker, liveness};
 
-/// Time without an event after which an answer with a backup migrates to it.
+/// Time without an event after which the engine of an answer with a backup is asked whether it is awake.
 ///
 /// An engine that loses power or its network leaves its connections open, and the caller would wait
 /// until the engine's lease expires seconds later. This is ten times the longest usual time between
@@ -39,7 +41,7 @@
 /// connection for a second or so.
 const UNSENT_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Maximum number of attempts to migrate one answer.
+/// Maximum number of attempts to migrate one answer after which its memory is not transferred any more.
 const MAX_MIGRATIONS: u32 = 12;
 
 /// How relaying ended.
@@ -55,6 +57,24 @@
     Cut,
 }
 
+/// What must be done for an answer to go on.
+enum Step {
+    /// Nothing: its run continues.
+    Stay,
+    /// The engine is asked whether its run has ended.
+    Check(Target),
+    Migrate(Plan),
+    /// Nothing can be done.
+    Cut,
+}
+
+/// What is done for an answer to go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Work {
+    Check,
+    Migration,
+}
+
 /// A run whose answer has begun.
 pub(crate) struct Run {
     pub(crate) pass: Pass,
@@ -85,6 +105,16 @@
     software: Option<Software>,
     /// The version that goes on with the stream: any until the caller has received an event.
     constraint: Constraint,
+    /// Whether `upstream` is open.
+    is_open: Rc<Cell<bool>>,
+    /// How it is known that the last run has ended; `None` while that is not known.
+    ended: Option<Ended>,
+    /// When an event or what is known of the current engine last arrived.
+    quiet_since: Instant,
+    /// Whether nothing has come from it for [`SILENCE_TIMEOUT`].
+    silent: bool,
+    /// Whether the run must be transferred although its engine takes new requests.
+    must_transfer: bool,
     /// Whether another entry relays the connection to the current engine.
     relayed: bool,
     /// When the current engine began to answer.
@@ -131,6 +161,11 @@
             software: started.target.software.clone(),
             target: Some(started.target),
             constraint,
+            is_open: Rc::new(Cell::new(true)),
+            ended: None,
+            quiet_since: Instant::now(),
+            silent: false,
+            must_transfer: false,
             began_at: started.began_at,
             splitter: Splitter::default(),
             last_event,
@@ -204,33 +239,40 @@
             }
         };
         let deadline = sleep(self.context.time_left(self.worker.process.clock.now()));
-        let migrating = Fuse::terminated();
-        pin_mut!(caller_gone, deadline, migrating);
+        let (checking, migrating) = (Fuse::terminated(), Fuse::terminated());
+        pin_mut!(caller_gone, deadline, checking, migrating);
         let mut targets = self.worker.process.watch_targets();
-        let (mut in_progress, mut silent) = (false, false);
+        let mut in_progress = None;
         loop {
-            if !in_progress && (silent || self.must_migrate()) {
-                silent = false;
-                match self.next_plan() {
-                    Some(plan) => {
+            if in_progress.is_none() {
+                in_progress = match self.next_step() {
+                    Step::Stay => None,
+                    Step::Cut => return End::Cut,
+                    Step::Check(engine) => {
+                        let process = Arc::clone(&self.worker.process);
+                        let check = async move { fence::check::<P>(&process, &engine).await };
+                        checking.set(check.fuse());
+                        Some(Work::Check)
+                    }
+                    Step::Migrate(plan) => {
                         let (worker, context) = (self.worker.clone(), Rc::clone(&self.context));
                         migrating.set(migration::migrate::<P>(worker, context, plan).fuse());
-                        in_progress = true;
+                        Some(Work::Migration)
                     }
-                    None if self.upstream.is_none() => return End::Cut,
-                    None => {}
-                }
+                };
             }
             tokio::select! {
                 biased;
                 () = &mut caller_gone => return End::Left,
                 () = &mut deadline => return End::Late,
-                resumed = &mut migrating, if in_progress => {
-                    in_progress = false;
+                resumed = &mut migrating, if in_progress == Some(Work::Migration) => {
+                    in_progress = None;
                     self.apply_migration(resumed);
                 }
                 chunk = next_chunk(&mut self.upstream) => match chunk {
                     Some(bytes) => {
+                        // An engine that writes need not be asked whether it is awake.
+                        in_progress = in_progress.filter(|work| *work != Work::Check);
                         if let Err(end) = self.forward(&bytes).await {
                             return end;
                         }
@@ -238,24 +280,80 @@
                     None if self.is_whole() => return End::Whole,
                     None => self.handle_lost_run::<P>(),
                 },
+                ended = &mut checking, if in_progress == Some(Work::Check) => {
+                    in_progress = None;
+                    self.apply_check(ended);
+                }
                 _ = targets.changed() => self.check_engines(),
-                () = sleep(SILENCE_TIMEOUT), if !in_progress && self.may_leave_silent_run() => {
-                    silent = true;
+                () = sleep_until(self.quiet_since + SILENCE_TIMEOUT),
+                    if in_progress.is_none() && self.may_leave_silent_run() =>
+                {
+                    self.silent = true;
                 }
             }
+            self.is_open.set(self.upstream.is_some());
+        }
+    }
+
+    /// Returns what to do next for the answer to go on.
+    fn next_step(&mut self) -> Step {
+        let (silent, leaves) = (std::mem::take(&mut self.silent), self.must_migrate());
+        let may_have_run = match &self.upstream {
+            Some(_) => silent && !leaves,
+            None => self.ended.is_none() && self.may_resume(),
+        };
+        if let Some(engine) = self.target.as_ref().filter(|_| may_have_run) {
+            return Step::Check(engine.clone());
+        }
+        if !leaves && !std::mem::take(&mut self.must_transfer) {
+            return Step::Stay;
+        }
+        match self.next_plan() {
+            Some(plan) => Step::Migrate(plan),
+            None if self.upstream.is_none() => Step::Cut,
+            None => Step::Stay,
         }
     }
 
-    /// Returns whether an answer migrates when its engine falls silent: it has a backup, or this entry
-    /// reaches its engine only through others by now, so that nothing more may arrive on the
+    /// Returns whether an answer whose run was lost may go on.
+    fn may_resume(&self) -> bool {
+        let route = &self.context.route;
+        let restarts = route.kind.is_idempotent() && self.runs < route.attempts;
+        self.usable_backup().is_some() || restarts || self.has_unsent_run
+    }
+
+    /// Handles what is known of the engine of a run that was lost or has fallen silent.
+    fn apply_check(&mut self, ended: Ended) {
+        self.quiet_since = Instant::now();
+        if self.upstream.is_none() {
+            self.ended = Some(ended);
+        } else if ended != Ended::Answered && self.usable_backup().is_some() {
+            // The connection is closed before the answer goes on, so that an engine that wakes up
+            // after all ends the run.
+            self.upstream = None;
+            self.ended = Some(ended);
+        } else {
+            self.must_transfer = self.worker.process.is_isolated();
+        }
+    }
+
+    /// Returns whether an answer may migrate when its engine falls silent: it has a backup, or this
+    /// entry reaches its engine only through others by now, so that nothing more may arrive on the
     /// connection.
     fn may_leave_silent_run(&self) -> bool {
-        self.backup.is_some() || self.worker.process.is_isolated()
+        self.upstream.is_some() && (self.backup.is_some() || self.worker.process.is_isolated())
+    }
+
+    /// Returns the engine that keeps a backup which the run's version can resume from.
+    fn usable_backup(&self) -> Option<Target> {
+        let listed = self.worker.process.target(self.backup.as_ref()?.target())?;
+        Constraint::to(self.software.as_ref()).allows(&listed).then_some(listed)
     }
 
     /// Handles the loss of the run before its answer was complete.
     fn handle_lost_run<P: Platform>(&mut self) {
         self.upstream = None;
+        self.ended = None;
         if let Some(target) = &self.target {
             liveness::Check::new(&self.worker, &self.context, target, self.began_at)
                 .with_begun_run(&self.context)
@@ -293,21 +391,16 @@
 
     /// Returns the next migration to try, or `None` if there is none.
     fn next_plan(&mut self) -> Option<Plan> {
-        if self.migrations >= MAX_MIGRATIONS {
-            return None;
-        }
         let engine = self.context.service.engine.as_ref()?;
         let (moves, resumable) = (engine.moves, self.context.route.kind.is_idempotent());
         let process = &self.worker.process;
         // The memory of a run can be used only by the version that made it.
         let of_run = Constraint::to(self.software.as_ref());
         (self.trying_backup, self.restarting) = (false, false);
-        let (strategy, constraint, candidates) = if let Some(backup) = &self.backup {
-            self.trying_backup = true;
-            let listed = process.target(backup.target());
-            let usable = listed.into_iter().filter(|target| of_run.allows(target)).collect();
-            (Strategy::Backup, of_run, usable)
-        } else if self.upstream.is_some() && moves {
+        let (strategy, constraint, candidates) = if self.upstream.is_some() {
+            if !moves || self.migrations >= MAX_MIGRATIONS {
+                return None;
+            }
             let from = process.target(self.pass.target())?;
             if process.is_resting(&from) {
                 return None;
@@ -322,7 +415,10 @@
                 of_run,
                 candidates,
             )
-        } else if self.upstream.is_none() && resumable && self.may_restart_run() {
+        } else if let Some(usable) = self.usable_backup() {
+            self.trying_backup = true;
+            (Strategy::Backup, of_run, vec![usable])
+        } else if resumable && self.may_restart_run() {
             self.restarting = true;
             (Strategy::Restart, self.constraint.clone(), self.candidates(&self.constraint))
         } else {
@@ -332,7 +428,8 @@
             return None;
         }
         self.migrations += 1;
-        Some(Plan { strategy, candidates, constraint, last_event: Rc::clone(&self.last_event) })
+        let (last_event, is_open) = (Rc::clone(&self.last_event), Rc::clone(&self.is_open));
+        Some(Plan { strategy, candidates, constraint, last_event, is_open, ended: self.ended })
     }
 
     /// Returns whether the route and the retry budget allow one more run, and counts it.
@@ -375,11 +472,12 @@
     }
 
     /// Continues with the new run if a migration succeeded.
-    fn apply_migration(&mut self, resumed: Result<Resumed, Error>) {
+    fn apply_migration(&mut self, resumed: Result<Resumed, Failed>) {
+        self.quiet_since = Instant::now();
         let resumed = match resumed {
             Ok(resumed) => resumed,
-            // The old run continues for as long as it can.
-            Err(error) => return self.handle_failed_migration(&error),
+            // A run that has not ended continues for as long as it can.
+            Err(failed) => return self.handle_failed_migration(failed),
         };
         self.pass.transfer(&resumed.target);
         drop(resumed.reservation);
@@ -390,6 +488,7 @@
         self.began_at = resumed.started.began_at;
         self.software = resumed.started.target.software.clone();
         self.target = Some(resumed.started.target);
+        self.ended = None;
         self.run_events = 0;
         self.splitter = Splitter::default();
         self.unsent_since = None;
@@ -397,7 +496,11 @@
 
     /// Handles a failed attempt to migrate. One of which nothing was sent may be made again, for
     /// [`UNSENT_TIMEOUT`]; a backup from which an engine did not go on is given up.
-    fn handle_failed_migration(&mut self, error: &Error) {
+    fn handle_failed_migration(&mut self, failed: Failed) {
+        let Failed { error, reached } = failed;
+        if reached.is_some() {
+            (self.upstream, self.target, self.ended) = (None, reached, None);
+        }
         let now = self.worker.process.clock.now();
         let unsent = matches!(error, Error::NotSent(_));
         self.unsent_since = unsent.then(|| self.unsent_since.unwrap_or(now));
@@ -437,6 +540,7 @@
                 "run lost, its engine has restarted"
             );
             self.upstream = None;
+            self.ended = Some(Ended::Restarted);
             if let Some(target) = self.target.take() {
                 liveness::Check::new(&self.worker, &self.context, &target, self.began_at)
                     .with_events(self.run_events)
@@ -461,6 +565,7 @@
             self.upstream = None;
             return Ok(());
         };
+        self.quiet_since = Instant::now();
         for event in events {
             if self.run_events == 0 {
                 self.worker.process.record_first_event(&self.context.facts.features);
--- a/crates/gateway/src/request/transfer.rs
+++ b/crates/gateway/src/request/transfer.rs
@@ -1,22 +1,22 @@
 //! Transfer of a run's memory from a draining engine to another.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use fireflyhoist_policy::isolation::STALL_TIME;
 use fireflyhoist_policy::lease::Target;
 use fireflyhoist_policy::unit::Tokens;
-use ntex::http::HeaderMap;
-use ntex::http::header::{CONTENT_TYPE, HeaderValue};
-use ntex::util::Bytes;
 use smol_str::SmolStr;
 use tokio::time::sleep;
 
-use crate::connection::exchange::{Failure, Outgoing};
+use crate::connection::exchange::{Failure, Refusal};
 use crate::platform::{Call, Copy, Moved, Platform};
 use crate::process::copy_usage::CopyUsage;
 use crate::process::state::Process;
 use crate::request::attempt::Error;
+use crate::request::fence::Ended;
 use crate::request::{Context, Worker};
 
 /// How long one transfer may take: a second for a full memory on an idle link, plus the time in the
@@ -39,12 +39,14 @@
 /// How long a call that frees a copy may take.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// A run's memory at the engine that is to resume it.
+/// A run's memory at the engine that is to resume it, once the run has ended.
 pub(crate) struct Transferred {
     /// The engine that holds the copy.
     pub(crate) to: Target,
     /// The copy.
     pub(crate) copy: Copy,
+    /// How it is known that the run has ended.
+    pub(crate) ended: Ended,
     /// The memory counted for the copy.
     reservation: CopyUsage,
     /// Frees the copy unless the run resumes from it.
@@ -82,7 +84,7 @@
 /// Frees a copy at both engines by a call to the engine that made it or, if that fails, at the
 /// engine that received it.
 async fn free(process: &Process, call: Call, from: &Target, to: &Target) {
-    let send = |at, call| process.call(at, outgoing(call), FREE_TIMEOUT, MAX_REPLY_BYTES);
+    let send = |at, call: Call| process.call(at, call.into(), FREE_TIMEOUT, MAX_REPLY_BYTES);
     let freed = match send(from, call.clone()).await {
         Err(_) => send(to, call).await,
         freed => freed,
@@ -96,6 +98,16 @@
     }
 }
 
+/// A run that is transferred.
+pub(crate) struct Source<'a> {
+    /// The engine that runs it.
+    pub(crate) engine: &'a Target,
+    /// The id of the last event that came from it.
+    pub(crate) last_event: &'a Cell<Option<u64>>,
+    /// Whether its stream is open.
+    pub(crate) is_open: &'a Cell<bool>,
+}
+
 /// Copies a run's memory while the run continues, then stops the run and copies the rest.
 ///
 /// If the engine is lost between the two steps, the run resumes from the first copy and the next
@@ -104,16 +116,16 @@
 pub(crate) async fn transfer_run<P: Platform>(
     worker: &Worker,
     context: &Context,
-    from: &Target,
+    source: &Source<'_>,
     to: &[Target],
     memory: Tokens,
 ) -> Result<Transferred, Error> {
     let mut error = Error::NotRun("nowhere");
     for to in to.iter().take(MAX_DESTINATIONS) {
         let reservation = CopyUsage::open(&worker.process, &to.id, memory.get());
-        match try_transfer::<P>(worker, context, from, to.address, false).await {
-            Ok(name) => {
-                return transfer_rest::<P>(worker, context, from, to, name, reservation).await;
+        match copy_first::<P>(worker, context, source.engine, to.address).await {
+            Ok(first) => {
+                return transfer_rest::<P>(worker, context, source, to, first, reservation).await;
             }
             Err(Error::NotRun("no room")) => error = Error::NotRun("no room"),
             Err(other) => return Err(other),
@@ -122,79 +134,146 @@
     Err(error)
 }
 
+/// Copies the memory of a run while it continues, and returns the name of the copy.
+async fn copy_first<P: Platform>(
+    worker: &Worker,
+    context: &Context,
+    from: &Target,
+    to: SocketAddr,
+) -> Result<SmolStr, Error> {
+    for _ in 0..MAX_TRIES {
+        let copied = call_move::<P>(worker, context, from, to, false).await;
+        match copied.map_err(|failure| move_error(&failure))? {
+            Moved::Copied { name } => return Ok(name),
+            Moved::Busy => sleep(BUSY_DELAY).await,
+            Moved::NoRun => return Err(Error::Unknown("no run")),
+            Moved::Refused { .. } => return Err(Error::NotRun("no room")),
+        }
+    }
+    Err(Error::Unknown("move busy"))
+}
+
 /// Stops a run whose memory has been copied in part, and copies the rest.
 async fn transfer_rest<P: Platform>(
     worker: &Worker,
     context: &Context,
-    from: &Target,
+    source: &Source<'_>,
     to: &Target,
     first: SmolStr,
     reservation: CopyUsage,
 ) -> Result<Transferred, Error> {
+    let from = source.engine;
     let call = Some(P::delete_copy(&first));
     let process = Arc::clone(&worker.process);
     let cleanup = Cleanup { process, call, from: from.clone(), to: to.clone() };
-    let transferred = |name, cleanup| {
-        let copy = Copy { at: from.address, name };
-        Transferred { to: to.clone(), copy, reservation, cleanup }
-    };
-    match try_transfer::<P>(worker, context, from, to.address, true).await {
-        Ok(name) => Ok(transferred(name, cleanup)),
-        Err(Error::Unknown("move broken")) => {
-            log::info!(request = context.facts.request.as_str(); "resuming from a partial copy");
-            Ok(transferred(first, cleanup))
+    let (to, name, ended) = match stop_run::<P>(worker, context, source, to.address).await? {
+        Stopped::Copied { name } => (to, name, Ended::Stopped),
+        Stopped::Kept { name } => (from, name, Ended::Stopped),
+        Stopped::Uncopied(ended) => {
+            log::info!(
+                request = context.facts.request.as_str(), engine:% = from.id, run_before:% = ended;
+                "resuming from a partial copy"
+            );
+            (to, first, ended)
         }
-        Err(other) => Err(other),
-    }
+    };
+    let copy = Copy { at: from.address, name };
+    Ok(Transferred { to: to.clone(), copy, ended, reservation, cleanup })
 }
 
-fn outgoing(call: Call) -> Outgoing {
-    let mut headers = HeaderMap::new();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    let (method, path, body) = (call.method, call.path, Bytes::from(call.body));
-    Outgoing { method, path, headers, body }
+/// How a run was stopped.
+enum Stopped {
+    /// The other engine has a copy of all of its memory.
+    Copied { name: SmolStr },
+    /// The other engine has no room, and the run's own engine keeps the memory.
+    Kept { name: SmolStr },
+    /// The run has ended without another copy.
+    Uncopied(Ended),
 }
 
-/// Calls the engine that runs a request to copy its memory to another engine, and returns the name
-/// of the copy; `last` stops the run first.
-async fn try_transfer<P: Platform>(
+/// Stops a run and copies the rest of its memory to another engine.
+///
+/// An engine that stands still, or whose reply is lost, may or may not have stopped the run. It is
+/// called again until that is known, or nothing came from it for longer than engines stand still.
+async fn stop_run<P: Platform>(
     worker: &Worker,
     context: &Context,
-    from: &Target,
+    source: &Source<'_>,
     to: SocketAddr,
-    last: bool,
-) -> Result<SmolStr, Error> {
-    for _ in 0..MAX_TRIES {
-        worker.fleet.spend(&from.id);
-        let call = P::move_run(&context.facts.request, to, last);
-        let called =
-            worker.process.call(from, outgoing(call), TRANSFER_TIMEOUT, MAX_REPLY_BYTES).await;
-        let reply = called.map_err(|error| {
-            log::info!(
-                request = context.facts.request.as_str(), engine:% = from.id, last = last,
-                error:% = error; "move broken"
-            );
-            transfer_failed(&error)
-        })?;
-        if P::reply(reply.status, &reply.headers).leaving {
-            worker.fleet.drain_target(from);
+) -> Result<Stopped, Error> {
+    let heard = source.last_event.get();
+    let give_up_at = worker.process.clock.now() + STALL_TIME;
+    let mut may_have_stopped = false;
+    let mut replies = 0;
+    loop {
+        match call_move::<P>(worker, context, source.engine, to, true).await {
+            Ok(Moved::Copied { name }) => return Ok(Stopped::Copied { name }),
+            Ok(Moved::Refused { name: Some(name) }) => return Ok(Stopped::Kept { name }),
+            Ok(Moved::NoRun) if may_have_stopped => return Ok(Stopped::Uncopied(Ended::Stopped)),
+            Ok(Moved::NoRun) => return Err(Error::Unknown("no run")),
+            Ok(Moved::Refused { name: None }) if !may_have_stopped => {
+                return Err(Error::NotRun("no room"));
+            }
+            Ok(Moved::Refused { name: None } | Moved::Busy) => replies += 1,
+            Err(Failure::ConnectFailed { reason: Refusal::Refused | Refusal::NotForwarded }) => {
+                return Ok(Stopped::Uncopied(Ended::Refused));
+            }
+            Err(failure) => may_have_stopped |= !is_unsent(&failure),
         }
-        match P::decode_move(reply.status, &reply.body) {
-            Moved::Copied { name } => return Ok(name),
-            Moved::Busy => sleep(BUSY_DELAY).await,
-            Moved::NoRun => return Err(Error::Unknown("no run")),
-            Moved::Refused { .. } => return Err(Error::NotRun("no room")),
+        if may_have_stopped && !source.is_open.get() {
+            return Ok(Stopped::Uncopied(Ended::Closed));
+        }
+        if !may_have_stopped && source.last_event.get() != heard {
+            return Err(Error::NotSent("move not sent"));
+        }
+        if replies >= MAX_TRIES {
+            return Err(Error::Unknown("move busy"));
+        }
+        if worker.process.clock.now() >= give_up_at {
+            return Ok(Stopped::Uncopied(Ended::Silent));
         }
+        sleep(BUSY_DELAY).await;
     }
-    Err(Error::Unknown("move busy"))
 }
 
-fn transfer_failed(error: &Failure) -> Error {
-    match error {
-        // The engine got no call, so it has not stopped the run.
-        Failure::Resting | Failure::PermitExpired | Failure::NoPath => {
-            Error::NotSent("move not sent")
-        }
-        _ => Error::Unknown("move broken"),
+/// Calls the engine that runs a request to copy its memory to another engine; `last` stops the run
+/// first.
+async fn call_move<P: Platform>(
+    worker: &Worker,
+    context: &Context,
+    from: &Target,
+    to: SocketAddr,
+    last: bool,
+) -> Result<Moved, Failure> {
+    worker.fleet.spend(&from.id);
+    let call = P::move_run(&context.facts.request, to, last);
+    let called = worker.process.call(from, call.into(), TRANSFER_TIMEOUT, MAX_REPLY_BYTES).await;
+    let reply = called.inspect_err(|error| {
+        log::info!(
+            request = context.facts.request.as_str(), engine:% = from.id, last = last,
+            error:% = error; "move broken"
+        );
+    })?;
+    if P::reply(reply.status, &reply.headers).leaving {
+        worker.fleet.drain_target(from);
+    }
+    Ok(P::decode_move(reply.status, &reply.body))
+}
+
+/// Returns whether the engine certainly got no call.
+fn is_unsent(failure: &Failure) -> bool {
+    match failure {
+        Failure::ConnectFailed { .. }
+        | Failure::Resting
+        | Failure::PermitExpired
+        | Failure::NoPath => true,
+        Failure::Broken { .. } | Failure::TimedOut | Failure::BodyTooLarge => false,
+    }
+}
+
+fn move_error(failure: &Failure) -> Error {
+    match is_unsent(failure) {
+        true => Error::NotSent("move not sent"),
+        false => Error::Unknown("move broken"),
     }
 }
--- a/crates/gateway/src/version/engine_poll.rs
+++ b/crates/gateway/src/version/engine_poll.rs
@@ -10,11 +10,8 @@
 use std::time::Duration;
 
 use fireflyhoist_policy::lease::Target;
-use ntex::http::HeaderMap;
-use ntex::util::Bytes;
 use tokio::time::sleep;
 
-use crate::connection::exchange::Outgoing;
 use crate::platform::Platform;
 use crate::process::fleet::Fleet;
 use crate::process::state::Process;
@@ -59,10 +56,8 @@
 }
 
 async fn poll<P: Platform>(process: &Process, fleet: &Fleet, target: &Target) {
-    let call = P::report();
-    let (method, path, body) = (call.method, call.path, Bytes::from(call.body));
-    let outgoing = Outgoing { method, path, headers: HeaderMap::new(), body };
-    let reply = match process.call(target, outgoing, REPORT_TIMEOUT, MAX_REPORT_BYTES).await {
+    let call = P::report().into();
+    let reply = match process.call(target, call, REPORT_TIMEOUT, MAX_REPORT_BYTES).await {
         Ok(reply) => reply,
         Err(error) => {
             ::log::info!(target:% = target.id, error:% = error; "no report");
--- a/crates/gateway/tests/isolated.rs
+++ b/crates/gateway/tests/isolated.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use fireflyhoist_gateway::native::Native;
+use fireflyhoist_gateway::native::{Copied, Native};
 use fireflyhoist_gateway::{Gateway, Settings};
 use fireflyhoist_policy::route::{Kind, Route};
 use fireflyhoist_standin::registry::Registry;
@@ -320,6 +320,10 @@
 #[ntex::test]
 async fn a_running_answer_leaves_a_leaving_entry() {
     let script = |seen: &Seen| {
+        if seen.line().contains("/move") {
+            let copied = Copied { copy: Some("c-1".into()) };
+            return answer(200, &serde_json::to_string(&copied).expect("JSON"));
+        }
         let last = seen.header("last-event-id").map(|id| id.parse::<u64>().expect("an id"));
         let run = |ids: std::ops::RangeInclusive<u64>| {
             let each = ids.flat_map(|id| [event(id), Step::Wait(Duration::from_millis(50))]);
--- a/crates/gateway/tests/support/target.rs
+++ b/crates/gateway/tests/support/target.rs
@@ -20,6 +20,8 @@
     Wait(Duration),
     /// Waits until a condition holds.
     Until(Arc<dyn Fn() -> bool + Send + Sync>),
+    /// Ends the script, and with it the connection, unless a condition holds.
+    Only(Arc<dyn Fn() -> bool + Send + Sync>),
     /// Waits until the entry closes the connection, and records when.
     Hang,
     /// Resets the connection.
@@ -143,6 +145,11 @@
                         sleep(Duration::from_millis(10)).await;
                     }
                 }
+                Step::Only(holds) => {
+                    if !holds() {
+                        return;
+                    }
+                }
                 Step::Hang => {
                     // The entry closed or reset the connection.
                     let _ = stream.read(&mut [0; 16]).await;
