Send nothing again because another request was declined

What callers saw: a call or a stream that may run once at most ran at two targets, or was answered 503 with `ran: no` although its target ran it.

Cause: an attempt looked at whether a response says "declined" or "421" before it looked at which request the response names. A target may deliver a late response to another request first. If that one was declined or misdirected, the attempt counted as not run: with more attempts allowed the request was sent to a second target while the first ran it, without it was refused as not run.

Evidence: `once.rs` counts at the targets what they run by request id. On the code before, `a_request_runs_once_at_most::another_declined` and `another_misdirected` are red: with two attempts "r-1 ran at t-2, t-1", with one "was refused as not run, but ran".

A response that names another request now leaves unknown whether this one ran, whatever else it says. One that names none is taken for this request, as before: a target that declines a request without an id has none to name.

The matrix of the file: calls and streams that may not be resumed, one and two attempts, bodies with a length, in chunks, of 200 KB and late, and a target that resets, closes, stands still for 1.3 s, restarts or is replaced at each point of a request, declines, fails, or sends bytes that are no answer.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -21,6 +21,9 @@
 /// The reason of [`Error::NotSent`] if the target is cordoned.
 const CORDONED: &str = "cordoned";
 
+/// The reason of [`Error::Unknown`] if the response does not name the request.
+const CROSSED: &str = "crossed";
+
 /// The reason of [`Error::NotRun`] if the target turned the request away.
 const DECLINED: &str = "declined";
 
@@ -250,6 +253,11 @@
     })?;
     let reply = P::reply(response.status, &response.headers);
     worker.fleet.heed(&target, sent_at, &reply, response.relay.as_ref());
+    // The connection may deliver a response to another request first, which says nothing about whether
+    // this one ran.
+    if reply.request.as_ref().is_some_and(|named| *named != context.facts.request) {
+        return Err(Error::Unknown(CROSSED));
+    }
     if reply.misdirected {
         worker.process.mark_target_replaced(&target);
         return Err(Error::NotRun("misdirected"));
@@ -257,9 +265,8 @@
     if reply.declined {
         return Err(Error::NotRun(DECLINED));
     }
-    // The connection may deliver a response to another request first.
-    if reply.request.as_ref() != Some(&context.facts.request) {
-        return Err(Error::Unknown("crossed"));
+    if reply.request.is_none() {
+        return Err(Error::Unknown(CROSSED));
     }
     let target = match worker.process.target(id) {
         Some(listed) if listed.start == target.start && listed.software == target.software => {
