--- a/crates/gateway/tests/once.rs
+++ b/crates/gateway/tests/once.rs
@@ -2,18 +2,15 @@
 
 mod support;
 
-use std::net::SocketAddr;
-use std::time::Duration;
-
 use fireflyhoist_gateway::Gateway;
 use fireflyhoist_policy::route::{Kind, Route, Text};
 use fireflyhoist_standin::registry::Registry;
 use futures_util::future::join_all;
-use support::caller::{self, Answer, Request};
+use support::bodies::{BODIES, Body, PAUSE, request, send};
+use support::caller::Answer;
 use support::counting::{Counting, Fault, Ledger, Point, STALL, whole};
-use support::{gateway, route, text};
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use support::{eventually, gateway, route, text};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::sleep;
 use yare::parameterized;
 
@@ -22,23 +19,6 @@
 /// The kinds of requests that may run once at most, with the most targets each may be sent to.
 const ROUTES: [(Kind, u32); 4] = [(Kind::Unsafe, 1), (Kind::Unsafe, 2), (STREAM, 1), (STREAM, 2)];
 
-/// More than one packet.
-const LARGE_BYTES: usize = 200 << 10;
-
-/// The pause between parts of a body that comes late.
-const PAUSE: Duration = Duration::from_millis(120);
-
-/// How the body of a request is sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Body {
-    Length,
-    Chunks,
-    Large,
-    Late,
-}
-
-const BODIES: [Body; 4] = [Body::Length, Body::Chunks, Body::Large, Body::Late];
-
 /// Which requests are answered whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Served {
@@ -103,52 +83,6 @@
     }
 }
 
-fn request(kind: Kind, id: &str) -> Request {
-    let path = format!("/once/{id}?part=%2F1");
-    let request = match kind.is_stream() {
-        true => Request::stream(&path, 50),
-        false => Request::new("POST", &path),
-    };
-    request.named(id)
-}
-
-/// Sends a request whose body begins with `id`, and reads its answer.
-async fn send(to: SocketAddr, request: &Request, id: &str, body: Body) -> Answer {
-    let framed = |text: &str| request.clone().header("content-length", &text.len().to_string());
-    match body {
-        Body::Length => framed(id).raw(id.as_bytes()).send(to).await,
-        Body::Large => {
-            let text = format!("{id}{}", "x".repeat(LARGE_BYTES));
-            framed(&text).raw(text.as_bytes()).send(to).await
-        }
-        Body::Chunks => {
-            let parts = [chunk(id), chunk("second"), "0\r\n\r\n".to_owned()];
-            let head = request.clone().header("transfer-encoding", "chunked");
-            send_in_parts(to, &head, &parts).await
-        }
-        Body::Late => {
-            let text = format!("{id} and more");
-            let head = framed(&text);
-            let (first, rest) = text.split_at(id.len());
-            send_in_parts(to, &head, &[String::new(), first.to_owned(), rest.to_owned()]).await
-        }
-    }
-}
-
-fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
-async fn send_in_parts(to: SocketAddr, head: &Request, parts: &[String]) -> Answer {
-    let mut stream: TcpStream = head.open(to).await;
-    for part in parts {
-        sleep(PAUSE).await;
-        // Fails where the entry has answered already.
-        let _ = stream.write_all(part.as_bytes()).await;
-    }
-    caller::read(stream).await
-}
-
 /// Sends a request with this body while the fault happens to it.
 async fn suffer(kind: Kind, attempts: u32, body: Body, fault: Fault, served: Served) {
     let setup = Setup::open(kind, attempts, 3).await;
@@ -236,6 +170,26 @@
     }
 }
 
+/// Guards against a request that is sent elsewhere, or refused as not run, since its time is over while
+/// its target stands still with it.
+#[parameterized(
+    unread = { Point::Arrived },
+    after_head = { Point::Head },
+    after_body = { Point::Body },
+)]
+#[test_macro(ntex::test)]
+async fn a_request_that_is_late_is_not_sent_elsewhere(point: Point) {
+    for (kind, attempts) in ROUTES {
+        let setup = Setup::open(kind, attempts, 3).await;
+        setup.ledger.arm(Fault::StandStill(point));
+        let request = request(kind, "r-1").header("fireflyhoist-timeout-ms", "500");
+        let answer = send(setup.entry.callers(), &request, "r-1", Body::Length).await;
+        sleep(STALL).await;
+        setup.check("r-1", &answer);
+        assert_eq!(answer.status, 504, "{answer:?}");
+    }
+}
+
 /// Guards against requests that are sent anew under a new configuration while their targets, which
 /// stand still, have them.
 #[parameterized(call = { Kind::Unsafe }, stream = { STREAM })]
@@ -262,3 +216,42 @@
         assert!(answer.status == 200 && answer.whole, "{id}: {answer:?}");
     }
 }
+
+/// Guards against requests of a connection that run again, or under another's id, since the caller sent
+/// several at once, waited for an interim answer, or left in between.
+#[parameterized(
+    pipelined = { "", 3, false },
+    with_expectation = { "expect: 100-continue\r\n", 1, false },
+    pipelined_with_expectation = { "expect: 100-continue\r\n", 3, false },
+    pipelined_by_a_caller_that_leaves = { "", 3, true },
+)]
+#[test_macro(ntex::test)]
+async fn requests_of_one_connection_run_once_each(header: &str, count: usize, leaves: bool) {
+    let setup = Setup::open(Kind::Unsafe, 2, 3).await;
+    setup.ledger.arm(Fault::StandStill(Point::Body));
+    let mut bytes = Vec::new();
+    for nth in 1..=count {
+        let own = request(Kind::Unsafe, &format!("r-{nth}")).without("connection: close\r\n");
+        let last = if nth == count { "connection: close\r\n" } else { "" };
+        let framed = format!("{header}{last}transfer-encoding: chunked\r\n\r\n");
+        let text = String::from_utf8(own.bytes()).expect("text");
+        bytes.extend_from_slice(text.trim_end_matches("\r\n").as_bytes());
+        bytes.extend_from_slice(format!("\r\n{framed}3\r\nr-{nth}\r\n0\r\n\r\n").as_bytes());
+    }
+    let mut caller = tokio::net::TcpStream::connect(setup.entry.callers()).await.expect("open");
+    caller.write_all(&bytes).await.expect("the entry reads");
+    if leaves {
+        eventually(async || !setup.ledger.is_armed()).await;
+        drop(caller);
+        sleep(STALL * 2).await;
+    } else {
+        let mut received = String::new();
+        caller.read_to_string(&mut received).await.expect("answers");
+        assert_eq!(received.matches("whole").count(), count, "{received}");
+    }
+    for nth in 1..=count {
+        let runs = setup.ledger.runs(&format!("r-{nth}"));
+        assert!(runs.len() <= 1, "{runs:?}");
+        assert!(leaves || runs.len() == 1, "r-{nth} ran {} times", runs.len());
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod bodies;
 pub(crate) mod caller;
 pub(crate) mod counting;
 pub(crate) mod forwarder;
