Begin a stream again only once its run has ended

What callers and targets saw: a stream that may be resumed was at work at two targets for 1.3 s.

Cause: where the connection broke before the answer began, the stream was sent to the next target at once. A target that stands still has read the request by then, and notices only once it is awake that its connection is lost. An answer that has begun already waits until it is known that its run has ended (`fence::check`); one that has not did not.

Evidence: `a_stream_begins_again_only_after_its_run` resets the connection of a target that stands still for 1.3 s with the whole request. With the change each stream runs at its second target after the first is awake, and is answered whole. A target that crashed refuses the call, so that nothing waits for it; one that answers a server error has ended its run, and is not asked.

Safe requests are hedged and may run at two targets by their kind; they are sent again at once as before.

--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -15,6 +15,7 @@
 use crate::request::answer::Stage;
 use crate::request::attempt::{self, Error, Options, Started, decline_retry_after};
 use crate::request::body::Collected;
+use crate::request::fence::{self, Ended};
 use crate::request::migration::Backup;
 use crate::request::relay::{Relay, Run};
 use crate::request::{Context, Worker, drain, end_to_end, liveness, quarantine, refuse};
@@ -23,6 +24,10 @@
 /// before it retries, since it needs the rest for the answer.
 const RETRY_AFTER_DIVISOR: u32 = 3;
 
+/// The reason of [`Error::Unknown`] if the target answered with a server error and the request may be
+/// repeated.
+const FAILED: &str = "failed";
+
 /// Maximum size in bytes of an answer that is not a stream: such an answer is an engine's error.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
 
@@ -38,6 +43,7 @@
         in_flight: false,
         outcome_unknown: false,
         failure: None,
+        run_before: None,
     };
     let finished = tokio::select! {
         finished = timeout(time_left, dispatch.run::<P>()) => finished.ok(),
@@ -64,6 +70,8 @@
     outcome_unknown: bool,
     /// Why the last attempt failed.
     failure: Option<&'static str>,
+    /// How it is known that the run of an attempt that may have run has ended.
+    run_before: Option<Ended>,
 }
 
 impl Dispatch<'_> {
@@ -85,7 +93,7 @@
             match self.attempt::<P>(admission).await {
                 Ok(response) => return response,
                 Err(error) => {
-                    if let Some(response) = self.handle_failure(&error).await {
+                    if let Some(response) = self.handle_failure::<P>(&error, avoid.as_ref()).await {
                         return response;
                     }
                 }
@@ -111,7 +119,11 @@
     }
 
     /// Handles a failed attempt: returns the response to the caller, or `None` to try again.
-    async fn handle_failure(&mut self, error: &Error) -> Option<Response> {
+    async fn handle_failure<P: Platform>(
+        &mut self,
+        error: &Error,
+        target: Option<&id::Target>,
+    ) -> Option<Response> {
         let request = &self.context.facts.request;
         let more = self.attempts < self.context.route.attempts.max(1);
         let time_left = self.context.time_left(self.worker.process.clock.now());
@@ -133,7 +145,14 @@
             Error::NotRun(_) if self.outcome_unknown => Some(refuse::answer_lost(request)),
             Error::NotRun(_) => Some(refuse::declined(request, decline_retry_after(time_left))),
             Error::Unknown("late") => Some(refuse::timed_out(request)),
-            Error::Unknown(_) if self.context.route.kind.is_idempotent() && more => None,
+            Error::Unknown(FAILED) if more => None,
+            Error::Unknown(_) if self.context.route.kind.is_idempotent() && more => {
+                // The target may stand still with the request, and run it once it is awake.
+                if let Some(target) = target.and_then(|id| self.worker.process.target(id)) {
+                    self.run_before = Some(fence::check::<P>(&self.worker.process, &target).await);
+                }
+                None
+            }
             Error::Unknown(_) => Some(refuse::answer_lost(request)),
         }
     }
@@ -183,6 +202,7 @@
             grant,
             constraint: self.context.constraint.clone(),
             again: self.failure,
+            run_before: self.run_before.take(),
             ..Options::default()
         };
         let started = attempt::send::<P>(self.worker, &self.context, pass.target(), &options).await;
@@ -242,7 +262,7 @@
         self.worker.process.record_completion(self.context.fingerprint);
         let more = self.attempts < self.context.route.attempts;
         if server_error && more && self.context.route.kind.is_idempotent() {
-            return Err(Error::Unknown("failed"));
+            return Err(Error::Unknown(FAILED));
         }
         let mut head = Response::build(response.status);
         for (name, value) in &end_to_end(&response.headers) {
--- a/crates/gateway/tests/once.rs
+++ b/crates/gateway/tests/once.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use fireflyhoist_gateway::Gateway;
 use fireflyhoist_policy::route::{Kind, Route, Text};
 use fireflyhoist_standin::registry::Registry;
@@ -19,6 +21,9 @@
 /// The kinds of requests that may run once at most, with the most targets each may be sent to.
 const ROUTES: [(Kind, u32); 4] = [(Kind::Unsafe, 1), (Kind::Unsafe, 2), (STREAM, 1), (STREAM, 2)];
 
+/// How long a run may go on at one target after the next one has begun at another.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+
 /// Which requests are answered whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Served {
@@ -255,3 +260,20 @@
         assert!(leaves || runs.len() == 1, "r-{nth} ran {} times", runs.len());
     }
 }
+
+/// Guards against a stream that begins again at a second target while the first, which stands still and
+/// has not noticed that its connection is lost, still has it.
+#[ntex::test]
+async fn a_stream_begins_again_only_after_its_run() {
+    let setup = Setup::open(Kind::Stream { resumable: true }, 2, 3).await;
+    for body in BODIES {
+        let id = format!("{body:?}");
+        setup.ledger.arm(Fault::Cut(Point::Body));
+        let answer = setup.send(&id, body).await;
+        sleep(STALL).await;
+        assert!(answer.status == 200 && answer.whole, "{answer:?}");
+        assert_eq!(setup.ledger.runs(&id).len(), 2);
+        let overlap = setup.ledger.overlap(&id);
+        assert!(overlap < MAX_OVERLAP, "{id} was at work at two targets for {overlap:?}");
+    }
+}
--- a/crates/gateway/tests/support/counting.rs
+++ b/crates/gateway/tests/support/counting.rs
@@ -48,6 +48,8 @@
     Close(Point),
     /// Does nothing at all for [`STALL`], then goes on.
     StandStill(Point),
+    /// Stands still while its connection is reset on the way, which it notices once it is awake.
+    Cut(Point),
     /// Crashes, and starts again under its name.
     Restart(Point),
     /// Crashes, and another target starts at its address.
@@ -70,6 +72,7 @@
             Self::Reset(point)
             | Self::Close(point)
             | Self::StandStill(point)
+            | Self::Cut(point)
             | Self::Restart(point)
             | Self::Replace(point) => point,
             Self::Misdirected | Self::Declined | Self::Fails(_) | Self::Junk | Self::Crossed(_) => {
@@ -85,6 +88,21 @@
     pub(crate) id: String,
     pub(crate) target: String,
     pub(crate) body: String,
+    began_at: Instant,
+    /// `None` while the target works on it.
+    ended_at: Option<Instant>,
+}
+
+/// A run that its target works on until this is dropped.
+struct Run {
+    ledger: Ledger,
+    index: usize,
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.ledger.ran.lock()[self.index].ended_at = Some(Instant::now());
+    }
 }
 
 /// What all targets of a test have run, and the fault of the next request.
@@ -119,10 +137,20 @@
         self.fault.lock().take_if(|fault| fault.point() == point)
     }
 
-    fn record(&self, target: &str, seen: &Seen) {
+    /// Returns for how long a run of a request went on at most after the next one had begun.
+    pub(crate) fn overlap(&self, id: &str) -> Duration {
+        let runs = self.runs(id);
+        let ended = |ran: &Ran| ran.ended_at.unwrap_or_else(Instant::now);
+        let overlaps = runs.windows(2).map(|two| ended(&two[0]).duration_since(two[1].began_at));
+        overlaps.max().unwrap_or_default()
+    }
+
+    fn begin(&self, target: &str, seen: &Seen) -> Run {
         let id = seen.header("fireflyhoist-request").unwrap_or_default().to_owned();
-        let ran = Ran { id, target: target.to_owned(), body: seen.body.clone() };
-        self.ran.lock().push(ran);
+        let (target, body) = (target.to_owned(), seen.body.clone());
+        let mut ran = self.ran.lock();
+        ran.push(Ran { id, target, body, began_at: Instant::now(), ended_at: None });
+        Run { ledger: self.clone(), index: ran.len() - 1 }
     }
 }
 
@@ -188,6 +216,10 @@
         });
     }
 
+    fn stand_still(&self) {
+        self.state.lock().stalls_until = Instant::now() + STALL;
+    }
+
     async fn awake(&self) {
         let until = self.state.lock().stalls_until;
         sleep_until(until).await;
@@ -232,8 +264,17 @@
         if let Some(fault @ Fault::StandStill(_)) = fault {
             self.suffer(fault, &stream).await?;
         }
-        self.ledger.record(self.listed.id.as_str(), seen);
+        let run = self.ledger.begin(self.listed.id.as_str(), seen);
         match fault {
+            Some(fault @ Fault::Cut(_)) => {
+                let own = self.clone();
+                self.stand_still();
+                tokio::task::spawn_local(async move {
+                    own.awake().await;
+                    drop(run);
+                });
+                return self.suffer(fault, &stream).await;
+            }
             Some(Fault::Fails(status)) => {
                 let text = format!("HTTP/1.1 {status} X\r\n{named}content-length: 3\r\n\r\nran");
                 return self.write(&mut stream, &text).await;
@@ -276,7 +317,7 @@
     async fn suffer(&self, fault: Fault, stream: &TcpStream) -> Result<(), Ended> {
         match fault {
             Fault::StandStill(_) => {
-                self.state.lock().stalls_until = Instant::now() + STALL;
+                self.stand_still();
                 self.awake().await;
                 return Ok(());
             }
