Decode each item of the store by itself

One odd item among those of the targets (a number in place of the value, half a surrogate, bytes that are no UTF-8, a removal flag that is text, a list in place of an object) failed the decoding of the whole list or watch reply. The entry then read the same list again and again and followed nothing: no new configuration, no target. Each item is now cut out of the reply as raw JSON, which is read without recursion, and decoded by itself; an odd one is an error with its key, and removes the target that it names.

Values that can be decoded but can't be meant were used: 1e308 ms as 0, a negative duration as 0, port 0, addresses that no host can connect to, and durations of which a multiple overflows, which ends the task that reads the list. They are odd now, as are a start after the year 2200 and integers above 2^53, which would hide all sound entries of the same key that follow. A list in place of an object was read as its values in their order.

Errors are at most some 400 bytes and quote no more of a value than 200.

--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -156,8 +156,7 @@
 
 impl Listing {
     fn decode(body: &[u8]) -> Result<Page, DecodeError> {
-        let listing: Self = serde_json::from_slice(body)
-            .map_err(|error| DecodeError { what: error.to_string() })?;
+        let listing: Self = serde_json::from_slice(body).map_err(DecodeError::new)?;
         let text = listing.text.into_iter().map(|text| Item::Text(Box::new(text)));
         let targets = listing.targets.into_iter().map(with_software).map(Item::Target);
         let cordons = listing.cordons.into_iter().map(Item::Cordon);
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -174,6 +174,35 @@
     pub what: String,
 }
 
+/// The longest part of a reason that is kept, in bytes; reasons may quote values of any length.
+const MAX_REASON_BYTES: usize = 200;
+
+impl DecodeError {
+    /// Creates an error from its reason.
+    ///
+    /// Positions are left out: the same entry is at another one in each reply, and errors that are equal
+    /// are logged once.
+    pub fn new(reason: impl std::fmt::Display) -> Self {
+        let reason = reason.to_string();
+        let reason = reason.split(" at line ").next().unwrap_or_default();
+        Self { what: shorten(reason) }
+    }
+
+    /// Returns the same for the entry with this key.
+    pub fn in_entry(self, key: &str) -> Self {
+        Self { what: format!("{}: {}", shorten(key), self.what) }
+    }
+}
+
+/// Returns the beginning of a text, without characters that log lines may not have.
+fn shorten(text: &str) -> String {
+    let short = &text[..text.floor_char_boundary(MAX_REASON_BYTES)];
+    let ellipsis = if short.len() < text.len() { "..." } else { "" };
+    let mut shown: String = short.chars().flat_map(char::escape_debug).collect();
+    shown.truncate(shown.floor_char_boundary(MAX_REASON_BYTES));
+    format!("{shown}{ellipsis}")
+}
+
 /// The content of one registry reply.
 #[derive(Debug)]
 pub struct Page {
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -73,6 +73,11 @@
     pub const fn new(millis: u64) -> Self {
         Self(millis)
     }
+
+    /// Returns the milliseconds since the Unix epoch.
+    pub const fn millis(self) -> u64 {
+        self.0
+    }
 }
 
 /// A version that this many targets have at most is left to the streams that it began, which can go
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod pace;
 pub mod permit;
 pub mod placement;
+pub mod plausible;
 pub mod poison;
 pub mod position;
 pub mod presence;
