Decode each part of a listing by itself

An entry of the product's own gateway refused a whole listing for one odd target, text or cordon in it, and followed the registry no more. Parts are cut out as raw JSON and decoded one by one, as those of the users' store are; an odd target is removed under the name that it has, a text or a cordon that is odd changes nothing. What can be decoded but can't be meant is odd too.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub(crate) mod connection;
 pub mod header;
+pub mod json;
 pub mod native;
 pub mod platform;
 pub(crate) mod process;
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -6,6 +6,7 @@
 
 use fireflyhoist_policy::cordon;
 use fireflyhoist_policy::feature;
+use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease;
 use fireflyhoist_policy::route::Text;
 use fireflyhoist_policy::target_limit::Advertisement;
@@ -16,9 +17,11 @@
 use ntex::http::header::AUTHORIZATION;
 use ntex::http::{HeaderMap, Method, StatusCode};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use smol_str::SmolStr;
 
 use crate::header::{number, rest, resumed, set, text};
+use crate::json::{self, Body};
 use crate::platform::{
     Call, Copy, DecodeError, Dialect, EngineApi, Item, Moved, Page, Registry, Reply, RequestInfo,
     Resource, TargetHeaders,
@@ -154,17 +157,77 @@
     pub cordons: Vec<cordon::Change>,
 }
 
+/// A [`Listing`] whose parts are not decoded yet.
+#[derive(Deserialize)]
+struct RawListing<'a> {
+    revision: u64,
+    #[serde(borrow, default)]
+    text: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    targets: Vec<&'a RawValue>,
+    #[serde(borrow, default)]
+    cordons: Vec<&'a RawValue>,
+}
+
+/// The name in a written target that is otherwise invalid.
+#[derive(Deserialize)]
+struct Named {
+    put: NamedTarget,
+}
+
+#[derive(Deserialize)]
+struct NamedTarget {
+    id: id::Target,
+}
+
 impl Listing {
+    /// Decodes each part by itself: one that is invalid must not hide the others.
     fn decode(body: &[u8]) -> Result<Page, DecodeError> {
-        let listing: Self = serde_json::from_slice(body).map_err(DecodeError::new)?;
-        let text = listing.text.into_iter().map(|text| Item::Text(Box::new(text)));
-        let targets = listing.targets.into_iter().map(with_software).map(Item::Target);
-        let cordons = listing.cordons.into_iter().map(Item::Cordon);
-        let items = text.chain(targets).chain(cordons).map(Ok).collect();
+        let body = Body::new(body);
+        let listing: RawListing<'_> = body.decode()?;
+        let text = listing.text.into_iter().map(|raw| decode_text(&body, raw));
+        let targets = listing.targets.into_iter().flat_map(|raw| decode_target(&body, raw));
+        let cordons = listing.cordons.into_iter().map(|raw| decode_cordon(&body, raw));
+        let items = text.chain(targets).chain(cordons).collect();
         Ok(Page { items, next: None, revision: listing.revision })
     }
 }
 
+fn decode_text(body: &Body<'_>, raw: &RawValue) -> Result<Item, DecodeError> {
+    let decode = || {
+        let text: Text = body.decode_part(raw)?;
+        text.check().map_err(DecodeError::new)?;
+        Ok(Item::Text(Box::new(text)))
+    };
+    decode().map_err(|error: DecodeError| error.in_entry("text"))
+}
+
+fn decode_cordon(body: &Body<'_>, raw: &RawValue) -> Result<Item, DecodeError> {
+    body.decode_part(raw).map(Item::Cordon).map_err(|error| error.in_entry("cordon"))
+}
+
+/// Decodes a change of a target. One that cannot be decoded removes the target that it names.
+fn decode_target(body: &Body<'_>, raw: &RawValue) -> Vec<Result<Item, DecodeError>> {
+    let decode = || {
+        let change = body.decode_part(raw)?;
+        if let lease::Change::Put(target) = &change {
+            target.check().map_err(DecodeError::new)?;
+        }
+        Ok(Item::Target(with_software(change)))
+    };
+    let error: DecodeError = match decode() {
+        Ok(item) => return vec![Ok(item)],
+        Err(error) => error,
+    };
+    match json::decode_object::<Named>(raw.get().as_bytes()) {
+        Ok(Named { put: NamedTarget { id } }) => {
+            let error = Err(error.in_entry(id.as_str()));
+            vec![error, Ok(Item::Target(lease::Change::Gone(id)))]
+        }
+        Err(_) => vec![Err(error.in_entry("target"))],
+    }
+}
+
 /// Gives a target without a version the empty one: this registry lists versions where there are any.
 fn with_software(change: lease::Change) -> lease::Change {
     match change {
