Read lists with an entry that is too large, and log odd entries seldom

An entry of 16 MB, or one nested 8 million levels deep, made each reply with it larger than the 8 MB that are read. The list was asked for again and again; a program that started was never ready, and one that ran followed nothing.

An odd entry that is written again each second was logged each time. The same reason is logged once a minute, and 16 reasons at the most; the next line says how many were not logged.

--- a/crates/gateway/src/connection/buffer.rs
+++ b/crates/gateway/src/connection/buffer.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Removes all but the first `len` bytes.
+    pub(crate) fn truncate(&mut self, len: usize) {
+        self.bytes.truncate(len);
+    }
+
     /// Removes and returns the first `end` bytes.
     pub(crate) fn split_to(&mut self, end: usize) -> Bytes {
         let bytes = self.bytes.split_to(end);
--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -25,6 +25,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::connection::buffer::{Buffer, Overfull};
+use crate::connection::filter::Filter;
 use crate::connection::metered::{Metered, Progress};
 
 /// How long opening a connection may take: a hundred round trips between failure domains, and less
@@ -36,6 +37,9 @@
 /// that are sound have at most a few KB.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
+/// Maximum size of a body in bytes before it is filtered; bounds how long one without an end is read.
+const MAX_FILTERED_BYTES: usize = 64 << 20;
+
 /// The bytes of a body that must arrive within the idle timeout.
 const MIN_BYTES: usize = 64;
 
@@ -254,6 +258,24 @@
         !self.headers.contains_key(CONTENT_LENGTH) && !self.headers.contains_key(TRANSFER_ENCODING)
     }
 
+    /// Reads the rest of a JSON body without what the filter removes. Fails if more than `limit` bytes
+    /// are left of it, or if it has more than [`MAX_FILTERED_BYTES`].
+    async fn read_filtered_body(
+        &mut self,
+        mut filter: Filter,
+        limit: usize,
+    ) -> Result<Bytes, Failure> {
+        let (mut body, mut arrived) = (Buffer::default(), 0);
+        while let Some(bytes) = self.chunk().await? {
+            arrived += bytes.len();
+            let kept = filter.extend(&bytes, &mut body);
+            if kept.is_err() || body.len() > limit || arrived > MAX_FILTERED_BYTES {
+                return Err(Failure::BodyTooLarge);
+            }
+        }
+        Ok(body.freeze())
+    }
+
     /// Reads the rest of the body, and fails if it is more than `limit` bytes.
     pub(crate) async fn read_body(&mut self, limit: usize) -> Result<Bytes, Failure> {
         let length = self.headers.get(CONTENT_LENGTH).and_then(|length| length.to_str().ok());
@@ -308,16 +330,17 @@
 /// There is no timeout for the response as a whole, since that would limit its size. Over a slow
 /// link a configuration text takes longer than any timeout that detects a lost response soon
 /// enough; the read would be aborted shortly before its end and repeated from the start, and the
-/// entry would never be ready. The size is limited by `limit` bytes.
+/// entry would never be ready. The size is limited by `limit` bytes, after the filter.
 pub(crate) async fn fetch(
     address: SocketAddr,
     outgoing: Outgoing,
     head_timeout: Duration,
     idle_timeout: Duration,
+    filter: Filter,
     limit: usize,
 ) -> Result<Reply, Failure> {
     let mut response = send(address, outgoing, head_timeout).await?;
     response.pace = Some(Pace::new(idle_timeout));
-    let body = response.read_body(limit).await?;
+    let body = response.read_filtered_body(filter, limit).await?;
     Ok(Reply { status: response.status, headers: response.headers, body })
 }
--- a/crates/gateway/src/connection/mod.rs
+++ b/crates/gateway/src/connection/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod callers;
 pub(crate) mod deflate;
 pub(crate) mod exchange;
+pub(crate) mod filter;
 pub(crate) mod forwarder;
 pub(crate) mod frame;
 pub(crate) mod link;
--- a/crates/gateway/src/version/mod.rs
+++ b/crates/gateway/src/version/mod.rs
@@ -3,4 +3,5 @@
 pub(crate) mod encoding;
 pub(crate) mod engine_poll;
 pub(crate) mod history;
+pub(crate) mod skipped;
 pub(crate) mod watcher;
--- a/crates/gateway/src/version/watcher.rs
+++ b/crates/gateway/src/version/watcher.rs
@@ -23,10 +23,12 @@
 use tokio::time::{sleep, timeout};
 
 use crate::connection::exchange::{self, Failure, Outgoing};
+use crate::connection::filter::Filter;
 use crate::platform::{DecodeError, Item, Page, Platform, Resource};
 use crate::process::fleet::Fleet;
 use crate::process::state::{MEMBERSHIP_SETTLE_TIME, Process, millis};
 use crate::version::history::History;
+use crate::version::skipped::Skipped;
 
 /// Longest time until the reply to a list call begins. The registry answers in milliseconds, a slow
 /// one within some hundred milliseconds.
@@ -76,6 +78,12 @@
 /// Largest reply that is read, in bytes.
 const MAX_REPLY_BYTES: usize = 8 << 20;
 
+/// The longest string in a reply with texts, in bytes: a text as a whole.
+const MAX_TEXT_STRING: usize = 6 << 20;
+
+/// The longest string in a reply with targets, in bytes.
+const MAX_TARGET_STRING: usize = 64 << 10;
+
 /// Why a registry call failed.
 #[derive(Debug, Display, Error)]
 enum CallError {
@@ -106,6 +114,7 @@
     for resource in [Resource::Text, Resource::Targets] {
         let watcher = Watcher {
             history: History::open(process),
+            skipped: Skipped::default(),
             bootstrap,
             role_known_at: now + MEMBERSHIP_SETTLE_TIME,
             process: Arc::clone(process),
@@ -137,6 +146,7 @@
 /// Watches one resource of the registry.
 struct Watcher {
     history: History,
+    skipped: Skipped,
     /// Decides when to read for the first time.
     bootstrap: Bootstrap,
     /// When this entry's role among the entries is known.
@@ -297,9 +307,13 @@
         let known = self.process.era();
         let (method, headers) = (Method::GET, HeaderMap::new());
         let outgoing = Outgoing { method, path, headers, body: Bytes::new() };
+        let filter = Filter::new(match self.resource {
+            Resource::Text => MAX_TEXT_STRING,
+            Resource::Targets => MAX_TARGET_STRING,
+        });
+        let (address, limit) = (self.address, MAX_REPLY_BYTES);
         let result =
-            exchange::fetch(self.address, outgoing, reply_timeout, READ_TIMEOUT, MAX_REPLY_BYTES)
-                .await;
+            exchange::fetch(address, outgoing, reply_timeout, READ_TIMEOUT, filter, limit).await;
         self.process.metrics.registry_call();
         let response = result.map_err(CallError::Exchange)?;
         let era = self.history.resolve_era(known, P::era(&response.headers));
@@ -398,7 +412,7 @@
     }
 
     /// Applies a full list.
-    fn apply_list(&self, at: Position, items: Vec<Result<Item, DecodeError>>) {
+    fn apply_list(&mut self, at: Position, items: Vec<Result<Item, DecodeError>>) {
         let changes = self.apply_texts(items);
         let changed = match self.resource {
             Resource::Text => {
@@ -424,7 +438,7 @@
     }
 
     /// Applies the changes of a watch and sends those that are new to other entries.
-    fn apply_changes(&self, at: Position, page: Page) {
+    fn apply_changes(&mut self, at: Position, page: Page) {
         let changes = self.apply_texts(page.items);
         let since = self.process.targets_position();
         let new = self.process.apply_target_changes(at, changes.targets);
@@ -439,7 +453,7 @@
     }
 
     /// Puts texts in force and returns all other changes.
-    fn apply_texts(&self, items: Vec<Result<Item, DecodeError>>) -> Changes {
+    fn apply_texts(&mut self, items: Vec<Result<Item, DecodeError>>) -> Changes {
         let mut changes = Changes::default();
         for item in items {
             match item {
@@ -449,7 +463,13 @@
                 Ok(Item::Target(change)) => changes.targets.push(change),
                 Ok(Item::Cordon(change)) => changes.cordons.push(change),
                 Err(error) => {
-                    ::log::warn!(what:% = self.resource, error:% = error; "registry entry skipped");
+                    let now = self.process.clock.now();
+                    if let Some(unlogged) = self.skipped.record(now, &error.what) {
+                        ::log::warn!(
+                            what:% = self.resource, error:% = error, unlogged = unlogged;
+                            "registry entry skipped"
+                        );
+                    }
                 }
             }
         }
