Read the list after a watch whose reply can't be read

A watch whose reply was too large, or no JSON, was asked for again with the same revision for ever, so that the program followed nothing even after what was wrong was undone. It reads the list now, which may have none of it. A list whose pages do not go on, and an era of 2^64-1, do not end the watcher.

--- a/crates/gateway/src/version/history.rs
+++ b/crates/gateway/src/version/history.rs
@@ -51,8 +51,9 @@
                 seen:% = self.latest, told:% = position;
                 "registry's revisions went back; reading everything again"
             );
-            position = Position::new(era + 1, revision);
-            self.process.raise_era(era + 1, "revisions");
+            let era = era.saturating_add(1);
+            position = Position::new(era, revision);
+            self.process.raise_era(era, "revisions");
         }
         self.latest = position;
         position
--- a/crates/gateway/src/version/watcher.rs
+++ b/crates/gateway/src/version/watcher.rs
@@ -104,6 +104,13 @@
     Uncovered,
 }
 
+impl CallError {
+    /// Returns whether the reply arrived and can't be read.
+    fn is_in_reply(&self) -> bool {
+        matches!(self, Self::Decode(_) | Self::Exchange(Failure::BodyTooLarge))
+    }
+}
+
 /// Starts one watcher for texts with cordons and one for targets.
 pub(crate) fn spawn<P: Platform>(process: &Arc<Process>, fleet: &Arc<Fleet>) {
     let now = process.clock.now();
@@ -253,7 +260,13 @@
                 Err(CallError::Expired) => return,
                 // The next watch waits for a short time.
                 Err(CallError::Uncovered) => {}
-                Err(error) => self.back_off(&error).await,
+                Err(error) => {
+                    self.back_off(&error).await;
+                    if error.is_in_reply() {
+                        // The same changes would fail again, the list may have none of them.
+                        return;
+                    }
+                }
             }
         }
     }
@@ -341,6 +354,10 @@
             }
             first.get_or_insert(position);
             items.extend(page.items);
+            if page.next.is_some() && page.next == after {
+                let what = "the next page begins where this one does";
+                return Err(CallError::Decode(DecodeError::new(what)));
+            }
             after = page.next;
             if after.is_none() {
                 break;
