Read each field of an engine's report by itself

An engine that said it drains was taken for one that stays where its start, in the same report, was of another type or beyond range, and the reverse. Each field is decoded by itself; a start after the year 2200 is none, and so is an era from 2^53 on, after which no later one could follow. A list in place of an object is no report.

--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -8,6 +8,7 @@
 use fireflyhoist_policy::feature;
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::lease;
+use fireflyhoist_policy::plausible::{MAX_INTEGER, is_start};
 use fireflyhoist_policy::route::Text;
 use fireflyhoist_policy::target_limit::Advertisement;
 use fireflyhoist_policy::unit::Tokens;
@@ -241,7 +242,7 @@
 
 impl Registry for Native {
     fn era(headers: &HeaderMap) -> Option<u64> {
-        number(headers, ERA_HEADER)
+        number(headers, ERA_HEADER).filter(|era| *era < MAX_INTEGER)
     }
 
     fn list_path(what: Resource, _: Option<&str>) -> String {
@@ -289,6 +290,19 @@
     pub start: Option<lease::Start>,
 }
 
+/// The part of a [`Report`] that says whether its engine leaves. Each is decoded by itself, so that
+/// an invalid one does not hide the other.
+#[derive(Deserialize)]
+struct Leaving {
+    leaving: bool,
+}
+
+/// The part of a [`Report`] that says when its engine started.
+#[derive(Deserialize)]
+struct Started {
+    start: Option<lease::Start>,
+}
+
 impl EngineApi for Native {
     fn move_run(request: &str, to: SocketAddr, last: bool) -> Call {
         let body = serde_json::to_vec(&Move { to, last }).expect("a move is JSON");
@@ -305,12 +319,12 @@
     }
 
     fn is_draining(status: StatusCode, body: &[u8]) -> bool {
-        let report: Report = serde_json::from_slice(body).unwrap_or_default();
-        status == StatusCode::OK && report.leaving
+        let report = json::decode_object::<Leaving>(body);
+        status == StatusCode::OK && report.is_ok_and(|report| report.leaving)
     }
 
     fn report_start(body: &[u8]) -> Option<lease::Start> {
-        serde_json::from_slice::<Report>(body).ok()?.start
+        json::decode_object::<Started>(body).ok()?.start.filter(|start| is_start(*start))
     }
 
     fn decode_move(status: StatusCode, body: &[u8]) -> Moved {
--- a/crates/gateway/tests/odd_entries.rs
+++ b/crates/gateway/tests/odd_entries.rs
@@ -2,9 +2,10 @@
 //! none is used.
 
 use fireflyhoist_gateway::native::Native;
-use fireflyhoist_gateway::platform::{Item, Page, Registry, Resource};
+use fireflyhoist_gateway::platform::{EngineApi, Item, Page, Registry, Resource};
 use fireflyhoist_policy::cordon;
-use fireflyhoist_policy::lease::Change;
+use fireflyhoist_policy::lease::{Change, Start};
+use ntex::http::StatusCode;
 use proptest::prelude::*;
 use yare::parameterized;
 
@@ -196,6 +197,19 @@
     assert_eq!((page.items.len(), page.revision), (0, 3));
 }
 
+/// Guards against an engine that leaves and is taken for one that stays, because of another field.
+#[parameterized(
+    start_is_text = { r#"{"leaving":true,"start":"x"}"#, true, None },
+    start_is_too_large = { r#"{"leaving":true,"start":18446744073709551615}"#, true, None },
+    leaving_is_text = { r#"{"leaving":"yes","start":5}"#, false, Some(5) },
+    leaving_is_deep = { &format!(r#"{{"leaving":{},"start":5}}"#, nested(1_000_000)), false, Some(5) },
+    lone_list = { "[true,5]", false, None },
+)]
+fn an_odd_field_of_a_report_hides_no_other(body: &str, leaves: bool, start: Option<u64>) {
+    assert_eq!(Native::is_draining(StatusCode::OK, body.as_bytes()), leaves);
+    assert_eq!(Native::report_start(body.as_bytes()), start.map(Start::new));
+}
+
 proptest! {
     /// Arbitrary bytes end nothing.
     #[test]
--- a/crates/policy/src/plausible.rs
+++ b/crates/policy/src/plausible.rs
@@ -9,7 +9,7 @@
 
 use derive_more::{Display, Error};
 
-use crate::lease::Target;
+use crate::lease::{Start, Target};
 use crate::route::{Engine, Route, Service, Text};
 
 /// The largest integer that all programs read from JSON exactly.
@@ -52,12 +52,16 @@
     ensure(!(ip.is_unspecified() || ip.is_multicast() || is_broadcast || is_local), "address")
 }
 
+/// Returns whether a target can have started then.
+pub fn is_start(start: Start) -> bool {
+    start.millis() <= MAX_START_MS
+}
+
 impl Target {
     /// Checks that each value can be meant.
     pub fn check(&self) -> Result<(), Implausible> {
         check_address(self.address)?;
-        let start = self.start.is_none_or(|start| start.millis() <= MAX_START_MS);
-        ensure(start, "start")?;
+        ensure(self.start.is_none_or(is_start), "start")?;
         ensure(self.renewal <= MAX_INTEGER, "renewal")?;
         ensure(Duration::from_millis(self.cold_ms) <= MAX_DURATION, "cold time")?;
         ensure(self.slots <= MAX_COUNT, "slots")?;
