Decode each host of a host list by itself

That one odd host failed the whole list before is known from reading only; the tests were not run on the code before.

--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -4,6 +4,7 @@
 
 use fireflyhoist_policy::id;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 /// Whether a host stays.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -63,6 +64,34 @@
     pub hosts: Vec<Host>,
 }
 
+/// A host list whose hosts are not decoded yet.
+#[derive(Deserialize)]
+struct RawHosts<'a> {
+    sequence: u64,
+    #[serde(borrow)]
+    hosts: Vec<&'a RawValue>,
+}
+
+impl Hosts {
+    /// Decodes a list, and returns it with the errors of hosts that cannot be decoded and are left out.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it is no list of hosts at all.
+    pub fn decode(body: &[u8]) -> Result<(Self, Vec<serde_json::Error>), serde_json::Error> {
+        let text = String::from_utf8_lossy(body);
+        let raw: RawHosts<'_> = serde_json::from_str(&text)?;
+        let (mut hosts, mut errors) = (Vec::new(), Vec::new());
+        for host in raw.hosts {
+            match serde_json::from_str(host.get()) {
+                Ok(host) => hosts.push(host),
+                Err(error) => errors.push(error),
+            }
+        }
+        Ok((Self { sequence: raw.sequence, hosts }, errors))
+    }
+}
+
 /// The header that carries a value's sequence, which grows with each change of the value.
 pub const SEQUENCE_HEADER: &str = "x-sequence";
 
