Leave out odd hosts of the list in daemons

A daemon refused a host list with one host that it could not decode. It uses the others and logs how many it skipped, with the first reason. Compiled (cargo check); the tests of the daemon were not run, and clippy was not run on it.

--- a/crates/daemon/src/version/watch.rs
+++ b/crates/daemon/src/version/watch.rs
@@ -106,8 +106,15 @@
             record_contact(worker, key, Contact::Answered);
             changed
         }
-        Key::Hosts => match serde_json::from_slice::<Hosts>(body) {
-            Ok(hosts) => worker.process.set_hosts(hosts),
+        Key::Hosts => match Hosts::decode(body) {
+            Ok((hosts, errors)) => {
+                let changed = worker.process.set_hosts(hosts);
+                if let Some(error) = errors.first() {
+                    let (skipped, reason) = (errors.len(), format!("{error:.200}"));
+                    log::warn!(skipped = skipped, error = reason; "hosts skipped; correct what publishes the list");
+                }
+                changed
+            }
             Err(error) => {
                 log::warn!(error:% = error; "host list refused; correct what publishes it");
                 false
