Take up no stream of a version at targets without one

Callers that took a stream up again got 200 and the rest of the text from another version, where all targets of the service that took new work had no version and those of the version that began it had left, were leaving, or had started again without one: at an entry that did not know the stream, as after all entries were killed.

`Leases::is_unversioned` looked only at the targets that take new work now. It now also asks that none of the service has had a version, or an unknown one, for as long as origins are kept.

--- a/crates/gateway/src/process/state/origin.rs
+++ b/crates/gateway/src/process/state/origin.rs
@@ -62,8 +62,8 @@
         self.leases.lock().of_version(service, software)
     }
 
-    /// Returns whether the targets of a service that take new work have no versions.
+    /// Returns whether the targets of a service have no versions, and had none lately.
     pub(crate) fn is_unversioned(&self, service: &id::Service) -> bool {
-        self.leases.lock().is_unversioned(service)
+        self.leases.lock().is_unversioned(self.clock.now(), service)
     }
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub(crate) mod caller;
+pub(crate) mod engines;
 pub(crate) mod forwarder;
 pub(crate) mod proxy;
 pub(crate) mod restarting;
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -33,6 +33,7 @@
 
 use crate::cold;
 use crate::id;
+use crate::origin;
 use crate::position::Position;
 use crate::time::Time;
 
@@ -44,6 +45,10 @@
 /// bring it back. No reading is older than this.
 const TOMBSTONE_TTL: Duration = Duration::from_secs(60);
 
+/// How long a service counts as one with versions after the last target with a version was known: as
+/// long as the origin of a stream is kept.
+const VERSIONED_TTL: Duration = origin::TTL;
+
 /// By how much two readings may differ in when a target stops being cold without counting as a
 /// change.
 const COLD_TOLERANCE: Duration = Duration::from_millis(500);
@@ -123,6 +128,11 @@
     }
 }
 
+/// Returns whether this is the version of targets whose registry knows no versions.
+fn is_empty(software: &Software) -> bool {
+    software.0.is_empty()
+}
+
 /// One target as described by its registry entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
@@ -211,6 +221,8 @@
     /// [`Leases::take_changed`].
     changed: BTreeSet<id::Target>,
     versions: Versions,
+    /// When a target of each service was last known that has a version, or whose version is unknown.
+    versioned_at: BTreeMap<id::Service, Time>,
 }
 
 /// The targets that take new work, by service and version.
@@ -447,11 +459,30 @@
         of.map(|(_, targets)| targets.clone()).unwrap_or_default()
     }
 
-    /// Returns whether the targets of a service that take new work have no versions.
-    pub fn is_unversioned(&self, service: &id::Service) -> bool {
+    /// Returns whether the targets of a service have no versions, and none has had one since streams
+    /// began that still run.
+    pub fn is_unversioned(&self, now: Time, service: &id::Service) -> bool {
+        let versioned_at = self.versioned_at.get(service);
+        if versioned_at.is_some_and(|at| now.since(*at) < VERSIONED_TTL) {
+            return false;
+        }
         let mut versions = self.versions.of(service).peekable();
-        versions.peek().is_some()
-            && versions.all(|(software, _)| software == Some(&Software::default()))
+        versions.peek().is_some() && versions.all(|(software, _)| software.is_some_and(is_empty))
+    }
+
+    /// Records that a target was known at `now`, if it has a version or its version is unknown.
+    fn record_version(&mut self, now: Time, target: &Target) {
+        if !target.software.as_ref().is_some_and(is_empty) {
+            self.versioned_at.insert(target.service.clone(), now);
+        }
+    }
+
+    /// Does the same for a target that is listed and about to change.
+    fn record_listed_version(&mut self, now: Time, id: &id::Target) {
+        let Some(Lease { target, .. }) = self.live.get(id) else { return };
+        if !target.software.as_ref().is_some_and(is_empty) {
+            self.versioned_at.insert(target.service.clone(), now);
+        }
     }
 
     /// Returns the targets of those versions of a service that few targets have, if it has several.
@@ -531,6 +562,8 @@
     }
 
     fn put(&mut self, now: Time, position: Position, mut target: Target) -> bool {
+        self.record_version(now, &target);
+        self.record_listed_version(now, &target.id);
         match self.tombstones.get(&target.id) {
             Some(tombstone) if tombstone.is_superseded_by(position, &target) => {
                 self.tombstones.remove(&target.id);
@@ -602,6 +635,7 @@
     }
 
     fn remove(&mut self, now: Time, position: Position, id: &id::Target) {
+        self.record_listed_version(now, id);
         if let Some(lease) = self.live.remove(id) {
             self.missing.remove(id);
             self.changed.insert(id.clone());
