Send a stream on only to an engine that confirms its start

A stream that is taken up, or goes on after a lost run, may go to an engine that has started again with another version while the registry lists its earlier start.

Nothing is sent to it now until it confirms its start; the attempt counts as not sent, is made again at once or elsewhere, and says nothing about the health of the engine.

an_engine_that_does_not_confirm_its_start_in_time_gets_no_stream was red. a_stream_goes_on_once_its_engine_confirms_its_start guards against refusing too much and was green before.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -37,6 +37,9 @@
 /// The reason of [`Error::NotSent`] if the target asked for rest.
 const RESTING: &str = "resting";
 
+/// The reason of [`Error::NotSent`] if the target did not say in time which start it is.
+const UNCONFIRMED: &str = "unconfirmed";
+
 /// The reason of [`Error::NotSent`] if the target accepted no connection in time.
 const UNANSWERED: &str = "unanswered";
 
@@ -107,7 +110,8 @@
     pub(crate) fn outcome(&self, process: &Process) -> Outcome {
         match self {
             Self::NotSent(
-                CORDONED | ISOLATED | LEAVING | OTHER_VERSION | PERMIT_EXPIRED | RESTING,
+                CORDONED | ISOLATED | LEAVING | OTHER_VERSION | PERMIT_EXPIRED | RESTING
+                | UNCONFIRMED,
             ) => Outcome::Cancelled,
             // Otherwise an entry that loses its path would have its peers eject targets that work.
             Self::Unknown(_) if process.is_path_suspect() => Outcome::Cancelled,
@@ -280,8 +284,8 @@
             worker.process.suspend_crashed(target);
             Err(Error::NotSent(OTHER_VERSION))
         }
-        // It may be slow.
-        Err(Failure::TimedOut) => Ok(()),
+        // It may be slow, and another start than is listed as well.
+        Err(Failure::TimedOut) => Err(Error::NotSent(UNCONFIRMED)),
         Err(failure) => match Error::from_failure(&failure) {
             Error::NotSent(reason) => Err(Error::NotSent(reason)),
             // Only the report was sent, not the request.
--- a/crates/gateway/tests/versions_restart.rs
+++ b/crates/gateway/tests/versions_restart.rs
@@ -3,14 +3,18 @@
 
 mod support;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use fireflyhoist_gateway::Gateway;
 use fireflyhoist_policy::lease::{Start, Target};
 use fireflyhoist_standin::registry::{Mood, Registry};
 use support::caller::{Answer, Request};
-use support::engines::{ALL, BEGUN, Engines, PROPAGATION, begin_and_break, finish_or, take_up};
-use support::target::{Step, events};
+use support::engines::{
+    ALL, BEGUN, Engines, PROPAGATION, begin_and_break, finish_or, report, take_up,
+};
+use support::target::{Seen, Step, events};
 use support::{fleet_behind_proxies, gateway, unready, until_ready};
 use tokio::time::sleep;
 use yare::parameterized;
@@ -72,6 +76,45 @@
     }
 }
 
+/// Guards against sending a stream to an engine that has started again with another version and is too
+/// slow to say so.
+#[ntex::test]
+async fn an_engine_that_does_not_confirm_its_start_in_time_gets_no_stream() {
+    let mut engines = Engines::open_with_first().await;
+    let gateway = gateway(&engines.registry).await;
+    let begun = begin_and_break(&gateway, &mut engines, &[]).await;
+    assert!(!begun.whole);
+    engines.engines[0].0.end();
+    let started_again = |seen: &Seen| match seen.line().contains("/v1/report") {
+        true => [vec![Step::Wait(Duration::from_millis(800))], report(2)].concat(),
+        false => finish_or(seen, Step::Reset),
+    };
+    engines.start_with_report("e-again", "v1", started_again).await;
+    sleep(PROPAGATION).await;
+    let refused = take_up("r-1").send(gateway.callers()).await;
+    assert!(engines.taken_up().is_empty(), "{refused:?}");
+}
+
+/// Guards against refusing a stream for good because an engine was slow to confirm its start once.
+#[ntex::test]
+async fn a_stream_goes_on_once_its_engine_confirms_its_start() {
+    let mut engines = Engines::open_with_first().await;
+    let gateway = gateway(&engines.registry).await;
+    let begun = begin_and_break(&gateway, &mut engines, &[]).await;
+    assert!(!begun.whole);
+    engines.engines[0].0.end();
+    let slow = Arc::new(AtomicBool::new(true));
+    let script = move |seen: &Seen| match seen.line().contains("/v1/report") {
+        true if slow.swap(false, Ordering::SeqCst) => vec![Step::Hang],
+        true => report(1),
+        false => finish_or(seen, Step::Reset),
+    };
+    engines.start_with_report("e-slow", "v1", script).await;
+    sleep(PROPAGATION).await;
+    let answer = take_up("r-1").send(gateway.callers()).await;
+    assert_eq!((answer.status, answer.body), (200, events(BEGUN + 1, ALL)));
+}
+
 /// Which entries are killed while a stream runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Killed {
