Ask for no confirmed start where targets have no versions

Since a stream is sent on only to an engine that confirms its start, one whose engines answer no report was cut after 3 s, also where no target has a version and nothing depends on the start.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -289,6 +289,7 @@
             Err(Error::NotSent(OTHER_VERSION))
         }
         // It may be slow, and another start than is listed as well.
+        Err(Failure::TimedOut) if worker.process.is_unversioned(&target.service) => Ok(()),
         Err(Failure::TimedOut) => Err(Error::NotSent(UNCONFIRMED)),
         Err(failure) => match Error::from_failure(&failure) {
             Error::NotSent(reason) => Err(Error::NotSent(reason)),
