Attribute a run to the start of its engine that has run it

Callers got streams with events of two versions: an engine that crashed and was back with another version got new streams before its new entry was listed, ran them well, and when the entry came each was broken off and went on at the version that had been listed. Callers who took them up were sent there as well.

A run counted as one of the start that was listed when it was sent. When a newer start is listed while the connection of the run is open, the engine is now asked which start it is. What arrives after its answer was written by that start, so the run goes on, belongs to its version, and the origin that was told to other entries is replaced by a correction, which wins in any order. Only runs on engines that have started again cost a report call.

Left: until the new start is listed, a stream that is taken up, or whose connection to the engine ends, goes on at the listed version.

--- a/crates/gateway/src/process/fleet/origin.rs
+++ b/crates/gateway/src/process/fleet/origin.rs
@@ -38,10 +38,16 @@
     /// Records that the first event of a stream was delivered, and tells the entries that keep its
     /// origin with the next heartbeat.
     pub(crate) fn begin_stream(&self, key: Key, origin: Origin) {
-        self.publish_origin(key, &origin);
+        self.publish_origin(key, &origin, false);
         self.process.begin_stream(key, origin);
     }
 
+    /// Replaces the origin of a stream that is relayed here, also at the entries that keep it.
+    pub(crate) fn correct_stream(&self, key: Key, origin: Origin) {
+        self.publish_origin(key, &origin, true);
+        self.process.correct_stream(key, origin);
+    }
+
     /// Returns which service and version began a stream of a workspace, if any entry knows.
     ///
     /// The entries that should keep it are asked first. Entries that differ on who is alive may have
@@ -98,18 +104,18 @@
             let due = refreshed_at.elapsed() >= origin::REFRESH;
             if self.origins.keepers_changed.swap(false, Ordering::AcqRel) || due {
                 refreshed_at = Instant::now();
-                for (key, origin) in self.process.open_streams() {
-                    self.publish_origin(key, &origin);
+                for (key, origin, corrected) in self.process.open_streams() {
+                    self.publish_origin(key, &origin, corrected);
                 }
             }
         }
     }
 
-    fn publish_origin(&self, key: Key, origin: &Origin) {
+    fn publish_origin(&self, key: Key, origin: &Origin, corrected: bool) {
         let entries = self.current_actives();
         let mut outbox = self.origins.outbox.lock();
         for entry in origin::keepers(key, &entries) {
-            outbox.push(entry.clone(), key, origin.clone());
+            outbox.push(entry.clone(), key, origin.clone(), corrected);
         }
     }
 }
--- a/crates/gateway/src/process/state/origin.rs
+++ b/crates/gateway/src/process/state/origin.rs
@@ -22,6 +22,11 @@
         self.origins.ledger.lock().begin(self.clock.now(), key, origin);
     }
 
+    /// Replaces the origin of a stream that is relayed here.
+    pub(crate) fn correct_stream(&self, key: Key, origin: Origin) {
+        self.origins.ledger.lock().correct(self.clock.now(), key, origin);
+    }
+
     /// Records that a stream is no longer relayed here.
     pub(crate) fn end_stream(&self, key: Key) {
         self.origins.ledger.lock().end(self.clock.now(), key);
@@ -32,10 +37,10 @@
         self.origins.ledger.lock().get(self.clock.now(), key)
     }
 
-    /// Returns the streams that are relayed here, and their origins.
-    pub(crate) fn open_streams(&self) -> Vec<(Key, Origin)> {
+    /// Returns the streams that are relayed here, their origins, and whether these were corrected.
+    pub(crate) fn open_streams(&self) -> Vec<(Key, Origin, bool)> {
         let ledger = self.origins.ledger.lock();
-        ledger.open().map(|(key, origin)| (key, origin.clone())).collect()
+        ledger.open().map(|(key, origin, corrected)| (key, origin.clone(), corrected)).collect()
     }
 
     /// Applies the origins that another entry tells.
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod fence;
 pub(crate) mod liveness;
 pub(crate) mod migration;
+mod new_start;
 mod origin;
 pub(crate) mod plain;
 pub(crate) mod probe;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -27,6 +27,7 @@
 use crate::request::body::{self, Body, Chunk};
 use crate::request::fence::{self, Ended};
 use crate::request::migration::{self, Backup, Failed, Plan, Resumed, Strategy};
+use crate::request::new_start::{self, NewStart};
 use crate::request::sse::Splitter;
 use crate::request::{Context, Worker, liveness};
 
@@ -105,6 +106,10 @@
     software: Option<Software>,
     /// The version that goes on with the stream: any until the caller has received an event.
     constraint: Constraint,
+    /// Whether the current run brought the first event, so that its version began the stream.
+    began_here: bool,
+    /// The start of the current engine that was listed since the run began.
+    new_start: Option<NewStart>,
     /// Whether `upstream` is open.
     is_open: Rc<Cell<bool>>,
     /// How it is known that the last run has ended; `None` while that is not known.
@@ -161,6 +166,8 @@
             software: started.target.software.clone(),
             target: Some(started.target),
             constraint,
+            began_here: false,
+            new_start: None,
             is_open: Rc::new(Cell::new(true)),
             ended: None,
             quiet_since: Instant::now(),
@@ -240,7 +247,8 @@
         };
         let deadline = sleep(self.context.time_left(self.worker.process.clock.now()));
         let (checking, migrating) = (Fuse::terminated(), Fuse::terminated());
-        pin_mut!(caller_gone, deadline, checking, migrating);
+        let asking = Fuse::terminated();
+        pin_mut!(caller_gone, deadline, checking, migrating, asking);
         let mut targets = self.worker.process.watch_targets();
         let mut in_progress = None;
         loop {
@@ -261,6 +269,12 @@
                     }
                 };
             }
+            if let Some(listed) = self.new_start.as_mut().and_then(NewStart::take_unasked) {
+                let process = Arc::clone(&self.worker.process);
+                let ask = async move { new_start::ask::<P>(&process, &listed).await };
+                asking.set(ask.fuse());
+            }
+            let give_up_at = self.new_start.as_ref().and_then(NewStart::give_up_at);
             tokio::select! {
                 biased;
                 () = &mut caller_gone => return End::Left,
@@ -284,6 +298,14 @@
                     in_progress = None;
                     self.apply_check(ended);
                 }
+                answer = &mut asking, if self.new_start.as_ref().is_some_and(NewStart::is_asked) => {
+                    if !self.new_start.as_mut().is_some_and(|start| start.apply(answer)) {
+                        self.lose_run();
+                    }
+                }
+                () = sleep_until(give_up_at.unwrap_or_else(Instant::now)), if give_up_at.is_some() => {
+                    self.lose_run();
+                }
                 _ = targets.changed() => self.check_engines(),
                 () = sleep_until(self.quiet_since + SILENCE_TIMEOUT),
                     if in_progress.is_none() && self.may_leave_silent_run() =>
@@ -353,6 +375,7 @@
     /// Handles the loss of the run before its answer was complete.
     fn handle_lost_run<P: Platform>(&mut self) {
         self.upstream = None;
+        self.new_start = None;
         self.ended = None;
         if let Some(target) = &self.target {
             liveness::Check::new(&self.worker, &self.context, target, self.began_at)
@@ -488,6 +511,7 @@
         self.began_at = resumed.started.began_at;
         self.software = resumed.started.target.software.clone();
         self.target = Some(resumed.started.target);
+        (self.began_here, self.new_start) = (false, None);
         self.ended = None;
         self.run_events = 0;
         self.splitter = Splitter::default();
@@ -517,7 +541,7 @@
     }
 
     /// Drops the backup if its engine drains, is cordoned or has restarted, and the run if its
-    /// engine has restarted.
+    /// engine has restarted since it began.
     ///
     /// An engine may lose its network, crash and restart under the same name before its lease
     /// expires. The connection to the old instance then stays open without data, and only the
@@ -528,25 +552,60 @@
         let is_unavailable = |backup: &Backup| {
             !process.is_target_ready(backup.target()) || process.is_cordoned(backup.listed())
         };
-        let restarted = |known: &Target| {
-            process.target(&known.id).is_some_and(|listed| listed.is_restart_of(known))
-        };
-        if self.backup.as_ref().is_some_and(|b| is_unavailable(b) || restarted(b.listed())) {
+        let restart =
+            |known: &Target| process.target(&known.id).filter(|listed| listed.is_restart_of(known));
+        if self.backup.as_ref().is_some_and(|b| is_unavailable(b) || restart(b.listed()).is_some())
+        {
             self.backup = None;
         }
-        if self.target.as_ref().is_some_and(restarted) {
-            log::info!(
-                request = self.context.facts.request.as_str(), target:% = self.pass.target();
-                "run lost, its engine has restarted"
-            );
-            self.upstream = None;
-            self.ended = Some(Ended::Restarted);
-            if let Some(target) = self.target.take() {
-                liveness::Check::new(&self.worker, &self.context, &target, self.began_at)
-                    .with_events(self.run_events)
-                    .record_crash();
+        let Some(listed) = self.target.as_ref().and_then(restart) else { return };
+        if self.upstream.is_none() {
+            return self.lose_run();
+        }
+        let known = self.new_start.as_ref().map(|start| &start.listed);
+        if known.is_none_or(|known| listed.is_restart_of(known)) {
+            self.new_start = Some(NewStart::new(listed));
+        }
+    }
+
+    /// Handles the loss of a run whose engine has restarted.
+    fn lose_run(&mut self) {
+        log::info!(
+            request = self.context.facts.request.as_str(), target:% = self.pass.target();
+            "run lost, its engine has restarted"
+        );
+        self.upstream = None;
+        self.new_start = None;
+        self.ended = Some(Ended::Restarted);
+        if let Some(target) = self.target.take() {
+            liveness::Check::new(&self.worker, &self.context, &target, self.began_at)
+                .with_events(self.run_events)
+                .record_crash();
+        }
+    }
+
+    /// Attributes the run to the start of its engine that is listed now. If another version began the
+    /// stream, the run is broken off.
+    fn adopt_start(&mut self, listed: Target) {
+        let of_run = Constraint::to(listed.software.as_ref());
+        log::info!(
+            request = self.context.facts.request.as_str(), target:% = listed.id,
+            software:? = listed.software; "run belongs to the new start of its engine"
+        );
+        if self.backup.as_ref().is_some_and(|backup| !of_run.allows(backup.listed())) {
+            self.backup = None;
+        }
+        if self.began_here && self.constraint != of_run {
+            self.constraint = of_run.clone();
+            if let Some(origin) = self.origin() {
+                self.worker.fleet.correct_stream(self.context.stream, origin);
             }
         }
+        if self.constraint != Constraint::Free && self.constraint != of_run {
+            return self.lose_run();
+        }
+        self.software = listed.software.clone();
+        self.target = Some(listed);
     }
 
     /// Returns whether the answer is complete: the response ended in order and not within an event. One
@@ -561,6 +620,12 @@
     /// Forwards the events that the caller has not received yet. Fails if the answer ends with that;
     /// see [`send`].
     async fn forward(&mut self, bytes: &Bytes) -> Result<(), End> {
+        if let Some(start) = self.new_start.take_if(|start| start.is_confirmed()) {
+            self.adopt_start(start.listed);
+            if self.upstream.is_none() {
+                return Ok(());
+            }
+        }
         let Ok(events) = self.splitter.feed(bytes) else {
             self.upstream = None;
             return Ok(());
@@ -593,13 +658,20 @@
     fn begin_stream(&mut self) {
         if self.constraint == Constraint::Free {
             self.constraint = Constraint::to(self.software.as_ref());
+            self.began_here = true;
         }
-        if let Constraint::Version(software) = &self.constraint {
-            let (service, software) = (self.context.service.name.clone(), software.clone());
-            self.worker.fleet.begin_stream(self.context.stream, Origin { service, software });
+        if let Some(origin) = self.origin() {
+            self.worker.fleet.begin_stream(self.context.stream, origin);
         }
     }
 
+    /// Returns the version that goes on with the stream, with its service.
+    fn origin(&self) -> Option<Origin> {
+        let Constraint::Version(software) = &self.constraint else { return None };
+        let service = self.context.service.name.clone();
+        Some(Origin { service, software: software.clone() })
+    }
+
     /// Reports the length of the answer to the gate and to its backup.
     fn report_progress(&mut self) {
         if let Some(slot) = self.slot.take_if(|_| self.events > 0) {
--- a/crates/policy/src/origin.rs
+++ b/crates/policy/src/origin.rs
@@ -82,6 +82,9 @@
     pub origin: Origin,
     /// The streams.
     pub keys: Vec<Key>,
+    /// Whether this replaces what was told of them before.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub corrected: bool,
 }
 
 /// At which engines a stream may run.
@@ -118,10 +121,18 @@
     ranked.into_iter().take(COPIES).collect()
 }
 
+/// The origin of a stream.
+#[derive(Clone, Debug)]
+struct Known {
+    origin: Arc<Origin>,
+    /// Whether it replaces one that was told first.
+    corrected: bool,
+}
+
 /// An origin, and when it was last heard of.
 #[derive(Clone, Debug)]
 struct Record {
-    origin: Arc<Origin>,
+    known: Known,
     at: Time,
 }
 
@@ -132,7 +143,7 @@
     /// When each record was made or renewed, the oldest first.
     order: VecDeque<(Time, Key)>,
     /// The streams that this entry relays now.
-    open: HashMap<Key, Arc<Origin>>,
+    open: HashMap<Key, Known>,
     /// The origins in use; many streams share one.
     origins: Vec<Arc<Origin>>,
 }
@@ -140,38 +151,45 @@
 impl Ledger {
     /// Records that this entry has delivered the first event of a stream.
     pub fn begin(&mut self, now: Time, key: Key, origin: Origin) {
-        let origin = self.learn(now, key, origin);
-        self.open.insert(key, origin);
+        let known = self.learn(now, key, origin, false);
+        self.open.insert(key, known);
+    }
+
+    /// Replaces the origin of a stream that this entry relays: its engine had started again before it
+    /// began the stream.
+    pub fn correct(&mut self, now: Time, key: Key, origin: Origin) {
+        let known = self.learn(now, key, origin, true);
+        self.open.insert(key, known);
     }
 
     /// Records that this entry no longer relays a stream, which its caller may take up.
     pub fn end(&mut self, now: Time, key: Key) {
-        if let Some(origin) = self.open.remove(&key) {
-            self.renew(now, key, origin);
+        if let Some(known) = self.open.remove(&key) {
+            self.renew(now, key, known);
         }
     }
 
     /// Applies what another entry tells.
     pub fn apply(&mut self, now: Time, updates: Vec<Update>) {
-        for Update { origin, keys } in updates {
+        for Update { origin, keys, corrected } in updates {
             for key in keys {
-                self.learn(now, key, origin.clone());
+                self.learn(now, key, origin.clone(), corrected);
             }
         }
     }
 
     /// Returns the origin of a stream, if it is known.
     pub fn get(&self, now: Time, key: Key) -> Option<Origin> {
-        if let Some(origin) = self.open.get(&key) {
-            return Some(Origin::clone(origin));
+        if let Some(known) = self.open.get(&key) {
+            return Some(Origin::clone(&known.origin));
         }
         let record = self.records.get(&key).filter(|record| now.since(record.at) < TTL)?;
-        Some(Origin::clone(&record.origin))
+        Some(Origin::clone(&record.known.origin))
     }
 
-    /// Returns the streams that this entry relays now, and their origins.
-    pub fn open(&self) -> impl Iterator<Item = (Key, &Origin)> {
-        self.open.iter().map(|(key, origin)| (*key, &**origin))
+    /// Returns the streams that this entry relays now, their origins, and whether these were corrected.
+    pub fn open(&self) -> impl Iterator<Item = (Key, &Origin, bool)> {
+        self.open.iter().map(|(key, known)| (*key, &*known.origin, known.corrected))
     }
 
     /// Returns the number of origins that are kept.
@@ -184,19 +202,20 @@
         self.records.is_empty()
     }
 
-    /// Records an origin. What is known already is not replaced: a stream begins once.
-    fn learn(&mut self, now: Time, key: Key, origin: Origin) -> Arc<Origin> {
-        let known = self.records.get(&key).filter(|record| now.since(record.at) < TTL);
-        let origin = match known {
-            Some(record) => Arc::clone(&record.origin),
-            None => self.shared(origin),
+    /// Records an origin. What is known already is replaced only by its correction: a stream begins
+    /// once.
+    fn learn(&mut self, now: Time, key: Key, origin: Origin, corrected: bool) -> Known {
+        let record = self.records.get(&key).filter(|record| now.since(record.at) < TTL);
+        let known = match record.map(|record| &record.known) {
+            Some(known) if known.corrected || !corrected => known.clone(),
+            _ => Known { origin: self.shared(origin), corrected },
         };
-        self.renew(now, key, Arc::clone(&origin));
-        origin
+        self.renew(now, key, known.clone());
+        known
     }
 
-    fn renew(&mut self, now: Time, key: Key, origin: Arc<Origin>) {
-        self.records.insert(key, Record { origin, at: now });
+    fn renew(&mut self, now: Time, key: Key, known: Known) {
+        self.records.insert(key, Record { known, at: now });
         self.order.push_back((now, key));
         while let Some((at, key)) = self.order.front().copied() {
             let expired = now.since(at) >= TTL;
@@ -224,20 +243,21 @@
 /// Origins that are due to be sent to other entries.
 #[derive(Debug, Default)]
 pub struct Outbox {
-    due: BTreeMap<id::Host, BTreeMap<Origin, Vec<Key>>>,
+    /// By entry, the streams of each origin, and whether that is corrected.
+    due: BTreeMap<id::Host, BTreeMap<(Origin, bool), Vec<Key>>>,
 }
 
 impl Outbox {
     /// Adds an origin for an entry.
-    pub fn push(&mut self, to: id::Host, key: Key, origin: Origin) {
-        self.due.entry(to).or_default().entry(origin).or_default().push(key);
+    pub fn push(&mut self, to: id::Host, key: Key, origin: Origin, corrected: bool) {
+        self.due.entry(to).or_default().entry((origin, corrected)).or_default().push(key);
     }
 
     /// Takes all that is due.
     pub fn take(&mut self) -> Vec<(id::Host, Vec<Update>)> {
-        let updates = |due: BTreeMap<Origin, Vec<Key>>| {
-            due.into_iter().map(|(origin, keys)| Update { origin, keys }).collect()
-        };
+        let update = |((origin, corrected), keys)| Update { origin, keys, corrected };
+        let updates =
+            |due: BTreeMap<(Origin, bool), Vec<Key>>| due.into_iter().map(update).collect();
         std::mem::take(&mut self.due).into_iter().map(|(to, due)| (to, updates(due))).collect()
     }
 }
--- a/crates/policy/tests/origin.rs
+++ b/crates/policy/tests/origin.rs
@@ -29,6 +29,10 @@
     Key::of(None, &format!("r-{nth}"))
 }
 
+fn update<const N: usize>(software: &str, keys: [Key; N]) -> Update {
+    Update { origin: origin_of(software), keys: keys.to_vec(), corrected: false }
+}
+
 fn at(ms: u64) -> Time {
     Time::ZERO + Duration::from_millis(ms)
 }
@@ -67,7 +71,7 @@
                 hosts(&fleet.actives).into_iter().filter(|host| *host != at).collect();
             fleet.ledger(&at).begin(Time::ZERO, key(nth), origin_of("v1"));
             for keeper in origin::keepers(key(nth), &others) {
-                let update = Update { origin: origin_of("v1"), keys: vec![key(nth)] };
+                let update = update("v1", [key(nth)]);
                 fleet.ledger(keeper).apply(Time::ZERO, vec![update]);
                 fleet.told += 1;
             }
@@ -162,7 +166,7 @@
 fn the_first_origin_of_a_stream_holds() {
     let mut ledger = Ledger::default();
     ledger.begin(at(0), key(1), origin_of("v1"));
-    ledger.apply(at(10), vec![Update { origin: origin_of("v2"), keys: vec![key(1), key(2)] }]);
+    ledger.apply(at(10), vec![update("v2", [key(1), key(2)])]);
     ledger.end(at(20), key(1));
     assert_eq!(ledger.get(at(30), key(1)), Some(origin_of("v1")));
     assert_eq!(ledger.get(at(30), key(2)), Some(origin_of("v2")));
@@ -174,7 +178,7 @@
     let mut ledger = Ledger::default();
     let ttl = u64::try_from(TTL.as_millis()).expect("a time");
     ledger.begin(at(0), key(1), origin_of("v1"));
-    ledger.apply(at(0), vec![Update { origin: origin_of("v1"), keys: vec![key(2)] }]);
+    ledger.apply(at(0), vec![update("v1", [key(2)])]);
     assert_eq!(ledger.get(at(ttl), key(2)), None);
     assert_eq!(ledger.get(at(10 * ttl), key(1)), Some(origin_of("v1")), "it is open");
     ledger.end(at(10 * ttl), key(1));
@@ -224,7 +228,7 @@
     let mut outbox = Outbox::default();
     let host: Host = "entry-1".parse().expect("a name");
     for nth in 0..30 {
-        outbox.push(host.clone(), key(nth), origin_of(["v1", "v2"][nth % 2]));
+        outbox.push(host.clone(), key(nth), origin_of(["v1", "v2"][nth % 2]), false);
     }
     let due = outbox.take();
     assert_eq!((due.len(), due[0].1.len()), (1, 2));
@@ -260,3 +264,42 @@
     assert!(!Constraint::to(None).allows(&target(None)));
     assert!(Constraint::Free.allows(&target(None)));
 }
+
+/// Guards against keeping the version that an engine was listed with before it started again, whatever
+/// the order in which the origin and its correction arrive.
+#[parameterized(
+    in_order = { [false, true] },
+    correction_first = { [true, false] },
+    told_again = { [true, true] },
+)]
+fn a_correction_replaces_what_was_told_first(order: [bool; 2]) {
+    let mut ledger = Ledger::default();
+    for (nth, corrected) in order.into_iter().enumerate() {
+        let software = if corrected { "v2" } else { "v1" };
+        let update = Update { corrected, ..update(software, [key(1)]) };
+        ledger.apply(at(nth as u64), vec![update]);
+    }
+    ledger.apply(at(2), vec![update("v1", [key(1), key(2)])]);
+    assert_eq!(ledger.get(at(3), key(1)), Some(origin_of("v2")));
+    assert_eq!(ledger.get(at(3), key(2)), Some(origin_of("v1")));
+}
+
+/// Guards against an entry that tells the first origin of a stream again after it has corrected it.
+#[test]
+fn a_corrected_origin_is_told_as_corrected() {
+    let mut ledger = Ledger::default();
+    ledger.begin(at(0), key(1), origin_of("v1"));
+    ledger.correct(at(1), key(1), origin_of("v2"));
+    ledger.begin(at(2), key(1), origin_of("v1"));
+    let open: Vec<_> = ledger.open().collect();
+    assert_eq!(open, [(key(1), &origin_of("v2"), true)]);
+    let mut outbox = Outbox::default();
+    outbox.push("entry-1".parse().expect("a name"), key(1), origin_of("v1"), false);
+    outbox.push("entry-1".parse().expect("a name"), key(1), origin_of("v2"), true);
+    let told = outbox.take().into_iter().flat_map(|(_, updates)| updates).collect();
+    let mut other = Ledger::default();
+    other.apply(at(3), told);
+    ledger.end(at(4), key(1));
+    assert_eq!(other.get(at(5), key(1)), Some(origin_of("v2")));
+    assert_eq!(ledger.get(at(5), key(1)), Some(origin_of("v2")));
+}
