--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod bodies;
 pub(crate) mod caller;
 pub(crate) mod counting;
+pub(crate) mod engines;
 pub(crate) mod forwarder;
 pub(crate) mod proxy;
 pub(crate) mod restarting;
