--- /dev/null
+++ b/crates/gateway/tests/ended_elsewhere.rs
@@ -0,0 +1,251 @@
+//! Generations whose runs are taken for ended though nothing of their engines says so, and generations
+//! that wait for engines from which nothing more comes.
+
+mod support;
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use fireflyhoist_gateway::native::{Copied, Move, Native};
+use fireflyhoist_gateway::{Gateway, Settings};
+use fireflyhoist_policy::route::{Kind, Route, Text};
+use fireflyhoist_standin::registry::Registry;
+use parking_lot::Mutex;
+use support::caller::{Answer, Request};
+use support::forwarder::Forwarder;
+use support::target::{Seen, Standin, Step, answer, event, events, stream_end, stream_head};
+use support::{eventually, route, settings, text, until_ready};
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::{Instant, sleep};
+
+/// How long engines stand still.
+const STALL: Duration = Duration::from_millis(1_200);
+
+/// How long an engine that is awake may take to notice that a connection is closed.
+const NOTICE: Duration = Duration::from_millis(300);
+
+/// The events of each answer.
+const LENGTH: u64 = 120;
+
+/// How an engine answers the call that stops a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Last {
+    /// It stops the run and copies the rest.
+    Copies,
+    /// It resets the connection, and the run goes on.
+    Resets,
+}
+
+/// What happens at one engine.
+#[derive(Clone, Debug)]
+struct State {
+    name: &'static str,
+    stalled: Arc<AtomicBool>,
+    /// Whether its run writes nothing, while the engine answers other calls.
+    quiet: Arc<AtomicBool>,
+    stopped: Arc<AtomicBool>,
+    /// Whether the reply to the first copy waits.
+    held: Arc<AtomicBool>,
+    copied: Arc<AtomicBool>,
+    told: Arc<AtomicBool>,
+    last: Last,
+    /// When each run began, at any engine.
+    runs: Arc<Mutex<Vec<(Instant, &'static str)>>>,
+    /// When it last worked on a run.
+    worked: Arc<Mutex<Option<Instant>>>,
+}
+
+impl State {
+    fn new(
+        name: &'static str,
+        runs: &Arc<Mutex<Vec<(Instant, &'static str)>>>,
+        last: Last,
+    ) -> Self {
+        let (stalled, quiet, stopped, held, copied, told) = Default::default();
+        let (runs, worked) = (Arc::clone(runs), Arc::default());
+        Self { name, stalled, quiet, stopped, held, copied, told, last, runs, worked }
+    }
+
+    /// Waits while a flag is set.
+    fn while_set(flag: &Arc<AtomicBool>) -> Step {
+        let flag = Arc::clone(flag);
+        Step::Until(Arc::new(move || !flag.load(Ordering::SeqCst)))
+    }
+
+    /// Does something as a step of a script.
+    fn act(act: impl Fn(&Self) + Send + Sync + 'static, own: &Self) -> Step {
+        let own = own.clone();
+        Step::Until(Arc::new(move || {
+            act(&own);
+            true
+        }))
+    }
+
+    fn reply(&self, seen: &Seen) -> Vec<Step> {
+        let awake = Self::while_set(&self.stalled);
+        let line = seen.line();
+        if line.contains("/v1/report") {
+            return [vec![awake], answer(200, "{}")].concat();
+        }
+        if line.contains("/move") {
+            let request: Move = serde_json::from_str(&seen.body).expect("a move");
+            return self.reply_to_move(request.last);
+        }
+        if line.starts_with("DELETE") {
+            return answer(200, "");
+        }
+        if line.starts_with("GET") {
+            return answer(200, "found");
+        }
+        let is_first = self.runs.lock().is_empty();
+        self.runs.lock().push((Instant::now(), self.name));
+        let last: u64 = seen.header("last-event-id").map_or(0, |id| id.parse().expect("a number"));
+        // A run that goes on takes a while until its first event.
+        let pause = Duration::from_millis(if is_first { 0 } else { 600 });
+        [vec![Step::Wait(pause)], self.run(last + 1)].concat()
+    }
+
+    fn reply_to_move(&self, last: bool) -> Vec<Step> {
+        let copied = |name: &str| {
+            let copied = Copied { copy: Some(name.into()) };
+            answer(200, &serde_json::to_string(&copied).expect("JSON"))
+        };
+        let awake = Self::while_set(&self.stalled);
+        if !last {
+            self.copied.store(true, Ordering::SeqCst);
+            return [vec![Self::while_set(&self.held)], copied("c-1")].concat();
+        }
+        self.told.store(true, Ordering::SeqCst);
+        let stop = Self::act(|own| own.stopped.store(true, Ordering::SeqCst), self);
+        match self.last {
+            Last::Copies => [vec![awake, stop], copied("c-2")].concat(),
+            Last::Resets => vec![awake, Step::Reset],
+        }
+    }
+
+    /// Runs from an event until the end, until it is stopped, or until its connection is closed, which
+    /// it learns when it writes.
+    fn run(&self, from: u64) -> Vec<Step> {
+        let mut steps = vec![Self::while_set(&self.stalled), stream_head()];
+        for id in from..=LENGTH {
+            let stopped = Arc::clone(&self.stopped);
+            steps.extend([
+                Self::while_set(&self.stalled),
+                Self::while_set(&self.quiet),
+                Step::Only(Arc::new(move || !stopped.load(Ordering::SeqCst))),
+                Self::act(|own| *own.worked.lock() = Some(Instant::now()), self),
+                event(id),
+                Step::Wait(Duration::from_millis(20)),
+            ]);
+        }
+        steps.push(stream_end());
+        steps
+    }
+
+    fn set_for(flag: &Arc<AtomicBool>, span: Duration) {
+        flag.store(true, Ordering::SeqCst);
+        let flag = Arc::clone(flag);
+        spawn_local(async move {
+            sleep(span).await;
+            flag.store(false, Ordering::SeqCst);
+        });
+    }
+}
+
+/// Entries before two engines, which each reaches through a forwarder of its own.
+struct Fleet {
+    registry: Registry,
+    entries: Vec<Gateway>,
+    forwarders: Vec<Forwarder>,
+    engines: Vec<(Standin, State)>,
+    runs: Arc<Mutex<Vec<(Instant, &'static str)>>>,
+    _others: Vec<Standin>,
+}
+
+impl Fleet {
+    async fn open(entries: usize, last: Last, adjust: impl Fn(&mut Text)) -> Self {
+        let registry = Registry::open().await;
+        let page = route("gen", Kind::Stream { resumable: false });
+        let page = Route { timeout: Duration::from_secs(9), ..page };
+        let routes = vec![page, route("look", Kind::Safe)];
+        let mut text = text(1, routes);
+        adjust(&mut text);
+        registry.publish(text);
+        let runs = Arc::default();
+        let (mut engines, mut others) = (Vec::new(), Vec::new());
+        for name in ["e-1", "e-2"] {
+            let state = State::new(name, &runs, last);
+            let own = state.clone();
+            let engine = Standin::open(name, "gen", move |seen: &Seen| own.reply(seen)).await;
+            registry.put(engine.listed.clone());
+            engines.push((engine, state));
+        }
+        for name in ["t-1", "t-2", "t-3"] {
+            let target = Standin::open(name, "look", |_: &Seen| answer(200, "found")).await;
+            registry.put(target.listed.clone());
+            others.push(target);
+        }
+        let mut fleet =
+            Self { registry, entries: vec![], forwarders: vec![], engines, runs, _others: others };
+        for nth in 0..entries {
+            let seeds: Vec<_> = fleet.entries.iter().map(Gateway::peers).collect();
+            let forwarder = Forwarder::open().await;
+            let own = settings(&format!("entry-{nth}"), fleet.registry.address(), &seeds);
+            let settings = Settings { forwarder: Some(forwarder.address), ..own };
+            let entry =
+                Gateway::bind::<Native>(settings, PathBuf::from("none")).await.expect("gateway");
+            until_ready(&entry).await;
+            fleet.entries.push(entry);
+            fleet.forwarders.push(forwarder);
+        }
+        fleet
+    }
+
+    /// Sends a generation, and returns its answer to come and the engine that runs it.
+    async fn generation(&self) -> (JoinHandle<Answer>, Standin, State) {
+        let callers = self.entries[0].callers();
+        let request = Request::stream("/gen/x", 500).body("b");
+        let answered = spawn_local(async move { request.send(callers).await });
+        eventually(async || !self.runs.lock().is_empty()).await;
+        sleep(Duration::from_millis(200)).await;
+        let name = self.runs.lock()[0].1;
+        let engine = self.engines.iter().find(|(_, state)| state.name == name).expect("it runs");
+        (answered, engine.0.clone(), engine.1.clone())
+    }
+
+    /// Checks that the answer is whole, and that no engine worked on it after it went on elsewhere.
+    fn assert_one_at_a_time(&self, answer: Answer, first: &State) {
+        assert_eq!((answer.body, answer.whole), (events(1, LENGTH), true));
+        let runs = self.runs.lock();
+        let worked = first.worked.lock().expect("it worked");
+        if let Some((again, _)) = runs.get(1) {
+            assert!(worked <= *again + NOTICE, "it went on {:?} too early", worked - *again);
+        }
+    }
+}
+
+/// Guards against a generation that goes on elsewhere while its engine writes events, since calls that
+/// stop its run break.
+#[ntex::test]
+async fn a_run_that_writes_has_not_ended() {
+    let fleet = Fleet::open(1, Last::Resets, |_| {}).await;
+    let (answered, engine, state) = fleet.generation().await;
+    fleet.registry.put(engine.draining());
+    fleet.assert_one_at_a_time(answered.await.expect("the caller ends"), &state);
+}
+
+/// Guards against a generation that goes on elsewhere while its engine writes events, since the engine
+/// accepts no new connections.
+#[ntex::test]
+async fn a_run_whose_engine_refuses_connections_has_not_ended() {
+    let fleet = Fleet::open(1, Last::Copies, |_| {}).await;
+    let (answered, engine, state) = fleet.generation().await;
+    state.held.store(true, Ordering::SeqCst);
+    fleet.registry.put(engine.draining());
+    eventually(async || state.copied.load(Ordering::SeqCst)).await;
+    engine.close_listener();
+    state.held.store(false, Ordering::SeqCst);
+    fleet.assert_one_at_a_time(answered.await.expect("the caller ends"), &state);
+}
--- a/crates/gateway/tests/support/target.rs
+++ b/crates/gateway/tests/support/target.rs
@@ -108,6 +108,11 @@
         self.tasks.lock().drain(..).for_each(|task| task.abort());
     }
 
+    /// Closes its listener; its connections live on.
+    pub(crate) fn close_listener(&self) {
+        self.tasks.lock().remove(0).abort();
+    }
+
     /// Returns whether the target has ended.
     pub(crate) fn has_ended(&self) -> bool {
         self.tasks.lock().is_empty()
