--- a/crates/gateway/tests/ended_elsewhere.rs
+++ b/crates/gateway/tests/ended_elsewhere.rs
@@ -249,3 +249,23 @@
     state.held.store(false, Ordering::SeqCst);
     fleet.assert_one_at_a_time(answered.await.expect("the caller ends"), &state);
 }
+
+/// Guards against a generation that goes on elsewhere since all connections were reset after its engine
+/// was told to stop the run, while the engine stands still.
+#[ntex::test]
+async fn a_reset_stream_is_no_sign_that_a_run_was_stopped() {
+    let fleet = Fleet::open(1, Last::Copies, |_| {}).await;
+    let (answered, engine, state) = fleet.generation().await;
+    state.held.store(true, Ordering::SeqCst);
+    fleet.registry.put(engine.draining());
+    eventually(async || state.copied.load(Ordering::SeqCst)).await;
+    let woken_at = Instant::now() + STALL;
+    State::set_for(&state.stalled, STALL);
+    state.held.store(false, Ordering::SeqCst);
+    eventually(async || state.told.load(Ordering::SeqCst)).await;
+    fleet.forwarders[0].reset();
+    let answer = answered.await.expect("the caller ends");
+    assert_eq!((answer.body, answer.whole), (events(1, LENGTH), true));
+    let again = fleet.runs.lock()[1].0;
+    assert!(again >= woken_at, "it went on {:?} too early", woken_at - again);
+}
