--- a/crates/gateway/tests/ended_elsewhere.rs
+++ b/crates/gateway/tests/ended_elsewhere.rs
@@ -18,7 +18,8 @@
 use support::target::{Seen, Standin, Step, answer, event, events, stream_end, stream_head};
 use support::{eventually, route, settings, text, until_ready};
 use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
+use yare::parameterized;
 
 /// How long engines stand still.
 const STALL: Duration = Duration::from_millis(1_200);
@@ -226,6 +227,22 @@
     }
 }
 
+/// Guards against a generation that goes on elsewhere since the call that asks its engine broke with
+/// all connections of the entry, while the engine stands still.
+#[parameterized(silent = { &[720] }, lost = { &[50, 200] })]
+#[test_macro(ntex::test)]
+async fn a_call_that_breaks_is_no_end_of_a_run(resets_at: &[u64]) {
+    let fleet = Fleet::open(1, Last::Copies, |_| {}).await;
+    let (answered, _, state) = fleet.generation().await;
+    let began_at = Instant::now();
+    State::set_for(&state.stalled, STALL);
+    for at in resets_at {
+        sleep_until(began_at + Duration::from_millis(*at)).await;
+        fleet.forwarders[0].reset();
+    }
+    fleet.assert_one_at_a_time(answered.await.expect("the caller ends"), &state);
+}
+
 /// Guards against a generation that goes on elsewhere while its engine writes events, since calls that
 /// stop its run break.
 #[ntex::test]
