--- a/crates/gateway/tests/ended_elsewhere.rs
+++ b/crates/gateway/tests/ended_elsewhere.rs
@@ -286,3 +286,14 @@
     let again = fleet.runs.lock()[1].0;
     assert!(again >= woken_at, "it went on {:?} too early", woken_at - again);
 }
+
+/// Guards against a generation that goes on elsewhere since an engine answers other calls, although it
+/// works on and learns only on writing that its connection is closed.
+#[ntex::test]
+async fn an_engine_that_answers_may_still_run_what_it_was_sent() {
+    let fleet = Fleet::open(1, Last::Copies, |_| {}).await;
+    let (answered, _, state) = fleet.generation().await;
+    State::set_for(&state.quiet, STALL);
+    fleet.forwarders[0].reset();
+    fleet.assert_one_at_a_time(answered.await.expect("the caller ends"), &state);
+}
