Test that a timeout at a relaying entry does not end a run

An entry that relays for an isolated one replies "unreached" also where its connection to the engine timed out, which counts as a refusal by the engine.

--- a/crates/gateway/tests/ended_elsewhere.rs
+++ b/crates/gateway/tests/ended_elsewhere.rs
@@ -14,7 +14,7 @@
 use fireflyhoist_standin::registry::Registry;
 use parking_lot::Mutex;
 use support::caller::{Answer, Request};
-use support::forwarder::Forwarder;
+use support::forwarder::{Forwarder, Mode};
 use support::target::{Seen, Standin, Step, answer, event, events, stream_end, stream_head};
 use support::{eventually, route, settings, text, until_ready};
 use tokio::task::{JoinHandle, spawn_local};
@@ -297,3 +297,24 @@
     fleet.forwarders[0].reset();
     fleet.assert_one_at_a_time(answered.await.expect("the caller ends"), &state);
 }
+
+/// Guards against a generation that goes on elsewhere since an entry that relays for an isolated one
+/// opened no connection in time to an engine that stands still.
+#[ntex::test]
+async fn a_connection_that_a_peer_does_not_open_is_no_end_of_a_run() {
+    let fleet = Fleet::open(2, Last::Copies, |_| {}).await;
+    let (answered, engine, state) = fleet.generation().await;
+    fleet.forwarders[0].set_mode(Mode::Hang);
+    for _ in 0..3 {
+        Request::new("GET", "/look/x").send(fleet.entries[0].callers()).await;
+    }
+    fleet.forwarders[1].set_hanging(vec![engine.listed.address]);
+    State::set_for(&state.stalled, STALL);
+    fleet.forwarders[0].reset();
+    let forwarder = fleet.forwarders[1].clone();
+    spawn_local(async move {
+        sleep(STALL).await;
+        forwarder.set_hanging(Vec::new());
+    });
+    fleet.assert_one_at_a_time(answered.await.expect("the caller ends"), &state);
+}
