--- a/crates/gateway/tests/ended_elsewhere.rs
+++ b/crates/gateway/tests/ended_elsewhere.rs
@@ -318,3 +318,27 @@
     });
     fleet.assert_one_at_a_time(answered.await.expect("the caller ends"), &state);
 }
+
+/// Guards against a generation that begins elsewhere since its connection was reset before its answer
+/// began, while its engine stands still and has it.
+#[ntex::test]
+async fn a_generation_that_has_not_answered_may_have_begun() {
+    let fleet = Fleet::open(1, Last::Copies, |text| {
+        text.routes[0].kind = Kind::Stream { resumable: true };
+    })
+    .await;
+    for (_, state) in &fleet.engines {
+        state.stalled.store(true, Ordering::SeqCst);
+    }
+    let (answered, _, state) = fleet.generation().await;
+    let began_at = Instant::now();
+    for (_, state) in &fleet.engines {
+        state.stalled.store(false, Ordering::SeqCst);
+    }
+    State::set_for(&state.stalled, STALL);
+    fleet.forwarders[0].reset();
+    let answer = answered.await.expect("the caller ends");
+    assert_eq!((answer.body, answer.whole), (events(1, LENGTH), true));
+    let again = fleet.runs.lock()[1].0;
+    assert!(again >= began_at + STALL, "it began {:?} too early", began_at + STALL - again);
+}
