Test that a dead connection to an engine that answers is left

An answer with a backup whose connection brings nothing more waits for its engine until the deadline if the engine answers reports.

--- a/crates/gateway/tests/ended_elsewhere.rs
+++ b/crates/gateway/tests/ended_elsewhere.rs
@@ -342,3 +342,14 @@
     let again = fleet.runs.lock()[1].0;
     assert!(again >= began_at + STALL, "it began {:?} too early", began_at + STALL - again);
 }
+
+/// Guards against an answer with a backup that waits until its deadline, since its engine answers calls
+/// although nothing more comes on the connection.
+#[ntex::test]
+async fn a_dead_connection_to_an_engine_that_answers_is_left() {
+    let fleet = Fleet::open(1, Last::Copies, |_| {}).await;
+    let (answered, _, state) = fleet.generation().await;
+    state.quiet.store(true, Ordering::SeqCst);
+    let answer = answered.await.expect("the caller ends");
+    assert_eq!((answer.body, answer.whole), (events(1, LENGTH), true));
+}
