Test for a busy loop while a leaving engine stands still

The silence of a run that must leave and cannot be moved is noticed again at once after each pass of the loop, since only a check resets its time.

--- a/crates/gateway/tests/ended_elsewhere.rs
+++ b/crates/gateway/tests/ended_elsewhere.rs
@@ -353,3 +353,32 @@
     let answer = answered.await.expect("the caller ends");
     assert_eq!((answer.body, answer.whole), (events(1, LENGTH), true));
 }
+
+/// Guards against a busy loop while the engine of an answer that can't be moved leaves and stands still.
+#[ntex::test]
+async fn a_silent_run_that_cannot_be_moved_takes_no_processor_time() {
+    let fleet = Fleet::open(1, Last::Copies, |text| {
+        text.services[0].engine.as_mut().expect("a service of engines").moves = false;
+    })
+    .await;
+    let (answered, engine, state) = fleet.generation().await;
+    fleet.registry.put(engine.draining());
+    sleep(Duration::from_millis(300)).await;
+    State::set_for(&state.stalled, Duration::from_secs(2));
+    sleep(Duration::from_secs(1)).await;
+    let (began_at, used) = (Instant::now(), processor_time());
+    sleep(Duration::from_millis(800)).await;
+    let (passed, used) = (began_at.elapsed(), processor_time() - used);
+    assert!(used < passed / 2, "{used:?} of processor time in {passed:?}");
+    drop(answered);
+}
+
+/// Returns the processor time that this process has used.
+fn processor_time() -> Duration {
+    let tasks = std::fs::read_dir("/proc/self/task").expect("threads");
+    let used = tasks.filter_map(|task| {
+        let text = std::fs::read_to_string(task.ok()?.path().join("schedstat")).ok()?;
+        text.split(' ').next()?.parse::<u64>().ok()
+    });
+    Duration::from_nanos(used.sum())
+}
