Take neither a broken call nor an open stream for the end of a run

What still let two engines run one generation after the fence: a report call that broke when all connections of the entry were reset, a reset of the stream together with the call that stops the run, a peer that opened no connection in time, and runs that wrote on while calls to stop them were refused. A call that breaks is now made again, a reset stream is no evidence, a peer's failure says nothing of the engine, and a stream is closed before the answer goes on without a word from the engine.

Also since the fence: a run that is silent at an engine that leaves and can't be moved kept its entry busy, and an answer whose connection is dead waited until its deadline while its engine answered other calls. The engine now moves it.

The check of processor time counted the threads of all tests of the file, whose sum can fall; it counts those of its own test. In streams.rs a count of requests took the report call for one.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -82,6 +82,9 @@
     /// The forwarder of this host could not open it.
     #[display("not forwarded")]
     NotForwarded,
+    /// Another entry, which reaches other targets, could not open it in time or at all.
+    #[display("not relayed")]
+    NotRelayed,
 }
 
 impl Failure {
--- a/crates/gateway/src/process/state/path.rs
+++ b/crates/gateway/src/process/state/path.rs
@@ -154,7 +154,7 @@
             };
             log::info!(target:% = target.id, via:% = host, error:% = error; "not relayed");
             if error == (OpenError::Refused { reason: relay::Refusal::Unreached }) {
-                return Err(Failure::ConnectFailed { reason: Refusal::NotForwarded });
+                return Err(Failure::ConnectFailed { reason: Refusal::NotRelayed });
             }
         }
         self.metrics.relayed("failed");
--- a/crates/gateway/src/request/fence.rs
+++ b/crates/gateway/src/request/fence.rs
@@ -19,6 +19,9 @@
 /// Delay before an engine that did not answer is asked again.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How many calls to an engine must break for it to count as crashed.
+const MAX_BROKEN: u32 = 2;
+
 /// Maximum size of a report in bytes.
 const MAX_REPORT_BYTES: usize = 1 << 20;
 
@@ -28,9 +31,6 @@
     /// Its engine has stopped it when it was told to.
     #[display("stopped")]
     Stopped,
-    /// Its engine closed the stream after it was told to stop the run.
-    #[display("closed")]
-    Closed,
     /// Its engine answers other calls.
     #[display("answered")]
     Answered,
@@ -46,19 +46,28 @@
 }
 
 /// Asks an engine until it is known to be awake or lost.
+///
+/// A call that breaks says nothing by itself: the connections of this entry may have been reset while
+/// the engine stands still. The next one shows it.
 pub(crate) async fn check<P: Platform>(process: &Process, engine: &Target) -> Ended {
     let give_up_at = process.clock.now() + STALL_TIME;
+    let mut broken = 0;
     loop {
         let left = give_up_at.since(process.clock.now());
         let called = process.call(engine, P::report().into(), left, MAX_REPORT_BYTES).await;
         match called {
             Ok(_) | Err(Failure::BodyTooLarge) => return Ended::Answered,
+            Err(Failure::ConnectFailed { reason: Refusal::Refused }) => return Ended::Refused,
             Err(
-                Failure::Broken { .. }
-                | Failure::ConnectFailed { reason: Refusal::Refused | Refusal::NotForwarded },
-            ) => return Ended::Refused,
+                Failure::Broken { .. } | Failure::ConnectFailed { reason: Refusal::NotForwarded },
+            ) => {
+                broken += 1;
+                if broken == MAX_BROKEN {
+                    return Ended::Refused;
+                }
+            }
             Err(
-                Failure::ConnectFailed { reason: Refusal::TimedOut }
+                Failure::ConnectFailed { reason: Refusal::TimedOut | Refusal::NotRelayed }
                 | Failure::TimedOut
                 | Failure::Resting
                 | Failure::PermitExpired
--- a/crates/gateway/src/request/migration.rs
+++ b/crates/gateway/src/request/migration.rs
@@ -26,7 +26,7 @@
 use crate::process::state::millis;
 use crate::request::attempt::{self, Error, Options, Started};
 use crate::request::fence::Ended;
-use crate::request::transfer::{self, Source, Transferred};
+use crate::request::transfer::{self, RunStream, Source, Transferred};
 use crate::request::{Context, Worker, admission, quarantine};
 
 /// Minimum number of expected tokens for which an answer is backed up. Shorter answers end within
@@ -154,8 +154,8 @@
     pub(crate) constraint: Constraint,
     /// The id of the last event sent to the caller, which grows while a transfer is in progress.
     pub(crate) last_event: Rc<Cell<Option<u64>>>,
-    /// Whether the stream of the current run is open.
-    pub(crate) is_open: Rc<Cell<bool>>,
+    /// The stream of the current run.
+    pub(crate) stream: Rc<RunStream>,
     /// How it is known that the run has ended; `None` if a transfer ends it.
     pub(crate) ended: Option<Ended>,
 }
@@ -240,7 +240,7 @@
             let turn = Turn::wait(&worker.fleet, &from.id, request, remaining).await;
             let turn_at = worker.process.clock.now();
             let source =
-                Source { engine: &from, last_event: &plan.last_event, is_open: &plan.is_open };
+                Source { engine: &from, last_event: &plan.last_event, stream: &plan.stream };
             let transferred =
                 transfer::transfer_run::<P>(worker, context, &source, &candidates, memory).await;
             log::info!(
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -29,6 +29,7 @@
 use crate::request::migration::{self, Backup, Failed, Plan, Resumed, Strategy};
 use crate::request::new_start::{self, NewStart};
 use crate::request::sse::Splitter;
+use crate::request::transfer::RunStream;
 use crate::request::{Context, Worker, liveness};
 
 /// Time without an event after which the engine of an answer with a backup is asked whether it is awake.
@@ -38,6 +39,10 @@
 /// two events; a run that is only slow resumes from its backup without loss.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// How often an engine may answer other calls while nothing comes from its run, until the run is
+/// transferred.
+const MAX_SILENT_CHECKS: u32 = 2;
+
 /// How long an attempt to migrate that could not be sent is made again: engines that work may accept no
 /// connection for a second or so.
 const UNSENT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -110,14 +115,16 @@
     began_here: bool,
     /// The start of the current engine that was listed since the run began.
     new_start: Option<NewStart>,
-    /// Whether `upstream` is open.
-    is_open: Rc<Cell<bool>>,
+    /// The stream of `upstream`, as transfers know it.
+    stream: Rc<RunStream>,
     /// How it is known that the last run has ended; `None` while that is not known.
     ended: Option<Ended>,
     /// When an event or what is known of the current engine last arrived.
     quiet_since: Instant,
     /// Whether nothing has come from it for [`SILENCE_TIMEOUT`].
     silent: bool,
+    /// How often the engine answered other calls since its last event.
+    silent_checks: u32,
     /// Whether the run must be transferred although its engine takes new requests.
     must_transfer: bool,
     /// Whether another entry relays the connection to the current engine.
@@ -168,10 +175,11 @@
             constraint,
             began_here: false,
             new_start: None,
-            is_open: Rc::new(Cell::new(true)),
+            stream: Rc::new(RunStream::open()),
             ended: None,
             quiet_since: Instant::now(),
             silent: false,
+            silent_checks: 0,
             must_transfer: false,
             began_at: started.began_at,
             splitter: Splitter::default(),
@@ -275,6 +283,7 @@
                 asking.set(ask.fuse());
             }
             let give_up_at = self.new_start.as_ref().and_then(NewStart::give_up_at);
+            let stream = Rc::clone(&self.stream);
             tokio::select! {
                 biased;
                 () = &mut caller_gone => return End::Left,
@@ -286,7 +295,10 @@
                 chunk = next_chunk(&mut self.upstream) => match chunk {
                     Some(bytes) => {
                         // An engine that writes need not be asked whether it is awake.
-                        in_progress = in_progress.filter(|work| *work != Work::Check);
+                        if in_progress == Some(Work::Check) {
+                            checking.set(Fuse::terminated());
+                            in_progress = None;
+                        }
                         if let Err(end) = self.forward(&bytes).await {
                             return end;
                         }
@@ -312,14 +324,20 @@
                 {
                     self.silent = true;
                 }
+                () = stream.must_close() => (self.upstream, self.ended) = (None, None),
+            }
+            if self.upstream.is_none() {
+                self.stream.set_closed();
             }
-            self.is_open.set(self.upstream.is_some());
         }
     }
 
     /// Returns what to do next for the answer to go on.
     fn next_step(&mut self) -> Step {
         let (silent, leaves) = (std::mem::take(&mut self.silent), self.must_migrate());
+        if silent {
+            self.quiet_since = Instant::now();
+        }
         let may_have_run = match &self.upstream {
             Some(_) => silent && !leaves,
             None => self.ended.is_none() && self.may_resume(),
@@ -355,7 +373,10 @@
             self.upstream = None;
             self.ended = Some(ended);
         } else {
-            self.must_transfer = self.worker.process.is_isolated();
+            // The connection may be dead although the engine is awake.
+            self.silent_checks += 1;
+            let is_dead = self.silent_checks >= MAX_SILENT_CHECKS;
+            self.must_transfer = is_dead || self.worker.process.is_isolated();
         }
     }
 
@@ -451,8 +472,8 @@
             return None;
         }
         self.migrations += 1;
-        let (last_event, is_open) = (Rc::clone(&self.last_event), Rc::clone(&self.is_open));
-        Some(Plan { strategy, candidates, constraint, last_event, is_open, ended: self.ended })
+        let (last_event, stream) = (Rc::clone(&self.last_event), Rc::clone(&self.stream));
+        Some(Plan { strategy, candidates, constraint, last_event, stream, ended: self.ended })
     }
 
     /// Returns whether the route and the retry budget allow one more run, and counts it.
@@ -512,7 +533,7 @@
         self.software = resumed.started.target.software.clone();
         self.target = Some(resumed.started.target);
         (self.began_here, self.new_start) = (false, None);
-        self.ended = None;
+        (self.ended, self.stream) = (None, Rc::new(RunStream::open()));
         self.run_events = 0;
         self.splitter = Splitter::default();
         self.unsent_since = None;
@@ -630,7 +651,7 @@
             self.upstream = None;
             return Ok(());
         };
-        self.quiet_since = Instant::now();
+        (self.quiet_since, self.silent_checks) = (Instant::now(), 0);
         for event in events {
             if self.run_events == 0 {
                 self.worker.process.record_first_event(&self.context.facts.features);
--- a/crates/gateway/src/request/transfer.rs
+++ b/crates/gateway/src/request/transfer.rs
@@ -9,6 +9,7 @@
 use fireflyhoist_policy::lease::Target;
 use fireflyhoist_policy::unit::Tokens;
 use smol_str::SmolStr;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 use crate::connection::exchange::{Failure, Refusal};
@@ -16,7 +17,7 @@
 use crate::process::copy_usage::CopyUsage;
 use crate::process::state::Process;
 use crate::request::attempt::Error;
-use crate::request::fence::Ended;
+use crate::request::fence::{self, Ended};
 use crate::request::{Context, Worker};
 
 /// How long one transfer may take: a second for a full memory on an idle link, plus the time in the
@@ -104,8 +105,42 @@
     pub(crate) engine: &'a Target,
     /// The id of the last event that came from it.
     pub(crate) last_event: &'a Cell<Option<u64>>,
-    /// Whether its stream is open.
-    pub(crate) is_open: &'a Cell<bool>,
+    /// Its stream.
+    pub(crate) stream: &'a RunStream,
+}
+
+/// The stream of a run from its engine, which a transfer may have to close.
+#[derive(Debug)]
+pub(crate) struct RunStream {
+    is_open: Cell<bool>,
+    closed: Notify,
+    must_close: Notify,
+}
+
+impl RunStream {
+    pub(crate) fn open() -> Self {
+        Self { is_open: Cell::new(true), closed: Notify::new(), must_close: Notify::new() }
+    }
+
+    /// Records that the stream is closed.
+    pub(crate) fn set_closed(&self) {
+        if self.is_open.replace(false) {
+            self.closed.notify_one();
+        }
+    }
+
+    /// Waits until the stream must be closed.
+    pub(crate) async fn must_close(&self) {
+        self.must_close.notified().await;
+    }
+
+    /// Has the stream closed, and waits until it is.
+    async fn close(&self) {
+        self.must_close.notify_one();
+        while self.is_open.get() {
+            self.closed.notified().await;
+        }
+    }
 }
 
 /// Copies a run's memory while the run continues, then stops the run and copies the rest.
@@ -215,14 +250,11 @@
                 return Err(Error::NotRun("no room"));
             }
             Ok(Moved::Refused { name: None } | Moved::Busy) => replies += 1,
-            Err(Failure::ConnectFailed { reason: Refusal::Refused | Refusal::NotForwarded }) => {
-                return Ok(Stopped::Uncopied(Ended::Refused));
+            Err(Failure::ConnectFailed { reason: Refusal::Refused }) => {
+                return Ok(Stopped::Uncopied(abandon::<P>(worker, source).await));
             }
             Err(failure) => may_have_stopped |= !is_unsent(&failure),
         }
-        if may_have_stopped && !source.is_open.get() {
-            return Ok(Stopped::Uncopied(Ended::Closed));
-        }
         if !may_have_stopped && source.last_event.get() != heard {
             return Err(Error::NotSent("move not sent"));
         }
@@ -230,12 +262,22 @@
             return Err(Error::Unknown("move busy"));
         }
         if worker.process.clock.now() >= give_up_at {
+            if source.last_event.get() != heard || replies > 0 {
+                return Ok(Stopped::Uncopied(abandon::<P>(worker, source).await));
+            }
+            source.stream.close().await;
             return Ok(Stopped::Uncopied(Ended::Silent));
         }
         sleep(BUSY_DELAY).await;
     }
 }
 
+/// Closes the stream of a run that can't be stopped by a call, and waits until its engine has noticed.
+async fn abandon<P: Platform>(worker: &Worker, source: &Source<'_>) -> Ended {
+    source.stream.close().await;
+    fence::check::<P>(&worker.process, source.engine).await
+}
+
 /// Calls the engine that runs a request to copy its memory to another engine; `last` stops the run
 /// first.
 async fn call_move<P: Platform>(
--- a/crates/gateway/tests/ended_elsewhere.rs
+++ b/crates/gateway/tests/ended_elsewhere.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -373,12 +373,16 @@
     drop(answered);
 }
 
-/// Returns the processor time that this process has used.
+/// Returns the processor time that the threads of this test have used: those with the same name, of which
+/// the system keeps the beginning. Other tests run in the same process.
 fn processor_time() -> Duration {
+    let name_of = |task: &Path| std::fs::read_to_string(task.join("comm")).ok();
+    let own = name_of(Path::new("/proc/thread-self"));
     let tasks = std::fs::read_dir("/proc/self/task").expect("threads");
     let used = tasks.filter_map(|task| {
-        let text = std::fs::read_to_string(task.ok()?.path().join("schedstat")).ok()?;
-        text.split(' ').next()?.parse::<u64>().ok()
+        let task = task.ok()?.path();
+        let time = std::fs::read_to_string(task.join("schedstat")).ok()?;
+        (name_of(&task) == own).then_some(time.split(' ').next()?.parse::<u64>().ok()?)
     });
     Duration::from_nanos(used.sum())
 }
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -108,9 +108,10 @@
     let count = Arc::new(AtomicUsize::new(0));
     for name in ["e-1", "e-2"] {
         let count = Arc::clone(&count);
-        let script = move |_: &Seen| match count.fetch_add(1, Ordering::SeqCst) {
-            0 => vec![Step::Reset],
-            _ => declined(),
+        let script = move |seen: &Seen| match seen.line().starts_with("GET ") {
+            true => answer(200, "{}"),
+            false if count.fetch_add(1, Ordering::SeqCst) == 0 => vec![Step::Reset],
+            false => declined(),
         };
         registry.put(Standin::open(name, "gen", script).await.listed);
     }
