Hold the port of a target that has ended in a test

A port that is free again may go to a target of another test in the same process, which answers what it does not know. That this was so is suspected, not shown, so the case is listed. The port is bound now and refuses connections.

--- a/crates/gateway/tests/once.rs
+++ b/crates/gateway/tests/once.rs
@@ -13,6 +13,7 @@
 use support::counting::{Counting, Fault, Ledger, Point, STALL, whole};
 use support::{eventually, gateway, route, text};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpSocket;
 use tokio::time::sleep;
 use yare::parameterized;
 
@@ -167,6 +168,10 @@
 async fn a_request_goes_elsewhere_if_a_target_refuses_connections(kind: Kind, attempts: u32) {
     let setup = Setup::open(kind, attempts, 3).await;
     setup.targets[0].end();
+    // Its port must not go to a target of another test in the same process.
+    let address = setup.targets[0].listed.address;
+    let held = TcpSocket::new_v4().expect("a socket");
+    eventually(async || held.bind(address).is_ok()).await;
     for nth in 0..8 {
         let id = format!("r-{nth}");
         let answer = setup.send(&id, BODIES[nth % BODIES.len()]).await;
