Read the host's memory and descriptors from the settings

The platform offers both, the template took neither, and nothing in the process knew what it may hold. No limit uses them yet: the tests of clients that don't behave come first, and set them.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,6 @@
 pub use process::clock::Clock;
 pub use process::log::start as start_log;
 pub use process::service_gate::{Pass, ServiceGate, TargetLoad};
-pub use process::settings::{Settings, SettingsError};
+pub use process::settings::{Resources, Settings, SettingsError};
 pub use process::signals::Signals;
 pub use process::{Gateway, StartError};
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -56,11 +56,42 @@
     pub registry: SocketAddr,
     /// Limits set by the operators.
     pub bounds: Bounds,
+    /// What this host gives the process.
+    #[serde(default)]
+    pub resources: Resources,
     /// Which mechanisms for contended targets are in use.
     #[serde(default)]
     pub scheduling: Scheduling,
 }
 
+/// What a host gives the process, which bounds what callers can make it hold.
+///
+/// See docs/OPERATIONS.md, "Limits on callers".
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Resources {
+    /// The memory of the process in MB of 2^20 bytes, with what the system has received for it.
+    #[serde(deserialize_with = "memory_mb_or_number")]
+    pub memory_mb: u32,
+    /// The file descriptors of the process.
+    #[serde(deserialize_with = "descriptors_or_number")]
+    pub descriptors: u32,
+}
+
+impl Resources {
+    /// The least memory with which a process serves callers, in MB.
+    pub const MIN_MEMORY_MB: u32 = 64;
+
+    /// The fewest descriptors with which a process serves callers.
+    pub const MIN_DESCRIPTORS: u32 = 256;
+}
+
+impl Default for Resources {
+    fn default() -> Self {
+        Self { memory_mb: 110, descriptors: 4_096 }
+    }
+}
+
 /// Switches for the mechanisms of docs/design/contended-fleet.md, all off unless set.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -133,6 +164,27 @@
     non_negative(input, 0.0)
 }
 
+fn memory_mb_or_number<'de, D: Deserializer<'de>>(input: D) -> Result<u32, D::Error> {
+    whole_number(input, Resources::default().memory_mb, Resources::MIN_MEMORY_MB)
+}
+
+fn descriptors_or_number<'de, D: Deserializer<'de>>(input: D) -> Result<u32, D::Error> {
+    whole_number(input, Resources::default().descriptors, Resources::MIN_DESCRIPTORS)
+}
+
+/// Reads a number that is at least `min`; its fraction is dropped.
+fn whole_number<'de, D: Deserializer<'de>>(
+    input: D,
+    default: u32,
+    min: u32,
+) -> Result<u32, D::Error> {
+    let number = non_negative(input, f64::from(default))?;
+    match number >= f64::from(min) && number <= f64::from(u32::MAX) {
+        true => Ok(number as u32),
+        false => Err(D::Error::custom(format_args!("{number} is not from {min} to {}", u32::MAX))),
+    }
+}
+
 impl Bounds {
     /// Returns the grace period, from SIGTERM to the end of the process.
     pub fn grace(&self) -> Duration {
