Bound the memory of bodies and answers over all callers

Callers that sent large bodies of legal size, most a byte short of their end, ended a process: each body was collected whole, copied as it grew and once more for each attempt, and nothing bounded them together. So were answers that nobody read: each counted until it was complete, and no longer while it waited for its caller.

Bodies and answers now have an account each, from the first byte until the connection has the last one in its buffer (policy::payload). A body that finds none is refused at once (503 no-memory, not run), one that is evicted too (408, not run); an answer is not read from its target before there is memory for it, and loses its connection when its caller reads nothing. Requests and attempts in progress take permits for what they hold besides, also at an entry that relays for another one. A body whose announced length is too large is refused before it is read, and the rest of a refused body is read for 2 s, so that its caller gets to read the refusal.

Shares of the host's memory: 20 percent for payload, 30 for requests.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -13,19 +13,21 @@
 use derive_more::{Display, Error};
 use fireflyhoist_policy::id;
 use futures_util::future::{AbortHandle, abortable};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use ntex::http::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, TRANSFER_ENCODING};
 use ntex::http::{HeaderMap, Method, StatusCode};
-use ntex::util::Bytes;
+use ntex::util::{Bytes, BytesMut};
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::connection::buffer::{Buffer, Overfull};
+use crate::connection::content::{Content, Frames};
 use crate::connection::filter::Filter;
+use crate::connection::memory::{GROWTH_TIMEOUT, Holding, Permit};
 use crate::connection::metered::{Metered, Progress};
 use crate::platform::Call;
 
@@ -41,6 +43,12 @@
 /// Maximum size of a body in bytes before it is filtered; bounds how long one without an end is read.
 const MAX_FILTERED_BYTES: usize = 64 << 20;
 
+/// What the system may receive on a connection before it is read.
+const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
+
+/// The size of the first buffer for a body of unknown length.
+const FIRST_BUFFER_BYTES: usize = 4 << 10;
+
 /// The bytes of a body that must arrive within the idle timeout.
 const MIN_BYTES: usize = 64;
 
@@ -99,14 +107,14 @@
     pub(crate) method: Method,
     pub(crate) path: String,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Content,
 }
 
 impl From<Call> for Outgoing {
     fn from(call: Call) -> Self {
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        Self { method: call.method, path: call.path, headers, body: Bytes::from(call.body) }
+        Self { method: call.method, path: call.path, headers, body: call.body.into() }
     }
 }
 
@@ -137,7 +145,13 @@
 
 /// Opens a connection `within` that time.
 pub(crate) async fn connect(address: SocketAddr, within: Duration) -> Result<TcpStream, Failure> {
-    let connected = timeout(within, TcpStream::connect(address)).await;
+    let opened = async {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        // The system would receive megabytes of an answer whose caller reads slowly.
+        let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+        socket.connect(address).await
+    };
+    let connected = timeout(within, opened).await;
     let failed = |reason| Failure::ConnectFailed { reason };
     let stream = connected.map_err(|_| failed(Refusal::TimedOut))?;
     let stream = stream.map_err(|_| failed(Refusal::Refused))?;
@@ -199,6 +213,7 @@
         status,
         headers,
         relay: None,
+        permit: None,
         body,
         progress,
         pace: None,
@@ -206,10 +221,7 @@
     })
 }
 
-fn request(
-    outgoing: Outgoing,
-) -> Result<hyper::Request<Full<hyper::body::Bytes>>, hyper::http::Error> {
-    let body = hyper::body::Bytes::copy_from_slice(&outgoing.body);
+fn request(outgoing: Outgoing) -> Result<hyper::Request<Frames>, hyper::http::Error> {
     let mut request = hyper::Request::builder()
         .method(outgoing.method)
         .uri(outgoing.path)
@@ -217,7 +229,7 @@
     for (name, value) in &outgoing.headers {
         request = request.header(name, value.as_bytes());
     }
-    request.body(Full::new(body))
+    request.body(outgoing.body.into())
 }
 
 /// A response whose body has not been read yet.
@@ -227,6 +239,8 @@
     pub(crate) headers: HeaderMap,
     /// The entry that relays the connection; `None` where it is direct.
     pub(crate) relay: Option<id::Host>,
+    /// Counts the memory of the exchange.
+    pub(crate) permit: Option<Permit>,
     body: Incoming,
     progress: Progress,
     /// How fast the body must arrive; `None` for no limit.
@@ -288,11 +302,50 @@
         Ok(body.freeze())
     }
 
+    /// Returns the length of the body, if the head says so.
+    fn length(&self) -> Option<usize> {
+        self.headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+    }
+
+    /// Reads the rest of the body into memory that is counted as held, for which it waits. Fails if it
+    /// is more than `limit` bytes.
+    pub(crate) async fn read_held_body(
+        &mut self,
+        limit: usize,
+        holding: &Holding,
+    ) -> Result<Bytes, Failure> {
+        let length = self.length();
+        if length.is_some_and(|length| length > limit) {
+            return Err(Failure::BodyTooLarge);
+        }
+        let first = length.unwrap_or(0);
+        holding.reserve_when_free(first).await.map_err(|_| Failure::BodyTooLarge)?;
+        let mut body = BytesMut::with_capacity(first);
+        let mut reserved = first;
+        while let Some(bytes) = self.chunk().await? {
+            let needed = body.len() + bytes.len();
+            if needed > limit {
+                return Err(Failure::BodyTooLarge);
+            }
+            if needed > reserved {
+                let size = needed.max(2 * reserved).max(FIRST_BUFFER_BYTES);
+                let grown = holding.reserve_when_free(size - reserved);
+                match timeout(GROWTH_TIMEOUT, grown).await {
+                    Ok(Ok(())) => {}
+                    // Answers that each hold a part and wait for more would wait for each other.
+                    Ok(Err(_)) | Err(_) => return Err(Failure::BodyTooLarge),
+                }
+                body.reserve_exact(size - body.len());
+                reserved = size;
+            }
+            body.extend_from_slice(&bytes);
+        }
+        Ok(body.freeze())
+    }
+
     /// Reads the rest of the body, and fails if it is more than `limit` bytes.
     pub(crate) async fn read_body(&mut self, limit: usize) -> Result<Bytes, Failure> {
-        let length = self.headers.get(CONTENT_LENGTH).and_then(|length| length.to_str().ok());
-        if length.and_then(|length| length.parse().ok()).is_some_and(|length: usize| length > limit)
-        {
+        if self.length().is_some_and(|length| length > limit) {
             return Err(Failure::BodyTooLarge);
         }
         let mut body = Buffer::default();
--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -14,6 +14,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
+use crate::connection::limit::Limits;
 use crate::connection::traffic::Traffic;
 use crate::request::liveness::Status;
 
@@ -49,6 +50,8 @@
     pub(crate) at_risk: usize,
     /// Workspaces that hold far more than an equal part, by service.
     pub(crate) heavy: usize,
+    /// Bytes of bodies and answers.
+    pub(crate) payload: usize,
 }
 
 /// The metrics of one process.
@@ -84,7 +87,9 @@
     open: Gauge<u64>,
     isolated: Gauge<u64>,
     revision: Gauge<u64>,
+    held_payload: Gauge<u64>,
     traffic: Traffic,
+    limits: Limits,
 }
 
 impl Metrics {
@@ -185,7 +190,12 @@
             open: gauge("fireflyhoist.open_requests", "Requests in progress"),
             isolated: gauge("fireflyhoist.isolated", "1 while the entry reaches no target"),
             revision: gauge("fireflyhoist.revision", "Revision of the text in force"),
+            held_payload: gauge(
+                "fireflyhoist.held_payload_bytes",
+                "Memory of bodies and answers that are held",
+            ),
             traffic: Traffic::new(&meter),
+            limits: Limits::new(&meter),
             registry,
             _provider: provider,
         })
@@ -275,6 +285,11 @@
         &self.traffic
     }
 
+    /// Returns the counters of limits on callers.
+    pub(crate) fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
     /// Returns all metrics in the text format, with the given values of the gauges.
     pub(crate) fn page(&self, gauges: GaugeValues) -> String {
         self.open.record(gauges.open as u64, &[]);
@@ -288,6 +303,7 @@
         self.left_out.record(gauges.left_out as u64, &[]);
         self.at_risk.record(gauges.at_risk as u64, &[]);
         self.heavy.record(gauges.heavy as u64, &[]);
+        self.held_payload.record(gauges.payload as u64, &[]);
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_else(|error| {
             ::log::warn!(error:% = error; "metrics can't be encoded");
             String::new()
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -84,6 +84,20 @@
 
     /// The fewest descriptors with which a process serves callers.
     pub const MIN_DESCRIPTORS: u32 = 256;
+
+    /// Returns the memory for bodies and answers, in bytes.
+    pub(crate) fn payload_bytes(self) -> usize {
+        self.part(20)
+    }
+
+    /// Returns the memory for requests in progress, in bytes.
+    pub(crate) fn request_bytes(self) -> usize {
+        self.part(30)
+    }
+
+    fn part(self, percent: usize) -> usize {
+        (self.memory_mb as usize * percent / 100) << 20
+    }
 }
 
 impl Default for Resources {
--- a/crates/gateway/src/process/state/mod.rs
+++ b/crates/gateway/src/process/state/mod.rs
@@ -41,6 +41,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::timeout;
 
+use crate::connection::memory::Memory;
 use crate::process::EXIT_MARGIN;
 use crate::process::clock::Clock;
 use crate::process::metrics::Metrics;
@@ -103,6 +104,8 @@
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
     pub(crate) metrics: Metrics,
+    /// What callers can make this process hold.
+    pub(crate) memory: Arc<Memory>,
     bounds: RwLock<Bounds>,
     scheduling: RwLock<Scheduling>,
     seeds: RwLock<Vec<std::net::SocketAddr>>,
@@ -174,9 +177,17 @@
 
 impl Process {
     pub(crate) fn open(settings: Settings) -> Option<Arc<Self>> {
+        let metrics = Metrics::open()?;
+        let resources = settings.resources;
+        let memory = Memory::open(
+            resources.payload_bytes(),
+            resources.request_bytes(),
+            metrics.limits().clone(),
+        );
         Some(Arc::new(Self {
             clock: Clock::start(),
-            metrics: Metrics::open()?,
+            metrics,
+            memory,
             bounds: RwLock::new(settings.bounds),
             scheduling: RwLock::new(settings.scheduling),
             seeds: RwLock::new(settings.seeds.clone()),
--- a/crates/gateway/src/process/state/path.rs
+++ b/crates/gateway/src/process/state/path.rs
@@ -24,6 +24,7 @@
     self, CONNECT_TIMEOUT, Failure, Outgoing, Refusal, Reply, Response,
 };
 use crate::connection::forwarder;
+use crate::connection::memory::Permit;
 use crate::connection::relay::{self, Incoming, OpenError, Relayed};
 use crate::process::state::{Process, millis};
 
@@ -261,8 +262,9 @@
     async fn open_relay(
         &self,
         target: &id::Target,
-    ) -> Result<(TcpStream, SemaphorePermit<'_>), relay::Refusal> {
-        let permit = self.path.relayed.try_acquire().map_err(|_| relay::Refusal::Busy)?;
+    ) -> Result<(TcpStream, (SemaphorePermit<'_>, Permit)), relay::Refusal> {
+        let relayed = self.path.relayed.try_acquire().map_err(|_| relay::Refusal::Busy)?;
+        let permit = (relayed, self.memory.permit_attempt().ok_or(relay::Refusal::Busy)?);
         let target = self.target(target).ok_or(relay::Refusal::Unknown)?;
         if self.is_resting(&target) {
             return Err(relay::Refusal::Resting);
--- a/crates/gateway/src/request/answer.rs
+++ b/crates/gateway/src/request/answer.rs
@@ -8,9 +8,11 @@
 use derive_more::Display;
 use ntex::http::Response;
 use ntex::http::body::{self, BodySize, MessageBody, ResponseBody};
+use ntex::io::IoRef;
 use ntex::util::Bytes;
 use smol_str::SmolStr;
 
+use crate::connection::memory::Holding;
 use crate::process::state::RequestGuard;
 
 /// How far an answer has come.
@@ -40,6 +42,8 @@
     Timeout,
     /// The process ends.
     Exit,
+    /// The caller read nothing, and others needed the room.
+    Room,
 }
 
 impl Cause {
@@ -48,7 +52,7 @@
             Self::Caller => "caller",
             Self::Target => "target",
             Self::Peer => "peer",
-            Self::Timeout | Self::Exit => "entry",
+            Self::Timeout | Self::Exit | Self::Room => "entry",
         }
     }
 
@@ -58,6 +62,7 @@
             Self::Target | Self::Peer => "broken",
             Self::Timeout => "timeout",
             Self::Exit => "exit",
+            Self::Room => "room",
         }
     }
 }
@@ -75,9 +80,33 @@
     last: Cell<bool>,
     /// Whether one before it on its connection did.
     behind_last: Cell<bool>,
+    /// The memory of the answer, until the connection has all of it in its buffer.
+    holding: RefCell<Option<Holding>>,
 }
 
 impl Progress {
+    /// Keeps the memory of the answer until it is handed to the connection, or `io` is closed because
+    /// others need the memory and the caller reads nothing.
+    pub(crate) fn hold(self: &Rc<Self>, holding: Holding, size: usize, io: Option<&IoRef>) {
+        if size <= MAX_PART {
+            // The connection takes all of it.
+            return;
+        }
+        holding.set_evictable(true);
+        let eviction = holding.eviction();
+        self.holding.replace(Some(holding));
+        if let Some(io) = io.cloned() {
+            let progress = Rc::clone(self);
+            ntex::rt::spawn(async move {
+                if eviction.wait().await {
+                    progress.cut(Cause::Room);
+                    io.terminate();
+                }
+            })
+            .detach();
+        }
+    }
+
     /// Records that the answer announces that its connection closes.
     pub(crate) fn set_last(&self) {
         self.last.set(true);
@@ -130,6 +159,7 @@
     fn end(&self) {
         self.ended.set(true);
         drop(self.open.take());
+        drop(self.holding.take());
     }
 }
 
@@ -142,8 +172,14 @@
     left: Option<u64>,
     /// Whether the head is all of it.
     only_head: bool,
+    /// The rest of a large chunk, which is handed on in parts as the caller reads.
+    rest: Bytes,
 }
 
+/// The most bytes that are handed to the connection at once. It would take a whole answer, whatever
+/// the caller reads.
+const MAX_PART: usize = 16 << 10;
+
 impl Answer {
     pub(crate) fn new(request: SmolStr, open: RequestGuard) -> Self {
         let progress = Progress {
@@ -153,12 +189,14 @@
             ended: Cell::new(false),
             last: Cell::new(false),
             behind_last: Cell::new(false),
+            holding: RefCell::new(None),
         };
         Self {
             progress: Rc::new(progress),
             body: ResponseBody::Other(body::Body::Empty),
             left: None,
             only_head: false,
+            rest: Bytes::new(),
         }
     }
 
@@ -187,6 +225,18 @@
     }
 }
 
+impl Answer {
+    fn next_part(&mut self) -> Bytes {
+        if self.rest.len() <= MAX_PART {
+            return std::mem::take(&mut self.rest);
+        }
+        // A part that shares the memory of the whole would keep all of it until it is written.
+        let part = Bytes::copy_from_slice(&self.rest[..MAX_PART]);
+        self.rest.advance_to(MAX_PART);
+        part
+    }
+}
+
 impl MessageBody for Answer {
     fn size(&self) -> BodySize {
         self.body.size()
@@ -196,20 +246,28 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Rc<dyn std::error::Error>>>> {
-        let polled = self.body.poll_next_chunk(context);
-        match &polled {
-            Poll::Ready(None) => self.progress.end(),
-            Poll::Ready(Some(Ok(bytes))) => {
-                if let Some(left) = &mut self.left {
-                    *left = left.saturating_sub(bytes.len() as u64);
-                    if *left == 0 {
+        if self.rest.is_empty() {
+            match self.body.poll_next_chunk(context) {
+                Poll::Ready(Some(Ok(bytes))) => self.rest = bytes,
+                polled => {
+                    if let Poll::Ready(None) = polled {
                         self.progress.end();
                     }
+                    return polled;
                 }
             }
-            Poll::Ready(Some(Err(_))) | Poll::Pending => {}
         }
-        polled
+        let bytes = self.next_part();
+        if let Some(holding) = &*self.progress.holding.borrow() {
+            holding.record_moved(bytes.len());
+        }
+        if let Some(left) = &mut self.left {
+            *left = left.saturating_sub(bytes.len() as u64);
+            if *left == 0 {
+                self.progress.end();
+            }
+        }
+        Poll::Ready(Some(Ok(bytes)))
     }
 }
 
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -30,6 +30,9 @@
 /// The reason of [`Error::NotSent`] if the target takes nothing new.
 const LEAVING: &str = "leaving";
 
+/// The reason of [`Error::NotSent`] if no memory is left for the exchange.
+const NO_MEMORY: &str = "no-memory";
+
 /// The reason of [`Error::NotSent`] if the permit to send was granted too long ago.
 const PERMIT_EXPIRED: &str = "permit-expired";
 
@@ -113,8 +116,8 @@
     pub(crate) fn outcome(&self, process: &Process) -> Outcome {
         match self {
             Self::NotSent(
-                CORDONED | ISOLATED | LEAVING | OTHER_VERSION | PERMIT_EXPIRED | RESTING
-                | UNCONFIRMED,
+                CORDONED | ISOLATED | LEAVING | NO_MEMORY | OTHER_VERSION | PERMIT_EXPIRED
+                | RESTING | UNCONFIRMED,
             ) => Outcome::Cancelled,
             // Otherwise an entry that loses its path would have its peers eject targets that work.
             Self::Unknown(_) if process.is_path_suspect() => Outcome::Cancelled,
@@ -220,6 +223,7 @@
     if !resumes_copy && !worker.process.is_target_ready(id) {
         return Err(Error::NotSent(LEAVING));
     }
+    let permit = worker.process.memory.permit_attempt().ok_or(Error::NotSent(NO_MEMORY))?;
     let time_left = context.time_left(worker.process.clock.now());
     let stamp = TargetHeaders {
         instance: &target.instance,
@@ -238,7 +242,7 @@
     };
     let sent_at = worker.process.clock.now();
     let response = worker.process.send_permitted(&target, outgoing, time_left, options.grant).await;
-    let response = response.map_err(|failure| {
+    let mut response = response.map_err(|failure| {
         match failure {
             Failure::Broken { .. } => {
                 liveness::Check::new(worker, context, &target, sent_at).spawn::<P>();
@@ -255,6 +259,7 @@
         }
         Error::from_failure(&failure)
     })?;
+    response.permit = Some(permit);
     let reply = P::reply(response.status, &response.headers);
     worker.fleet.heed(&target, sent_at, &reply, response.relay.as_ref());
     // The connection may deliver a response to another request first, which says nothing about whether
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -28,20 +28,22 @@
 use fireflyhoist_policy::gate;
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::origin::{Constraint, Key};
+use fireflyhoist_policy::payload::Refused;
 use fireflyhoist_policy::rank::Owner;
 use fireflyhoist_policy::request::Class;
 use fireflyhoist_policy::resubmission::{Fingerprint, Resubmission};
 use fireflyhoist_policy::route::{Kind, Route, Service, Table};
 use fireflyhoist_policy::time::Time;
 use futures_util::StreamExt;
-use ntex::http::header::HOST;
+use ntex::http::header::{CONTENT_LENGTH, HOST};
 use ntex::http::{HeaderMap, Method, Payload, Request, Response};
 use ntex::io::IoRef;
-use ntex::util::{Bytes, BytesMut};
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
 use crate::connection::callers::Callers;
+use crate::connection::content::{Builder, Content};
+use crate::connection::memory::Permit;
 use crate::platform::{Platform, RequestInfo};
 use crate::process::fleet::Fleet;
 use crate::process::service_gate::ServiceGate;
@@ -59,6 +61,9 @@
 /// How long the body of a request may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long the rest of a body is read after the request was refused.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Urgency of requests at engines, the same for all requests.
 ///
 /// With different urgencies a full engine preempts a running answer to begin a more urgent one, and
@@ -103,7 +108,9 @@
     pub(crate) method: Method,
     pub(crate) path: String,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Content,
+    /// Counts the memory of the request.
+    pub(crate) _permit: Permit,
     /// Fingerprint of workspace, path and body, which identifies the request when it is
     /// resubmitted.
     pub(crate) fingerprint: Fingerprint,
@@ -185,7 +192,7 @@
 }
 
 /// Serves one request; a streamed answer continues after this returns.
-pub(crate) async fn serve<P: Platform>(worker: &Worker, request: Request) -> Response<Answer> {
+pub(crate) async fn serve<P: Platform>(worker: &Worker, mut request: Request) -> Response<Answer> {
     let arrived_at = worker.process.clock.now();
     let facts = P::request_info(request.headers());
     let answer = Answer::new(facts.request.clone(), worker.process.start_request());
@@ -196,7 +203,11 @@
     }
     let has_body = *request.method() != Method::HEAD;
     let leaving = worker.process.is_leaving();
-    let resolved = resolve(worker, facts, request, answer.progress(), arrived_at).await;
+    let mut payload = request.take_payload();
+    let resolved =
+        resolve(worker, facts, &request, &mut payload, answer.progress(), arrived_at).await;
+    let unread = resolved.is_err() && !matches!(payload, Payload::None);
+    drop(request);
     let mut response = match resolved {
         Ok(context) => {
             let kind = context.kind();
@@ -218,7 +229,11 @@
         }
         Err(response) => response,
     };
-    if leaving || worker.process.is_leaving() {
+    if unread {
+        // The caller may read the refusal only after it has sent the whole body.
+        ntex::rt::spawn(discard(payload)).detach();
+    }
+    if unread || leaving || worker.process.is_leaving() {
         response.head_mut().set_connection_type(ntex::http::ConnectionType::Close);
         answer.progress().set_last();
     }
@@ -229,7 +244,8 @@
 async fn resolve(
     worker: &Worker,
     facts: RequestInfo,
-    mut request: Request,
+    request: &Request,
+    payload: &mut Payload,
     answer: &Rc<Progress>,
     arrived_at: Time,
 ) -> Result<Context, Response> {
@@ -242,6 +258,10 @@
     if let Some(after) = refused {
         return Err(refuse::draining(&facts.request, after));
     }
+    if answer.is_behind_last() {
+        answer.set_last();
+        return Err(refuse::closing(&facts.request));
+    }
     worker.process.wait_for_initial_sync().await;
     let Some(table) = worker.process.table() else {
         return Err(refuse::not_ready(&facts.request));
@@ -265,11 +285,14 @@
         (None, true) => return Err(refuse::unknown_key(&facts.request, revision)),
     };
     let limit = usize::try_from(table.text().bounds.body.get()).unwrap_or(usize::MAX);
-    let body = match timeout(BODY_TIMEOUT, read_body(request.take_payload(), limit)).await {
-        Ok(Some(body)) => body,
-        Ok(None) => return Err(refuse::too_large(&facts.request)),
-        Err(_) => return Err(refuse::body_timeout(&facts.request)),
-    };
+    let permit = worker.process.memory.permit_request(head_bytes(request));
+    let permit = permit.ok_or_else(|| refuse::no_memory(&facts.request))?;
+    let body =
+        receive_body(worker, request, payload, limit).await.map_err(|error| match error {
+            BodyError::TooLarge => refuse::too_large(&facts.request),
+            BodyError::Late => refuse::body_timeout(&facts.request),
+            BodyError::NoMemory => refuse::no_memory(&facts.request),
+        })?;
     let workspace_id = workspace.as_ref().map(|workspace| &workspace.id);
     let Resumption { constraint, service } =
         origin::resolve(worker, &facts, &route, workspace_id).await?;
@@ -282,7 +305,7 @@
     };
     let request_timeout = facts.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let path = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_owned();
-    let fingerprint = Fingerprint::of(workspace_id, &path, &body);
+    let fingerprint = Fingerprint::of_parts(workspace_id, &path, body.parts());
     let earlier =
         route.kind.is_stream().then(|| worker.process.resubmission(fingerprint)).flatten();
     let first_sent_at = earlier.map_or(arrived_at, |earlier| earlier.since);
@@ -319,21 +342,80 @@
         service,
         gate,
         body,
+        _permit: permit,
         deadline: arrived_at + request_timeout,
     })
 }
 
-/// Reads a body. Returns `None` if it is larger than `limit` bytes or its connection is lost.
-async fn read_body(mut payload: Payload, limit: usize) -> Option<Bytes> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.ok()?;
+/// Why a request has no body that can be sent.
+enum BodyError {
+    /// It is larger than the limit, or its connection was lost.
+    TooLarge,
+    /// It did not arrive in time.
+    Late,
+    /// There is no memory for it.
+    NoMemory,
+}
+
+/// Receives a body of at most `limit` bytes.
+async fn receive_body(
+    worker: &Worker,
+    request: &Request,
+    payload: &mut Payload,
+    limit: usize,
+) -> Result<Content, BodyError> {
+    if matches!(payload, Payload::None) {
+        return Ok(Content::default());
+    }
+    let length = request.headers().get(CONTENT_LENGTH).and_then(|length| length.to_str().ok());
+    let length = length.and_then(|length| length.parse::<usize>().ok());
+    if length.is_some_and(|length| length > limit) {
+        return Err(BodyError::TooLarge);
+    }
+    let holding = worker.process.memory.hold();
+    holding.set_evictable(true);
+    let mut body = Builder::new(length, holding);
+    let received = timeout(BODY_TIMEOUT, read_body(payload, limit, &mut body)).await;
+    received.unwrap_or(Err(BodyError::Late))?;
+    *payload = Payload::None;
+    Ok(body.finish())
+}
+
+/// Reads a body to its end.
+async fn read_body(
+    payload: &mut Payload,
+    limit: usize,
+    body: &mut Builder,
+) -> Result<(), BodyError> {
+    loop {
+        let chunk = tokio::select! {
+            chunk = payload.next() => chunk,
+            () = body.holding().evicted() => return Err(BodyError::Late),
+        };
+        let Some(chunk) = chunk else { return Ok(()) };
+        let chunk = chunk.map_err(|_| BodyError::TooLarge)?;
         if body.len() + chunk.len() > limit {
-            return None;
+            return Err(BodyError::TooLarge);
         }
-        body.extend_from_slice(&chunk);
+        body.extend(&chunk).map_err(|refused| match refused {
+            Refused::Full => BodyError::NoMemory,
+            Refused::Evicted => BodyError::Late,
+        })?;
     }
-    Some(body.freeze())
+}
+
+/// Reads the rest of a body that is not kept, for a bounded time.
+async fn discard(mut payload: Payload) {
+    let read = async { while let Some(Ok(_)) = payload.next().await {} };
+    // The server closes the connection if the rest is not read.
+    let _ = timeout(DISCARD_TIMEOUT, read).await;
+}
+
+/// Returns the size of the head of a request.
+fn head_bytes(request: &Request) -> usize {
+    let headers = request.headers().iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.as_bytes().len());
+    headers.sum::<usize>() + request.uri().path_and_query().map_or(0, |path| path.as_str().len())
 }
 
 /// Headers that apply to a single connection and are not forwarded.
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -14,6 +14,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::connection::exchange::Failure;
+use crate::connection::memory::Holding;
 use crate::platform::Platform;
 use crate::request::admission::{self, Admission, Rejection};
 use crate::request::attempt::{self, Error, Options, Started, decline_retry_after};
@@ -37,6 +38,8 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    /// Counts the body as held.
+    holding: Holding,
 }
 
 /// The result of one attempt.
@@ -197,7 +200,7 @@
                 self.server_error = Some(answer);
                 None
             }
-            Ok(answer) => Some(respond(answer)),
+            Ok(answer) => Some(respond(self.context, answer)),
             Err(Error::NotSent(_) | Error::NotRun(_)) => {
                 if matches!(finished.result, Err(Error::NotSent(_))) {
                     // Nothing was sent, so this does not count as an attempt.
@@ -224,7 +227,7 @@
     fn final_response(&mut self) -> Response {
         let request = &self.context.facts.request;
         if let Some(answer) = self.server_error.take() {
-            return respond(answer);
+            return respond(self.context, answer);
         }
         if self.outcome_unknown {
             return refuse::answer_lost(request);
@@ -285,7 +288,8 @@
     let listed = worker.process.target(target).ok_or(Error::NotRun("gone"))?;
     let started = attempt::send::<P>(worker, context, target, options).await?;
     let Started { mut response, began_at, .. } = started;
-    let body = match response.read_body(MAX_ANSWER_BYTES).await {
+    let holding = worker.process.memory.hold();
+    let body = match response.read_held_body(MAX_ANSWER_BYTES, &holding).await {
         Ok(body) => body,
         Err(failure) => {
             if matches!(failure, Failure::Broken { .. }) {
@@ -297,14 +301,15 @@
             return Err(Error::Unknown("cut"));
         }
     };
-    Ok(Answer { status: response.status, headers: response.headers, body })
+    Ok(Answer { status: response.status, headers: response.headers, body, holding })
 }
 
 /// Forwards a target's answer to the caller.
-fn respond(answer: Answer) -> Response {
+fn respond(context: &Context, answer: Answer) -> Response {
     let mut response = Response::build(answer.status);
     for (name, value) in &end_to_end(&answer.headers) {
         response.header(name.clone(), value.clone());
     }
+    context.answer.hold(answer.holding, answer.body.len(), context.io.as_ref());
     response.body(answer.body)
 }
--- a/crates/gateway/src/request/probe.rs
+++ b/crates/gateway/src/request/probe.rs
@@ -31,6 +31,7 @@
         left_out: process.exclusions().len(),
         at_risk: process.targets_at_risk(),
         heavy: process.heavy_workspaces(),
+        payload: process.memory.used(),
     });
     Response::Ok().content_type("text/plain; version=0.0.4").body(page)
 }
--- a/crates/gateway/src/request/refuse.rs
+++ b/crates/gateway/src/request/refuse.rs
@@ -20,6 +20,10 @@
 /// When to retry if this entry reaches no target: the directory names other entries by then.
 const ISOLATED_RETRY: Duration = Duration::from_millis(300);
 
+/// When to retry where callers hold all the memory that they may: those that have stalled are closed by
+/// then.
+const NO_MEMORY_RETRY: Duration = Duration::from_millis(1_000);
+
 fn respond(request: &SmolStr, problem: Problem) -> Response {
     log::info!(
         request = request.as_str(), status = problem.status, reason = problem.kind.as_str(),
@@ -79,6 +83,12 @@
     respond(request, problem(503, "leaving", detail, Ran::No, Some(after)))
 }
 
+/// Refuses a request that was pipelined behind an answer that announces the end of its connection.
+pub(crate) fn closing(request: &SmolStr) -> Response {
+    let detail = "this connection closes after an earlier answer; use another one";
+    respond(request, problem(503, "connection-closes", detail, Ran::No, Some(Duration::ZERO)))
+}
+
 /// Refuses a request that has no host header, or several.
 pub(crate) fn bad_host(request: &SmolStr) -> Response {
     let detail = "name exactly one host; send one host header";
@@ -121,6 +131,12 @@
     respond(request, problem(408, "body-late", detail, Ran::No, Some(NOT_READY_RETRY)))
 }
 
+/// Refuses a request because callers hold all the memory that they may.
+pub(crate) fn no_memory(request: &SmolStr) -> Response {
+    let detail = "too much is in progress here; ask another entry, or come back as told";
+    respond(request, problem(503, "no-memory", detail, Ran::No, Some(NO_MEMORY_RETRY)))
+}
+
 /// Refuses a request because no target of its service is known to be up.
 pub(crate) fn no_target(request: &SmolStr) -> Response {
     let detail = "no target of the service is up; come back later";
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -251,7 +251,8 @@
         let server_error = response.status.is_server_error();
         let listed = self.worker.process.target(pass.target());
         pass.finish(if server_error { Outcome::ServerError } else { Outcome::Whole });
-        let body = response.read_body(MAX_ANSWER_BYTES).await.map_err(|_| {
+        let holding = self.worker.process.memory.hold();
+        let body = response.read_held_body(MAX_ANSWER_BYTES, &holding).await.map_err(|_| {
             if let Some(target) = &listed {
                 liveness::Check::new(self.worker, &self.context, target, *began_at)
                     .with_begun_run(&self.context)
@@ -268,6 +269,7 @@
         for (name, value) in &end_to_end(&response.headers) {
             head.header(name.clone(), value.clone());
         }
+        self.context.answer.hold(holding, body.len(), self.context.io.as_ref());
         Ok(head.body(body))
     }
 }
--- a/crates/gateway/src/version/watcher.rs
+++ b/crates/gateway/src/version/watcher.rs
@@ -22,6 +22,7 @@
 use smol_str::SmolStr;
 use tokio::time::{sleep, timeout};
 
+use crate::connection::content::Content;
 use crate::connection::exchange::{self, Failure, Outgoing};
 use crate::connection::filter::Filter;
 use crate::platform::{DecodeError, Item, Page, Platform, Resource};
@@ -319,7 +320,7 @@
         self.called_at = self.process.clock.now();
         let known = self.process.era();
         let (method, headers) = (Method::GET, HeaderMap::new());
-        let outgoing = Outgoing { method, path, headers, body: Bytes::new() };
+        let outgoing = Outgoing { method, path, headers, body: Content::default() };
         let filter = Filter::new(match self.resource {
             Resource::Text => MAX_TEXT_STRING,
             Resource::Targets => MAX_TARGET_STRING,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod origin;
 pub mod outlier;
 pub mod pace;
+pub mod payload;
 pub mod permit;
 pub mod placement;
 pub mod plausible;
--- a/crates/policy/src/resubmission.rs
+++ b/crates/policy/src/resubmission.rs
@@ -41,12 +41,21 @@
 impl Fingerprint {
     /// Returns the fingerprint of a request.
     pub fn of(workspace: Option<&id::Workspace>, path: &str, body: &[u8]) -> Self {
+        Self::of_parts(workspace, path, [body])
+    }
+
+    /// Returns the fingerprint of a request with its body in parts.
+    pub fn of_parts<'a>(
+        workspace: Option<&id::Workspace>,
+        path: &str,
+        body: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Self {
         let mut hash = Xxh3::new();
         hash.update(workspace.map_or("", |workspace| workspace.as_str()).as_bytes());
         hash.update(&[0]);
         hash.update(path.as_bytes());
         hash.update(&[0]);
-        hash.update(body);
+        body.into_iter().for_each(|part| hash.update(part));
         Self(hash.digest())
     }
 }
