--- a/crates/gateway/src/request/body.rs
+++ b/crates/gateway/src/request/body.rs
@@ -4,12 +4,13 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{self, Poll};
 use std::time::Duration;
 
 use futures_util::Stream;
 use ntex::util::Bytes;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::timeout;
 
 use crate::connection::buffer::Buffer;
@@ -18,10 +19,45 @@
 /// engine.
 const MAX_QUEUED_CHUNKS: usize = 32;
 
+/// The most bytes of such chunks, except for a single larger one.
+const MAX_QUEUED_BYTES: usize = 64 << 10;
+
 /// Returns a body and where its chunks are sent. `held` is set while it is held back.
-pub(super) fn channel(held: Rc<Cell<bool>>) -> (mpsc::Sender<Chunk>, Body) {
-    let (sender, chunks) = mpsc::channel(MAX_QUEUED_CHUNKS);
-    (sender, Body { collected: None, chunks, held, ended: false })
+pub(super) fn channel(held: Rc<Cell<bool>>) -> (Sender, Body) {
+    let (chunks, queued) = mpsc::channel(MAX_QUEUED_CHUNKS);
+    let sender = Sender { chunks, room: Arc::new(Semaphore::new(MAX_QUEUED_BYTES)) };
+    (sender, Body { collected: None, chunks: queued, held, ended: false })
+}
+
+/// Where the chunks of a body are sent.
+pub(super) struct Sender {
+    chunks: mpsc::Sender<Queued>,
+    room: Arc<Semaphore>,
+}
+
+/// A chunk with the room that it takes in the queue.
+struct Queued {
+    chunk: Chunk,
+    _room: Option<OwnedSemaphorePermit>,
+}
+
+/// The error if the body is no longer read.
+pub(super) struct Closed;
+
+impl Sender {
+    /// Sends a chunk once the queue has room for it.
+    pub(super) async fn send(&self, chunk: Chunk) -> Result<(), Closed> {
+        let bytes = match &chunk {
+            Chunk::Bytes(bytes) => bytes.len().min(MAX_QUEUED_BYTES),
+            Chunk::End => 0,
+        };
+        let permits = u32::try_from(bytes).map_err(|_| Closed)?;
+        let room = tokio::select! {
+            room = Arc::clone(&self.room).acquire_many_owned(permits) => room.ok(),
+            () = self.chunks.closed() => return Err(Closed),
+        };
+        self.chunks.send(Queued { chunk, _room: room }).await.map_err(|_| Closed)
+    }
 }
 
 /// A part of the response body.
@@ -35,7 +71,7 @@
 pub(crate) struct Body {
     /// What was held back and is sent first.
     collected: Option<Bytes>,
-    chunks: mpsc::Receiver<Chunk>,
+    chunks: mpsc::Receiver<Queued>,
     held: Rc<Cell<bool>>,
     ended: bool,
 }
@@ -55,7 +91,7 @@
         let mut collected = Buffer::default();
         let all = async {
             loop {
-                match self.chunks.recv().await? {
+                match self.chunks.recv().await?.chunk {
                     Chunk::Bytes(bytes) => collected.extend(&bytes).ok()?,
                     Chunk::End => return Some(()),
                 }
@@ -84,8 +120,10 @@
             return Poll::Ready(Some(Ok(collected)));
         }
         match self.chunks.poll_recv(cx) {
-            Poll::Ready(Some(Chunk::Bytes(bytes))) => Poll::Ready(Some(Ok(bytes))),
-            Poll::Ready(Some(Chunk::End)) => {
+            Poll::Ready(Some(Queued { chunk: Chunk::Bytes(bytes), .. })) => {
+                Poll::Ready(Some(Ok(bytes)))
+            }
+            Poll::Ready(Some(Queued { chunk: Chunk::End, .. })) => {
                 self.ended = true;
                 Poll::Ready(None)
             }
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -15,7 +15,6 @@
 use futures_util::future::{Fuse, FutureExt};
 use futures_util::pin_mut;
 use ntex::util::Bytes;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::connection::exchange::Response;
@@ -151,7 +150,7 @@
     has_unsent_run: bool,
     /// Since when no attempt to migrate could be sent.
     unsent_since: Option<Time>,
-    chunks: mpsc::Sender<Chunk>,
+    chunks: body::Sender,
 }
 
 impl Relay {
@@ -715,7 +714,7 @@
 
 /// Sends a chunk to the caller once it has read enough of those before. Fails if it has closed its
 /// connection, or reads too slowly for the time that is left.
-async fn send(chunks: &mpsc::Sender<Chunk>, chunk: Chunk, time_left: Duration) -> Result<(), End> {
+async fn send(chunks: &body::Sender, chunk: Chunk, time_left: Duration) -> Result<(), End> {
     match timeout(time_left, chunks.send(chunk)).await {
         Ok(sent) => sent.map_err(|_| End::Left),
         Err(_) => Err(End::Late),
