Bound connections, heads and what the system buffers for them

Connections that say nothing, from clients that come back at once, took all descriptors: no caller was accepted and no target reached.

The process accepts connections itself, each once there is room for it, and no longer through the server library, whose thread accepts whatever comes. An address has a part of the connections that memory and descriptors allow. While all buffers together may hold too much those with the most in them are closed. Where all are in use the new connection is closed unread. Heads are limited to 24 KiB, and listeners have fixed buffers in the system: 16 and 32 KiB for callers, 64 for links.

--- a/crates/gateway/src/connection/limit.rs
+++ b/crates/gateway/src/connection/limit.rs
@@ -14,6 +14,9 @@
 /// A limit on what callers can make a process hold.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(crate) enum Limit {
+    /// Too many connections: one is closed, or a new one refused.
+    #[display("connections")]
+    Connections,
     /// Too many requests in progress: a new one is refused.
     #[display("requests")]
     Requests,
@@ -26,7 +29,7 @@
 }
 
 /// The number of limits.
-const LIMITS: usize = 3;
+const LIMITS: usize = 4;
 
 /// What has not been logged of one limit.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -25,7 +25,7 @@
 use crate::connection::callers::{Action, Held};
 use crate::platform::Platform;
 use crate::process::fleet::Fleet;
-use crate::process::serve::Listeners;
+use crate::process::serve::{Listeners, Server};
 use crate::process::settings::Settings;
 use crate::process::signals::{Order, Signals};
 use crate::process::state::Process;
@@ -83,7 +83,7 @@
 pub struct Gateway {
     process: Arc<Process>,
     fleet: Arc<Fleet>,
-    server: ntex::server::Server,
+    server: Server,
     path: PathBuf,
 }
 
@@ -102,7 +102,7 @@
         let peers = listeners.peers.try_clone().map_err(bind_error)?;
         let peers = tokio::net::TcpListener::from_std(peers).map_err(bind_error)?;
         let fleet = Fleet::spawn(Arc::clone(&process), peers);
-        let server = serve::spawn::<P>(&process, &fleet, listeners).map_err(bind_error)?;
+        let server = Server::spawn::<P>(&process, &fleet, listeners);
         watcher::spawn::<P>(&process, &fleet);
         engine_poll::spawn::<P>(&process, &fleet);
         let watched = Arc::clone(&process);
@@ -210,9 +210,7 @@
             known = held.is_some(); "exiting"
         );
         log::flush().await;
-        // The server takes 0.36 s to stop, whatever it holds, and refuses requests until the process
-        // ends. So a program does not wait for it.
-        ntex::rt::spawn(self.server.stop(false)).detach();
+        self.server.stop();
     }
 
     /// Has all requests answered whose answers have not begun, and waits `within` that time until
--- a/crates/gateway/src/process/serve.rs
+++ b/crates/gateway/src/process/serve.rs
@@ -4,14 +4,20 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use ntex::SharedCfg;
-use ntex::http::{HttpService, HttpServiceConfig, Request};
-use ntex::server::Server;
+use ntex::http::body::MessageBody;
+use ntex::http::h1::{Control, ControlAck};
+use ntex::http::{HttpService, HttpServiceConfig, Request, Response};
+use ntex::io::{Filter, Io};
+use ntex::rt::Arbiter;
+use ntex::service::{Pipeline, Service, ServiceFactory, fn_service};
 use ntex::time::Seconds;
 use tokio::net::TcpSocket;
+use tokio::time::sleep;
 
-use crate::connection::callers::Callers;
+use crate::connection::callers::{Bounds, Callers};
 use crate::platform::Platform;
 use crate::process::StartError;
 use crate::process::fleet::Fleet;
@@ -34,13 +40,30 @@
 /// The bytes of a request head that must arrive within [`HEAD_PAUSE`].
 const HEAD_RATE: u32 = 64;
 
-/// The number of threads that serve callers. One is enough, since hosts have a fraction of a core.
-const WORKERS: usize = 1;
-
 /// The length of the accept queue. A burst of callers that reconnect together must not overflow it,
 /// because a dropped SYN is retransmitted only after a second.
 const ACCEPT_QUEUE: u32 = 1_024;
 
+/// What the system buffers for a connection of a caller, in each direction: callers that send ahead
+/// and read nothing would have it hold megabytes.
+const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
+const SEND_BUFFER_BYTES: u32 = 32 << 10;
+
+/// What the system buffers for a link between entries, in each direction.
+const LINK_BUFFER_BYTES: u32 = 64 << 10;
+
+/// The longest request head: the limit of texts in use, and some more for the request line.
+const MAX_HEAD_BYTES: usize = 24 << 10;
+
+/// How long no connection is accepted after one could not be.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// The parts of the connections that each address may have, in percent.
+const CALLERS: usize = 70;
+const DIRECTORY: usize = 20;
+const READINESS: usize = 5;
+const METRICS: usize = 5;
+
 /// The bound listeners of a process.
 #[derive(Debug)]
 pub(crate) struct Listeners {
@@ -56,17 +79,33 @@
     /// Binds every address of the settings, and sets ports that the system has chosen in them.
     pub(crate) fn bind(settings: &mut Settings) -> Result<Self, StartError> {
         Ok(Self {
-            callers: bind(&mut settings.callers)?,
-            readiness: bind(&mut settings.readiness)?,
-            directory: bind(&mut settings.directory)?,
-            metrics: bind(&mut settings.metrics)?,
-            peers: bind(settings.peers_listen.as_mut().unwrap_or(&mut settings.peers))?,
+            callers: bind(&mut settings.callers, Buffers::CALLER)?,
+            readiness: bind(&mut settings.readiness, Buffers::CALLER)?,
+            directory: bind(&mut settings.directory, Buffers::CALLER)?,
+            metrics: bind(&mut settings.metrics, Buffers::CALLER)?,
+            peers: bind(
+                settings.peers_listen.as_mut().unwrap_or(&mut settings.peers),
+                Buffers::LINK,
+            )?,
         })
     }
 }
 
-fn bind(address: &mut SocketAddr) -> Result<TcpListener, StartError> {
-    let listener = listen(*address);
+/// What the system buffers for each connection of a listener.
+#[derive(Clone, Copy, Debug)]
+struct Buffers {
+    receive_bytes: u32,
+    send_bytes: u32,
+}
+
+impl Buffers {
+    const CALLER: Self =
+        Self { receive_bytes: RECEIVE_BUFFER_BYTES, send_bytes: SEND_BUFFER_BYTES };
+    const LINK: Self = Self { receive_bytes: LINK_BUFFER_BYTES, send_bytes: LINK_BUFFER_BYTES };
+}
+
+fn bind(address: &mut SocketAddr, buffers: Buffers) -> Result<TcpListener, StartError> {
+    let listener = listen(*address, buffers);
     let listener = listener.map_err(|reason| StartError::Bind { address: *address, reason })?;
     if let Ok(actual) = listener.local_addr() {
         *address = actual;
@@ -74,61 +113,140 @@
     Ok(listener)
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+fn listen(address: SocketAddr, buffers: Buffers) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     // A restarted process must be able to bind while connections of the previous one are in
     // TIME_WAIT.
     socket.set_reuseaddr(true)?;
+    // Accepted connections inherit both.
+    socket.set_recv_buffer_size(buffers.receive_bytes)?;
+    socket.set_send_buffer_size(buffers.send_bytes)?;
     socket.bind(address)?;
     socket.listen(ACCEPT_QUEUE)?.into_std()
 }
 
-/// Starts the servers for callers, readiness, the directory and metrics.
-pub(crate) fn spawn<P: Platform>(
-    process: &Arc<Process>,
-    fleet: &Arc<Fleet>,
-    listeners: Listeners,
-) -> io::Result<Server> {
-    let builder = ntex::server::build().workers(WORKERS).disable_signals();
-    let (process_handle, fleet_handle) = (Arc::clone(process), Arc::clone(fleet));
-    let builder = builder.listen("callers", listeners.callers, async move |_| {
-        let callers = Rc::new(Callers::default());
-        let reported = process_handle.reports_held(Rc::clone(&callers));
-        ntex::rt::spawn(reported).detach();
-        let (process, fleet) = (Arc::clone(&process_handle), Arc::clone(&fleet_handle));
-        let worker = Worker::new(process, fleet, callers);
-        HttpService::h1(async move |request: Request| {
-            Ok::<_, io::Error>(request::serve::<P>(&worker, request).await)
-        })
-    })?;
-    let process_handle = Arc::clone(process);
-    let builder = builder.listen("readiness", listeners.readiness, async move |_| {
-        let process = Arc::clone(&process_handle);
-        HttpService::h1(async move |request: Request| {
-            Ok::<_, io::Error>(request::probe::readiness::<P>(&process, &request))
-        })
-    })?;
-    let fleet_handle = Arc::clone(fleet);
-    let builder = builder.listen("directory", listeners.directory, async move |_| {
-        let fleet = Arc::clone(&fleet_handle);
-        HttpService::h1(async move |request: Request| {
-            Ok::<_, io::Error>(request::entries::answer::<P>(&fleet, &request))
-        })
-    })?;
-    let process_handle = Arc::clone(process);
-    let builder = builder.listen("metrics", listeners.metrics, async move |_| {
-        let process = Arc::clone(&process_handle);
-        HttpService::h1(async move |_: Request| {
-            Ok::<_, io::Error>(request::probe::metrics(&process))
-        })
-    })?;
-    let names = ["callers", "readiness", "directory", "metrics"];
-    let config = || {
-        let http = HttpServiceConfig::new()
-            .set_keepalive(KEEP_ALIVE)
-            .set_headers_read_rate(HEAD_PAUSE, HEAD_LIMIT, HEAD_RATE);
-        SharedCfg::new("callers").add(http)
+/// Returns the connections of an address with this part, which are closed where they hold too much.
+fn connections(process: &Arc<Process>, percent: usize) -> Rc<Callers> {
+    let resources = process.settings.resources;
+    let part = |all: usize| (all * percent / 100).max(1);
+    let bounds = Bounds {
+        connections: part(resources.connections()),
+        bytes: part(resources.connection_bytes()),
+        system_bytes: RECEIVE_BUFFER_BYTES.max(SEND_BUFFER_BYTES) as usize,
     };
-    let builder = names.iter().fold(builder, |builder, name| builder.config(*name, config()));
-    Ok(builder.run())
+    Rc::new(Callers::new(bounds, process.metrics.limits().clone()))
+}
+
+/// Follows the connections of an address.
+fn follow<F: Filter>(callers: &Callers, event: Control<F, io::Error>) -> ControlAck<F> {
+    match &event {
+        Control::Request(request) => {
+            if let Some(io) = request.get_ref().io() {
+                callers.touch(io);
+            }
+        }
+        Control::Connect(_) | Control::Upgrade(_) | Control::Expect(_) | Control::Disconnect(_) => {
+        }
+    }
+    event.ack()
+}
+
+/// The thread that serves callers, readiness, the directory and metrics.
+#[derive(Debug)]
+pub(crate) struct Server(Arbiter);
+
+impl Server {
+    /// Starts to serve on the listeners.
+    pub(crate) fn spawn<P: Platform>(
+        process: &Arc<Process>,
+        fleet: &Arc<Fleet>,
+        listeners: Listeners,
+    ) -> Self {
+        let (process, fleet) = (Arc::clone(process), Arc::clone(fleet));
+        let arbiter = Arbiter::with_name("callers".to_owned());
+        let started = async move { serve_all::<P>(&process, &fleet, listeners) };
+        arbiter.handle().spawn(started).detach();
+        Self(arbiter)
+    }
+
+    /// Closes all listeners and connections.
+    pub(crate) fn stop(&self) {
+        self.0.stop();
+    }
+}
+
+/// Starts a task for each listener.
+fn serve_all<P: Platform>(process: &Arc<Process>, fleet: &Arc<Fleet>, listeners: Listeners) {
+    let callers = connections(process, CALLERS);
+    ntex::rt::spawn(Arc::clone(process).reports_held(Rc::clone(&callers))).detach();
+    let worker = Worker::new(Arc::clone(process), Arc::clone(fleet), Rc::clone(&callers));
+    serve(listeners.callers, callers, async move |request: Request| {
+        Ok(request::serve::<P>(&worker, request).await)
+    });
+    let probed = Arc::clone(process);
+    serve(listeners.readiness, connections(process, READINESS), async move |request: Request| {
+        Ok(request::probe::readiness::<P>(&probed, &request))
+    });
+    let listed = Arc::clone(fleet);
+    serve(listeners.directory, connections(process, DIRECTORY), async move |request: Request| {
+        Ok(request::entries::answer::<P>(&listed, &request))
+    });
+    let measured = Arc::clone(process);
+    serve(listeners.metrics, connections(process, METRICS), async move |_: Request| {
+        Ok(request::probe::metrics(&measured))
+    });
+}
+
+/// Starts a task that accepts connections and serves requests on them.
+fn serve<H, B>(listener: TcpListener, callers: Rc<Callers>, handler: H)
+where
+    H: AsyncFn(Request) -> Result<Response<B>, io::Error> + Clone + 'static,
+    B: MessageBody + 'static,
+{
+    let followed = Rc::clone(&callers);
+    let service = HttpService::h1(fn_service(handler))
+        .control(async move |event| Ok::<_, io::Error>(follow(&followed, event)));
+    ntex::rt::spawn(async move {
+        let config = config();
+        // Neither fails: the handler is ready, and the listener is bound.
+        let Ok(service) = service.create(config.clone()).await else { return };
+        let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+        accept(&listener, &callers, Pipeline::new(service), config).await;
+    })
+    .detach();
+}
+
+/// Accepts connections until the thread ends, each once there is room for it.
+async fn accept<S>(
+    listener: &tokio::net::TcpListener,
+    callers: &Rc<Callers>,
+    service: Pipeline<S>,
+    config: SharedCfg,
+) where
+    S: Service<Io> + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // The process is out of descriptors; other connections will close.
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if !callers.make_room().await {
+            continue;
+        }
+        let io =
+            stream.into_std().and_then(|stream| ntex::rt::from_tcp_stream(stream, config.clone()));
+        // Fails if the caller has closed the connection.
+        let Ok(io) = io else { continue };
+        callers.add(&io.get_ref());
+        ntex::rt::spawn(service.call_nowait(io)).detach();
+    }
+}
+
+fn config() -> SharedCfg {
+    let http = HttpServiceConfig::new()
+        .set_keepalive(KEEP_ALIVE)
+        .set_headers_read_rate(HEAD_PAUSE, HEAD_LIMIT, HEAD_RATE)
+        .set_max_buf_size(MAX_HEAD_BYTES);
+    SharedCfg::new("callers").add(http).into()
 }
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -85,6 +85,12 @@
     /// The fewest descriptors with which a process serves callers.
     pub const MIN_DESCRIPTORS: u32 = 256;
 
+    /// What a connection takes that waits for a request, and has sent a part of it.
+    const CONNECTION_BYTES: usize = 24 << 10;
+
+    /// The descriptors for what is no connection of a caller: listeners, links and the registry.
+    const OWN_DESCRIPTORS: usize = 96;
+
     /// Returns the memory for bodies and answers, in bytes.
     pub(crate) fn payload_bytes(self) -> usize {
         self.part(20)
@@ -95,6 +101,19 @@
         self.part(30)
     }
 
+    /// Returns the memory for connections and their buffers, in bytes.
+    pub(crate) fn connection_bytes(self) -> usize {
+        self.part(22)
+    }
+
+    /// Returns the most connections on all addresses that callers reach. Each may need a second
+    /// descriptor for a connection to a target.
+    pub(crate) fn connections(self) -> usize {
+        let by_memory = self.connection_bytes() / Self::CONNECTION_BYTES;
+        let by_descriptors = (self.descriptors as usize).saturating_sub(Self::OWN_DESCRIPTORS) / 2;
+        by_memory.min(by_descriptors)
+    }
+
     fn part(self, percent: usize) -> usize {
         (self.memory_mb as usize * percent / 100) << 20
     }
--- a/crates/gateway/src/request/answer.rs
+++ b/crates/gateway/src/request/answer.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use derive_more::Display;
 use ntex::http::Response;
@@ -80,11 +81,35 @@
     last: Cell<bool>,
     /// Whether one before it on its connection did.
     behind_last: Cell<bool>,
+    /// Whether the body of its request is being received.
+    receiving: Cell<bool>,
+    /// When the caller last sent or read a part.
+    moved_at: Cell<Instant>,
     /// The memory of the answer, until the connection has all of it in its buffer.
     holding: RefCell<Option<Holding>>,
 }
 
 impl Progress {
+    /// Records whether the body of the request is being received.
+    pub(crate) fn set_receiving(&self, receiving: bool) {
+        self.receiving.set(receiving);
+        self.record_moved();
+    }
+
+    pub(crate) fn is_receiving(&self) -> bool {
+        self.receiving.get()
+    }
+
+    /// Records that the caller has sent or read a part.
+    pub(crate) fn record_moved(&self) {
+        self.moved_at.set(Instant::now());
+    }
+
+    /// Returns when the caller last sent or read a part.
+    pub(crate) fn moved_at(&self) -> Instant {
+        self.moved_at.get()
+    }
+
     /// Keeps the memory of the answer until it is handed to the connection, or `io` is closed because
     /// others need the memory and the caller reads nothing.
     pub(crate) fn hold(self: &Rc<Self>, holding: Holding, size: usize, io: Option<&IoRef>) {
@@ -189,6 +214,8 @@
             ended: Cell::new(false),
             last: Cell::new(false),
             behind_last: Cell::new(false),
+            receiving: Cell::new(false),
+            moved_at: Cell::new(Instant::now()),
             holding: RefCell::new(None),
         };
         Self {
@@ -258,6 +285,7 @@
             }
         }
         let bytes = self.next_part();
+        self.progress.record_moved();
         if let Some(holding) = &*self.progress.holding.borrow() {
             holding.record_moved(bytes.len());
         }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -288,11 +288,13 @@
     let permit = worker.process.memory.permit_request(head_bytes(request));
     let permit = permit.ok_or_else(|| refuse::no_memory(&facts.request))?;
     let body =
-        receive_body(worker, request, payload, limit).await.map_err(|error| match error {
-            BodyError::TooLarge => refuse::too_large(&facts.request),
-            BodyError::Late => refuse::body_timeout(&facts.request),
-            BodyError::NoMemory => refuse::no_memory(&facts.request),
-        })?;
+        receive_body(worker, request, payload, limit, answer).await.map_err(
+            |error| match error {
+                BodyError::TooLarge => refuse::too_large(&facts.request),
+                BodyError::Late => refuse::body_timeout(&facts.request),
+                BodyError::NoMemory => refuse::no_memory(&facts.request),
+            },
+        )?;
     let workspace_id = workspace.as_ref().map(|workspace| &workspace.id);
     let Resumption { constraint, service } =
         origin::resolve(worker, &facts, &route, workspace_id).await?;
@@ -363,6 +365,7 @@
     request: &Request,
     payload: &mut Payload,
     limit: usize,
+    answer: &Progress,
 ) -> Result<Content, BodyError> {
     if matches!(payload, Payload::None) {
         return Ok(Content::default());
@@ -374,8 +377,10 @@
     }
     let holding = worker.process.memory.hold();
     holding.set_evictable(true);
+    answer.set_receiving(true);
     let mut body = Builder::new(length, holding);
-    let received = timeout(BODY_TIMEOUT, read_body(payload, limit, &mut body)).await;
+    let received = timeout(BODY_TIMEOUT, read_body(payload, limit, &mut body, answer)).await;
+    answer.set_receiving(false);
     received.unwrap_or(Err(BodyError::Late))?;
     *payload = Payload::None;
     Ok(body.finish())
@@ -386,6 +391,7 @@
     payload: &mut Payload,
     limit: usize,
     body: &mut Builder,
+    answer: &Progress,
 ) -> Result<(), BodyError> {
     loop {
         let chunk = tokio::select! {
@@ -397,6 +403,7 @@
         if body.len() + chunk.len() > limit {
             return Err(BodyError::TooLarge);
         }
+        answer.record_moved();
         body.extend(&chunk).map_err(|refused| match refused {
             Refused::Full => BodyError::NoMemory,
             Refused::Evicted => BodyError::Late,
