Bound what a connection to the link address holds before it greets

Anyone who reaches the address could send a first frame of 2 MB without its end, on any number of connections for 0.9 s each: 184 MB of 110 with 80 of them, and connections that say nothing took all descriptors. A connection may send 16 KiB until it has said which entry it is or which target it wants, and 64 may be in that state; the oldest is closed for another one. Links that claim to be an entry are not bounded in number.

--- a/crates/gateway/src/connection/limit.rs
+++ b/crates/gateway/src/connection/limit.rs
@@ -26,10 +26,13 @@
     /// The same: the connection of a caller that has stalled is closed.
     #[display("stalled")]
     Stalled,
+    /// Too many connections of other entries have not said who they are: the oldest is closed.
+    #[display("greetings")]
+    Greetings,
 }
 
 /// The number of limits.
-const LIMITS: usize = 4;
+const LIMITS: usize = 5;
 
 /// What has not been logged of one limit.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/gateway/src/connection/link.rs
+++ b/crates/gateway/src/connection/link.rs
@@ -2,7 +2,7 @@
 //!
 //! A link on which nothing arrives for [`SILENCE_TIMEOUT`] is closed.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -10,6 +10,7 @@
 
 use fireflyhoist_policy::id;
 use fireflyhoist_policy::topology::Member;
+use futures_util::future::{AbortHandle, Abortable};
 use futures_util::{Sink, SinkExt, Stream, StreamExt};
 use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite};
@@ -22,6 +23,7 @@
 use tokio_tungstenite::{WebSocketStream, accept_hdr_async_with_config};
 
 use crate::connection::frame::{Frame, MAX_FRAME_BYTES};
+use crate::connection::limit::{Limit, Limits};
 use crate::connection::monitor::{Monitor, MonitoredSocket};
 use crate::connection::relay::{self, Incoming};
 use crate::connection::traffic::Traffic;
@@ -38,6 +40,12 @@
 /// How long opening a connection and the handshake on it may each take.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// The most that a connection may send until it has said which entry it is, or which target it wants.
+const MAX_GREETING_BYTES: u64 = 16 << 10;
+
+/// The most connections that have not said so. The oldest is closed for another one.
+const MAX_GREETINGS: usize = 64;
+
 /// The capacity of the send queue of a link, in frames. More are dropped, since heartbeats repeat
 /// the state.
 const SEND_QUEUE_FRAMES: usize = 64;
@@ -121,6 +129,22 @@
     events: mpsc::Sender<Event>,
     links: Mutex<HashMap<id::Host, Link>>,
     next_number: AtomicU64,
+    limits: Limits,
+    /// The accepted connections that have not said who they are, the oldest first.
+    greetings: Mutex<VecDeque<(u64, AbortHandle)>>,
+}
+
+/// A connection that has not said who it is, until this is dropped.
+#[derive(Debug)]
+struct Greeting {
+    links: Arc<Links>,
+    number: u64,
+}
+
+impl Drop for Greeting {
+    fn drop(&mut self) {
+        self.links.greetings.lock().retain(|(number, _)| *number != self.number);
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -132,13 +156,20 @@
 
 impl Links {
     /// Creates an empty set of links that sends its events to `events`.
-    pub(crate) fn new(own: Member, traffic: Traffic, events: mpsc::Sender<Event>) -> Arc<Self> {
+    pub(crate) fn new(
+        own: Member,
+        traffic: Traffic,
+        limits: Limits,
+        events: mpsc::Sender<Event>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             own,
             traffic,
             events,
             links: Mutex::default(),
             next_number: AtomicU64::new(0),
+            limits,
+            greetings: Mutex::default(),
         })
     }
 
@@ -194,10 +225,24 @@
     pub(crate) async fn dial(self: Arc<Self>, address: SocketAddr) {
         let connected = timeout(HANDSHAKE_TIMEOUT, connect(address)).await;
         if let Ok(Some((socket, monitor))) = connected {
-            self.run(socket, monitor).await;
+            self.run(socket, monitor, None).await;
         }
     }
 
+    /// Records an accepted connection, for which the oldest that has not said who it is may be closed.
+    fn greet(self: &Arc<Self>, handle: AbortHandle) -> Greeting {
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let mut greetings = self.greetings.lock();
+        greetings.push_back((number, handle));
+        let oldest = if greetings.len() > MAX_GREETINGS { greetings.pop_front() } else { None };
+        drop(greetings);
+        if let Some((_, oldest)) = oldest {
+            self.limits.reached(Limit::Greetings);
+            oldest.abort();
+        }
+        Greeting { links: Arc::clone(self), number }
+    }
+
     /// Accepts links until the process ends.
     pub(crate) async fn listen(self: Arc<Self>, listener: TcpListener) {
         loop {
@@ -207,36 +252,52 @@
                 continue;
             };
             let links = Arc::clone(&self);
-            ntex::rt::spawn(async move {
+            let (handle, registration) = AbortHandle::new_pair();
+            let greeting = self.greet(handle);
+            let served = async move {
                 let _ = stream.set_nodelay(true);
                 let (stream, monitor) = MonitoredSocket::new(stream);
+                monitor.limit(MAX_GREETING_BYTES);
                 let Ok(Some((socket, path))) = timeout(HANDSHAKE_TIMEOUT, accept(stream)).await
                 else {
                     return;
                 };
                 if path == relay::PATH {
-                    links.accept_relay(socket).await;
+                    links.accept_relay(socket, monitor, greeting).await;
                 } else {
-                    links.run(socket, monitor).await;
+                    links.run(socket, monitor, Some(greeting)).await;
                 }
+            };
+            ntex::rt::spawn(async move {
+                // It is aborted for another connection.
+                let _ = Abortable::new(served, registration).await;
             })
             .detach();
         }
     }
 
-    async fn accept_relay(&self, socket: WebSocketStream<MonitoredSocket<TcpStream>>) {
+    async fn accept_relay(
+        &self,
+        socket: WebSocketStream<MonitoredSocket<TcpStream>>,
+        monitor: Monitor,
+        greeting: Greeting,
+    ) {
         if let Some(incoming) = Incoming::read(socket).await {
+            monitor.lift_limit();
+            drop(greeting);
             let _ = self.events.send(Event::Relay(Box::new(incoming))).await;
         }
     }
 
     /// Performs the handshake, then receives and sends frames until the link ends.
-    async fn run<S, E>(self: Arc<Self>, socket: S, monitor: Monitor)
+    async fn run<S, E>(self: Arc<Self>, socket: S, monitor: Monitor, greeting: Option<Greeting>)
     where
         S: Stream<Item = Result<Message, E>> + Sink<Message> + Unpin,
     {
         let (mut sink, mut source) = socket.split();
         let Some(member) = self.handshake(&mut sink, &mut source).await else { return };
+        monitor.lift_limit();
+        drop(greeting);
         let host = member.host.clone();
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let (frames, outgoing) = mpsc::channel(SEND_QUEUE_FRAMES);
--- a/crates/gateway/src/connection/monitor.rs
+++ b/crates/gateway/src/connection/monitor.rs
@@ -17,6 +17,8 @@
     pub(crate) last_received: Instant,
     /// Total number of bytes received.
     pub(crate) received_bytes: u64,
+    /// Reads fail once more than this has been received.
+    max_bytes: u64,
 }
 
 /// A handle to the statistics of a [`MonitoredSocket`], usable while the socket is in use.
@@ -29,6 +31,16 @@
         *self.0.lock()
     }
 
+    /// Has reads fail after so many bytes, until the limit is lifted.
+    pub(crate) fn limit(&self, max_bytes: u64) {
+        self.0.lock().max_bytes = max_bytes;
+    }
+
+    /// Lifts the limit on what may be received.
+    pub(crate) fn lift_limit(&self) {
+        self.0.lock().max_bytes = u64::MAX;
+    }
+
     /// Waits until no byte has been received for `timeout`.
     pub(crate) async fn wait_idle(&self, timeout: Duration) {
         loop {
@@ -52,7 +64,7 @@
     /// Wraps a socket, and returns it with the monitor that reports what it receives from now on.
     pub(crate) fn new(socket: S) -> (Self, Monitor) {
         let now = Instant::now();
-        let snapshot = Snapshot { last_received: now, received_bytes: 0 };
+        let snapshot = Snapshot { last_received: now, received_bytes: 0, max_bytes: u64::MAX };
         let monitor = Monitor(Arc::new(Mutex::new(snapshot)));
         (Self { socket, monitor: monitor.clone() }, monitor)
     }
@@ -71,6 +83,10 @@
             let mut snapshot = self.monitor.0.lock();
             snapshot.last_received = Instant::now();
             snapshot.received_bytes += count as u64;
+            if snapshot.received_bytes > snapshot.max_bytes {
+                let reason = format!("more than {} bytes", snapshot.max_bytes);
+                return Poll::Ready(Err(io::Error::other(reason)));
+            }
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/gateway/src/process/fleet/mod.rs
+++ b/crates/gateway/src/process/fleet/mod.rs
@@ -150,7 +150,8 @@
             callers: settings.callers,
         };
         let (events, receiver) = mpsc::channel(BACKLOG);
-        let links = Links::new(own.clone(), process.metrics.traffic().clone(), events);
+        let limits = process.metrics.limits().clone();
+        let links = Links::new(own.clone(), process.metrics.traffic().clone(), limits, events);
         ntex::rt::spawn(Arc::clone(&links).listen(listener)).detach();
         let fleet = Arc::new(Self {
             started_at: process.clock.now(),
