--- a/crates/gateway/src/process/metrics.rs
+++ b/crates/gateway/src/process/metrics.rs
@@ -4,14 +4,16 @@
 //! Labels are kinds of requests, ranks and outcomes only, never workspaces or callers, so that the number
 //! of time series does not grow with either.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use fireflyhoist_policy::exclusion::Exclusion;
 use fireflyhoist_policy::gate::Reason;
 use fireflyhoist_policy::reservation;
+use ntex::util::Bytes;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use parking_lot::Mutex;
 use prometheus::{Registry, TextEncoder};
 
 use crate::connection::limit::Limits;
@@ -90,8 +92,13 @@
     held_payload: Gauge<u64>,
     traffic: Traffic,
     limits: Limits,
+    /// The latest page, and when it was made.
+    page: Mutex<Option<(Instant, Bytes)>>,
 }
 
+/// How long a page of metrics is served again: to make one takes milliseconds.
+const PAGE_AGE: Duration = Duration::from_millis(100);
+
 impl Metrics {
     /// Creates the metrics; `None` if the exporter can't be set up.
     pub(crate) fn open() -> Option<Self> {
@@ -196,6 +203,7 @@
             ),
             traffic: Traffic::new(&meter),
             limits: Limits::new(&meter),
+            page: Mutex::default(),
             registry,
             _provider: provider,
         })
@@ -290,8 +298,21 @@
         &self.limits
     }
 
-    /// Returns all metrics in the text format, with the given values of the gauges.
-    pub(crate) fn page(&self, gauges: GaugeValues) -> String {
+    /// Returns all metrics in the text format, with the given values of the gauges, or those of a moment
+    /// ago.
+    pub(crate) fn page(&self, gauges: impl FnOnce() -> GaugeValues) -> Bytes {
+        let mut latest = self.page.lock();
+        if let Some((made_at, page)) = &*latest
+            && made_at.elapsed() < PAGE_AGE
+        {
+            return page.clone();
+        }
+        let page = Bytes::from(self.encode(gauges()));
+        *latest = Some((Instant::now(), page.clone()));
+        page
+    }
+
+    fn encode(&self, gauges: GaugeValues) -> String {
         self.open.record(gauges.open as u64, &[]);
         self.isolated.record(u64::from(gauges.isolated), &[]);
         self.revision.record(gauges.revision, &[]);
--- a/crates/gateway/src/request/probe.rs
+++ b/crates/gateway/src/request/probe.rs
@@ -19,7 +19,7 @@
 
 /// Responds with the metrics of this process in the Prometheus text format.
 pub(crate) fn metrics(process: &Process) -> Response {
-    let page = process.metrics.page(GaugeValues {
+    let page = process.metrics.page(|| GaugeValues {
         open: process.open_requests(),
         isolated: process.is_isolated(),
         revision: process.revision(),
