Bound heads by a setting, and hand last answers to the system

The longest head is a setting now (resources.head_kb, 24 by default, at least the 16 that texts in use allow); heads beyond it are counted.

At the end of a drain the send buffers of connections with answers grow to 4 MB; what they take was counted as memory of the process until then. A connection therefore has a second handle to its socket, and a third of the descriptors is divided by connections.

--- a/crates/gateway/src/connection/callers.rs
+++ b/crates/gateway/src/connection/callers.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use ntex::io::IoRef;
+use socket2::Socket;
 use tokio::time::sleep;
 
 use crate::connection::limit::{Limit, Limits};
@@ -41,8 +42,9 @@
 pub(crate) enum Action {
     /// Nothing.
     Count,
-    /// Connections without a request are closed.
-    CloseIdle,
+    /// Connections without a request are closed, and the system takes as much as it can of answers, to
+    /// send it after the end of the process.
+    Close,
     /// Each answer that is held is logged as cut.
     LogCut,
 }
@@ -61,6 +63,9 @@
 /// How often connections are closed that hold too much.
 const RELIEF_INTERVAL: Duration = Duration::from_millis(100);
 
+/// What the system may buffer for a connection when the process ends.
+const LAST_SEND_BUFFER_BYTES: usize = 4 << 20;
+
 /// What a connection without full buffers takes.
 const BASE_BYTES: usize = 8 << 10;
 
@@ -81,6 +86,8 @@
 /// A connection of a caller.
 #[derive(Debug)]
 struct Connection {
+    /// A second handle to the socket, which the HTTP server does not give out.
+    socket: Socket,
     /// When its latest request began, or it was accepted if there is none.
     since: Instant,
     has_asked: bool,
@@ -156,8 +163,9 @@
     }
 
     /// Adds a new connection.
-    pub(crate) fn add(self: &Rc<Self>, io: &IoRef) {
-        let connection = Connection { since: Instant::now(), has_asked: false, progress: None };
+    pub(crate) fn add(self: &Rc<Self>, io: &IoRef, socket: Socket) {
+        let connection =
+            Connection { socket, since: Instant::now(), has_asked: false, progress: None };
         self.connections.borrow_mut().insert(io.clone(), connection);
         ntex::rt::spawn(watch(Rc::clone(&self.connections), io.clone())).detach();
         if self.may_hold_too_much() && !self.relieving.replace(true) {
@@ -179,6 +187,11 @@
         self.connections.borrow().len() * full > self.bounds.bytes
     }
 
+    /// Records that a request had a head that is too long.
+    pub(crate) fn record_long_head(&self) {
+        self.limits.reached(Limit::Head);
+    }
+
     /// Records that a request has begun on a connection.
     pub(crate) fn touch(&self, io: &IoRef) {
         if let Some(connection) = self.connections.borrow_mut().get_mut(io) {
@@ -245,12 +258,16 @@
                 Some(Stage::Unwritten) => held.unwritten += 1,
                 None if has_unwritten(io) => held.unwritten += 1,
                 None => {
-                    if action == Action::CloseIdle {
+                    if action == Action::Close {
                         io.close();
                     }
                     continue;
                 }
             }
+            if action == Action::Close {
+                // What it takes was bounded as memory of this process. It takes less if this fails.
+                let _ = connection.socket.set_send_buffer_size(LAST_SEND_BUFFER_BYTES);
+            }
             if action == Action::LogCut {
                 progress.log_exit();
             }
--- a/crates/gateway/src/connection/limit.rs
+++ b/crates/gateway/src/connection/limit.rs
@@ -26,13 +26,16 @@
     /// The same: the connection of a caller that has stalled is closed.
     #[display("stalled")]
     Stalled,
+    /// The head of a request is too long: it is refused, and its connection closed.
+    #[display("head")]
+    Head,
     /// Too many connections of other entries have not said who they are: the oldest is closed.
     #[display("greetings")]
     Greetings,
 }
 
 /// The number of limits.
-const LIMITS: usize = 5;
+const LIMITS: usize = 6;
 
 /// What has not been logged of one limit.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/gateway/src/process/mod.rs
+++ b/crates/gateway/src/process/mod.rs
@@ -218,7 +218,7 @@
     async fn close(&self, within: Duration) {
         self.process.close();
         // What has not been written by then is cut with the process.
-        let _ = timeout(within, self.sent_all(CLOSE_POLL, Action::CloseIdle)).await;
+        let _ = timeout(within, self.sent_all(CLOSE_POLL, Action::Close)).await;
     }
 
     /// Waits until nothing is left to send to callers, and does `action` at each check.
--- a/crates/gateway/src/process/serve.rs
+++ b/crates/gateway/src/process/serve.rs
@@ -8,13 +8,16 @@
 
 use ntex::SharedCfg;
 use ntex::http::body::MessageBody;
-use ntex::http::h1::{Control, ControlAck};
+use ntex::http::error::DecodeError;
+use ntex::http::h1::control::Reason;
+use ntex::http::h1::{Control, ControlAck, ProtocolError};
 use ntex::http::{HttpService, HttpServiceConfig, Request, Response};
 use ntex::io::{Filter, Io};
 use ntex::rt::Arbiter;
 use ntex::service::{Pipeline, Service, ServiceFactory, fn_service};
 use ntex::time::Seconds;
-use tokio::net::TcpSocket;
+use socket2::Socket;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::sleep;
 
 use crate::connection::callers::{Bounds, Callers};
@@ -52,9 +55,6 @@
 /// What the system buffers for a link between entries, in each direction.
 const LINK_BUFFER_BYTES: u32 = 64 << 10;
 
-/// The longest request head: the limit of texts in use, and some more for the request line.
-const MAX_HEAD_BYTES: usize = 24 << 10;
-
 /// How long no connection is accepted after one could not be.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -145,6 +145,11 @@
                 callers.touch(io);
             }
         }
+        Control::Disconnect(Reason::ProtocolError(error)) => {
+            if matches!(error.err(), ProtocolError::Decode(DecodeError::TooLarge(_))) {
+                callers.record_long_head();
+            }
+        }
         Control::Connect(_) | Control::Upgrade(_) | Control::Expect(_) | Control::Disconnect(_) => {
         }
     }
@@ -177,28 +182,35 @@
 
 /// Starts a task for each listener.
 fn serve_all<P: Platform>(process: &Arc<Process>, fleet: &Arc<Fleet>, listeners: Listeners) {
+    let config = config(process.settings.resources.head_bytes());
     let callers = connections(process, CALLERS);
     ntex::rt::spawn(Arc::clone(process).reports_held(Rc::clone(&callers))).detach();
     let worker = Worker::new(Arc::clone(process), Arc::clone(fleet), Rc::clone(&callers));
-    serve(listeners.callers, callers, async move |request: Request| {
+    serve(listeners.callers, callers, config.clone(), async move |request: Request| {
         Ok(request::serve::<P>(&worker, request).await)
     });
     let probed = Arc::clone(process);
-    serve(listeners.readiness, connections(process, READINESS), async move |request: Request| {
-        Ok(request::probe::readiness::<P>(&probed, &request))
-    });
+    serve(
+        listeners.readiness,
+        connections(process, READINESS),
+        config.clone(),
+        async move |request: Request| Ok(request::probe::readiness::<P>(&probed, &request)),
+    );
     let listed = Arc::clone(fleet);
-    serve(listeners.directory, connections(process, DIRECTORY), async move |request: Request| {
-        Ok(request::entries::answer::<P>(&listed, &request))
-    });
+    serve(
+        listeners.directory,
+        connections(process, DIRECTORY),
+        config.clone(),
+        async move |request: Request| Ok(request::entries::answer::<P>(&listed, &request)),
+    );
     let measured = Arc::clone(process);
-    serve(listeners.metrics, connections(process, METRICS), async move |_: Request| {
+    serve(listeners.metrics, connections(process, METRICS), config, async move |_: Request| {
         Ok(request::probe::metrics(&measured))
     });
 }
 
 /// Starts a task that accepts connections and serves requests on them.
-fn serve<H, B>(listener: TcpListener, callers: Rc<Callers>, handler: H)
+fn serve<H, B>(listener: TcpListener, callers: Rc<Callers>, config: SharedCfg, handler: H)
 where
     H: AsyncFn(Request) -> Result<Response<B>, io::Error> + Clone + 'static,
     B: MessageBody + 'static,
@@ -207,7 +219,6 @@
     let service = HttpService::h1(fn_service(handler))
         .control(async move |event| Ok::<_, io::Error>(follow(&followed, event)));
     ntex::rt::spawn(async move {
-        let config = config();
         // Neither fails: the handler is ready, and the listener is bound.
         let Ok(service) = service.create(config.clone()).await else { return };
         let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
@@ -234,19 +245,24 @@
         if !callers.make_room().await {
             continue;
         }
-        let io =
-            stream.into_std().and_then(|stream| ntex::rt::from_tcp_stream(stream, config.clone()));
         // Fails if the caller has closed the connection.
-        let Ok(io) = io else { continue };
-        callers.add(&io.get_ref());
+        let Ok((io, socket)) = open(stream, &config) else { continue };
+        callers.add(&io.get_ref(), socket);
         ntex::rt::spawn(service.call_nowait(io)).detach();
     }
 }
 
-fn config() -> SharedCfg {
+/// Returns a connection for the HTTP server, and its socket.
+fn open(stream: TcpStream, config: &SharedCfg) -> io::Result<(Io, Socket)> {
+    let stream = stream.into_std()?;
+    let socket = Socket::from(stream.try_clone()?);
+    Ok((ntex::rt::from_tcp_stream(stream, config.clone())?, socket))
+}
+
+fn config(head_bytes: usize) -> SharedCfg {
     let http = HttpServiceConfig::new()
         .set_keepalive(KEEP_ALIVE)
         .set_headers_read_rate(HEAD_PAUSE, HEAD_LIMIT, HEAD_RATE)
-        .set_max_buf_size(MAX_HEAD_BYTES);
+        .set_max_buf_size(head_bytes);
     SharedCfg::new("callers").add(http).into()
 }
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -76,6 +76,9 @@
     /// The file descriptors of the process.
     #[serde(deserialize_with = "descriptors_or_number")]
     pub descriptors: u32,
+    /// The longest head of a request, in KB of 2^10 bytes.
+    #[serde(deserialize_with = "head_kb_or_number")]
+    pub head_kb: u32,
 }
 
 impl Resources {
@@ -85,6 +88,9 @@
     /// The fewest descriptors with which a process serves callers.
     pub const MIN_DESCRIPTORS: u32 = 256;
 
+    /// The least size of the longest head, in KB: texts in use allow as much.
+    pub const MIN_HEAD_KB: u32 = 16;
+
     /// What a connection takes that waits for a request, and has sent a part of it.
     const CONNECTION_BYTES: usize = 24 << 10;
 
@@ -101,16 +107,21 @@
         self.part(30)
     }
 
+    /// Returns the longest head of a request, in bytes.
+    pub(crate) fn head_bytes(self) -> usize {
+        (self.head_kb as usize) << 10
+    }
+
     /// Returns the memory for connections and their buffers, in bytes.
     pub(crate) fn connection_bytes(self) -> usize {
         self.part(22)
     }
 
-    /// Returns the most connections on all addresses that callers reach. Each may need a second
-    /// descriptor for a connection to a target.
+    /// Returns the most connections on all addresses that callers reach. Each has two descriptors,
+    /// and may need another one for a connection to a target.
     pub(crate) fn connections(self) -> usize {
         let by_memory = self.connection_bytes() / Self::CONNECTION_BYTES;
-        let by_descriptors = (self.descriptors as usize).saturating_sub(Self::OWN_DESCRIPTORS) / 2;
+        let by_descriptors = (self.descriptors as usize).saturating_sub(Self::OWN_DESCRIPTORS) / 3;
         by_memory.min(by_descriptors)
     }
 
@@ -121,7 +132,7 @@
 
 impl Default for Resources {
     fn default() -> Self {
-        Self { memory_mb: 110, descriptors: 4_096 }
+        Self { memory_mb: 110, descriptors: 4_096, head_kb: 24 }
     }
 }
 
@@ -205,6 +216,10 @@
     whole_number(input, Resources::default().descriptors, Resources::MIN_DESCRIPTORS)
 }
 
+fn head_kb_or_number<'de, D: Deserializer<'de>>(input: D) -> Result<u32, D::Error> {
+    whole_number(input, Resources::default().head_kb, Resources::MIN_HEAD_KB)
+}
+
 /// Reads a number that is at least `min`; its fraction is dropped.
 fn whole_number<'de, D: Deserializer<'de>>(
     input: D,
--- a/crates/gateway/tests/resources.rs
+++ b/crates/gateway/tests/resources.rs
@@ -39,6 +39,7 @@
 #[parameterized(
     little_memory = { "memory_mb = 63" },
     few_descriptors = { "descriptors = 255" },
+    short_heads = { "head_kb = 15" },
     negative = { "memory_mb = -1" },
     not_a_number = { "memory_mb = \"much\"" },
     too_much = { "descriptors = 4294967296" },
