Give memory to the newest answer that waits, and close stalled connections sooner

Requests sent ahead on a route that doesn't exist held 62 MB of 64: what a connection may hold while it answers was counted too low, so fewer are accepted, and one whose caller stands still yields after 0.5 s, not 1. A connection with a part of a request or of an answer on it is not taken for silent or idle.

--- a/crates/gateway/src/connection/callers.rs
+++ b/crates/gateway/src/connection/callers.rs
@@ -7,11 +7,11 @@
 use std::time::{Duration, Instant};
 
 use ntex::io::IoRef;
+use rustix::io::ioctl_fionread;
 use socket2::Socket;
 use tokio::time::sleep;
 
 use crate::connection::limit::{Limit, Limits};
-
 use crate::request::answer::{Cause, Progress, Stage};
 
 /// What a process holds for its callers.
@@ -54,7 +54,7 @@
 const SILENCE_GRACE: Duration = Duration::from_millis(50);
 
 /// How long an answer or a body may stand still where another caller needs the room.
-const STALL_GRACE: Duration = Duration::from_secs(1);
+const STALL_GRACE: Duration = Duration::from_millis(500);
 
 /// How long a new connection waits for others that may be closed soon, and how often it looks.
 const ROOM_TIMEOUT: Duration = Duration::from_millis(200);
@@ -98,30 +98,42 @@
 /// What another caller's need of room means for a connection. The least is closed first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
-    /// It has never sent a request.
+    /// It has sent nothing.
     Silent(Instant),
     /// It waits for its next request.
     Idle(Instant),
-    /// Its caller sends no more of a body, or reads no more of an answer.
+    /// Its caller sends no more of a request, or reads no more of an answer.
     Stalled(Instant),
 }
 
 impl Connection {
     /// Returns its rank, unless it is in use.
-    fn rank(&self) -> Option<Rank> {
+    fn rank(&self, io: &IoRef) -> Option<Rank> {
+        let stalled_since =
+            |since: Instant| (since.elapsed() >= STALL_GRACE).then_some(Rank::Stalled(since));
         let progress = self.progress.as_ref();
-        let Some(stage) = progress.and_then(|progress| progress.stage()) else {
-            return match self.has_asked {
-                true => Some(Rank::Idle(self.since)),
-                false => {
-                    (self.since.elapsed() >= SILENCE_GRACE).then_some(Rank::Silent(self.since))
-                }
-            };
-        };
-        let progress = progress?;
-        let waits_for_caller = stage == Stage::Unwritten || progress.is_receiving();
-        let since = progress.moved_at();
-        (waits_for_caller && since.elapsed() >= STALL_GRACE).then_some(Rank::Stalled(since))
+        if let Some(progress) = progress
+            && let Some(stage) = progress.stage()
+        {
+            let waits_for_caller = stage == Stage::Unwritten || progress.is_receiving();
+            return stalled_since(progress.moved_at()).filter(|_| waits_for_caller);
+        }
+        if has_unwritten(io) {
+            return stalled_since(progress.map_or(self.since, |progress| progress.moved_at()));
+        }
+        if self.has_asked {
+            return Some(Rank::Idle(self.since));
+        }
+        match self.has_received(io) {
+            true => stalled_since(self.since),
+            false => (self.since.elapsed() >= SILENCE_GRACE).then_some(Rank::Silent(self.since)),
+        }
+    }
+
+    /// Returns whether a part of a request has been received, by this process or by the system.
+    fn has_received(&self, io: &IoRef) -> bool {
+        io.with_read_src_buf(|buffer| !buffer.is_empty())
+            || ioctl_fionread(&self.socket).is_ok_and(|unread| unread > 0)
     }
 }
 
@@ -233,7 +245,7 @@
     fn close_one(&self, weight: impl Fn(&IoRef) -> usize) -> bool {
         let mut connections = self.connections.borrow_mut();
         let unused = connections.iter().filter_map(|(io, connection)| {
-            Some((std::cmp::Reverse(weight(io)), connection.rank()?, io))
+            Some((std::cmp::Reverse(weight(io)), connection.rank(io)?, io))
         });
         let Some((.., io)) = unused.min_by_key(|(weight, rank, _)| (*weight, *rank)) else {
             return false;
--- a/crates/gateway/src/connection/memory.rs
+++ b/crates/gateway/src/connection/memory.rs
@@ -110,9 +110,6 @@
         let now = self.now();
         let mut accounts = self.accounts.lock();
         let reserved = accounts.budget.reserve(account, bytes, now);
-        if reserved == Err(Refused::Full) {
-            self.limits.reached(Limit::Payload);
-        }
         for evicted in accounts.budget.take_evicted() {
             self.limits.reached(Limit::Stalled);
             if let Some(eviction) = accounts.evictions.get(&evicted) {
@@ -134,18 +131,32 @@
 impl Holding {
     /// Adds bytes to the account, if there is memory left.
     pub(crate) fn reserve(&self, bytes: usize) -> Result<(), Refused> {
-        self.memory.reserve(self.account, bytes)
+        let reserved = self.memory.reserve(self.account, bytes);
+        if reserved == Err(Refused::Full) {
+            self.memory.limits.reached(Limit::Payload);
+        }
+        reserved
     }
 
     /// Adds bytes to the account, as soon as there is memory left.
     pub(crate) async fn reserve_when_free(&self, bytes: usize) -> Result<(), Refused> {
-        loop {
-            let freed = self.memory.freed.notified();
-            match self.reserve(bytes) {
-                Err(Refused::Full) => drop(timeout(STALL_POLL, freed).await),
-                reserved => return reserved,
+        let mut reserved = self.reserve(bytes);
+        if reserved == Err(Refused::Full) {
+            self.set_waiting(true);
+            while reserved == Err(Refused::Full) {
+                let freed = self.memory.freed.notified();
+                // Also looks for others that have stalled since.
+                let _ = timeout(STALL_POLL, freed).await;
+                reserved = self.memory.reserve(self.account, bytes);
             }
+            self.set_waiting(false);
+            self.memory.freed.notify_waiters();
         }
+        reserved
+    }
+
+    fn set_waiting(&self, waiting: bool) {
+        self.memory.accounts.lock().budget.set_waiting(self.account, waiting);
     }
 
     /// Records that the caller has sent or read so many bytes.
--- a/crates/gateway/src/process/settings.rs
+++ b/crates/gateway/src/process/settings.rs
@@ -91,8 +91,8 @@
     /// The least size of the longest head, in KB: texts in use allow as much.
     pub const MIN_HEAD_KB: u32 = 16;
 
-    /// What a connection takes that waits for a request, and has sent a part of it.
-    const CONNECTION_BYTES: usize = 24 << 10;
+    /// What a connection takes on average while all are in use.
+    const CONNECTION_BYTES: usize = 32 << 10;
 
     /// The descriptors for what is no connection of a caller: listeners, links and the registry.
     const OWN_DESCRIPTORS: usize = 96;
--- a/crates/policy/src/payload.rs
+++ b/crates/policy/src/payload.rs
@@ -5,7 +5,7 @@
 //! middle of a body, or reads no answer, then loses its connection, and not the next caller that
 //! comes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use derive_more::{Display, Error};
@@ -74,12 +74,21 @@
     accounts: HashMap<Account, Holding>,
     /// Evicted accounts that [`Budget::take_evicted`] has not returned yet.
     evicted: Vec<Account>,
+    /// Accounts that wait for memory.
+    waiting: BTreeSet<Account>,
 }
 
 impl Budget {
     /// Creates a budget of `capacity` bytes.
     pub fn new(capacity: usize) -> Self {
-        Self { capacity, used: 0, next: 0, accounts: HashMap::new(), evicted: Vec::new() }
+        Self {
+            capacity,
+            used: 0,
+            next: 0,
+            accounts: HashMap::new(),
+            evicted: Vec::new(),
+            waiting: BTreeSet::new(),
+        }
     }
 
     /// Returns the bytes of all accounts.
@@ -99,6 +108,7 @@
 
     /// Closes an account and returns its bytes to the others.
     pub fn close(&mut self, account: Account) {
+        self.waiting.remove(&account);
         if let Some(holding) = self.accounts.remove(&account) {
             self.used -= holding.bytes;
         }
@@ -113,6 +123,10 @@
         let held = self.accounts.get(&account).filter(|held| !held.evicted);
         let held = held.ok_or(Refused::Evicted)?;
         let is_small = held.bytes + bytes <= SMALL;
+        let is_behind = self.waiting.contains(&account) && self.waiting.last() != Some(&account);
+        if is_behind && !is_small {
+            return Err(Refused::Full);
+        }
         let limit = match is_small {
             true => self.capacity,
             false => self.capacity - self.capacity / SMALL_SHARE,
@@ -128,6 +142,15 @@
         Ok(())
     }
 
+    /// Sets whether an account waits for memory. Of those that do, the newest gets it first: in front of
+    /// callers that read nothing, the next one would wait until all of them are evicted.
+    pub fn set_waiting(&mut self, account: Account, waiting: bool) {
+        match waiting {
+            true => self.waiting.insert(account),
+            false => self.waiting.remove(&account),
+        };
+    }
+
     /// Returns the accounts that were evicted since the last call.
     pub fn take_evicted(&mut self) -> Vec<Account> {
         std::mem::take(&mut self.evicted)
--- a/crates/policy/tests/payload.rs
+++ b/crates/policy/tests/payload.rs
@@ -97,6 +97,24 @@
     assert_eq!(budget.take_evicted(), [large]);
 }
 
+/// Guards against the next caller waiting behind all callers that read nothing.
+#[test]
+fn the_newest_account_that_waits_is_first() {
+    let mut budget = Budget::new(CAPACITY);
+    let held = budget.open(START);
+    budget.reserve(held, LARGE_LIMIT, START).expect("room");
+    let accounts: Vec<_> = (0..3).map(|_| budget.open(START)).collect();
+    accounts.iter().for_each(|account| budget.set_waiting(*account, true));
+    budget.close(held);
+    assert_eq!(budget.reserve(accounts[0], MB, START), Err(Refused::Full));
+    assert_eq!(budget.reserve(accounts[0], SMALL, START), Ok(()));
+    assert_eq!(budget.reserve(accounts[2], MB, START), Ok(()));
+    budget.set_waiting(accounts[2], false);
+    assert_eq!(budget.reserve(accounts[1], MB, START), Ok(()));
+    budget.close(accounts[1]);
+    assert_eq!(budget.reserve(accounts[0], MB, START), Ok(()));
+}
+
 /// Guards against a body of the largest legal size that is refused in calm.
 #[test]
 fn one_account_may_use_all_that_is_for_large_ones() {
