--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -61,8 +61,9 @@
 /// How long the body of a request may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// How long the rest of a body is read after the request was refused.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long the rest of a body is read of a request that is refused, in all and without another part.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+const DISCARD_PAUSE: Duration = Duration::from_millis(100);
 
 /// Urgency of requests at engines, the same for all requests.
 ///
@@ -206,8 +207,9 @@
     let mut payload = request.take_payload();
     let resolved =
         resolve(worker, facts, &request, &mut payload, answer.progress(), arrived_at).await;
-    let unread = resolved.is_err() && !matches!(payload, Payload::None);
-    drop(request);
+    // The caller may read a refusal only after it has sent the whole body.
+    let is_read = resolved.is_ok() || discard(&mut payload).await;
+    drop((request, payload));
     let mut response = match resolved {
         Ok(context) => {
             let kind = context.kind();
@@ -229,11 +231,7 @@
         }
         Err(response) => response,
     };
-    if unread {
-        // The caller may read the refusal only after it has sent the whole body.
-        ntex::rt::spawn(discard(payload)).detach();
-    }
-    if unread || leaving || worker.process.is_leaving() {
+    if !is_read || leaving || worker.process.is_leaving() {
         response.head_mut().set_connection_type(ntex::http::ConnectionType::Close);
         answer.progress().set_last();
     }
@@ -411,11 +409,19 @@
     }
 }
 
-/// Reads the rest of a body that is not kept, for a bounded time.
-async fn discard(mut payload: Payload) {
-    let read = async { while let Some(Ok(_)) = payload.next().await {} };
-    // The server closes the connection if the rest is not read.
-    let _ = timeout(DISCARD_TIMEOUT, read).await;
+/// Reads the rest of a body without keeping it, as long as it arrives and for a bounded time. Returns
+/// whether its end was read; otherwise the server closes the connection.
+async fn discard(payload: &mut Payload) -> bool {
+    let read = async {
+        loop {
+            match timeout(DISCARD_PAUSE, payload.next()).await {
+                Ok(Some(Ok(_))) => {}
+                Ok(None) => return true,
+                Ok(Some(Err(_))) | Err(_) => return false,
+            }
+        }
+    };
+    timeout(DISCARD_TIMEOUT, read).await.unwrap_or(false)
 }
 
 /// Returns the size of the head of a request.
