Log what a stream's end was taken from, and the replies of engines told to stop runs

An entry gave streams that a move had stopped to callers as complete, and its log could not tell why: `stream ended` names neither the framing of the stream nor whether a call to stop its run was under way, and a last copy that was answered was not logged. `stream ended` now has `framing` and `stop`, and `stop answered` has the status and the reply. No decision changes.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -232,6 +232,20 @@
     request.body(outgoing.body.into())
 }
 
+/// What tells the end of a body.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// Its length.
+    #[display("length")]
+    Length,
+    /// Its last chunk.
+    #[display("chunks")]
+    Chunks,
+    /// The end of the connection, which may have another cause.
+    #[display("connection")]
+    Connection,
+}
+
 /// A response whose body has not been read yet.
 #[derive(Debug)]
 pub(crate) struct Response {
@@ -278,10 +292,12 @@
         }
     }
 
-    /// Returns whether the body has neither a length nor chunks, so that its end is that of the
-    /// connection.
-    pub(crate) fn ends_with_connection(&self) -> bool {
-        !self.headers.contains_key(CONTENT_LENGTH) && !self.headers.contains_key(TRANSFER_ENCODING)
+    pub(crate) fn framing(&self) -> Framing {
+        match &self.headers {
+            headers if headers.contains_key(TRANSFER_ENCODING) => Framing::Chunks,
+            headers if headers.contains_key(CONTENT_LENGTH) => Framing::Length,
+            _ => Framing::Connection,
+        }
     }
 
     /// Reads the rest of a JSON body without what the filter removes. Fails if more than `limit` bytes
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -17,7 +17,7 @@
 use ntex::util::Bytes;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use crate::connection::exchange::Response;
+use crate::connection::exchange::{Framing, Response};
 use crate::platform::Platform;
 use crate::process::fleet::fragility::Slot;
 use crate::process::service_gate::Pass;
@@ -114,6 +114,8 @@
     began_here: bool,
     /// The start of the current engine that was listed since the run began.
     new_start: Option<NewStart>,
+    /// What tells the end of the current run's stream.
+    framing: Framing,
     /// The stream of `upstream`, as transfers know it.
     stream: Rc<RunStream>,
     /// How it is known that the last run has ended; `None` while that is not known.
@@ -168,6 +170,7 @@
             slot,
             backup,
             relayed: started.response.relay.is_some(),
+            framing: started.response.framing(),
             upstream: Some(started.response),
             software: started.target.software.clone(),
             target: Some(started.target),
@@ -239,7 +242,7 @@
         log::info!(
             request = self.context.facts.request.as_str(), end:? = end, events = self.events,
             last = self.last_event.get().unwrap_or(0), trips = self.migrations,
-            target:% = target, ms = crate::process::state::millis(elapsed);
+            target:% = target, framing:% = self.framing, stop:% = self.stream.stop(), ms = crate::process::state::millis(elapsed);
             "stream ended"
         );
     }
@@ -527,6 +530,7 @@
         // No new backup is made: it would compete for links over which other answers still migrate.
         self.backup = None;
         self.relayed = resumed.started.response.relay.is_some();
+        self.framing = resumed.started.response.framing();
         self.upstream = Some(resumed.started.response);
         self.began_at = resumed.started.began_at;
         self.software = resumed.started.target.software.clone();
@@ -631,10 +635,8 @@
     /// Returns whether the answer is complete: the response ended in order and not within an event. One
     /// without an event that ends with its connection was broken off on beginning to write.
     fn is_whole(&self) -> bool {
-        let is_empty =
-            |upstream: &Response| self.run_events == 0 && upstream.ends_with_connection();
-        let ended_in_order = self.upstream.as_ref().is_some_and(|upstream| !is_empty(upstream));
-        ended_in_order && self.splitter.is_empty()
+        let is_empty = self.run_events == 0 && self.framing == Framing::Connection;
+        self.upstream.is_some() && !is_empty && self.splitter.is_empty()
     }
 
     /// Forwards the events that the caller has not received yet. Fails if the answer ends with that;
--- a/crates/gateway/src/request/transfer.rs
+++ b/crates/gateway/src/request/transfer.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use derive_more::Display;
 use fireflyhoist_policy::isolation::STALL_TIME;
 use fireflyhoist_policy::lease::Target;
 use fireflyhoist_policy::unit::Tokens;
@@ -109,9 +110,30 @@
     pub(crate) stream: &'a RunStream,
 }
 
+/// What is known of calls that stop a run.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum Stop {
+    /// None has reached the run's engine.
+    #[display("none")]
+    Uncalled,
+    /// One is in progress.
+    #[display("called")]
+    Called,
+    /// One may have stopped the run.
+    #[display("unknown")]
+    Unknown,
+    /// The run was stopped.
+    #[display("stopped")]
+    Stopped,
+    /// The run had ended before.
+    #[display("no run")]
+    NoRun,
+}
+
 /// The stream of a run from its engine, which a transfer may have to close.
 #[derive(Debug)]
 pub(crate) struct RunStream {
+    stop: Cell<Stop>,
     is_open: Cell<bool>,
     closed: Notify,
     must_close: Notify,
@@ -119,7 +141,17 @@
 
 impl RunStream {
     pub(crate) fn open() -> Self {
-        Self { is_open: Cell::new(true), closed: Notify::new(), must_close: Notify::new() }
+        Self {
+            stop: Cell::new(Stop::Uncalled),
+            is_open: Cell::new(true),
+            closed: Notify::new(),
+            must_close: Notify::new(),
+        }
+    }
+
+    /// Returns what is known of calls that stop the run.
+    pub(crate) fn stop(&self) -> Stop {
+        self.stop.get()
     }
 
     /// Records that the stream is closed.
@@ -235,17 +267,38 @@
     context: &Context,
     source: &Source<'_>,
     to: SocketAddr,
+) -> Result<Stopped, Error> {
+    let result = try_stop_run::<P>(worker, context, source, to).await;
+    let stop = match &result {
+        Ok(_) => Stop::Stopped,
+        Err(_) if source.stream.stop() == Stop::Called => Stop::Unknown,
+        Err(_) => source.stream.stop(),
+    };
+    source.stream.stop.set(stop);
+    result
+}
+
+/// Stops a run; see [`stop_run`], which also records the outcome for the reader of its stream.
+async fn try_stop_run<P: Platform>(
+    worker: &Worker,
+    context: &Context,
+    source: &Source<'_>,
+    to: SocketAddr,
 ) -> Result<Stopped, Error> {
     let heard = source.last_event.get();
     let give_up_at = worker.process.clock.now() + STALL_TIME;
     let mut may_have_stopped = false;
     let mut replies = 0;
     loop {
+        source.stream.stop.set(Stop::Called);
         match call_move::<P>(worker, context, source.engine, to, true).await {
             Ok(Moved::Copied { name }) => return Ok(Stopped::Copied { name }),
             Ok(Moved::Refused { name: Some(name) }) => return Ok(Stopped::Kept { name }),
             Ok(Moved::NoRun) if may_have_stopped => return Ok(Stopped::Uncopied(Ended::Stopped)),
-            Ok(Moved::NoRun) => return Err(Error::Unknown("no run")),
+            Ok(Moved::NoRun) => {
+                source.stream.stop.set(Stop::NoRun);
+                return Err(Error::Unknown("no run"));
+            }
             Ok(Moved::Refused { name: None }) if !may_have_stopped => {
                 return Err(Error::NotRun("no room"));
             }
@@ -299,7 +352,14 @@
     if P::reply(reply.status, &reply.headers).leaving {
         worker.fleet.drain_target(from);
     }
-    Ok(P::decode_move(reply.status, &reply.body))
+    let moved = P::decode_move(reply.status, &reply.body);
+    if last {
+        log::info!(
+            request = context.facts.request.as_str(), engine:% = from.id,
+            status = reply.status.as_u16(), reply:? = moved; "stop answered"
+        );
+    }
+    Ok(moved)
 }
 
 /// Returns whether the engine certainly got no call.
