Distrust the end of a run whose engine may still act on an earlier call to stop it

An engine that stands still reads calls late. Where it left the call to stop a run unanswered and the run resumed at the same engine, since no other would take it, that call can stop the new run: its unframed stream closes between two events and looked complete. The outcome of such a call is now unknown for the new run too, so an end within 1.5 s counts as broken off; events after that show that the run goes on.

late_stops.rs is red without it (five events as a complete answer) and passes.

--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -558,6 +558,8 @@
                 return None;
             }
         };
+        let stays = *self.pass.target() == resumed.target;
+        let stream = if stays { self.stream.reopen() } else { RunStream::open() };
         self.pass.transfer(&resumed.target);
         drop(resumed.reservation);
         // No new backup is made: it would compete for links over which other answers still migrate.
@@ -569,7 +571,7 @@
         self.software = resumed.started.target.software.clone();
         self.target = Some(resumed.started.target);
         (self.began_here, self.new_start) = (false, None);
-        (self.ended, self.stream) = (None, Rc::new(RunStream::open()));
+        (self.ended, self.stream) = (None, Rc::new(stream));
         self.run_events = 0;
         self.splitter = Splitter::default();
         self.unsent_since = None;
--- a/crates/gateway/src/request/transfer.rs
+++ b/crates/gateway/src/request/transfer.rs
@@ -146,6 +146,8 @@
     stop: Cell<Stop>,
     /// Whether it ended in order while a call to stop the run was in progress.
     has_ended: Cell<bool>,
+    /// Whether its engine left a call to stop the run unanswered, and may still act on it.
+    has_unanswered_call: Cell<bool>,
     is_open: Cell<bool>,
     closed: Notify,
     must_close: Notify,
@@ -156,12 +158,23 @@
         Self {
             stop: Cell::new(Stop::Uncalled),
             has_ended: Cell::new(false),
+            has_unanswered_call: Cell::new(false),
             is_open: Cell::new(true),
             closed: Notify::new(),
             must_close: Notify::new(),
         }
     }
 
+    /// Opens the stream of the run that follows at the same engine, which may still act on calls that
+    /// it left unanswered.
+    pub(crate) fn reopen(&self) -> Self {
+        let next = Self::open();
+        if self.has_unanswered_call.get() {
+            next.stop.set(Stop::Unknown(Instant::now()));
+        }
+        next
+    }
+
     /// Returns what is known of calls that stop the run.
     pub(crate) fn stop(&self) -> Stop {
         self.stop.get()
@@ -351,7 +364,11 @@
                 }
                 return Ok(Stopped::Uncopied(ended));
             }
-            Err(failure) => may_have_stopped |= !is_unsent(&failure),
+            Err(failure) if is_unsent(&failure) => {}
+            Err(_) => {
+                may_have_stopped = true;
+                stream.has_unanswered_call.set(true);
+            }
         }
         let is_uncalled = !may_have_stopped && !was_refused;
         if is_uncalled && replies == 0 && stream.has_ended() {
