Ask an engine whether it has ended its unframed stream itself

Callers got a stream with neither length nor chunks as complete when its engine was killed between two events: the system closes the connections of a killed process in order, and the entry took that for the end of the answer. An engine that had started again meanwhile, or closes new connections without an answer, looked the same.

When such a stream ends between two events and nothing else says why, the engine is asked for its report once, before the end is passed on. If it accepts no connection, closes two without an answer, or reports another start than is listed, the run is lost: it goes on from its backup, or anew where the route allows that, else the caller's connection is cut. An engine that does not answer within 300 ms is believed, as before, and so is one without a path to it. Nothing is asked where the stream has a length or chunks, where a call to stop the run tells, or where as many events have arrived as the caller asked for tokens.

A resumed run that has nothing left to write and ends at once was taken for broken off, and is whole once its engine has answered.

An engine that closes a stream by itself before its last event and lives on can't be told from one that has written all.

Each unframed stream that ends in order costs one report call (0 where all tokens have arrived); the log has 'asked after the end of a stream'.

The engines of unframed.rs closed report calls without an answer, by which an engine counts as ended (docs/PROTOCOLS.md); they answer now, and the assertions are unchanged.

--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod attempt;
 pub(crate) mod body;
 pub(crate) mod drain;
+mod ending;
 pub(crate) mod entries;
 pub(crate) mod fence;
 pub(crate) mod liveness;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -24,11 +24,12 @@
 use crate::request::answer::{Cause, Stage};
 use crate::request::attempt::{Error, Started};
 use crate::request::body::{self, Body, Chunk};
+use crate::request::ending::{self, Closed};
 use crate::request::fence::{self, Ended};
 use crate::request::migration::{self, Backup, Failed, Plan, Resumed, Strategy};
 use crate::request::new_start::{self, NewStart};
 use crate::request::sse::Splitter;
-use crate::request::transfer::RunStream;
+use crate::request::transfer::{RunStream, Stop};
 use crate::request::{Context, Worker, liveness};
 
 /// Time without an event after which the engine of an answer with a backup is asked whether it is awake.
@@ -308,8 +309,14 @@
                         }
                     }
                     None => {
+                        let closed = tokio::select! {
+                            biased;
+                            () = &mut caller_gone => return End::Left,
+                            () = &mut deadline => return End::Late,
+                            closed = self.ask_ending::<P>() => closed,
+                        };
                         let migrates = in_progress == Some(Work::Migration);
-                        if let Some(end) = self.handle_stream_end::<P>(migrates) {
+                        if let Some(end) = self.handle_stream_end::<P>(closed, migrates) {
                             return end;
                         }
                     }
@@ -401,9 +408,38 @@
         Constraint::to(self.software.as_ref()).allows(&listed).then_some(listed)
     }
 
+    /// Asks the engine whether it has ended the current run's stream; `None` where the end is known
+    /// without that.
+    async fn ask_ending<P: Platform>(&self) -> Option<Closed> {
+        let (facts, engine) = (&self.context.facts, self.target.as_ref()?);
+        // A run that goes on after the last event writes none.
+        let may_be_whole = self.run_events > 0 || self.last_event.get().is_some();
+        let is_complete = (1..=self.produced_tokens()).contains(&facts.max_tokens.get());
+        let is_asked = self.upstream.is_some()
+            && self.framing == Framing::Connection
+            && self.splitter.is_empty()
+            && self.stream.stop() == Stop::Uncalled
+            && self.context.service.engine.is_some()
+            && may_be_whole
+            && !is_complete;
+        match is_asked {
+            true => Some(ending::ask::<P>(&self.worker.process, &facts.request, engine).await),
+            false => None,
+        }
+    }
+
     /// Handles the end of the current run's stream. Returns the end of the answer if it is complete.
-    fn handle_stream_end<P: Platform>(&mut self, migrates: bool) -> Option<End> {
-        if !self.is_whole() {
+    fn handle_stream_end<P: Platform>(
+        &mut self,
+        closed: Option<Closed>,
+        migrates: bool,
+    ) -> Option<End> {
+        if let Some(Closed::RunLost(ended)) = closed {
+            self.handle_lost_run::<P>();
+            self.ended = Some(ended);
+            return None;
+        }
+        if !self.is_whole(closed) {
             self.handle_lost_run::<P>();
             return None;
         }
@@ -668,8 +704,10 @@
 
     /// Returns whether the answer is complete: the response ended in order and not within an event. One
     /// without an event that ends with its connection was broken off on beginning to write.
-    fn is_whole(&self) -> bool {
-        let is_empty = self.run_events == 0 && self.framing == Framing::Connection;
+    fn is_whole(&self, closed: Option<Closed>) -> bool {
+        let is_empty = self.run_events == 0
+            && self.framing == Framing::Connection
+            && closed != Some(Closed::ByEngine);
         self.upstream.is_some() && !is_empty && self.splitter.is_empty()
     }
 
--- a/crates/gateway/tests/support/proxy.rs
+++ b/crates/gateway/tests/support/proxy.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 /// The interval at which a throttled connection forwards a chunk.
@@ -36,6 +37,7 @@
     stalled: AtomicBool,
     small_packets: AtomicBool,
     connections: AtomicUsize,
+    closing: Notify,
 }
 
 impl Proxy {
@@ -84,6 +86,11 @@
         self.state.small_packets.store(true, Ordering::Relaxed);
     }
 
+    /// Closes all connections in order.
+    pub(crate) fn close(&self) {
+        self.state.closing.notify_waiters();
+    }
+
     /// Returns how many connections were opened so far.
     pub(crate) fn connections(&self) -> usize {
         self.state.connections.load(Ordering::Relaxed)
@@ -122,6 +129,7 @@
     tokio::select! {
         () = copy(&unlimited, near_read, far_write) => {}
         () = copy(&state, far_read, near_write) => {}
+        () = state.closing.notified() => {}
     }
 }
 
--- a/crates/gateway/tests/support/target.rs
+++ b/crates/gateway/tests/support/target.rs
@@ -28,6 +28,9 @@
     Reset,
     /// Ends the target: closes its listener and all its connections.
     End,
+    /// Closes the listener and then, in order, the connection, as the system does for a process that is
+    /// killed.
+    Exit,
 }
 
 /// A request that the target received.
@@ -164,6 +167,11 @@
                     stream.set_zero_linger().expect("a socket option");
                     return;
                 }
+                Step::Exit => {
+                    self.close_listener();
+                    sleep(Duration::from_millis(1)).await;
+                    break;
+                }
                 Step::End => {
                     stream.set_zero_linger().expect("a socket option");
                     self.end();
--- a/crates/gateway/tests/unframed.rs
+++ b/crates/gateway/tests/unframed.rs
@@ -7,7 +7,7 @@
 use fireflyhoist_policy::route::{Kind, Route};
 use fireflyhoist_standin::registry::Registry;
 use support::caller::{Answer, Request};
-use support::target::{Seen, Standin, Step, events};
+use support::target::{Seen, Standin, Step, answer, events};
 use support::{gateway, route, text};
 use yare::parameterized;
 
@@ -37,7 +37,7 @@
         let scripts = std::sync::Arc::clone(&scripts);
         let script = move |seen: &Seen| match seen.line().contains("/gen/") {
             true => scripts.lock().remove(0),
-            false => Vec::new(),
+            false => answer(200, "{}"),
         };
         registry.put(Standin::open(name, "gen", script).await.listed);
     }
