Take the end of a body for that of its connection under other transfer codings

Callers got a stream without an event as complete where the head named a transfer coding other than 'chunked' (identity, gzip, identity with a length of 0) and the engine ended after its head. Such a body ends with its connection (RFC 9112, 6.3), but the entry took any transfer coding for chunks, so none of the checks for unframed streams applied.

Test: a_transfer_coding_without_an_end_tells_no_end, 3 of 3 cases red before, green after; ends.rs 25 of 25.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -293,10 +293,11 @@
     }
 
     pub(crate) fn framing(&self) -> Framing {
-        match &self.headers {
-            headers if headers.contains_key(TRANSFER_ENCODING) => Framing::Chunks,
-            headers if headers.contains_key(CONTENT_LENGTH) => Framing::Length,
-            _ => Framing::Connection,
+        match self.headers.get_all(TRANSFER_ENCODING).last() {
+            Some(codings) if ends_with_chunked(codings) => Framing::Chunks,
+            Some(_) => Framing::Connection,
+            None if self.headers.contains_key(CONTENT_LENGTH) => Framing::Length,
+            None => Framing::Connection,
         }
     }
 
@@ -375,6 +376,13 @@
     }
 }
 
+/// Returns whether the last of these transfer codings is the one that tells the end of a body (RFC 9112,
+/// 6.3).
+fn ends_with_chunked(codings: &HeaderValue) -> bool {
+    let last = codings.to_str().ok().and_then(|codings| codings.rsplit(',').next());
+    last.is_some_and(|last| last.trim().eq_ignore_ascii_case("chunked"))
+}
+
 /// How fast a body must arrive: [`MIN_BYTES`] or its end within the idle timeout.
 #[derive(Debug)]
 struct Pace {
--- a/crates/gateway/tests/ends.rs
+++ b/crates/gateway/tests/ends.rs
@@ -173,6 +173,21 @@
     assert_eq!((answer.status, answer.body, answer.whole), (200, events(1, 3), whole));
 }
 
+/// Guards against a stream without an event that looks whole, where the head names a transfer coding
+/// that does not tell the end.
+#[parameterized(
+    identity = { "transfer-encoding: identity\r\n" },
+    gzip = { "transfer-encoding: gzip\r\n" },
+    identity_and_length = { "transfer-encoding: identity\r\ncontent-length: 0\r\n" },
+)]
+#[test_macro(ntex::test)]
+async fn a_transfer_coding_without_an_end_tells_no_end(fields: &str) {
+    let script = vec![head(&format!("content-type: text/event-stream\r\n{fields}")), pause()];
+    let engines = Engines::open(STREAM, Asked::Started(1), vec![script]).await;
+    let answer = engines.ask(20).await;
+    assert!(!answer.whole, "{answer:?}");
+}
+
 /// Guards against a plain answer that looks whole although its last chunk or a part of it is missing.
 #[parameterized(
     no_last_chunk = { "transfer-encoding: chunked\r\n", "5\r\nhello\r\n", false },
