Refuse answers of targets whose status is no final one

What callers saw: a target that answered 600, 999 or 101 had that passed on as its answer, with its body, on safe, unsafe and stream routes; safe requests were not sent again. The replies to moves, reports and calls to the registry were taken alike.

Cause: the HTTP library returns any status from 100 to 999, and of the interim ones 101 as if it were final, since a caller may ask for another protocol. No exchange of an entry does.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -8,6 +8,7 @@
 //! one without a body, and its pool opens connections to one address one at a time.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use derive_more::{Display, Error};
@@ -49,6 +50,9 @@
 /// The size of the first buffer for a body of unknown length.
 const FIRST_BUFFER_BYTES: usize = 4 << 10;
 
+/// The statuses of final responses. No exchange asks for another protocol, so 101 is none of them.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// The bytes of a body that must arrive within the idle timeout.
 const MIN_BYTES: usize = 64;
 
@@ -202,13 +206,16 @@
     let response = sender.send_request(request).await;
     let (head, body) = response.map_err(|error| Failure::broken(&error))?.into_parts();
     progress.record();
+    let status = head.status;
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Err(Failure::Broken { reason: format!("no final status: {}", status.as_u16()) });
+    }
     let mut headers = HeaderMap::with_capacity(head.headers.len());
     for (name, value) in &head.headers {
         if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
             headers.append(name.clone(), value);
         }
     }
-    let status = head.status;
     Ok(Response {
         status,
         headers,
