fireflyhoistd: refuse interim answers, statuses out of range and bodies without an end

What callers saw: a plain service that closed in the middle of its answer's body, or sent one without a length, became a 200 with a short or an empty body, framed as whole. Interim answers (100, 103), 101, 600 and 999 were passed on as answers. Load reports counted whatever their status.

Cause: the client of the server library returns any status from 100 to 999 as an answer, takes a response of HTTP/1.1 with neither a length nor chunks for one without a body, and one of HTTP/1.0 for complete as soon as its connection closes, also before its length.

Change: connection::answer checks each response to a call to engines, plain services, the platform and the issuer of a ticket. A body of HTTP/1.1 without a length can't be read with this client: it fails, where it was empty before.

--- a/crates/daemon/src/connection/engine.rs
+++ b/crates/daemon/src/connection/engine.rs
@@ -11,7 +11,7 @@
 use ntex::time::timeout;
 use ntex::util::{Bytes, stream_recv};
 
-use crate::connection::{unpooled, unwritten};
+use crate::connection::{answer, unpooled, unwritten};
 
 /// The timeout of a cancel request to an engine.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -41,7 +41,8 @@
         answer_timeout: Duration,
     ) -> Result<Self, Failure> {
         let request = request(client, Method::POST, site, "/v1/streams");
-        let response = response_within(request.send_json(start), answer_timeout).await?;
+        let response =
+            response_within(&Method::POST, request.send_json(start), answer_timeout).await?;
         match response.status() {
             status if status.is_success() => Ok(Self { payload: response.take_payload() }),
             StatusCode::SERVICE_UNAVAILABLE => Err(Failure::Declined),
@@ -59,7 +60,7 @@
     ) -> Result<Self, Failure> {
         let path = format!("/v1/streams/{}?from={from}", site.generation);
         let request = request(client, Method::GET, site, &path);
-        let response = response_within(request.send(), answer_timeout).await?;
+        let response = response_within(&Method::GET, request.send(), answer_timeout).await?;
         match response.status() {
             status if status.is_success() => Ok(Self { payload: response.take_payload() }),
             // An overloaded engine may still run the generation, so it is not given up.
@@ -85,11 +86,12 @@
 }
 
 async fn response_within(
+    method: &Method,
     send: impl Future<Output = Result<ClientResponse, ntex::client::error::ClientError>>,
     answer_timeout: Duration,
 ) -> Result<ClientResponse, Failure> {
     match timeout(answer_timeout, send).await {
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => answer::check(method, response).map_err(|_| Failure::Cut),
         Ok(Err(error)) if unwritten(&error) => Err(Failure::Refused),
         Ok(Err(_)) => Err(Failure::Cut),
         Err(()) => Err(Failure::Silent),
--- a/crates/daemon/src/connection/load.rs
+++ b/crates/daemon/src/connection/load.rs
@@ -6,7 +6,9 @@
 use fireflyhoist_text::Kind;
 use fireflyhoist_wire::engine::Load;
 use futures_util::future::join_all;
+use ntex::http::Method;
 
+use crate::connection::answer;
 use crate::process::Worker;
 
 /// The interval between polls; well below the seconds by which reports lag anyway.
@@ -39,5 +41,9 @@
 async fn read(worker: &Worker, address: SocketAddr) -> Option<Load> {
     let url = format!("http://{address}/v1/load");
     let response = worker.client.get(url).timeout(TIMEOUT).send().await.ok()?;
+    let response = answer::check(&Method::GET, response).ok()?;
+    if !response.status().is_success() {
+        return None;
+    }
     response.json().await.ok()
 }
--- a/crates/daemon/src/connection/mod.rs
+++ b/crates/daemon/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! State with the lifetime of a connection: the HTTP client's pool, engine streams and peer links.
 
+pub(crate) mod answer;
 pub(crate) mod engine;
 pub(crate) mod handshake;
 pub(crate) mod load;
--- a/crates/daemon/src/connection/order.rs
+++ b/crates/daemon/src/connection/order.rs
@@ -6,7 +6,9 @@
 use fireflyhoist_policy::order::lease::WRITE_TIMEOUT;
 use fireflyhoist_wire::order::{Observed, Order, PATH, Refused};
 use ntex::client::Client;
-use ntex::http::StatusCode;
+use ntex::http::{Method, StatusCode};
+
+use crate::connection::answer;
 
 /// The timeout of reading an engine's state; reads block nothing else.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
@@ -26,6 +28,7 @@
 pub(crate) async fn read(client: &Client, address: SocketAddr) -> Option<Observed> {
     let url = format!("http://{address}{PATH}");
     let response = client.get(url).timeout(READ_TIMEOUT).send().await.ok()?;
+    let response = answer::check(&Method::GET, response).ok()?;
     if !response.status().is_success() {
         return None;
     }
--- a/crates/daemon/src/request/plain/forward.rs
+++ b/crates/daemon/src/request/plain/forward.rs
@@ -12,7 +12,7 @@
 use ntex::util::Bytes;
 use ntex::web::HttpResponse;
 
-use crate::connection::unpooled;
+use crate::connection::{answer, unpooled};
 use crate::process::Worker;
 use crate::request::plain::message::{Message, end_to_end, patience};
 use crate::request::refuse;
@@ -77,6 +77,7 @@
         .set_header(FORWARDED_HEADER, own);
     debug_assert!(request.headers().contains_key(TICKET_HEADER), "the ticket goes along");
     let response = request.send_body(body).await.ok()?;
+    let response = answer::check(&message.method, response).ok()?;
     let mut reply = HttpResponse::build(response.status());
     for (name, value) in &end_to_end(response.headers()) {
         if *name != CONTENT_TYPE {
@@ -94,9 +95,10 @@
 async fn unresponsive(worker: &Worker, address: SocketAddr) {
     loop {
         let check = unpooled(&worker.client, Method::GET, address, "/healthz").send();
-        match timeout(ALIVE_TIMEOUT, check).await {
-            Ok(Ok(_)) => sleep(ALIVE_INTERVAL).await,
-            Ok(Err(_)) | Err(()) => return,
+        let Ok(Ok(response)) = timeout(ALIVE_TIMEOUT, check).await else { return };
+        if answer::check(&Method::GET, response).is_err() {
+            return;
         }
+        sleep(ALIVE_INTERVAL).await;
     }
 }
--- a/crates/daemon/src/request/plain/idempotent.rs
+++ b/crates/daemon/src/request/plain/idempotent.rs
@@ -18,7 +18,7 @@
 use ntex::util::Bytes;
 use ntex::web::{HttpResponse, types};
 
-use crate::connection::{unpooled, unwritten};
+use crate::connection::{answer, unpooled, unwritten};
 use crate::process::{InFlight, Worker};
 use crate::request::body::Body;
 use crate::request::plain::message::{Message, Upload, end_to_end, patience};
@@ -119,7 +119,7 @@
         .clamp(ATTEMPT_TIMEOUT_BOUNDS.0, ATTEMPT_TIMEOUT_BOUNDS.1)
         .min(patience(service));
     match timeout(attempt_timeout, message.add_headers(request).send_body(body.clone())).await {
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => answer::check(&message.method, response).map_err(|_| Ran::Unknown),
         Ok(Err(error)) if unwritten(&error) => Err(Ran::No),
         Ok(Err(_)) | Err(()) => Err(Ran::Unknown),
     }
@@ -150,10 +150,16 @@
     let request = unpooled(&worker.client, message.method.clone(), address, &message.path);
     let body = Bounded { payload: payload.into_inner(), remaining: MAX_BODY_BYTES };
     match message.add_headers(request).send_stream(body).await {
-        Ok(response) => {
-            watch.answered();
-            reply(&message.method, response, pass, open)
-        }
+        Ok(response) => match answer::check(&message.method, response) {
+            Ok(response) => {
+                watch.answered();
+                reply(&message.method, response, pass, open)
+            }
+            Err(_) => {
+                pass.finish(Outcome::Failed);
+                refuse::target_failed(Ran::Unknown)
+            }
+        },
         Err(error) => {
             pass.finish(Outcome::Failed);
             match error {
--- a/crates/daemon/src/version/watch.rs
+++ b/crates/daemon/src/version/watch.rs
@@ -6,8 +6,9 @@
 use fireflyhoist_policy::version::Contact;
 use fireflyhoist_wire::platform::{Hosts, SEQUENCE_HEADER};
 use ntex::client::ClientResponse;
-use ntex::http::StatusCode;
+use ntex::http::{Method, StatusCode};
 
+use crate::connection::answer;
 use crate::process::Worker;
 
 /// The timeout of one read, in addition to its long-poll time.
@@ -134,7 +135,10 @@
         url.push_str(&format!("&after={after}"));
     }
     match worker.client.get(url).timeout(READ_TIMEOUT + wait).send().await {
-        Ok(response) => answer(response, after).await,
+        Ok(response) => match answer::check(&Method::GET, response) {
+            Ok(response) => answer(response, after).await,
+            Err(_) => Answer::Failed,
+        },
         Err(_) => Answer::Failed,
     }
 }
