Show with failing tests that ends of unframed streams are still judged wrongly around a move

A complete stream is cut where the reply to the call that stops its run is lost or names no copy, where the run was stopped after its last event, and where the engine declines the call or stays busy: the run that goes on has no event left to write, which counts as broken off, or the end within 1.5 s of the call does. It is held for 4 s and cut where the engine falls silent.

Part of a stream is given as complete where the engine has restarted by the time of its reply, and where the head names a transfer encoding other than chunked.

--- a/crates/gateway/tests/stopped_streams.rs
+++ b/crates/gateway/tests/stopped_streams.rs
@@ -9,6 +9,7 @@
 
 use fireflyhoist_gateway::Gateway;
 use fireflyhoist_gateway::native::{Copied, Move};
+use fireflyhoist_policy::lease::{Start, Target};
 use fireflyhoist_policy::route::{Kind, Route};
 use fireflyhoist_standin::registry::Registry;
 use parking_lot::Mutex;
@@ -32,6 +33,8 @@
 enum Last {
     /// It stops the run, copies the rest and replies after this time.
     Copies(Duration),
+    /// The same at once, after a head that names an encoding which does not tell the end of the stream.
+    CopiesUnchunked,
     /// It stops the run and keeps its memory, since the other engine has no room any more.
     Keeps(Duration),
     /// It stops the run and resets the connection of the call.
@@ -42,6 +45,20 @@
     Fails,
     /// Its run ends as it is called, and after this time it replies that there is none.
     HasEnded(Duration),
+    /// Its run ends as it is called, and it resets the connection of the call.
+    HasEndedUnheard,
+    /// Its run ends as it is called, and it answers with an error that names no copy.
+    HasEndedFails,
+    /// Its run ends as it is called, and it answers nothing from then on.
+    HasEndedSilent,
+    /// It writes all events, stops the run before it can end it, copies the rest and replies.
+    StopsAfterLastEvent,
+    /// It always answers with an error that names no copy, and the run goes on to its end.
+    Declines,
+    /// Another call is always in progress, and the run goes on to its end.
+    StaysBusy,
+    /// It crashes, which closes the stream in order, and its next start replies that there is no run.
+    Restarts(Duration),
 }
 
 /// What is left of a run.
@@ -66,6 +83,10 @@
 impl State {
     fn reply(self: &Arc<Self>, seen: &Seen, last: Last) -> Vec<Step> {
         let line = seen.line();
+        let is_silent = last == Last::HasEndedSilent && self.told.load(Ordering::SeqCst);
+        if line.contains("/v1/report") && is_silent {
+            return vec![Step::Hang];
+        }
         if line.contains("/v1/report") {
             return answer(200, "{}");
         }
@@ -82,8 +103,12 @@
             };
         }
         *self.progress.lock() = Progress::Running;
+        let encoding = match last {
+            Last::CopiesUnchunked => "transfer-encoding: identity\r\n",
+            _ => "",
+        };
         let last: u64 = seen.header("last-event-id").map_or(0, |id| id.parse().expect("a number"));
-        self.run(last + 1)
+        self.run(last + 1, encoding)
     }
 
     fn reply_to_last(&self, last: Last) -> Vec<Step> {
@@ -92,30 +117,43 @@
             &mut *self.progress.lock(),
             match last {
                 Last::IsBusyFirst if is_first => Progress::Running,
-                Last::HasEnded(_) => Progress::Finishing,
+                Last::HasEnded(_)
+                | Last::HasEndedUnheard
+                | Last::HasEndedFails
+                | Last::HasEndedSilent
+                | Last::StopsAfterLastEvent => Progress::Finishing,
+                Last::Declines | Last::StaysBusy => Progress::Running,
                 _ => Progress::Stopped,
             },
         );
-        if was != Progress::Running {
+        if was != Progress::Running && last != Last::StopsAfterLastEvent {
             return answer(404, "{}");
         }
         match last {
             Last::IsBusyFirst if is_first => answer(409, "{}"),
             Last::IsBusyFirst => [vec![Step::Wait(PROMPT)], copied(200, "c-2")].concat(),
+            Last::CopiesUnchunked => [vec![Step::Wait(PROMPT)], copied(200, "c-2")].concat(),
             Last::Copies(after) => [vec![Step::Wait(after)], copied(200, "c-2")].concat(),
             Last::Keeps(after) => [vec![Step::Wait(after)], copied(503, "c-2")].concat(),
             Last::IsUnheard => vec![Step::Reset],
             Last::Fails => answer(500, "{}"),
-            Last::HasEnded(after) => [vec![Step::Wait(after)], answer(404, "{}")].concat(),
+            Last::HasEnded(after) | Last::Restarts(after) => {
+                [vec![Step::Wait(after)], answer(404, "{}")].concat()
+            }
+            Last::HasEndedUnheard => vec![Step::Reset],
+            Last::HasEndedFails | Last::Declines => answer(503, "{}"),
+            Last::HasEndedSilent => vec![Step::Hang],
+            Last::StopsAfterLastEvent => [vec![Step::Wait(PROMPT)], copied(200, "c-2")].concat(),
+            Last::StaysBusy => answer(409, "{}"),
         }
     }
 
     /// Runs from an event until the end, or until the run is stopped, which ends its stream.
-    fn run(self: &Arc<Self>, from: u64) -> Vec<Step> {
-        let mut steps = vec![Step::Write(
-            "HTTP/1.1 200 OK\r\nfireflyhoist-request: r-1\r\ncontent-type: text/event-stream\r\n\r\n"
-                .to_owned(),
-        )];
+    fn run(self: &Arc<Self>, from: u64, encoding: &str) -> Vec<Step> {
+        let mut steps = vec![Step::Write(format!(
+            "HTTP/1.1 200 OK\r\nfireflyhoist-request: r-1\r\ncontent-type: text/event-stream\r\n\
+             {encoding}\r\n"
+        ))];
         for id in from..=LENGTH {
             let (pausing, going_on) = (Arc::clone(self), Arc::clone(self));
             let begun = Mutex::new(None);
@@ -154,7 +192,8 @@
         let mut engines = Vec::new();
         for name in ["e-1", "e-2"] {
             let state = Arc::new(State::default());
-            let engine = Standin::open(name, "gen", move |seen| state.reply(seen, last)).await;
+            let mut engine = Standin::open(name, "gen", move |seen| state.reply(seen, last)).await;
+            engine.listed.start = Some(Start::new(1));
             registry.put(engine.listed.clone());
             engines.push(engine);
         }
@@ -191,6 +230,7 @@
     resumable_reply_lost = { true, Last::IsUnheard },
     called_again = { false, Last::IsBusyFirst },
     failed = { false, Last::Fails },
+    encoded = { false, Last::CopiesUnchunked },
 )]
 #[test_macro(ntex::test)]
 async fn a_stream_that_a_move_stopped_goes_on(resumable: bool, last: Last) {
@@ -228,3 +268,76 @@
     assert_eq!((answer.body, answer.whole), (events(1, LENGTH), true));
     assert_eq!(fleet.runs().iter().sum::<usize>(), 1);
 }
+
+/// Guards against a run that came to its own end as it was to be stopped being cut, where the reply
+/// does not say so.
+#[parameterized(
+    reply_lost = { false, Last::HasEndedUnheard },
+    resumable_reply_lost = { true, Last::HasEndedUnheard },
+    refused = { false, Last::HasEndedFails },
+    resumable_refused = { true, Last::HasEndedFails },
+)]
+#[test_macro(ntex::test)]
+async fn a_run_that_ended_before_an_unclear_reply_is_whole(resumable: bool, last: Last) {
+    let fleet = Fleet::open(resumable, last).await;
+    let answer = fleet.generation().await;
+    assert_eq!((answer.body, answer.whole), (events(1, LENGTH), true));
+}
+
+/// Guards against a stream that was stopped after its last event being cut, since the run that goes on
+/// has no event left to write.
+#[parameterized(
+    once = { false },
+    resumable = { true },
+)]
+#[test_macro(ntex::test)]
+async fn a_stream_that_a_move_stopped_after_its_last_event_is_whole(resumable: bool) {
+    let fleet = Fleet::open(resumable, Last::StopsAfterLastEvent).await;
+    let answer = fleet.generation().await;
+    assert_eq!((answer.body, answer.whole), (events(1, LENGTH), true));
+}
+
+/// Guards against a run that its engine never stopped being cut at its own end.
+#[parameterized(
+    declined = { false, Last::Declines },
+    resumable_declined = { true, Last::Declines },
+    busy = { false, Last::StaysBusy },
+    resumable_busy = { true, Last::StaysBusy },
+)]
+#[test_macro(ntex::test)]
+async fn a_run_that_was_never_stopped_is_whole(resumable: bool, last: Last) {
+    let fleet = Fleet::open(resumable, last).await;
+    let answer = fleet.generation().await;
+    assert_eq!((answer.body, answer.whole), (events(1, LENGTH), true));
+    assert_eq!(fleet.runs().iter().sum::<usize>(), 1);
+}
+
+/// Guards against a complete stream being held until a silent engine's call times out.
+#[ntex::test]
+async fn a_run_that_ended_before_its_engine_fell_silent_is_not_held() {
+    let fleet = Fleet::open(false, Last::HasEndedSilent).await;
+    let answer = fleet.generation().await;
+    assert_eq!((answer.body, answer.whole), (events(1, LENGTH), true));
+    assert!(answer.took < Duration::from_millis(2_500), "{:?}", answer.took);
+}
+
+/// Guards against a stream given as complete whose engine crashed, since its next start knows no run.
+#[ntex::test]
+async fn a_stream_whose_engine_restarted_is_not_whole() {
+    let fleet = Fleet::open(false, Last::Restarts(Duration::from_millis(400))).await;
+    let callers = fleet.entry.callers();
+    let request = Request::stream("/gen/x", 500).body("b");
+    let answered = spawn_local(async move { request.send(callers).await });
+    eventually(async || fleet.runs().iter().sum::<usize>() > 0).await;
+    let at = fleet.runs().iter().position(|runs| *runs > 0).expect("it runs");
+    let engine = &fleet.engines[at];
+    fleet.registry.put(engine.draining());
+    let is_told = |seen: &Seen| seen.body.contains("\"last\":true");
+    eventually(async || engine.seen().iter().any(is_told)).await;
+    let instance = format!("{}-restarted", engine.listed.instance);
+    let start = Some(Start::new(2));
+    let target = Target { instance: instance.into(), start, ..engine.listed.clone() };
+    fleet.registry.put(target);
+    let answer = answered.await.expect("the caller ends");
+    assert!(answer.body != events(1, LENGTH) && !answer.whole, "{answer:?}");
+}
