Send streams to HTTP/1.0 callers without chunks, and cut them by a reset

Callers over HTTP/1.0 got streams with 'transfer-encoding: chunked', which that version does not have: sizes of chunks stood among their events, and the connection was closed in order whether the stream was whole or cut, so that nothing told them that events were missing.

Such a stream is written as it is and ends with its connection. Until it is complete the connection is set to be reset at its end, also when the process ends; a cut closes it at once.

--- a/crates/gateway/src/connection/callers.rs
+++ b/crates/gateway/src/connection/callers.rs
@@ -221,6 +221,15 @@
         }
     }
 
+    /// Sets whether the end of a connection is a reset. It must be while an answer is incomplete whose end
+    /// is that of the connection.
+    pub(crate) fn set_reset(&self, io: &IoRef, reset: bool) {
+        if let Some(connection) = self.connections.borrow().get(io) {
+            // If this fails, the connection is lost already.
+            let _ = connection.socket.set_linger(reset.then_some(Duration::ZERO));
+        }
+    }
+
     /// Closes connections that are not in use, those with the most in their buffers first, while all
     /// buffers together hold too much.
     fn relieve(&self) {
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -37,7 +37,7 @@
 use fireflyhoist_policy::time::Time;
 use futures_util::StreamExt;
 use ntex::http::header::{CONTENT_LENGTH, HOST};
-use ntex::http::{HeaderMap, Method, Payload, Request, Response};
+use ntex::http::{HeaderMap, Method, Payload, Request, Response, Version};
 use ntex::io::IoRef;
 use smol_str::SmolStr;
 use tokio::time::timeout;
@@ -137,11 +137,20 @@
     pub(crate) deadline: Time,
     /// The caller's connection.
     pub(crate) io: Option<IoRef>,
+    /// Whether a stream to the caller ends with its connection, since HTTP/1.0 has no chunks.
+    pub(crate) ends_with_connection: bool,
     /// How far its answer has come.
     pub(crate) answer: Rc<Progress>,
 }
 
 impl Context {
+    /// Sets whether the caller's connection ends with a reset, where its end is that of the answer.
+    pub(crate) fn set_reset(&self, worker: &Worker, reset: bool) {
+        if let Some(io) = self.io.as_ref().filter(|_| self.ends_with_connection) {
+            worker.callers.set_reset(io, reset);
+        }
+    }
+
     pub(crate) fn time_left(&self, now: Time) -> Duration {
         self.deadline.since(now)
     }
@@ -336,6 +345,7 @@
         path,
         headers: end_to_end(request.headers()),
         io: request.io().cloned(),
+        ends_with_connection: request.version() < Version::HTTP_11,
         answer: Rc::clone(answer),
         facts,
         table,
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -214,6 +214,7 @@
                 // The engine is free although the caller may still read.
                 self.pass.finish(Outcome::Whole);
                 drop(self.backup);
+                self.context.set_reset(&self.worker, false);
                 let now = self.worker.process.clock.now();
                 let sent = send(&self.chunks, Chunk::End, self.context.time_left(now)).await;
                 end = sent.err().unwrap_or(end);
@@ -236,7 +237,10 @@
         if let Some(cause) = cause.filter(|_| !self.held.get()) {
             self.context.answer.cut(cause);
             if let Some(io) = self.context.io.as_ref().filter(|_| cause != Cause::Caller) {
-                io.close();
+                match self.context.ends_with_connection {
+                    true => io.terminate(),
+                    false => io.close(),
+                }
             }
         }
         let elapsed = self.worker.process.clock.now().since(started_at);
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -237,6 +237,10 @@
             };
         }
         self.context.answer.set_stage(Stage::Streaming);
+        if self.context.ends_with_connection {
+            self.context.set_reset(self.worker, true);
+            head.no_chunking().force_close();
+        }
         Ok(head.streaming(body))
     }
 
