fireflyhoistd: open a connection for each idempotent call

What callers saw: where a target sent a second answer, or anything else, after an answer, the next caller got it as its own.

Cause: the first attempt of an idempotent call used the client's pool. Bytes that arrive on a pooled connection after its next request has been written are taken for the answer to that.

Evidence: tests/odd_answers.rs, no_caller_gets_the_answer_to_another_request::stray_answer: caller 1 got "stray" before, its own answer after.

--- a/crates/daemon/src/request/plain/idempotent.rs
+++ b/crates/daemon/src/request/plain/idempotent.rs
@@ -75,7 +75,7 @@
         let target = pass.target().clone();
         admission.avoid = Some(target.clone());
         admission.retry = true;
-        match send_once(worker, service, message, &body, attempt, &target).await {
+        match send_once(worker, service, message, &body, &target).await {
             Ok(response) => {
                 watch.answered();
                 return reply(&message.method, response, pass, open);
@@ -101,19 +101,12 @@
     service: &Service,
     message: &Message,
     body: &Bytes,
-    attempt: u32,
     target: &id::Target,
 ) -> Result<ClientResponse, Ran> {
     let address = address(service, target).ok_or(Ran::No)?;
-    let request = match attempt {
-        1 => {
-            let url = format!("http://{address}{}", message.path);
-            worker.client.request(message.method.clone(), url)
-        }
-        // A retry opens a new connection: the pool may hold more connections that went silent, or
-        // that close on use.
-        _ => unpooled(&worker.client, message.method.clone(), address, &message.path),
-    };
+    // A pooled connection may have gone silent, close on use, or hold bytes that its target sent after an
+    // earlier answer.
+    let request = unpooled(&worker.client, message.method.clone(), address, &message.path);
     let objective = Duration::from_millis(service.objective.first_token_ms);
     let attempt_timeout = (objective * ATTEMPT_OBJECTIVES)
         .clamp(ATTEMPT_TIMEOUT_BOUNDS.0, ATTEMPT_TIMEOUT_BOUNDS.1)
--- a/crates/daemon/tests/odd_answers.rs
+++ b/crates/daemon/tests/odd_answers.rs
@@ -186,6 +186,52 @@
     SocketAddr::from(([127, 0, 0, 1], 3))
 }
 
+/// Answers each request on a connection with its path, and sends `before` that and `late` after it.
+async fn chatty(before: &'static str, late: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind(ANY).await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::task::spawn_local(async move {
+                let mut head = vec![0; 16 << 10];
+                while let Ok(read @ 1..) = stream.read(&mut head).await {
+                    let head = String::from_utf8_lossy(&head[..read]);
+                    let path = head.split(' ').nth(1).unwrap_or_default();
+                    let length = path.len();
+                    let answer =
+                        format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{path}");
+                    for part in [before, &answer, late] {
+                        let _ = stream.write_all(part.as_bytes()).await;
+                        tokio::time::sleep(Duration::from_millis(30)).await;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against bytes that follow an answer, or what was taken for one, being given to the next
+/// caller.
+#[parameterized(
+    interim_answer = { "HTTP/1.1 100 Continue\r\n\r\n", "" },
+    stray_answer = { "", "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray" },
+    stray_bytes = { "", "stray" },
+)]
+#[test_macro(ntex::test)]
+async fn no_caller_gets_the_answer_to_another_request(before: &'static str, late: &'static str) {
+    let target = chatty(before, late).await;
+    let mut fleet = Fleet::open(&plain_text(&[unused_address()], &[target]));
+    let entry = fleet.daemon("brno-1").await.http_address();
+    for nth in 0..6 {
+        let get = format!("GET /s/search/{nth} HTTP/1.1\r\nhost: e\r\nconnection: close\r\n\r\n");
+        let answer = send(entry, get).await;
+        let is_own = answer.status == 200 && answer.text.contains(&format!("\r\n/{nth}\r\n"));
+        let is_refused = matches!(answer.status, 502..=504);
+        assert!(is_own || !before.is_empty() && is_refused, "{nth}: {answer:?}");
+    }
+}
+
 /// Guards against a body that ends with its connection being taken for whole after a reset.
 #[parameterized(
     closed = { End::Closed, true },
