Tell a complete unframed stream from a stopped one by what each reply says

503 and 429 without a copy mean that the call did nothing, so the run is not taken for stopped; other replies without a copy stay unclear and are asked for once more. An engine whose stream has ended is asked whether it is awake if its reply takes more than 0.3 s, and left if it is not. An end that no call brought about is confirmed by the engine's report also after a call, and is no end if the engine has restarted. Only events count as tokens that have certainly arrived.

--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -329,11 +329,6 @@
 
     fn decode_move(status: StatusCode, body: &[u8]) -> Moved {
         let copied: Copied = serde_json::from_slice(body).unwrap_or_default();
-        match (status, copied.copy) {
-            (StatusCode::OK, Some(name)) => Moved::Copied { name },
-            (StatusCode::NOT_FOUND, _) => Moved::NoRun,
-            (StatusCode::CONFLICT, _) => Moved::Busy,
-            (_, name) => Moved::Refused { name },
-        }
+        Moved::new(status, copied.copy)
     }
 }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -259,9 +259,27 @@
     Busy,
     /// The destination has no room or cannot be reached.
     Refused {
-        /// The copy at the source, where the run was stopped first.
+        /// The copy at the source, where the run was stopped first; `None` if the call did nothing.
         name: Option<SmolStr>,
     },
+    /// The reply does not say what the call did.
+    Unclear,
+}
+
+impl Moved {
+    /// Interprets the status of a reply, and the copy that it names.
+    pub fn new(status: StatusCode, name: Option<SmolStr>) -> Self {
+        match (status, name) {
+            (StatusCode::OK, Some(name)) => Self::Copied { name },
+            (StatusCode::NOT_FOUND, _) => Self::NoRun,
+            (StatusCode::CONFLICT, _) => Self::Busy,
+            (_, Some(name)) => Self::Refused { name: Some(name) },
+            (StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE, None) => {
+                Self::Refused { name: None }
+            }
+            (_, None) => Self::Unclear,
+        }
+    }
 }
 
 /// Calls to engines other than requests of callers.
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -29,7 +29,7 @@
 use crate::request::migration::{self, Backup, Failed, Plan, Resumed, Strategy};
 use crate::request::new_start::{self, NewStart};
 use crate::request::sse::Splitter;
-use crate::request::transfer::{RunStream, Stop};
+use crate::request::transfer::RunStream;
 use crate::request::{Context, Worker, liveness};
 
 /// Time without an event after which the engine of an answer with a backup is asked whether it is awake.
@@ -297,8 +297,19 @@
                 () = &mut deadline => return End::Late,
                 resumed = &mut migrating, if in_progress == Some(Work::Migration) => {
                     in_progress = None;
-                    if let Some(end) = self.apply_migration(resumed) {
-                        return end;
+                    if resumed.is_err() && self.has_ended_unstopped() {
+                        let asked = self.ask_ending::<P>();
+                        let closed = tokio::select! {
+                            biased;
+                            () = &mut caller_gone => return End::Left,
+                            () = &mut deadline => return End::Late,
+                            closed = asked => closed,
+                        };
+                        if let Some(end) = self.handle_stream_end::<P>(closed, false) {
+                            return end;
+                        }
+                    } else {
+                        self.apply_migration(resumed);
                     }
                 }
                 chunk = next_chunk(&mut self.upstream) => match chunk {
@@ -418,11 +429,11 @@
         let (facts, engine) = (&self.context.facts, self.target.as_ref()?);
         // A run that goes on after the last event writes none.
         let may_be_whole = self.run_events > 0 || self.last_event.get().is_some();
-        let is_complete = (1..=self.produced_tokens()).contains(&facts.max_tokens.get());
-        let is_asked = self.upstream.is_some()
+        // Each event has a token at least.
+        let is_complete = (1..=self.events).contains(&facts.max_tokens.get());
+        let is_asked = self.has_ended_in_order()
             && self.framing == Framing::Connection
-            && self.splitter.is_empty()
-            && self.stream.stop() == Stop::Uncalled
+            && !self.stream.stop().may_have_ended_stream()
             && self.context.service.engine.is_some()
             && may_be_whole
             && !is_complete;
@@ -432,6 +443,18 @@
         }
     }
 
+    /// Returns whether the current run's stream ended in order, and not within an event.
+    fn has_ended_in_order(&self) -> bool {
+        (self.upstream.is_some() || self.stream.has_ended()) && self.splitter.is_empty()
+    }
+
+    /// Returns whether the current run's stream ended in order while a call to stop the run was in
+    /// progress, which turned out not to have stopped it.
+    fn has_ended_unstopped(&self) -> bool {
+        let may_be_stopped = self.stream.stop().may_have_ended_stream();
+        self.stream.has_ended() && !may_be_stopped && self.ended.is_none()
+    }
+
     /// Handles the end of the current run's stream. Returns the end of the answer if it is complete.
     fn handle_stream_end<P: Platform>(
         &mut self,
@@ -583,20 +606,13 @@
         self.events * engine.map_or(1, |engine| u64::from(engine.tokens_per_event))
     }
 
-    /// Continues with the new run if a migration succeeded. Returns the end of the answer if it turned
-    /// out to be complete.
-    fn apply_migration(&mut self, resumed: Result<Resumed, Failed>) -> Option<End> {
+    /// Continues with the new run if a migration succeeded.
+    fn apply_migration(&mut self, resumed: Result<Resumed, Failed>) {
         self.quiet_since = Instant::now();
         let resumed = match resumed {
             Ok(resumed) => resumed,
-            Err(_) if self.stream.has_ended() && !self.stream.stop().may_have_ended_stream() => {
-                return Some(End::Whole);
-            }
             // A run that has not ended continues for as long as it can.
-            Err(failed) => {
-                self.handle_failed_migration(failed);
-                return None;
-            }
+            Err(failed) => return self.handle_failed_migration(failed),
         };
         let stays = *self.pass.target() == resumed.target;
         let stream = if stays { self.stream.reopen() } else { RunStream::open() };
@@ -615,7 +631,6 @@
         self.run_events = 0;
         self.splitter = Splitter::default();
         self.unsent_since = None;
-        None
     }
 
     /// Handles a failed attempt to migrate. One of which nothing was sent may be made again, for
@@ -709,12 +724,13 @@
     }
 
     /// Returns whether the answer is complete: the response ended in order and not within an event. One
-    /// without an event that ends with its connection was broken off on beginning to write.
+    /// without an event that ends with its connection was broken off on beginning to write, unless the
+    /// engine has closed it itself.
     fn is_whole(&self, closed: Option<Closed>) -> bool {
         let is_empty = self.run_events == 0
             && self.framing == Framing::Connection
             && closed != Some(Closed::ByEngine);
-        self.upstream.is_some() && !is_empty && self.splitter.is_empty()
+        self.has_ended_in_order() && !is_empty
     }
 
     /// Forwards the events that the caller has not received yet. Fails if the answer ends with that;
--- a/crates/gateway/src/request/transfer.rs
+++ b/crates/gateway/src/request/transfer.rs
@@ -28,6 +28,9 @@
 /// Delay before the next try while another call for the same run is in progress.
 const BUSY_DELAY: Duration = Duration::from_millis(40);
 
+/// How long an engine whose stream has ended may take to reply before it is asked whether it is awake.
+const REPLY_TIME: Duration = Duration::from_millis(300);
+
 /// Maximum number of tries of one transfer.
 const MAX_TRIES: u32 = 8;
 
@@ -209,6 +212,16 @@
         self.must_close.notified().await;
     }
 
+    /// Waits until the stream has ended in order while a call to stop the run was in progress.
+    async fn ended(&self) {
+        while self.is_open.get() {
+            self.closed.notified().await;
+        }
+        if !self.has_ended() {
+            std::future::pending().await
+        }
+    }
+
     /// Has the stream closed, and waits until it is.
     async fn close(&self) {
         self.must_close.notify_one();
@@ -257,7 +270,7 @@
             Moved::Copied { name } => return Ok(name),
             Moved::Busy => sleep(BUSY_DELAY).await,
             Moved::NoRun => return Err(Error::Unknown("no run")),
-            Moved::Refused { .. } => return Err(Error::NotRun("no room")),
+            Moved::Refused { .. } | Moved::Unclear => return Err(Error::NotRun("no room")),
         }
     }
     Err(Error::Unknown("move busy"))
@@ -332,33 +345,39 @@
     let heard = source.last_event.get();
     let give_up_at = worker.process.clock.now() + STALL_TIME;
     let mut may_have_stopped = matches!(stream.stop(), Stop::Unknown(_));
-    let mut was_refused = false;
+    let mut was_unclear = false;
     let mut replies = 0;
     loop {
         stream.stop.set(Stop::Called);
-        match call_move::<P>(worker, context, source.engine, to, true).await {
+        let called = tokio::select! {
+            biased;
+            called = call_move::<P>(worker, context, source.engine, to, true) => called,
+            ended = wait_for_loss::<P>(worker, source) => {
+                stream.has_unanswered_call.set(true);
+                return Ok(Stopped::Uncopied(ended));
+            }
+        };
+        match called {
             Ok(Moved::Copied { name }) => return Ok(Stopped::Copied { name }),
             Ok(Moved::Refused { name: Some(name) }) => return Ok(Stopped::Kept { name }),
-            Ok(Moved::NoRun) if may_have_stopped || was_refused => {
-                return Ok(Stopped::Uncopied(Ended::Stopped));
-            }
+            Ok(Moved::NoRun) if may_have_stopped => return Ok(Stopped::Uncopied(Ended::Stopped)),
             Ok(Moved::NoRun) => {
                 stream.stop.set(Stop::NoRun);
                 return Err(Error::Unknown("no run"));
             }
-            Ok(Moved::Refused { name: None }) if stream.has_ended() => {
-                return Ok(Stopped::Uncopied(Ended::Stopped));
-            }
-            // The engine may have stopped the run all the same, so it is called again.
-            Ok(Moved::Refused { name: None }) if was_refused && !may_have_stopped => {
+            Ok(Moved::Refused { name: None }) if !may_have_stopped => {
+                stream.stop.set(Stop::Uncalled);
                 return Err(Error::NotRun("no room"));
             }
-            Ok(Moved::Refused { name: None }) => (was_refused, replies) = (true, replies + 1),
-            Ok(Moved::Busy) => replies += 1,
+            Ok(Moved::Unclear) if was_unclear => return Err(Error::Unknown("move unclear")),
+            Ok(Moved::Unclear) => {
+                (may_have_stopped, was_unclear) = (true, true);
+                replies += 1;
+            }
+            Ok(Moved::Refused { name: None } | Moved::Busy) => replies += 1,
             Err(Failure::ConnectFailed { reason: Refusal::Refused }) => {
                 let ended = abandon::<P>(worker, source).await;
-                let ended_before = stream.has_ended() && !may_have_stopped && !was_refused;
-                if ended_before && ended == Ended::Answered {
+                if ended == Ended::Answered && stream.has_ended() && !may_have_stopped {
                     stream.stop.set(Stop::Uncalled);
                     return Err(Error::NotSent("move not sent"));
                 }
@@ -370,20 +389,21 @@
                 stream.has_unanswered_call.set(true);
             }
         }
-        let is_uncalled = !may_have_stopped && !was_refused;
-        if is_uncalled && replies == 0 && stream.has_ended() {
-            stream.stop.set(Stop::Uncalled);
-            return Err(Error::NotSent("move not sent"));
-        }
-        if is_uncalled && source.last_event.get() != heard {
+        let goes_on = source.last_event.get() != heard;
+        if !may_have_stopped && (goes_on || replies == 0 && stream.has_ended()) {
             stream.stop.set(Stop::Uncalled);
             return Err(Error::NotSent("move not sent"));
         }
         if replies >= MAX_TRIES {
+            if !may_have_stopped {
+                stream.stop.set(Stop::Uncalled);
+            } else if stream.has_ended() {
+                return Ok(Stopped::Uncopied(Ended::Stopped));
+            }
             return Err(Error::Unknown("move busy"));
         }
         if worker.process.clock.now() >= give_up_at {
-            if source.last_event.get() != heard || replies > 0 {
+            if goes_on || replies > 0 {
                 return Ok(Stopped::Uncopied(abandon::<P>(worker, source).await));
             }
             stream.close().await;
@@ -393,6 +413,17 @@
     }
 }
 
+/// Waits until the stream of a run that is to be stopped has ended and its engine is lost: it answers no
+/// other calls either.
+async fn wait_for_loss<P: Platform>(worker: &Worker, source: &Source<'_>) -> Ended {
+    source.stream.ended().await;
+    sleep(REPLY_TIME).await;
+    match fence::check::<P>(&worker.process, source.engine).await {
+        Ended::Answered => std::future::pending().await,
+        ended => ended,
+    }
+}
+
 /// Closes the stream of a run that can't be stopped by a call, and waits until its engine has noticed.
 async fn abandon<P: Platform>(worker: &Worker, source: &Source<'_>) -> Ended {
     source.stream.close().await;
