Log an end that waits for a reply, and blame no engine for a run that it was told to stop

Review of the waiting: the log had no line for the moment in which an end is held, the names of the states told a reader less than they should, and an engine that always answers with errors after it has closed the stream got the answer cut instead of resumed. A run that broke off because it was told to stop started a liveness check of its engine; at one that takes requests, its next end of lease counted as a crash under that request.

--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -21,6 +21,7 @@
 use crate::platform::Platform;
 use crate::process::fleet::fragility::Slot;
 use crate::process::service_gate::Pass;
+use crate::process::state::millis;
 use crate::request::answer::{Cause, Stage};
 use crate::request::attempt::{Error, Started};
 use crate::request::body::{self, Body, Chunk};
@@ -29,7 +30,7 @@
 use crate::request::migration::{self, Backup, Failed, Plan, Resumed, Strategy};
 use crate::request::new_start::{self, NewStart};
 use crate::request::sse::Splitter;
-use crate::request::transfer::RunStream;
+use crate::request::transfer::{RunStream, Stop};
 use crate::request::{Context, Worker, liveness};
 
 /// Time without an event after which the engine of an answer with a backup is asked whether it is awake.
@@ -247,7 +248,8 @@
         log::info!(
             request = self.context.facts.request.as_str(), end:? = end, events = self.events,
             last = self.last_event.get().unwrap_or(0), trips = self.migrations,
-            target:% = target, framing:% = self.framing, stop:% = self.stream.stop(), ms = crate::process::state::millis(elapsed);
+            target:% = target, framing:% = self.framing, stop:% = self.stream.stop(),
+            ms = millis(elapsed);
             "stream ended"
         );
     }
@@ -445,14 +447,14 @@
 
     /// Returns whether the current run's stream ended in order, and not within an event.
     fn has_ended_in_order(&self) -> bool {
-        (self.upstream.is_some() || self.stream.has_ended()) && self.splitter.is_empty()
+        (self.upstream.is_some() || self.stream.ended_during_stop()) && self.splitter.is_empty()
     }
 
     /// Returns whether the current run's stream ended in order while a call to stop the run was in
     /// progress, which turned out not to have stopped it.
     fn has_ended_unstopped(&self) -> bool {
         let may_be_stopped = self.stream.stop().may_have_ended_stream();
-        self.stream.has_ended() && !may_be_stopped && self.ended.is_none()
+        self.stream.ended_during_stop() && !may_be_stopped && self.ended.is_none()
     }
 
     /// Handles the end of the current run's stream. Returns the end of the answer if it is complete.
@@ -476,19 +478,29 @@
         }
         if migrates {
             // The reply to the call tells whether it ended the stream.
+            log::info!(
+                request = self.context.facts.request.as_str(), target:% = self.pass.target(),
+                stop:% = self.stream.stop(), last = self.last_event.get().unwrap_or(0);
+                "stream ended during a call to stop its run"
+            );
             self.upstream = None;
-            self.stream.set_ended();
+            self.new_start = None;
+            self.stream.set_ended_during_stop();
         } else {
             self.handle_lost_run::<P>();
         }
         None
     }
 
-    /// Handles the loss of the run before its answer was complete.
+    /// Handles the loss of the run before its answer was complete. The end of a run that was told to stop
+    /// says nothing about its engine.
     fn handle_lost_run<P: Platform>(&mut self) {
         self.upstream = None;
         self.new_start = None;
         self.ended = None;
+        if matches!(self.stream.stop(), Stop::Called | Stop::Stopped) {
+            return;
+        }
         if let Some(target) = &self.target {
             liveness::Check::new(&self.worker, &self.context, target, self.began_at)
                 .with_begun_run(&self.context)
--- a/crates/gateway/src/request/transfer.rs
+++ b/crates/gateway/src/request/transfer.rs
@@ -116,16 +116,16 @@
 /// What is known of calls that stop a run.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub(crate) enum Stop {
-    /// None has reached the run's engine.
+    /// None may have stopped the run.
     #[display("none")]
-    Uncalled,
+    NotStopped,
     /// One is in progress.
     #[display("called")]
     Called,
     /// One may have stopped the run; none has been in progress since this time.
     #[display("unknown")]
     Unknown(Instant),
-    /// The run was stopped.
+    /// The run has ended for the move.
     #[display("stopped")]
     Stopped,
     /// The run had ended before.
@@ -138,7 +138,7 @@
     pub(crate) fn may_have_ended_stream(self) -> bool {
         match self {
             Self::Called | Self::Unknown(_) | Self::Stopped => true,
-            Self::Uncalled | Self::NoRun => false,
+            Self::NotStopped | Self::NoRun => false,
         }
     }
 }
@@ -148,7 +148,7 @@
 pub(crate) struct RunStream {
     stop: Cell<Stop>,
     /// Whether it ended in order while a call to stop the run was in progress.
-    has_ended: Cell<bool>,
+    ended_during_stop: Cell<bool>,
     /// Whether its engine left a call to stop the run unanswered, and may still act on it.
     has_unanswered_call: Cell<bool>,
     is_open: Cell<bool>,
@@ -159,8 +159,8 @@
 impl RunStream {
     pub(crate) fn open() -> Self {
         Self {
-            stop: Cell::new(Stop::Uncalled),
-            has_ended: Cell::new(false),
+            stop: Cell::new(Stop::NotStopped),
+            ended_during_stop: Cell::new(false),
             has_unanswered_call: Cell::new(false),
             is_open: Cell::new(true),
             closed: Notify::new(),
@@ -186,18 +186,18 @@
     /// Records an event. A run that goes on for longer than events are on their way was not stopped.
     pub(crate) fn record_event(&self) {
         if matches!(self.stop(), Stop::Unknown(since) if since.elapsed() >= STALL_TIME) {
-            self.stop.set(Stop::Uncalled);
+            self.stop.set(Stop::NotStopped);
         }
     }
 
     /// Records that the stream has ended in order.
-    pub(crate) fn set_ended(&self) {
-        self.has_ended.set(true);
+    pub(crate) fn set_ended_during_stop(&self) {
+        self.ended_during_stop.set(true);
     }
 
     /// Returns whether the stream ended in order while a call to stop the run was in progress.
-    pub(crate) fn has_ended(&self) -> bool {
-        self.has_ended.get()
+    pub(crate) fn ended_during_stop(&self) -> bool {
+        self.ended_during_stop.get()
     }
 
     /// Records that the stream is closed.
@@ -213,11 +213,11 @@
     }
 
     /// Waits until the stream has ended in order while a call to stop the run was in progress.
-    async fn ended(&self) {
+    async fn wait_for_end_during_stop(&self) {
         while self.is_open.get() {
             self.closed.notified().await;
         }
-        if !self.has_ended() {
+        if !self.ended_during_stop() {
             std::future::pending().await
         }
     }
@@ -366,9 +366,12 @@
                 return Err(Error::Unknown("no run"));
             }
             Ok(Moved::Refused { name: None }) if !may_have_stopped => {
-                stream.stop.set(Stop::Uncalled);
+                stream.stop.set(Stop::NotStopped);
                 return Err(Error::NotRun("no room"));
             }
+            Ok(Moved::Unclear) if was_unclear && stream.ended_during_stop() => {
+                return Ok(Stopped::Uncopied(abandon::<P>(worker, source).await));
+            }
             Ok(Moved::Unclear) if was_unclear => return Err(Error::Unknown("move unclear")),
             Ok(Moved::Unclear) => {
                 (may_have_stopped, was_unclear) = (true, true);
@@ -377,8 +380,8 @@
             Ok(Moved::Refused { name: None } | Moved::Busy) => replies += 1,
             Err(Failure::ConnectFailed { reason: Refusal::Refused }) => {
                 let ended = abandon::<P>(worker, source).await;
-                if ended == Ended::Answered && stream.has_ended() && !may_have_stopped {
-                    stream.stop.set(Stop::Uncalled);
+                if ended == Ended::Answered && stream.ended_during_stop() && !may_have_stopped {
+                    stream.stop.set(Stop::NotStopped);
                     return Err(Error::NotSent("move not sent"));
                 }
                 return Ok(Stopped::Uncopied(ended));
@@ -390,15 +393,15 @@
             }
         }
         let goes_on = source.last_event.get() != heard;
-        if !may_have_stopped && (goes_on || replies == 0 && stream.has_ended()) {
-            stream.stop.set(Stop::Uncalled);
+        if !may_have_stopped && (goes_on || replies == 0 && stream.ended_during_stop()) {
+            stream.stop.set(Stop::NotStopped);
             return Err(Error::NotSent("move not sent"));
         }
         if replies >= MAX_TRIES {
             if !may_have_stopped {
-                stream.stop.set(Stop::Uncalled);
-            } else if stream.has_ended() {
-                return Ok(Stopped::Uncopied(Ended::Stopped));
+                stream.stop.set(Stop::NotStopped);
+            } else if stream.ended_during_stop() {
+                return Ok(Stopped::Uncopied(abandon::<P>(worker, source).await));
             }
             return Err(Error::Unknown("move busy"));
         }
@@ -416,7 +419,7 @@
 /// Waits until the stream of a run that is to be stopped has ended and its engine is lost: it answers no
 /// other calls either.
 async fn wait_for_loss<P: Platform>(worker: &Worker, source: &Source<'_>) -> Ended {
-    source.stream.ended().await;
+    source.stream.wait_for_end_during_stop().await;
     sleep(REPLY_TIME).await;
     match fence::check::<P>(&worker.process, source.engine).await {
         Ended::Answered => std::future::pending().await,
