Refuse calls late in a drain that take longer than is left of it

Operators of systems like this one reported requests, unsafe ones among them, that a stopping entry took late, passed on and cut at the end of its grace time.

What callers saw here: one entry alone, in calm, grace 4 s, a call each 0.1 s on new and kept connections and with late bodies. Calls of 3 s that were sent 0.6 to 2.5 s after the stop, and calls of 3.8 and 4.5 s from the start to 2.5 s, reached their target and were answered 502 `answer-lost` at 3.6 s; none ended without an answer. Calls of 10 ms were refused in the last second although they would have ended.

Cause: the drain took each call that is not streamed to last as long as the objective of its route, and never longer than 1 s, whatever calls of the route took.

`lookups_are_served_while_they_end_in_time` asked that a call with an objective of 20 s is served with 1.1 s left. It does so now for a route whose calls take 0.9 s; an unsafe one of which nothing is known is refused, which the test asks as well.

--- a/crates/gateway/src/request/drain.rs
+++ b/crates/gateway/src/request/drain.rs
@@ -1,9 +1,15 @@
 //! Requests at an entry that drains: one that would not end before the entry stops is refused while
 //! nothing of it has been sent.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
+use fireflyhoist_policy::call_time::{Call, CallTimes, Expected};
 use fireflyhoist_policy::shutdown::{self, Decision, Kind, State, Work};
+use fireflyhoist_policy::time::Time;
+use smol_str::SmolStr;
 use tokio::time::timeout;
 
 use crate::request::{Context, Worker, entries, migration};
@@ -11,6 +17,57 @@
 /// How often the decision on a request that waits is made anew.
 const DECISION_POLL: Duration = Duration::from_millis(50);
 
+/// Number of routes of which the durations of calls are kept, beside those with calls that run.
+const MAX_ROUTES: usize = 1_024;
+
+/// How long calls take, by route.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Calls(Rc<RefCell<HashMap<SmolStr, CallTimes>>>);
+
+impl Calls {
+    /// Records that a call of a route is sent to a target.
+    pub(crate) fn begin(&self, route: &SmolStr, now: Time) -> RunningCall {
+        let mut routes = self.0.borrow_mut();
+        if routes.len() >= MAX_ROUTES && !routes.contains_key(route) {
+            routes.retain(|_, times| !times.is_idle());
+        }
+        let call = routes.entry(route.clone()).or_default().begin(now);
+        RunningCall { calls: self.clone(), route: route.clone(), call }
+    }
+
+    fn expected(&self, route: &SmolStr, now: Time, repeatable: bool) -> Expected {
+        let routes = self.0.borrow();
+        routes.get(route).map(|times| times.expected(now, repeatable)).unwrap_or_default()
+    }
+}
+
+/// A call that runs, until this is dropped.
+pub(crate) struct RunningCall {
+    calls: Calls,
+    route: SmolStr,
+    call: Call,
+}
+
+impl RunningCall {
+    /// Records a complete answer.
+    pub(crate) fn complete(self, now: Time) {
+        self.end(now, true);
+    }
+
+    fn end(&self, now: Time, complete: bool) {
+        if let Some(times) = self.calls.0.borrow_mut().get_mut(&self.route) {
+            times.end(self.call, now, complete);
+        }
+    }
+}
+
+impl Drop for RunningCall {
+    fn drop(&mut self) {
+        // Nothing if it was complete.
+        self.end(Time::ZERO, false);
+    }
+}
+
 /// Waits until this entry would not serve a request that has not been sent, and returns when its
 /// caller should retry.
 pub(crate) async fn refused(worker: &Worker, context: &Context) -> Duration {
@@ -81,7 +138,11 @@
 fn work(worker: &Worker, context: &Context) -> Work {
     let time_left = context.time_left(worker.process.clock.now());
     if !context.route.kind.is_stream() {
-        return Work { kind: Kind::Lookup { objective: context.route.objective }, time_left };
+        let now = worker.process.clock.now();
+        let repeatable = context.route.kind.is_idempotent();
+        let expected = worker.calls.expected(&context.route.name, now, repeatable);
+        let objective = context.route.objective;
+        return Work { kind: Kind::Lookup { objective, expected, repeatable }, time_left };
     }
     let limit = context.facts.max_tokens;
     let kind = Kind::Generation {
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -80,11 +80,12 @@
     pub(crate) process: Arc<Process>,
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) callers: Rc<Callers>,
+    pub(crate) calls: drain::Calls,
 }
 
 impl Worker {
     pub(crate) fn new(process: Arc<Process>, fleet: Arc<Fleet>, callers: Rc<Callers>) -> Self {
-        Self { process, fleet, callers }
+        Self { process, fleet, callers, calls: drain::Calls::default() }
     }
 
     /// Waits until this entry reaches a target again, unless it is isolated for longer than targets
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -263,7 +263,12 @@
     let Admission { pass, grant, slot } = admission;
     let target = pass.target().clone();
     let options = Options { grant, again, ..Options::default() };
+    let clock = &worker.process.clock;
+    let call = worker.calls.begin(&context.route.name, clock.now());
     let result = fetch::<P>(worker, context, &target, &options).await;
+    if result.is_ok() {
+        call.complete(clock.now());
+    }
     let outcome = match &result {
         Ok(answer) if answer.status.is_server_error() => Outcome::ServerError,
         Ok(_) => Outcome::Whole,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod backoff;
 pub mod bootstrap;
 pub mod burn;
+pub mod call_time;
 pub mod cold;
 pub mod concurrency;
 pub mod cordon;
--- a/crates/policy/src/shutdown.rs
+++ b/crates/policy/src/shutdown.rs
@@ -12,6 +12,7 @@
 
 use std::time::Duration;
 
+use crate::call_time::Expected;
 use crate::unit::Tokens;
 
 /// The longest time per token on a full engine that also runs prefills. Engines take 9 to 13 ms; an
@@ -21,9 +22,9 @@
 /// The longest time from sending a generation to its first token that is usual on a full engine.
 const FIRST_TOKEN_TIME: Duration = Duration::from_millis(500);
 
-/// The longest time that a request other than a generation is expected to take, whatever the
-/// objective of its route. One that takes longer at the end of a drain is still answered with a
-/// status, so a stall of its target is left out.
+/// The longest time that a repeatable request other than a generation is expected to take early in a
+/// drain, whatever the objective of its route, while nothing is known of others. One that takes longer
+/// at the end of a drain is still answered with a status, so a stall of its target is left out.
 const MAX_LOOKUP_TIME: Duration = Duration::from_secs(1);
 
 /// How much longer a generation may take at an engine that stalls. Engines that work may pause for a
@@ -87,10 +88,14 @@
         /// stop.
         long: bool,
     },
-    /// Any other request, with the objective for its answer.
+    /// Any other request.
     Lookup {
         /// The objective of the route.
         objective: Duration,
+        /// How long it is expected to take, by others of its route.
+        expected: Expected,
+        /// Whether it may run more than once.
+        repeatable: bool,
     },
 }
 
@@ -131,7 +136,13 @@
 
 fn is_served(state: &State, work: &Work) -> bool {
     let time = match work.kind {
-        Kind::Lookup { objective } => objective.min(MAX_LOOKUP_TIME),
+        Kind::Lookup { objective, expected, repeatable } => {
+            let unknown = match repeatable && is_early(state) {
+                true => objective.min(MAX_LOOKUP_TIME),
+                false => objective,
+            };
+            expected.ended.unwrap_or(unknown).max(expected.running)
+        }
         Kind::Generation { long: true, .. } if state.peers_accept && is_early(state) => {
             return false;
         }
--- a/crates/policy/tests/shutdown.rs
+++ b/crates/policy/tests/shutdown.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fireflyhoist_policy::call_time::Expected;
 use fireflyhoist_policy::shutdown::{Decision, Kind, State, Work, decide, is_held};
 use fireflyhoist_policy::unit::Tokens;
 use yare::parameterized;
@@ -76,17 +77,31 @@
     }
 }
 
-/// Guards against lookups that are lost when the process ends, and against lookups being refused
-/// while they can still be answered.
+/// Returns a lookup of a route of which `ended` says how long others took, in milliseconds.
+fn call(objective: u64, ended: Option<u64>, running: u64, repeatable: bool) -> Kind {
+    let expected = Expected { ended: ended.map(ms), running: ms(running) };
+    Kind::Lookup { objective: ms(objective), expected, repeatable }
+}
+
+/// Guards against lookups that are cut when the process ends, and against lookups being refused while
+/// they can still be answered.
 #[parameterized(
-    in_time = { 6_900, 150, true },
-    too_late = { 7_000, 150, false },
-    high_objective = { 6_000, 20_000, true },
-    high_objective_too_late = { 6_200, 20_000, false },
+    in_time = { 6_900, call(150, None, 0, false), true },
+    too_late = { 7_000, call(150, None, 0, false), false },
+    high_objective = { 6_000, call(20_000, Some(900), 0, false), true },
+    high_objective_too_late = { 6_200, call(20_000, Some(900), 0, false), false },
+    high_objective_short = { 6_900, call(20_000, Some(150), 0, true), true },
+    high_objective_unknown = { 0, call(20_000, None, 0, false), false },
+    high_objective_unknown_repeatable = { 0, call(20_000, None, 0, true), true },
+    high_objective_unknown_repeatable_late = { 4_000, call(20_000, None, 0, true), false },
+    longer_than_its_objective = { 4_000, call(150, Some(3_500), 0, true), false },
+    as_long_as_the_drain = { 0, call(150, Some(7_200), 0, false), false },
+    long_in_time = { 0, call(150, Some(6_500), 0, false), true },
+    others_run_for_longer = { 4_000, call(150, Some(200), 3_500, false), false },
+    others_run_for_longer_than_an_objective = { 4_000, call(150, None, 3_500, true), false },
 )]
-fn lookups_are_served_while_they_end_in_time(draining_for: u64, objective: u64, served: bool) {
+fn lookups_are_served_while_they_end_in_time(draining_for: u64, kind: Kind, served: bool) {
     for peers_accept in [false, true] {
-        let kind = Kind::Lookup { objective: ms(objective) };
         let decided =
             decide(&state(peers_accept, draining_for), &Work { kind, time_left: PATIENT });
         assert_eq!(decided == Decision::Serve, served, "{peers_accept} {decided:?}");
@@ -134,7 +149,8 @@
 /// Guards against requests being refused although their callers give up before the drain ends,
 /// whatever their targets do.
 #[parameterized(
-    lookup = { Kind::Lookup { objective: Duration::from_secs(5) } },
+    lookup = { call(5_000, None, 0, false) },
+    long_lookup = { call(150, Some(7_200), 7_200, false) },
     stream = { generation(20, Some(4_000), false).kind },
     stream_without_a_limit = { generation(20, None, false).kind },
 )]
