Let the soak show a short answer given as complete

Unframed engines of the soak began the next event at once, so whatever ended a stream there ended it within an event, and a stop could not be taken for the end of an answer. An engine that is told to stop an unframed run now completes the event that it has begun and closes the stream in order; a crash still ends it within one, since nothing tells an engine that crashes between two events from one that is done. A run that comes to its own end meanwhile is answered 404.

Callers that take streams up, callers with parts and those of the poison took any end of a success for the answer's; they check now that one given as complete has its last event.

--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -104,7 +104,17 @@
 #[derive(Debug)]
 struct Running {
     run: Cell<Run>,
+    /// How many events it makes in all.
+    length: u64,
     stopped: Cell<bool>,
+    /// Whether its memory was copied after it was stopped.
+    copied: Cell<bool>,
+}
+
+impl Running {
+    fn is_finished(&self) -> bool {
+        self.run.get().made == self.length
+    }
 }
 
 /// What all engines share: copies lie where the next one finds them.
@@ -505,11 +515,19 @@
         return plain(StatusCode::BAD_REQUEST, "", "");
     };
     let running = shared.running.borrow().get(id).cloned();
+    let running = running.filter(|running| !running.is_finished());
     let Some(running) = running else { return plain(StatusCode::NOT_FOUND, "", "") };
     if asked.last {
         running.stopped.set(true);
     }
     sleep(MOVE).await;
+    if asked.last {
+        if running.is_finished() {
+            // It came to its own end as it was to be stopped.
+            return plain(StatusCode::NOT_FOUND, "", "");
+        }
+        running.copied.set(true);
+    }
     let name = format_smolstr!("m-{id}");
     let key = format!("{}/{name}", shared.address);
     shared.engines.copies.borrow_mut().insert(key, running.run.get());
@@ -537,7 +555,8 @@
         }
     };
     let run = Cell::new(Run { generation, made: last });
-    let running = Rc::new(Running { run, stopped: Cell::new(false) });
+    let (length, stopped, copied) = (length(&name), Cell::new(false), Cell::new(false));
+    let running = Rc::new(Running { run, length, stopped, copied });
     shared.running.borrow_mut().insert(id.clone(), Rc::clone(&running));
     let (sender, receiver) = mpsc::channel::<Result<Frame<Bytes>, io::Error>>(4);
     spawn_local(generate(Rc::clone(shared), id.clone(), name, running, sender, backup));
@@ -560,10 +579,13 @@
     let version = shared.software.as_ref().map(|software| format!(" {software}"));
     let version = version.unwrap_or_default();
     let last = running.run.get().made;
-    while running.run.get().made < length(&name) {
+    while !running.is_finished() {
         sleep(EVENT).await;
         shared.stall().await;
-        if running.stopped.get() {
+        let stops = running.stopped.get();
+        // Without chunks, a stop closes the stream between two events, after the one that has begun.
+        let stops_after_event = stops && shared.unframed && !running.copied.get();
+        if stops && !stops_after_event {
             // Closed without its end.
             let _ = sender.send(Err(io::Error::other("stopped"))).await;
             break;
@@ -574,8 +596,9 @@
         let mut event = format!("id: {}\ndata: {name} {generation}{version}\n\n", run.made);
         if shared.unframed {
             event = event.split_off(if run.made == last + 1 { 0 } else { BEGUN.len() });
-            if run.made < length(&name) {
-                // Whatever ends the connection before the last event ends it inside one.
+            if !stops && !running.is_finished() {
+                // What else ends the connection before the last event ends it inside one, since nothing
+                // tells an engine that crashes between two events from one that is done.
                 event.push_str(BEGUN);
             }
         }
@@ -585,8 +608,11 @@
         if let Some(backup) = &backup {
             shared.engines.copies.borrow_mut().insert(format!("{backup}/{id}"), run);
         }
+        if stops {
+            break;
+        }
     }
-    if running.run.get().made == length(&name) {
+    if running.is_finished() {
         shared.seen.finished(id.clone());
     }
     shared.running.borrow_mut().remove(&id);
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -152,9 +152,9 @@
         let request = format_smolstr!("poison-{nth}");
         let entry = rng.random_range(0..entries.len());
         let from = seen.now();
-        let (end, _) = one(&mut None, entry, entries[entry], Kind::Poison, &request).await;
+        let (end, wrong) = one(&mut None, entry, entries[entry], Kind::Poison, &request).await;
         let to = seen.now();
-        seen.asked(Asked { request, kind: Kind::Poison, entry, from, to, end, wrong: None });
+        seen.asked(Asked { request, kind: Kind::Poison, entry, from, to, end, wrong });
     }
 }
 
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -13,6 +13,9 @@
 use crate::rolls::{self, Record};
 use crate::streams::{self, TakenUp, Try};
 
+/// The promise on answers of success: complete only with all that belongs to them.
+pub(crate) const WHOLE: &str = "whole, ordered and its own";
+
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub(crate) enum Kind {
@@ -294,7 +297,7 @@
             note("a refusal is true", format!("{runs} runs"));
         }
         if let Some(wrong) = &asked.wrong {
-            note("whole, ordered and its own", wrong.clone());
+            note(WHOLE, wrong.clone());
         }
         if asked.end == End::Hung && self.is_calm(asked.entry, asked.from, asked.to) {
             note("everyone is answered", "nothing came".to_owned());
--- a/crates/soak/src/parts.rs
+++ b/crates/soak/src/parts.rs
@@ -10,8 +10,8 @@
 use smol_str::{SmolStr, format_smolstr};
 use tokio::time::{sleep, timeout};
 
-use crate::caller::{self, TIMEOUT};
-use crate::ledger::Violation;
+use crate::caller::{self, Answer, TIMEOUT};
+use crate::ledger::{Kind, Violation, WHOLE};
 use crate::seen::Seen;
 
 /// The part that ends targets.
@@ -50,6 +50,8 @@
     to: Duration,
     bad: bool,
     served: bool,
+    /// What is wrong with its answer.
+    wrong: Option<String>,
 }
 
 /// Returns whether a request holds the part, which never comes last.
@@ -82,19 +84,27 @@
             caller::ask_with(&mut sender, &request, &format!("/again/{request}"), &headers).await
         };
         let answer = timeout(TIMEOUT, asked).await.ok().flatten();
-        let served = answer.is_some_and(|answer| answer.status == 200 && answer.whole);
+        let answer = answer.filter(|answer| answer.status == 200);
+        let wrong = answer.as_ref().and_then(|Answer { body, whole, .. }| {
+            caller::wrong(body, *whole, Kind::Resumable, &request)
+        });
+        let served = answer.is_some_and(|answer| answer.whole);
         let to = seen.now();
-        seen.asked_with_parts(Asked { request, entry, from, to, bad, served });
+        seen.asked_with_parts(Asked { request, entry, from, to, bad, served, wrong });
     }
 }
 
-/// Returns what was broken: the part sent on after targets ended on it, or sound requests refused that
-/// share the others.
+/// Returns what was broken: answers that are not their own or complete before their last event, the part
+/// sent on after targets ended on it, or sound requests refused that share the others.
 pub(crate) fn violations(
     part: &Part,
     is_calm: impl Fn(usize, Duration, Duration) -> bool,
 ) -> Vec<Violation> {
-    let mut broken = Vec::new();
+    let wrong = part.asked.iter().filter_map(|asked| {
+        let evidence = format!("{}: {}", asked.request, asked.wrong.as_ref()?);
+        Some(Violation { promise: WHOLE, at: asked.from, evidence })
+    });
+    let mut broken: Vec<Violation> = wrong.collect();
     let known_from = part.forgotten.iter().max().copied().unwrap_or_default();
     let mut ends = part.ends.iter().filter(|at| **at >= known_from);
     let Some(last) = ends.nth(ENDS - 1).copied() else { return broken };
--- a/crates/soak/src/streams.rs
+++ b/crates/soak/src/streams.rs
@@ -14,7 +14,7 @@
 
 use crate::backend::length;
 use crate::caller::{self, TIMEOUT};
-use crate::ledger::Violation;
+use crate::ledger::{Violation, WHOLE};
 use crate::seen::Seen;
 
 /// Callers of streams in each run.
@@ -48,6 +48,8 @@
     serving: usize,
     /// The versions of the events that came, and their ids.
     events: Vec<(u64, SmolStr)>,
+    /// Whether it was answered with success, and completely.
+    whole: bool,
 }
 
 impl Try {
@@ -108,9 +110,10 @@
         caller::ask_with(&mut sender, id, &format!("/again/{stream}"), &headers).await
     };
     let answer = timeout(TIMEOUT, asked).await.ok().flatten();
-    let body = answer.filter(|answer| answer.status == 200).map(|answer| answer.body);
-    let events = body.as_deref().map(events).unwrap_or_default();
-    Try { stream: stream.clone(), entry, from, to: seen.now(), version, serving, events }
+    let answer = answer.filter(|answer| answer.status == 200);
+    let events = answer.as_ref().map(|answer| events(&answer.body)).unwrap_or_default();
+    let whole = answer.is_some_and(|answer| answer.whole);
+    Try { stream: stream.clone(), entry, from, to: seen.now(), version, serving, events, whole }
 }
 
 /// Reads the ids and versions of complete events.
@@ -124,8 +127,8 @@
     events.split("\n\n").filter_map(read).collect()
 }
 
-/// Returns what was broken: streams of several versions, events that are missing or come twice, and
-/// streams that do not go on although their versions serve.
+/// Returns what was broken: streams of several versions, events that are missing or come twice, answers
+/// given as complete before the last event, and streams that do not go on although their versions serve.
 pub(crate) fn violations(
     tries: &[Try],
     is_calm: impl Fn(usize, Duration, Duration) -> bool,
@@ -135,7 +138,15 @@
     let mut broken = Vec::new();
     for (name, tries) in &streams {
         let events = || tries.iter().flat_map(|tried| &tried.events);
-        let versions: BTreeSet<&SmolStr> = events().map(|(_, version)| version).collect();
+        let (versions, length) =
+            (events().map(|(_, version)| version).collect::<BTreeSet<_>>(), length(name));
+        let is_short =
+            |tried: &&&Try| tried.whole && tried.events.last().is_none_or(|(id, _)| *id != length);
+        if let Some(short) = tries.iter().find(is_short) {
+            let last = short.events.last().map_or(0, |(id, _)| *id);
+            let evidence = format!("{name}: whole with event {last} of {length}");
+            broken.push(Violation { promise: WHOLE, at: short.from, evidence });
+        }
         let in_order = events().enumerate().all(|(nth, (id, _))| *id == nth as u64 + 1);
         let promise = match (versions.len() > 1, in_order) {
             (true, _) => "one version a stream",
