Test stopped streams in each framing, with odd replies, moves and ends

The tests of streams that a move stops had one framing, and one move of one answer. The engines of these tests are in tests/support now, and play closes before, with and after the reply, within an event or by a reset; replies of 429, 200 without a name, 409 several times, cut off or lost; engines that decline the copy or are gone; HTTP/1.0, lengths and chunks; two moves in a row; callers of HTTP/1.0, kept connections, callers that leave and entries that drain meanwhile; and runs that come to their own end just before, during and after the call.

--- a/crates/gateway/tests/stopped_streams.rs
+++ b/crates/gateway/tests/stopped_streams.rs
@@ -3,201 +3,36 @@
 
 mod support;
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use fireflyhoist_gateway::Gateway;
-use fireflyhoist_gateway::native::{Copied, Move};
-use fireflyhoist_policy::route::{Kind, Route};
-use fireflyhoist_standin::registry::Registry;
-use parking_lot::Mutex;
-use support::caller::{Answer, Request};
-use support::target::{Seen, Standin, Step, answer, events};
-use support::{eventually, gateway, route, text};
-use tokio::task::spawn_local;
+use support::caller::Answer;
+use support::stopping::{Fleet, LENGTH, Last, Manner, PROMPT, Reply};
+use support::target::events;
 use yare::parameterized;
 
-/// The events of each answer.
-const LENGTH: u64 = 30;
-
-/// Time from each event to the next.
-const GAP: Duration = Duration::from_millis(60);
-
-/// Time after which an engine replies that has stopped its run and closed its stream.
-const PROMPT: Duration = Duration::from_millis(20);
-
-/// What an engine does when it is told to stop its run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Last {
-    /// It stops the run, copies the rest and replies after this time.
-    Copies(Duration),
-    /// It stops the run and keeps its memory, since the other engine has no room any more.
-    Keeps(Duration),
-    /// It stops the run and resets the connection of the call.
-    IsUnheard,
-    /// Another call is in progress the first time; the second time it stops the run.
-    IsBusyFirst,
-    /// It stops the run and answers with an error that names no copy.
-    Fails,
-    /// Its run ends as it is called, and after this time it replies that there is none.
-    HasEnded(Duration),
-}
-
-/// What is left of a run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Progress {
-    #[default]
-    Running,
-    /// It writes no more events.
-    Stopped,
-    /// It writes all that are left at once.
-    Finishing,
-}
-
-/// The state of one engine that its scripts share.
-#[derive(Debug, Default)]
-struct State {
-    progress: Mutex<Progress>,
-    /// Whether it was told to stop a run.
-    told: AtomicBool,
-}
-
-impl State {
-    fn reply(self: &Arc<Self>, seen: &Seen, last: Last) -> Vec<Step> {
-        let line = seen.line();
-        if line.contains("/v1/report") {
-            return answer(200, "{}");
-        }
-        if line.starts_with("DELETE") {
-            return answer(200, "");
-        }
-        if line.contains("/move") {
-            let request: Move = serde_json::from_str(&seen.body).expect("a move");
-            let is_full = matches!(last, Last::Keeps(_)) && self.told.load(Ordering::SeqCst);
-            return match request.last {
-                true => self.reply_to_last(last),
-                false if is_full => answer(503, "{}"),
-                false => copied(200, "c-1"),
-            };
-        }
-        *self.progress.lock() = Progress::Running;
-        let last: u64 = seen.header("last-event-id").map_or(0, |id| id.parse().expect("a number"));
-        self.run(last + 1)
-    }
-
-    fn reply_to_last(&self, last: Last) -> Vec<Step> {
-        let is_first = !self.told.swap(true, Ordering::SeqCst);
-        let was = std::mem::replace(
-            &mut *self.progress.lock(),
-            match last {
-                Last::IsBusyFirst if is_first => Progress::Running,
-                Last::HasEnded(_) => Progress::Finishing,
-                _ => Progress::Stopped,
-            },
-        );
-        if was != Progress::Running {
-            return answer(404, "{}");
-        }
-        match last {
-            Last::IsBusyFirst if is_first => answer(409, "{}"),
-            Last::IsBusyFirst => [vec![Step::Wait(PROMPT)], copied(200, "c-2")].concat(),
-            Last::Copies(after) => [vec![Step::Wait(after)], copied(200, "c-2")].concat(),
-            Last::Keeps(after) => [vec![Step::Wait(after)], copied(503, "c-2")].concat(),
-            Last::IsUnheard => vec![Step::Reset],
-            Last::Fails => answer(500, "{}"),
-            Last::HasEnded(after) => [vec![Step::Wait(after)], answer(404, "{}")].concat(),
-        }
-    }
-
-    /// Runs from an event until the end, or until the run is stopped, which ends its stream.
-    fn run(self: &Arc<Self>, from: u64) -> Vec<Step> {
-        let mut steps = vec![Step::Write(
-            "HTTP/1.1 200 OK\r\nfireflyhoist-request: r-1\r\ncontent-type: text/event-stream\r\n\r\n"
-                .to_owned(),
-        )];
-        for id in from..=LENGTH {
-            let (pausing, going_on) = (Arc::clone(self), Arc::clone(self));
-            let begun = Mutex::new(None);
-            let paused = move || {
-                let since = *begun.lock().get_or_insert_with(std::time::Instant::now);
-                since.elapsed() >= GAP || *pausing.progress.lock() != Progress::Running
-            };
-            let goes_on = move || *going_on.progress.lock() != Progress::Stopped;
-            let event = Step::Write(events(id, id));
-            steps.extend([event, Step::Until(Arc::new(paused)), Step::Only(Arc::new(goes_on))]);
-        }
-        steps
-    }
-}
-
-fn copied(status: u16, name: &str) -> Vec<Step> {
-    let copied = Copied { copy: Some(name.into()) };
-    answer(status, &serde_json::to_string(&copied).expect("JSON"))
-}
-
-/// An entry before two engines.
-struct Fleet {
-    registry: Registry,
-    entry: Gateway,
-    engines: Vec<Standin>,
-}
-
-impl Fleet {
-    async fn open(resumable: bool, last: Last) -> Self {
-        let registry = Registry::open().await;
-        let route = Route { attempts: 1, ..route("gen", Kind::Stream { resumable }) };
-        let mut text = text(1, vec![route]);
-        let engine = text.services[0].engine.as_mut().expect("a service of engines");
-        engine.backups = false;
-        registry.publish(text);
-        let mut engines = Vec::new();
-        for name in ["e-1", "e-2"] {
-            let state = Arc::new(State::default());
-            let engine = Standin::open(name, "gen", move |seen| state.reply(seen, last)).await;
-            registry.put(engine.listed.clone());
-            engines.push(engine);
-        }
-        let entry = gateway(&registry).await;
-        Self { registry, entry, engines }
-    }
-
-    /// The requests that began a run or went on with one, at each engine.
-    fn runs(&self) -> Vec<usize> {
-        let is_run = |seen: &Seen| seen.line().contains("/gen/");
-        let runs = |engine: &Standin| engine.seen().into_iter().filter(is_run).count();
-        self.engines.iter().map(runs).collect()
-    }
-
-    /// Sends a generation, and has its engine leave once it runs.
-    async fn generation(&self) -> Answer {
-        let callers = self.entry.callers();
-        let request = Request::stream("/gen/x", 500).body("b");
-        let answered = spawn_local(async move { request.send(callers).await });
-        eventually(async || self.runs().iter().sum::<usize>() > 0).await;
-        let at = self.runs().iter().position(|runs| *runs > 0).expect("it runs");
-        self.registry.put(self.engines[at].draining());
-        answered.await.expect("the caller ends")
-    }
+/// Has a generation answered whose engine leaves once it runs.
+async fn generation(resumable: bool, last: Last) -> (Answer, Vec<usize>) {
+    let fleet = Fleet::open(resumable, 2, Manner::of(last)).await;
+    let answer = fleet.generation(1).await;
+    (answer, fleet.runs())
 }
 
 /// Guards against a stream that a move stopped being given to its caller as complete.
 #[parameterized(
-    replied_in_time = { false, Last::Copies(PROMPT) },
-    replied_late = { false, Last::Copies(Duration::from_millis(400)) },
-    replied_very_late = { false, Last::Copies(Duration::from_millis(2_500)) },
-    resumable_replied_late = { true, Last::Copies(Duration::from_millis(400)) },
-    reply_lost = { false, Last::IsUnheard },
-    resumable_reply_lost = { true, Last::IsUnheard },
-    called_again = { false, Last::IsBusyFirst },
-    failed = { false, Last::Fails },
+    replied_in_time = { false, Last::stops(PROMPT, Reply::Copied) },
+    replied_late = { false, Last::stops(Duration::from_millis(400), Reply::Copied) },
+    replied_very_late = { false, Last::stops(Duration::from_millis(2_500), Reply::Copied) },
+    resumable_replied_late = { true, Last::stops(Duration::from_millis(400), Reply::Copied) },
+    reply_lost = { false, Last::stops(PROMPT, Reply::Lost) },
+    resumable_reply_lost = { true, Last::stops(PROMPT, Reply::Lost) },
+    called_again = { false, Last::RefusesFirst(1, 409) },
+    failed = { false, Last::stops(PROMPT, Reply::Status(500)) },
 )]
 #[test_macro(ntex::test)]
 async fn a_stream_that_a_move_stopped_goes_on(resumable: bool, last: Last) {
-    let fleet = Fleet::open(resumable, last).await;
-    let answer = fleet.generation().await;
+    let (answer, runs) = generation(resumable, last).await;
     assert_eq!((answer.body, answer.whole), (events(1, LENGTH), true));
-    assert_eq!(fleet.runs().iter().sum::<usize>(), 2);
+    assert_eq!(runs.iter().sum::<usize>(), 2);
 }
 
 /// Guards against a stream given as complete whose engine stopped it for a move, and kept its memory.
@@ -207,10 +42,8 @@
 )]
 #[test_macro(ntex::test)]
 async fn a_stream_whose_memory_stays_goes_on_there(after: Duration) {
-    let fleet = Fleet::open(false, Last::Keeps(after)).await;
-    let answer = fleet.generation().await;
+    let (answer, mut runs) = generation(false, Last::stops(after, Reply::Kept)).await;
     assert_eq!((answer.body, answer.whole), (events(1, LENGTH), true));
-    let mut runs = fleet.runs();
     runs.sort_unstable();
     assert_eq!(runs, [0, 2]);
 }
@@ -223,8 +56,7 @@
 )]
 #[test_macro(ntex::test)]
 async fn a_run_that_ended_before_it_was_stopped_is_whole(resumable: bool, after: Duration) {
-    let fleet = Fleet::open(resumable, Last::HasEnded(after)).await;
-    let answer = fleet.generation().await;
+    let (answer, runs) = generation(resumable, Last::HasEnded(after)).await;
     assert_eq!((answer.body, answer.whole), (events(1, LENGTH), true));
-    assert_eq!(fleet.runs().iter().sum::<usize>(), 1);
+    assert_eq!(runs.iter().sum::<usize>(), 1);
 }
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -98,6 +98,17 @@
         self
     }
 
+    /// Makes it a request of HTTP/1.0.
+    pub(crate) fn old(mut self) -> Self {
+        self.head = self.head.replacen("HTTP/1.1", "HTTP/1.0", 1);
+        self
+    }
+
+    /// Leaves the connection open after the answer.
+    pub(crate) fn kept(self) -> Self {
+        self.without("connection: close\r\n")
+    }
+
     /// Returns the request as it is written.
     pub(crate) fn bytes(&self) -> Vec<u8> {
         let mut bytes = format!("{}\r\n", self.head).into_bytes();
@@ -129,6 +140,43 @@
     parse(&bytes)
 }
 
+/// Reads one answer, and leaves its connection open if it is complete.
+pub(crate) async fn read_one(stream: &mut TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    let read = async {
+        loop {
+            let answer = parse(&bytes);
+            // Without a head there is no framing yet.
+            if answer.status > 0 && answer.whole {
+                return;
+            }
+            let mut more = [0; 4096];
+            match stream.read(&mut more).await {
+                Ok(count) if count > 0 => bytes.extend_from_slice(&more[..count]),
+                _ => return,
+            }
+        }
+    };
+    let _ = timeout(TEST_TIMEOUT, read).await;
+    parse(&bytes)
+}
+
+/// Reads an answer that may have neither a length nor chunks, as over HTTP/1.0: such an answer is
+/// complete if its connection ends in order.
+pub(crate) async fn read_old(mut stream: TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    let read = timeout(TEST_TIMEOUT, stream.read_to_end(&mut bytes)).await;
+    let mut answer = parse(&bytes);
+    let is_framed =
+        ["content-length", "transfer-encoding"].map(|name| answer.header(name).is_some());
+    if answer.status > 0 && !is_framed.contains(&true) {
+        let body = bytes.windows(4).position(|four| four == b"\r\n\r\n").unwrap_or_default() + 4;
+        answer.body = String::from_utf8_lossy(&bytes[body..]).into_owned();
+        (answer.whole, answer.trailing_bytes) = (matches!(read, Ok(Ok(_))), 0);
+    }
+    answer
+}
+
 fn parse(bytes: &[u8]) -> Answer {
     let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") else {
         return Answer::default();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod forwarder;
 pub(crate) mod proxy;
 pub(crate) mod restarting;
+pub(crate) mod stopping;
 pub(crate) mod target;
 
 use std::net::SocketAddr;
--- a/crates/gateway/tests/support/target.rs
+++ b/crates/gateway/tests/support/target.rs
@@ -22,6 +22,8 @@
     Until(Arc<dyn Fn() -> bool + Send + Sync>),
     /// Ends the script, and with it the connection, unless a condition holds.
     Only(Arc<dyn Fn() -> bool + Send + Sync>),
+    /// Resets the connection, unless a condition holds.
+    OrReset(Arc<dyn Fn() -> bool + Send + Sync>),
     /// Waits until the entry closes the connection, and records when.
     Hang,
     /// Resets the connection.
@@ -155,6 +157,12 @@
                         return;
                     }
                 }
+                Step::OrReset(holds) => {
+                    if !holds() {
+                        stream.set_zero_linger().expect("a socket option");
+                        return;
+                    }
+                }
                 Step::Hang => {
                     // The entry closed or reset the connection.
                     let _ = stream.read(&mut [0; 16]).await;
