--- a/crates/daemon/src/request/plain/idempotent.rs
+++ b/crates/daemon/src/request/plain/idempotent.rs
@@ -18,7 +18,7 @@
 use ntex::util::Bytes;
 use ntex::web::{HttpResponse, types};
 
-use crate::connection::{unpooled, unwritten};
+use crate::connection::{answer, unpooled, unwritten};
 use crate::process::{InFlight, Worker};
 use crate::request::body::Body;
 use crate::request::plain::message::{Message, Upload, end_to_end, patience};
@@ -75,7 +75,7 @@
         let target = pass.target().clone();
         admission.avoid = Some(target.clone());
         admission.retry = true;
-        match send_once(worker, service, message, &body, attempt, &target).await {
+        match send_once(worker, service, message, &body, &target).await {
             Ok(response) => {
                 watch.answered();
                 return reply(&message.method, response, pass, open);
@@ -101,25 +101,18 @@
     service: &Service,
     message: &Message,
     body: &Bytes,
-    attempt: u32,
     target: &id::Target,
 ) -> Result<ClientResponse, Ran> {
     let address = address(service, target).ok_or(Ran::No)?;
-    let request = match attempt {
-        1 => {
-            let url = format!("http://{address}{}", message.path);
-            worker.client.request(message.method.clone(), url)
-        }
-        // A retry opens a new connection: the pool may hold more connections that went silent, or
-        // that close on use.
-        _ => unpooled(&worker.client, message.method.clone(), address, &message.path),
-    };
+    // A pooled connection may have gone silent, close on use, or hold bytes that its target sent after an
+    // earlier answer.
+    let request = unpooled(&worker.client, message.method.clone(), address, &message.path);
     let objective = Duration::from_millis(service.objective.first_token_ms);
     let attempt_timeout = (objective * ATTEMPT_OBJECTIVES)
         .clamp(ATTEMPT_TIMEOUT_BOUNDS.0, ATTEMPT_TIMEOUT_BOUNDS.1)
         .min(patience(service));
     match timeout(attempt_timeout, message.add_headers(request).send_body(body.clone())).await {
-        Ok(Ok(response)) => Ok(response),
+        Ok(Ok(response)) => answer::check(&message.method, response).map_err(|_| Ran::Unknown),
         Ok(Err(error)) if unwritten(&error) => Err(Ran::No),
         Ok(Err(_)) | Err(()) => Err(Ran::Unknown),
     }
@@ -150,10 +143,16 @@
     let request = unpooled(&worker.client, message.method.clone(), address, &message.path);
     let body = Bounded { payload: payload.into_inner(), remaining: MAX_BODY_BYTES };
     match message.add_headers(request).send_stream(body).await {
-        Ok(response) => {
-            watch.answered();
-            reply(&message.method, response, pass, open)
-        }
+        Ok(response) => match answer::check(&message.method, response) {
+            Ok(response) => {
+                watch.answered();
+                reply(&message.method, response, pass, open)
+            }
+            Err(_) => {
+                pass.finish(Outcome::Failed);
+                refuse::target_failed(Ran::Unknown)
+            }
+        },
         Err(error) => {
             pass.finish(Outcome::Failed);
             match error {
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -24,6 +24,7 @@
 use crate::request::answer::{Cause, Stage};
 use crate::request::attempt::{Error, Started};
 use crate::request::body::{self, Body, Chunk};
+use crate::request::ending::{self, Closed};
 use crate::request::fence::{self, Ended};
 use crate::request::migration::{self, Backup, Failed, Plan, Resumed, Strategy};
 use crate::request::new_start::{self, NewStart};
@@ -213,6 +214,7 @@
                 // The engine is free although the caller may still read.
                 self.pass.finish(Outcome::Whole);
                 drop(self.backup);
+                self.context.set_reset(&self.worker, false);
                 let now = self.worker.process.clock.now();
                 let sent = send(&self.chunks, Chunk::End, self.context.time_left(now)).await;
                 end = sent.err().unwrap_or(end);
@@ -235,7 +237,10 @@
         if let Some(cause) = cause.filter(|_| !self.held.get()) {
             self.context.answer.cut(cause);
             if let Some(io) = self.context.io.as_ref().filter(|_| cause != Cause::Caller) {
-                io.close();
+                match self.context.ends_with_connection {
+                    true => io.terminate(),
+                    false => io.close(),
+                }
             }
         }
         let elapsed = self.worker.process.clock.now().since(started_at);
@@ -292,8 +297,19 @@
                 () = &mut deadline => return End::Late,
                 resumed = &mut migrating, if in_progress == Some(Work::Migration) => {
                     in_progress = None;
-                    if let Some(end) = self.apply_migration(resumed) {
-                        return end;
+                    if resumed.is_err() && self.has_ended_unstopped() {
+                        let asked = self.ask_ending::<P>();
+                        let closed = tokio::select! {
+                            biased;
+                            () = &mut caller_gone => return End::Left,
+                            () = &mut deadline => return End::Late,
+                            closed = asked => closed,
+                        };
+                        if let Some(end) = self.handle_stream_end::<P>(closed, false) {
+                            return end;
+                        }
+                    } else {
+                        self.apply_migration(resumed);
                     }
                 }
                 chunk = next_chunk(&mut self.upstream) => match chunk {
@@ -308,8 +324,14 @@
                         }
                     }
                     None => {
+                        let closed = tokio::select! {
+                            biased;
+                            () = &mut caller_gone => return End::Left,
+                            () = &mut deadline => return End::Late,
+                            closed = self.ask_ending::<P>() => closed,
+                        };
                         let migrates = in_progress == Some(Work::Migration);
-                        if let Some(end) = self.handle_stream_end::<P>(migrates) {
+                        if let Some(end) = self.handle_stream_end::<P>(closed, migrates) {
                             return end;
                         }
                     }
@@ -401,9 +423,50 @@
         Constraint::to(self.software.as_ref()).allows(&listed).then_some(listed)
     }
 
+    /// Asks the engine whether it has ended the current run's stream; `None` where the end is known
+    /// without that.
+    async fn ask_ending<P: Platform>(&self) -> Option<Closed> {
+        let (facts, engine) = (&self.context.facts, self.target.as_ref()?);
+        // A run that goes on after the last event writes none.
+        let may_be_whole = self.run_events > 0 || self.last_event.get().is_some();
+        // Each event has a token at least.
+        let is_complete = (1..=self.events).contains(&facts.max_tokens.get());
+        let is_asked = self.has_ended_in_order()
+            && self.framing == Framing::Connection
+            && !self.stream.stop().may_have_ended_stream()
+            && self.context.service.engine.is_some()
+            && may_be_whole
+            && !is_complete;
+        match is_asked {
+            true => Some(ending::ask::<P>(&self.worker.process, &facts.request, engine).await),
+            false => None,
+        }
+    }
+
+    /// Returns whether the current run's stream ended in order, and not within an event.
+    fn has_ended_in_order(&self) -> bool {
+        (self.upstream.is_some() || self.stream.has_ended()) && self.splitter.is_empty()
+    }
+
+    /// Returns whether the current run's stream ended in order while a call to stop the run was in
+    /// progress, which turned out not to have stopped it.
+    fn has_ended_unstopped(&self) -> bool {
+        let may_be_stopped = self.stream.stop().may_have_ended_stream();
+        self.stream.has_ended() && !may_be_stopped && self.ended.is_none()
+    }
+
     /// Handles the end of the current run's stream. Returns the end of the answer if it is complete.
-    fn handle_stream_end<P: Platform>(&mut self, migrates: bool) -> Option<End> {
-        if !self.is_whole() {
+    fn handle_stream_end<P: Platform>(
+        &mut self,
+        closed: Option<Closed>,
+        migrates: bool,
+    ) -> Option<End> {
+        if let Some(Closed::RunLost(ended)) = closed {
+            self.handle_lost_run::<P>();
+            self.ended = Some(ended);
+            return None;
+        }
+        if !self.is_whole(closed) {
             self.handle_lost_run::<P>();
             return None;
         }
@@ -543,21 +606,16 @@
         self.events * engine.map_or(1, |engine| u64::from(engine.tokens_per_event))
     }
 
-    /// Continues with the new run if a migration succeeded. Returns the end of the answer if it turned
-    /// out to be complete.
-    fn apply_migration(&mut self, resumed: Result<Resumed, Failed>) -> Option<End> {
+    /// Continues with the new run if a migration succeeded.
+    fn apply_migration(&mut self, resumed: Result<Resumed, Failed>) {
         self.quiet_since = Instant::now();
         let resumed = match resumed {
             Ok(resumed) => resumed,
-            Err(_) if self.stream.has_ended() && !self.stream.stop().may_have_ended_stream() => {
-                return Some(End::Whole);
-            }
             // A run that has not ended continues for as long as it can.
-            Err(failed) => {
-                self.handle_failed_migration(failed);
-                return None;
-            }
+            Err(failed) => return self.handle_failed_migration(failed),
         };
+        let stays = *self.pass.target() == resumed.target;
+        let stream = if stays { self.stream.reopen() } else { RunStream::open() };
         self.pass.transfer(&resumed.target);
         drop(resumed.reservation);
         // No new backup is made: it would compete for links over which other answers still migrate.
@@ -569,11 +627,10 @@
         self.software = resumed.started.target.software.clone();
         self.target = Some(resumed.started.target);
         (self.began_here, self.new_start) = (false, None);
-        (self.ended, self.stream) = (None, Rc::new(RunStream::open()));
+        (self.ended, self.stream) = (None, Rc::new(stream));
         self.run_events = 0;
         self.splitter = Splitter::default();
         self.unsent_since = None;
-        None
     }
 
     /// Handles a failed attempt to migrate. One of which nothing was sent may be made again, for
@@ -667,10 +724,13 @@
     }
 
     /// Returns whether the answer is complete: the response ended in order and not within an event. One
-    /// without an event that ends with its connection was broken off on beginning to write.
-    fn is_whole(&self) -> bool {
-        let is_empty = self.run_events == 0 && self.framing == Framing::Connection;
-        self.upstream.is_some() && !is_empty && self.splitter.is_empty()
+    /// without an event that ends with its connection was broken off on beginning to write, unless the
+    /// engine has closed it itself.
+    fn is_whole(&self, closed: Option<Closed>) -> bool {
+        let is_empty = self.run_events == 0
+            && self.framing == Framing::Connection
+            && closed != Some(Closed::ByEngine);
+        self.has_ended_in_order() && !is_empty
     }
 
     /// Forwards the events that the caller has not received yet. Fails if the answer ends with that;
