Call an engine again that refuses to stop a run without saying that it did nothing

An engine may have stopped the run and still answer 429, or 503 without a copy: the answer was cut. Only one that says that it declined the call is believed at once; another is called again, and if it then knows no run it had stopped it, while one that refuses again still has it. A 409 after the stream has ended means that the run exists, so it goes on from its copy; without an end it means that nothing was stopped.

The engine of its declined cases says that it declined, and the engine that stays busy knows no run once that has ended, as engines do; before, it said busy of a run that was over, which let a case pass or fail by chance.

--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -259,9 +259,11 @@
     Busy,
     /// The destination has no room or cannot be reached.
     Refused {
-        /// The copy at the source, where the run was stopped first; `None` if the call did nothing.
+        /// The copy at the source, where the run was stopped first.
         name: Option<SmolStr>,
     },
+    /// The engine did nothing, and says so.
+    Declined,
     /// The reply does not say what the call did.
     Unclear,
 }
--- a/crates/gateway/src/request/transfer.rs
+++ b/crates/gateway/src/request/transfer.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::connection::exchange::{Failure, Refusal};
-use crate::platform::{Call, Copy, Moved, Platform};
+use crate::platform::{Call, Copy, Moved, Platform, Reply};
 use crate::process::copy_usage::CopyUsage;
 use crate::process::state::Process;
 use crate::request::attempt::Error;
@@ -270,7 +270,9 @@
             Moved::Copied { name } => return Ok(name),
             Moved::Busy => sleep(BUSY_DELAY).await,
             Moved::NoRun => return Err(Error::Unknown("no run")),
-            Moved::Refused { .. } | Moved::Unclear => return Err(Error::NotRun("no room")),
+            Moved::Refused { .. } | Moved::Declined | Moved::Unclear => {
+                return Err(Error::NotRun("no room"));
+            }
         }
     }
     Err(Error::Unknown("move busy"))
@@ -345,7 +347,7 @@
     let heard = source.last_event.get();
     let give_up_at = worker.process.clock.now() + STALL_TIME;
     let mut may_have_stopped = matches!(stream.stop(), Stop::Unknown(_));
-    let mut was_unclear = false;
+    let (mut was_refused, mut was_unclear) = (false, false);
     let mut replies = 0;
     loop {
         stream.stop.set(Stop::Called);
@@ -360,15 +362,23 @@
         match called {
             Ok(Moved::Copied { name }) => return Ok(Stopped::Copied { name }),
             Ok(Moved::Refused { name: Some(name) }) => return Ok(Stopped::Kept { name }),
-            Ok(Moved::NoRun) if may_have_stopped => return Ok(Stopped::Uncopied(Ended::Stopped)),
+            Ok(Moved::NoRun) if may_have_stopped || was_refused => {
+                return Ok(Stopped::Uncopied(Ended::Stopped));
+            }
             Ok(Moved::NoRun) => {
                 stream.stop.set(Stop::NoRun);
                 return Err(Error::Unknown("no run"));
             }
-            Ok(Moved::Refused { name: None }) if !may_have_stopped => {
+            Ok(Moved::Declined) if !may_have_stopped => {
                 stream.stop.set(Stop::NotStopped);
                 return Err(Error::NotRun("no room"));
             }
+            // An engine that had stopped the run for the first call would not know it any more.
+            Ok(Moved::Refused { name: None }) if was_refused && !may_have_stopped => {
+                stream.stop.set(Stop::NotStopped);
+                return Err(Error::NotRun("no room"));
+            }
+            Ok(Moved::Refused { name: None }) => (was_refused, replies) = (true, replies + 1),
             Ok(Moved::Unclear) if was_unclear && stream.ended_during_stop() => {
                 return Ok(Stopped::Uncopied(abandon::<P>(worker, source).await));
             }
@@ -377,7 +387,7 @@
                 (may_have_stopped, was_unclear) = (true, true);
                 replies += 1;
             }
-            Ok(Moved::Refused { name: None } | Moved::Busy) => replies += 1,
+            Ok(Moved::Declined | Moved::Busy) => replies += 1,
             Err(Failure::ConnectFailed { reason: Refusal::Refused }) => {
                 let ended = abandon::<P>(worker, source).await;
                 if ended == Ended::Answered && stream.ended_during_stop() && !may_have_stopped {
@@ -393,15 +403,17 @@
             }
         }
         let goes_on = source.last_event.get() != heard;
-        if !may_have_stopped && (goes_on || replies == 0 && stream.ended_during_stop()) {
+        let ended_before = replies == 0 && stream.ended_during_stop();
+        if !may_have_stopped && !was_refused && (goes_on || ended_before) {
             stream.stop.set(Stop::NotStopped);
             return Err(Error::NotSent("move not sent"));
         }
+        if replies >= MAX_TRIES && stream.ended_during_stop() {
+            return Ok(Stopped::Uncopied(abandon::<P>(worker, source).await));
+        }
         if replies >= MAX_TRIES {
-            if !may_have_stopped {
+            if !may_have_stopped && !was_refused {
                 stream.stop.set(Stop::NotStopped);
-            } else if stream.ended_during_stop() {
-                return Ok(Stopped::Uncopied(abandon::<P>(worker, source).await));
             }
             return Err(Error::Unknown("move busy"));
         }
@@ -451,10 +463,14 @@
             error:% = error; "move broken"
         );
     })?;
-    if P::reply(reply.status, &reply.headers).leaving {
+    let Reply { declined, leaving, .. } = P::reply(reply.status, &reply.headers);
+    if leaving {
         worker.fleet.drain_target(from);
     }
-    let moved = P::decode_move(reply.status, &reply.body);
+    let moved = match P::decode_move(reply.status, &reply.body) {
+        Moved::Refused { name: None } if declined => Moved::Declined,
+        moved => moved,
+    };
     if last {
         log::info!(
             request = context.facts.request.as_str(), engine:% = from.id,
--- a/crates/gateway/tests/stopped_streams.rs
+++ b/crates/gateway/tests/stopped_streams.rs
@@ -14,7 +14,7 @@
 use fireflyhoist_standin::registry::Registry;
 use parking_lot::Mutex;
 use support::caller::{Answer, Request};
-use support::target::{Seen, Standin, Step, answer, events};
+use support::target::{Seen, Standin, Step, answer, declined, events};
 use support::{eventually, gateway, route, text};
 use tokio::task::spawn_local;
 use yare::parameterized;
@@ -53,7 +53,7 @@
     HasEndedSilent,
     /// It writes all events, stops the run before it can end it, copies the rest and replies.
     StopsAfterLastEvent,
-    /// It always answers with an error that names no copy, and the run goes on to its end.
+    /// It always declines the call, and the run goes on to its end.
     Declines,
     /// Another call is always in progress, and the run goes on to its end.
     StaysBusy,
@@ -113,22 +113,20 @@
 
     fn reply_to_last(&self, last: Last) -> Vec<Step> {
         let is_first = !self.told.swap(true, Ordering::SeqCst);
-        let was = std::mem::replace(
-            &mut *self.progress.lock(),
-            match last {
-                Last::IsBusyFirst if is_first => Progress::Running,
-                Last::HasEnded(_)
-                | Last::HasEndedUnheard
-                | Last::HasEndedFails
-                | Last::HasEndedSilent
-                | Last::StopsAfterLastEvent => Progress::Finishing,
-                Last::Declines | Last::StaysBusy => Progress::Running,
-                _ => Progress::Stopped,
-            },
-        );
-        if was != Progress::Running && last != Last::StopsAfterLastEvent {
+        let mut progress = self.progress.lock();
+        if *progress != Progress::Running && last != Last::StopsAfterLastEvent {
             return answer(404, "{}");
         }
+        *progress = match last {
+            Last::IsBusyFirst if is_first => Progress::Running,
+            Last::HasEnded(_)
+            | Last::HasEndedUnheard
+            | Last::HasEndedFails
+            | Last::HasEndedSilent
+            | Last::StopsAfterLastEvent => Progress::Finishing,
+            Last::Declines | Last::StaysBusy => Progress::Running,
+            _ => Progress::Stopped,
+        };
         match last {
             Last::IsBusyFirst if is_first => answer(409, "{}"),
             Last::IsBusyFirst => [vec![Step::Wait(PROMPT)], copied(200, "c-2")].concat(),
@@ -141,7 +139,8 @@
                 [vec![Step::Wait(after)], answer(404, "{}")].concat()
             }
             Last::HasEndedUnheard => vec![Step::Reset],
-            Last::HasEndedFails | Last::Declines => answer(503, "{}"),
+            Last::HasEndedFails => answer(503, "{}"),
+            Last::Declines => declined(),
             Last::HasEndedSilent => vec![Step::Hang],
             Last::StopsAfterLastEvent => [vec![Step::Wait(PROMPT)], copied(200, "c-2")].concat(),
             Last::StaysBusy => answer(409, "{}"),
@@ -165,6 +164,11 @@
             let event = Step::Write(events(id, id));
             steps.extend([event, Step::Until(Arc::new(paused)), Step::Only(Arc::new(goes_on))]);
         }
+        let own = Arc::clone(self);
+        steps.push(Step::Only(Arc::new(move || {
+            *own.progress.lock() = Progress::Finishing;
+            true
+        })));
         steps
     }
 }
