Refuse replies whose body fireflyhoistd's client leaves out

Callers of plain services behind fireflyhoistd got a reply over HTTP/1.1 with neither a length nor chunks as a complete one without a body (200 and nothing else): the client library takes it for a response without a body, and neither path looked.

Such a reply counts as a failed try now: an idempotent call is sent to another target and ends as 502 if all reply so; a call with a ticket ends as 502 with ran 'unknown', which its ticket keeps. Passing the body on needs another client; 204, 304, HEAD and HTTP/1.0 are as before.

Test: ends.rs, 4 of 14 cases red before (200 with an empty body), 14 green after; plain.rs and once.rs pass.

--- a/crates/daemon/src/connection/mod.rs
+++ b/crates/daemon/src/connection/mod.rs
@@ -13,10 +13,10 @@
 
 use ntex::SharedCfg;
 use ntex::client::error::{ClientError, ConnectError};
-use ntex::client::{Client, ClientRequest, Connect, Connector};
+use ntex::client::{Client, ClientRequest, ClientResponse, Connect, Connector};
 use ntex::connect;
-use ntex::http::header::HOST;
-use ntex::http::{Method, Uri};
+use ntex::http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use ntex::http::{Method, StatusCode, Uri, Version};
 use ntex::io::IoConfig;
 use ntex::service::apply_fn_factory;
 use ntex::time::Millis;
@@ -60,6 +60,15 @@
     matches!(error, ClientError::Connect(ConnectError::NoRecords))
 }
 
+/// Returns whether the client has left out the body of a response: it takes one over HTTP/1.1 with
+/// neither a length nor chunks, which ends with its connection, for one without a body.
+pub(crate) fn lacks_body(method: &Method, response: &ClientResponse) -> bool {
+    let (status, headers) = (response.status(), response.headers());
+    let may_have_body = !matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    may_have_body && *method != Method::HEAD && !is_framed && response.version() >= Version::HTTP_11
+}
+
 /// Returns a request over a new connection, which is closed after it.
 ///
 /// Pooled connections may be silently broken or may close while the request is written, and the
--- a/crates/daemon/src/request/plain/at_most_once.rs
+++ b/crates/daemon/src/request/plain/at_most_once.rs
@@ -10,14 +10,14 @@
 use fireflyhoist_wire::caller::{Purpose, REPLAYED_HEADER, REQUEST_HEADER, Ticket as Issued};
 use fireflyhoist_wire::problem::{Problem, Ran};
 use ntex::client::ClientResponse;
-use ntex::http::StatusCode;
 use ntex::http::header::CONTENT_TYPE;
+use ntex::http::{Method, StatusCode};
 use ntex::time::timeout;
 use ntex::util::Bytes;
 use ntex::web::{self, HttpRequest, HttpResponse};
 use tokio::sync::oneshot;
 
-use crate::connection::{unpooled, unwritten};
+use crate::connection::{lacks_body, unpooled, unwritten};
 use crate::process::tickets::StoredReply;
 use crate::process::{InFlight, Worker};
 use crate::request::plain::message::{BodyError, Message, Upload, end_to_end, patience};
@@ -154,7 +154,10 @@
 }
 
 impl Reply {
-    async fn read(response: ClientResponse) -> Option<Self> {
+    async fn read(method: &Method, response: ClientResponse) -> Option<Self> {
+        if lacks_body(method, &response) {
+            return None;
+        }
         let status = response.status();
         let headers = end_to_end(response.headers());
         let body = response.body().limit(MAX_REPLY_BYTES).await.ok()?;
@@ -226,7 +229,7 @@
             match timeout(patience(service), sent).await {
                 Ok(Err(error)) if unwritten(&error) => pass.finish(Outcome::Failed),
                 Ok(Ok(response)) => {
-                    let Some(reply) = Reply::read(response).await else {
+                    let Some(reply) = Reply::read(&message.method, response).await else {
                         pass.finish(Outcome::Failed);
                         return Err(refuse::failed(Ran::Unknown));
                     };
--- a/crates/daemon/src/request/plain/idempotent.rs
+++ b/crates/daemon/src/request/plain/idempotent.rs
@@ -18,7 +18,7 @@
 use ntex::util::Bytes;
 use ntex::web::{HttpResponse, types};
 
-use crate::connection::{unpooled, unwritten};
+use crate::connection::{lacks_body, unpooled, unwritten};
 use crate::process::{InFlight, Worker};
 use crate::request::body::Body;
 use crate::request::plain::message::{Message, Upload, end_to_end, patience};
@@ -119,6 +119,7 @@
         .clamp(ATTEMPT_TIMEOUT_BOUNDS.0, ATTEMPT_TIMEOUT_BOUNDS.1)
         .min(patience(service));
     match timeout(attempt_timeout, message.add_headers(request).send_body(body.clone())).await {
+        Ok(Ok(response)) if lacks_body(&message.method, &response) => Err(Ran::Unknown),
         Ok(Ok(response)) => Ok(response),
         Ok(Err(error)) if unwritten(&error) => Err(Ran::No),
         Ok(Err(_)) | Err(()) => Err(Ran::Unknown),
@@ -150,6 +151,10 @@
     let request = unpooled(&worker.client, message.method.clone(), address, &message.path);
     let body = Bounded { payload: payload.into_inner(), remaining: MAX_BODY_BYTES };
     match message.add_headers(request).send_stream(body).await {
+        Ok(response) if lacks_body(&message.method, &response) => {
+            pass.finish(Outcome::Failed);
+            refuse::target_failed(Ran::Unknown)
+        }
         Ok(response) => {
             watch.answered();
             reply(&message.method, response, pass, open)
--- /dev/null
+++ b/crates/daemon/tests/ends.rs
@@ -0,0 +1,93 @@
+//! Replies of plain targets whose end is that of their connection, or that end before they are complete.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+
+use fireflyhoist_harness::client;
+use fireflyhoist_wire::caller::{TICKET_HEADER, Ticket};
+use support::{ANY, Fleet, plain_text};
+use yare::parameterized;
+
+/// Starts a target that sends these bytes for each request and closes the connection.
+fn target(reply: String) -> SocketAddr {
+    let listener = TcpListener::bind(ANY).expect("port");
+    let address = listener.local_addr().expect("address");
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(reply.as_bytes());
+        }
+    });
+    address
+}
+
+/// What a caller gets: the status, and the body if it is complete.
+async fn ask(service: &str, reply: &str) -> (u16, Option<String>) {
+    let target = target(reply.to_owned());
+    let closed = SocketAddr::from(([127, 0, 0, 1], 3));
+    let mut fleet = match service {
+        "search" => Fleet::open(&plain_text(&[closed], &[target])),
+        _ => Fleet::open(&plain_text(&[target], &[])),
+    };
+    let daemon = fleet.daemon("brno-1").await;
+    let entry = daemon.http_address();
+    let client = client().await;
+    let url = format!("http://{entry}/s/{service}/x");
+    let response = match service {
+        "search" => client.get(url).send().await,
+        _ => {
+            let body = serde_json::json!({ "service": service });
+            let tickets = client.post(format!("http://{entry}/v1/tickets"));
+            let issued = tickets.send_json(&body).await.expect("sent");
+            let ticket = issued.json::<Ticket>().await.expect("a ticket").ticket.to_string();
+            client.post(url).set_header(TICKET_HEADER, ticket).send_body("b").await
+        }
+    };
+    let response = response.expect("an answer");
+    let status = response.status().as_u16();
+    let body = response.body().await.ok();
+    (status, body.map(|body| String::from_utf8_lossy(&body).into_owned()))
+}
+
+/// Guards against a reply without a length or chunks that is passed on as one without a body.
+#[parameterized(
+    idempotent = { "search", "HTTP/1.1 200 OK\r\n\r\nhello" },
+    once = { "dispatch", "HTTP/1.1 200 OK\r\n\r\nhello" },
+    idempotent_closes = { "search", "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello" },
+    once_closes = { "dispatch", "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello" },
+)]
+#[test_macro(ntex::test)]
+async fn an_unframed_reply_is_not_passed_on_without_its_body(service: &str, reply: &str) {
+    let (status, body) = ask(service, reply).await;
+    let is_whole = (status, body.as_deref()) == (200, Some("hello"));
+    assert!(is_whole || status == 502, "{status} {body:?}");
+}
+
+/// Guards against a reply that looks complete although its last part is missing.
+#[parameterized(
+    short = { "search", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello" },
+    short_once = { "dispatch", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello" },
+    no_last_chunk = { "search", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n" },
+    no_last_chunk_once = { "dispatch", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n" },
+    chunks_and_length = { "search", "HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n" },
+)]
+#[test_macro(ntex::test)]
+async fn a_truncated_reply_does_not_look_whole(service: &str, reply: &str) {
+    let (status, body) = ask(service, reply).await;
+    assert!(status == 502 || body.is_none(), "{status} {body:?}");
+}
+
+/// Guards against replies without a body that are refused for the lack of a length.
+#[parameterized(
+    no_content = { "search", "HTTP/1.1 204 No Content\r\n\r\n", 204 },
+    no_content_once = { "dispatch", "HTTP/1.1 204 No Content\r\n\r\n", 204 },
+    not_modified = { "search", "HTTP/1.1 304 Not Modified\r\n\r\n", 304 },
+    empty = { "search", "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", 200 },
+    http_1_0 = { "search", "HTTP/1.0 200 OK\r\n\r\n", 200 },
+)]
+#[test_macro(ntex::test)]
+async fn a_reply_without_a_body_is_passed_on(service: &str, reply: &str, status: u16) {
+    assert_eq!(ask(service, reply).await, (status, Some(String::new())));
+}
