--- a/crates/daemon/src/request/plain/at_most_once.rs
+++ b/crates/daemon/src/request/plain/at_most_once.rs
@@ -17,7 +17,7 @@
 use ntex::web::{self, HttpRequest, HttpResponse};
 use tokio::sync::oneshot;
 
-use crate::connection::{lacks_body, unpooled, unwritten};
+use crate::connection::{answer, unpooled, unwritten};
 use crate::process::tickets::StoredReply;
 use crate::process::{InFlight, Worker};
 use crate::request::plain::message::{BodyError, Message, Upload, end_to_end, patience};
@@ -155,9 +155,7 @@
 
 impl Reply {
     async fn read(method: &Method, response: ClientResponse) -> Option<Self> {
-        if lacks_body(method, &response) {
-            return None;
-        }
+        let response = answer::check(method, response).ok()?;
         let status = response.status();
         let headers = end_to_end(response.headers());
         let body = response.body().limit(MAX_REPLY_BYTES).await.ok()?;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -21,6 +21,7 @@
 use crate::platform::Platform;
 use crate::process::fleet::fragility::Slot;
 use crate::process::service_gate::Pass;
+use crate::process::state::millis;
 use crate::request::answer::{Cause, Stage};
 use crate::request::attempt::{Error, Started};
 use crate::request::body::{self, Body, Chunk};
@@ -247,7 +248,8 @@
         log::info!(
             request = self.context.facts.request.as_str(), end:? = end, events = self.events,
             last = self.last_event.get().unwrap_or(0), trips = self.migrations,
-            target:% = target, framing:% = self.framing, stop:% = self.stream.stop(), ms = crate::process::state::millis(elapsed);
+            target:% = target, framing:% = self.framing, stop:% = self.stream.stop(),
+            ms = millis(elapsed);
             "stream ended"
         );
     }
@@ -297,8 +299,19 @@
                 () = &mut deadline => return End::Late,
                 resumed = &mut migrating, if in_progress == Some(Work::Migration) => {
                     in_progress = None;
-                    if let Some(end) = self.apply_migration(resumed) {
-                        return end;
+                    if resumed.is_err() && self.has_ended_unstopped() {
+                        let asked = self.ask_ending::<P>();
+                        let closed = tokio::select! {
+                            biased;
+                            () = &mut caller_gone => return End::Left,
+                            () = &mut deadline => return End::Late,
+                            closed = asked => closed,
+                        };
+                        if let Some(end) = self.handle_stream_end::<P>(closed, false) {
+                            return end;
+                        }
+                    } else {
+                        self.apply_migration(resumed);
                     }
                 }
                 chunk = next_chunk(&mut self.upstream) => match chunk {
@@ -418,11 +431,11 @@
         let (facts, engine) = (&self.context.facts, self.target.as_ref()?);
         // A run that goes on after the last event writes none.
         let may_be_whole = self.run_events > 0 || self.last_event.get().is_some();
-        let is_complete = (1..=self.produced_tokens()).contains(&facts.max_tokens.get());
-        let is_asked = self.upstream.is_some()
+        // Each event has a token at least.
+        let is_complete = (1..=self.events).contains(&facts.max_tokens.get());
+        let is_asked = self.has_ended_in_order()
             && self.framing == Framing::Connection
-            && self.splitter.is_empty()
-            && self.stream.stop() == Stop::Uncalled
+            && !self.stream.stop().may_have_ended_stream()
             && self.context.service.engine.is_some()
             && may_be_whole
             && !is_complete;
@@ -432,6 +445,18 @@
         }
     }
 
+    /// Returns whether the current run's stream ended in order, and not within an event.
+    fn has_ended_in_order(&self) -> bool {
+        (self.upstream.is_some() || self.stream.ended_during_stop()) && self.splitter.is_empty()
+    }
+
+    /// Returns whether the current run's stream ended in order while a call to stop the run was in
+    /// progress, which turned out not to have stopped it.
+    fn has_ended_unstopped(&self) -> bool {
+        let may_be_stopped = self.stream.stop().may_have_ended_stream();
+        self.stream.ended_during_stop() && !may_be_stopped && self.ended.is_none()
+    }
+
     /// Handles the end of the current run's stream. Returns the end of the answer if it is complete.
     fn handle_stream_end<P: Platform>(
         &mut self,
@@ -453,19 +478,29 @@
         }
         if migrates {
             // The reply to the call tells whether it ended the stream.
+            log::info!(
+                request = self.context.facts.request.as_str(), target:% = self.pass.target(),
+                stop:% = self.stream.stop(), last = self.last_event.get().unwrap_or(0);
+                "stream ended during a call to stop its run"
+            );
             self.upstream = None;
-            self.stream.set_ended();
+            self.new_start = None;
+            self.stream.set_ended_during_stop();
         } else {
             self.handle_lost_run::<P>();
         }
         None
     }
 
-    /// Handles the loss of the run before its answer was complete.
+    /// Handles the loss of the run before its answer was complete. The end of a run that was told to stop
+    /// says nothing about its engine.
     fn handle_lost_run<P: Platform>(&mut self) {
         self.upstream = None;
         self.new_start = None;
         self.ended = None;
+        if matches!(self.stream.stop(), Stop::Called | Stop::Stopped) {
+            return;
+        }
         if let Some(target) = &self.target {
             liveness::Check::new(&self.worker, &self.context, target, self.began_at)
                 .with_begun_run(&self.context)
@@ -583,21 +618,16 @@
         self.events * engine.map_or(1, |engine| u64::from(engine.tokens_per_event))
     }
 
-    /// Continues with the new run if a migration succeeded. Returns the end of the answer if it turned
-    /// out to be complete.
-    fn apply_migration(&mut self, resumed: Result<Resumed, Failed>) -> Option<End> {
+    /// Continues with the new run if a migration succeeded.
+    fn apply_migration(&mut self, resumed: Result<Resumed, Failed>) {
         self.quiet_since = Instant::now();
         let resumed = match resumed {
             Ok(resumed) => resumed,
-            Err(_) if self.stream.has_ended() && !self.stream.stop().may_have_ended_stream() => {
-                return Some(End::Whole);
-            }
             // A run that has not ended continues for as long as it can.
-            Err(failed) => {
-                self.handle_failed_migration(failed);
-                return None;
-            }
+            Err(failed) => return self.handle_failed_migration(failed),
         };
+        let stays = *self.pass.target() == resumed.target;
+        let stream = if stays { self.stream.reopen() } else { RunStream::open() };
         self.pass.transfer(&resumed.target);
         drop(resumed.reservation);
         // No new backup is made: it would compete for links over which other answers still migrate.
@@ -609,11 +639,10 @@
         self.software = resumed.started.target.software.clone();
         self.target = Some(resumed.started.target);
         (self.began_here, self.new_start) = (false, None);
-        (self.ended, self.stream) = (None, Rc::new(RunStream::open()));
+        (self.ended, self.stream) = (None, Rc::new(stream));
         self.run_events = 0;
         self.splitter = Splitter::default();
         self.unsent_since = None;
-        None
     }
 
     /// Handles a failed attempt to migrate. One of which nothing was sent may be made again, for
@@ -707,12 +736,13 @@
     }
 
     /// Returns whether the answer is complete: the response ended in order and not within an event. One
-    /// without an event that ends with its connection was broken off on beginning to write.
+    /// without an event that ends with its connection was broken off on beginning to write, unless the
+    /// engine has closed it itself.
     fn is_whole(&self, closed: Option<Closed>) -> bool {
         let is_empty = self.run_events == 0
             && self.framing == Framing::Connection
             && closed != Some(Closed::ByEngine);
-        self.upstream.is_some() && !is_empty && self.splitter.is_empty()
+        self.has_ended_in_order() && !is_empty
     }
 
     /// Forwards the events that the caller has not received yet. Fails if the answer ends with that;
