Relay no call through a leaving entry that it would cut

What callers saw: calls of 2 s at an entry that reaches targets only through another one, which is stopped: 7 of 61 reached a target and were cut when the other entry ended (502; 28 served). Cause: an entry that leaves opens relays as long as it stays for 1.5 s, whatever runs on them.

An entry now says how long it expects to use a connection, by the calls of the route, and one that leaves refuses if it ends before. Older entries ignore the field; without it the 1.5 s stay in force.

Test: a_leaving_entry_opens_no_connection_that_it_would_cut::known_to_be_long, red before, green after. The case `short` is the test as it was.

--- a/crates/gateway/src/connection/relay.rs
+++ b/crates/gateway/src/connection/relay.rs
@@ -52,6 +52,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Request {
     pub(crate) target: id::Target,
+    /// How long it is expected to be used, in milliseconds; 0 if unknown.
+    #[serde(default)]
+    pub(crate) use_ms: u64,
 }
 
 /// Whether the connection is open.
--- a/crates/gateway/src/process/state/path.rs
+++ b/crates/gateway/src/process/state/path.rs
@@ -36,7 +36,7 @@
 const MAX_RELAYED: usize = 256;
 
 /// How long this entry must stay to relay a new connection, which ends with it: as long as a lookup
-/// takes at a target that stalls.
+/// takes at a target that stalls. A request that is expected to take longer needs more.
 const MIN_RELAY_TIME: Duration = Duration::from_millis(1_500);
 
 /// A connection to a target.
@@ -102,11 +102,12 @@
     }
 
     /// Opens a connection to a target, each step of it `within` that time. Returns the entry that
-    /// relays it too, `None` where it is direct.
+    /// relays it too, `None` where it is direct. `expected_use` is asked for only if one does.
     pub(crate) async fn connect(
         &self,
         target: &Target,
         within: Duration,
+        expected_use: impl Fn() -> Duration,
     ) -> Result<(Connection, Option<id::Host>), Failure> {
         let began_at = self.clock.now();
         if !self.is_isolated() {
@@ -116,7 +117,7 @@
                 Err(_) => {}
             }
         }
-        let (stream, relay) = self.connect_through_peer(target, within).await?;
+        let (stream, relay) = self.connect_through_peer(target, within, expected_use()).await?;
         Ok((Either::Right(stream), Some(relay)))
     }
 
@@ -140,8 +141,9 @@
         &self,
         target: &Target,
         within: Duration,
+        expected_use: Duration,
     ) -> Result<(Relayed, id::Host), Failure> {
-        let request = relay::Request { target: target.id.clone() };
+        let request = relay::Request { target: target.id.clone(), use_ms: millis(expected_use) };
         let known = Arc::clone(&self.path.relays.lock());
         let relays: Vec<Member> =
             isolation::relays(&known, &mut rand::rng()).into_iter().cloned().collect();
@@ -253,7 +255,7 @@
     pub(crate) async fn relay(self: &Arc<Self>, incoming: Incoming) {
         // A leaving entry waits for what it relays.
         let _open = self.start_request();
-        match self.open_relay(&incoming.request.target).await {
+        match self.open_relay(&incoming.request).await {
             Ok((stream, _permit)) => incoming.relay(stream).await,
             Err(refusal) => incoming.refuse(refusal).await,
         }
@@ -261,15 +263,16 @@
 
     async fn open_relay(
         &self,
-        target: &id::Target,
+        request: &relay::Request,
     ) -> Result<(TcpStream, (SemaphorePermit<'_>, Permit)), relay::Refusal> {
         let relayed = self.path.relayed.try_acquire().map_err(|_| relay::Refusal::Busy)?;
         let permit = (relayed, self.memory.permit_attempt().ok_or(relay::Refusal::Busy)?);
-        let target = self.target(target).ok_or(relay::Refusal::Unknown)?;
+        let target = self.target(&request.target).ok_or(relay::Refusal::Unknown)?;
         if self.is_resting(&target) {
             return Err(relay::Refusal::Resting);
         }
-        if self.leave_times().is_some_and(|times| times.open_for < MIN_RELAY_TIME) {
+        let needed = MIN_RELAY_TIME.max(Duration::from_millis(request.use_ms));
+        if self.leave_times().is_some_and(|times| times.open_for < needed) {
             return Err(relay::Refusal::Leaving);
         }
         if self.is_isolated() {
@@ -293,7 +296,7 @@
         outgoing: Outgoing,
         within: Duration,
     ) -> Result<Response, Failure> {
-        self.send_permitted(target, outgoing, within, None).await
+        self.send_permitted(target, outgoing, within, None, || Duration::ZERO).await
     }
 
     /// The same for a request that was permitted by the owner of the target, unless the permit is
@@ -304,11 +307,12 @@
         outgoing: Outgoing,
         within: Duration,
         grant: Option<Grant>,
+        expected_time: impl Fn() -> Duration,
     ) -> Result<Response, Failure> {
         if self.is_resting(target) {
             return Err(Failure::Resting);
         }
-        let (stream, relay) = self.connect(target, within).await?;
+        let (stream, relay) = self.connect(target, within, expected_time).await?;
         if grant.is_some_and(|grant| !grant.is_current(self.clock.now())) {
             return Err(Failure::PermitExpired);
         }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -16,7 +16,7 @@
 use crate::platform::{Copy, Platform, TargetHeaders};
 use crate::process::state::{Process, millis};
 use crate::request::fence::Ended;
-use crate::request::{Context, URGENCY, Worker, liveness};
+use crate::request::{Context, URGENCY, Worker, drain, liveness};
 
 /// The reason of [`Error::NotSent`] if the target is cordoned.
 const CORDONED: &str = "cordoned";
@@ -241,7 +241,10 @@
         body: context.body.clone(),
     };
     let sent_at = worker.process.clock.now();
-    let response = worker.process.send_permitted(&target, outgoing, time_left, options.grant).await;
+    let expected_time = || drain::expected_time(worker, context);
+    let sent =
+        worker.process.send_permitted(&target, outgoing, time_left, options.grant, expected_time);
+    let response = sent.await;
     let mut response = response.map_err(|failure| {
         match failure {
             Failure::Broken { .. } => {
--- a/crates/gateway/src/request/drain.rs
+++ b/crates/gateway/src/request/drain.rs
@@ -135,6 +135,18 @@
     })
 }
 
+/// Returns how long the request is expected to take at a target; zero if its answer is a stream, which
+/// may go on elsewhere.
+pub(crate) fn expected_time(worker: &Worker, context: &Context) -> Duration {
+    let Work { kind, time_left } = work(worker, context);
+    match kind {
+        Kind::Lookup { objective, expected, .. } => {
+            expected.ended.unwrap_or(objective).max(expected.running).min(time_left)
+        }
+        Kind::Generation { .. } => Duration::ZERO,
+    }
+}
+
 fn work(worker: &Worker, context: &Context) -> Work {
     let time_left = context.time_left(worker.process.clock.now());
     if !context.route.kind.is_stream() {
--- a/crates/gateway/src/request/liveness.rs
+++ b/crates/gateway/src/request/liveness.rs
@@ -130,7 +130,8 @@
     async fn connect(&self) -> Result<Connection, Failure> {
         let give_up_at = self.process.clock.now() + STALL_TIME;
         loop {
-            let connected = self.process.connect(&self.target, CONNECT_TIMEOUT).await;
+            let connected =
+                self.process.connect(&self.target, CONNECT_TIMEOUT, || Duration::ZERO).await;
             let timed_out = Failure::ConnectFailed { reason: Refusal::TimedOut };
             match connected {
                 Ok((connection, _)) => return Ok(connection),
--- a/crates/gateway/tests/isolated.rs
+++ b/crates/gateway/tests/isolated.rs
@@ -29,7 +29,8 @@
         ..route(name, kind)
     };
     let page = route("page", Kind::Stream { resumable: false });
-    vec![lookup("look", Kind::Safe), lookup("send", Kind::Unsafe), page]
+    let long = Route { timeout: Duration::from_secs(20), ..route("long", Kind::Unsafe) };
+    vec![lookup("look", Kind::Safe), lookup("send", Kind::Unsafe), page, long]
 }
 
 /// Three entries that know each other; each reaches the targets through a forwarder of its own.
@@ -50,7 +51,7 @@
     ) -> Self {
         let registry = Registry::open().await;
         let mut targets = Vec::new();
-        for service in ["look", "send", "page"] {
+        for service in ["look", "send", "page", "long"] {
             for nth in 0..3 {
                 let name = format!("t-{service}-{nth}");
                 targets.push(Standin::open(&name, service, script.clone()).await);
@@ -281,11 +282,30 @@
 }
 
 /// A leaving entry opens connections for another until it ends, and cuts what runs on them.
-#[ntex::test]
-async fn a_leaving_entry_opens_no_connection_that_it_would_cut() {
-    let slow =
-        |_: &Seen| [vec![Step::Wait(Duration::from_millis(400))], answer(200, "found")].concat();
+#[parameterized(
+    short = { "/send/x", 400, 0, 3 },
+    known_to_be_long = { "/long/x", 2_000, 6, 6 },
+)]
+#[test_macro(ntex::test)]
+async fn a_leaving_entry_opens_no_connection_that_it_would_cut(
+    path: &'static str,
+    work: u64,
+    before: usize,
+    part: usize,
+) {
+    let slow = move |seen: &Seen| {
+        let work = if seen.line().starts_with("GET") { 10 } else { work };
+        [vec![Step::Wait(Duration::from_millis(work))], answer(200, "found")].concat()
+    };
     let mut fleet = Fleet::open_with(slow).await;
+    let entry = fleet.entries[0].callers();
+    let request = Request::new("POST", path).body("once");
+    let known: Vec<_> = std::iter::repeat_n(request, before)
+        .map(|request| tokio::task::spawn_local(async move { request.send(entry).await }))
+        .collect();
+    for answer in known {
+        assert_eq!(answer.await.expect("it ends").status, 200);
+    }
     fleet.forwarders[0].set_mode(Mode::Refuse);
     fleet.forwarders[2].set_mode(Mode::Refuse);
     let leaving = fleet.entries.remove(1);
@@ -295,9 +315,9 @@
         leaving.drain().await;
         Instant::now()
     });
-    let (entry, mut sent) = (fleet.entries[0].callers(), Vec::new());
+    let mut sent = Vec::new();
     while !drained.is_finished() {
-        let request = Request::new("POST", "/send/x").body("once");
+        let request = Request::new("POST", path).body("once");
         let answered = async move { (request.send(entry).await, Instant::now()) };
         sent.push(tokio::task::spawn_local(answered));
         sleep(Duration::from_millis(60)).await;
@@ -311,7 +331,7 @@
         served += usize::from(whole);
         cut += usize::from(!whole && !answer.body.contains("\"ran\":\"no\""));
     }
-    assert!(served * 3 > count, "{served} of {count} served");
+    assert!(served * part > count, "{served} of {count} served");
     assert_eq!(cut, 0, "of {count}, {served} served");
 }
 
