--- a/crates/gateway/tests/stopped_streams_odd.rs
+++ b/crates/gateway/tests/stopped_streams_odd.rs
@@ -49,13 +49,9 @@
 /// Guards against a short answer given as complete because the stop was answered in another way than
 /// with the copy.
 #[parameterized(
-    crowded = { Framing::Connection, Last::stops(PROMPT, Reply::Status(429)) },
-    old_crowded = { Framing::Old, Last::stops(PROMPT, Reply::Status(429)) },
-    chunks_crowded = { Framing::Chunks, Last::stops(PROMPT, Reply::Status(429)) },
-    crowded_late = { Framing::Connection, Last::stops(LATE, Reply::Status(429)) },
     unnamed = { Framing::Connection, Last::stops(PROMPT, Reply::Status(200)) },
+    failed = { Framing::Connection, Last::stops(PROMPT, Reply::Status(500)) },
     chunks_unnamed = { Framing::Chunks, Last::stops(PROMPT, Reply::Status(200)) },
-    no_room_unnamed = { Framing::Connection, Last::stops(PROMPT, Reply::Status(503)) },
     cut_off = { Framing::Connection, Last::stops(PROMPT, Reply::CutOff) },
     chunks_cut_off = { Framing::Chunks, Last::stops(PROMPT, Reply::CutOff) },
     cut_off_late = { Framing::Connection, Last::stops(LATE, Reply::CutOff) },
@@ -72,6 +68,23 @@
     assert_eq!(fleet.runs(), [1, 1]);
 }
 
+/// Guards against a short answer given as complete because the engine that stopped the run says that it
+/// has no room for the call.
+#[parameterized(
+    crowded = { Framing::Connection, Last::stops(PROMPT, Reply::Status(429)) },
+    crowded_late = { Framing::Connection, Last::stops(LATE, Reply::Status(429)) },
+    old_crowded = { Framing::Old, Last::stops(PROMPT, Reply::Status(429)) },
+    chunks_crowded = { Framing::Chunks, Last::stops(PROMPT, Reply::Status(429)) },
+    no_room = { Framing::Connection, Last::stops(PROMPT, Reply::Status(503)) },
+)]
+#[test_macro(ntex::test)]
+async fn a_stop_that_is_refused_and_done_loses_nothing(framing: Framing, last: Last) {
+    let fleet = Fleet::open(false, 2, Manner { framing, ..Manner::of(last) }).await;
+    let answer = fleet.generation(1).await;
+    assert_whole(&answer);
+    assert_eq!(fleet.runs(), [1, 1]);
+}
+
 /// Guards against a stream that is given as complete while the engine says over and over that another
 /// call is in progress, which may have stopped the run.
 #[parameterized(
