Take a refused move whose reply breaks off for an unclear one

Where the reply to a call that stopped a run was 503 and broke off before the name of the copy, without a length, it counted as the refusal of a call that did nothing, although the run had been stopped. What does not parse is unclear now, unless it is empty; the call is made again.

--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -328,7 +328,9 @@
     }
 
     fn decode_move(status: StatusCode, body: &[u8]) -> Moved {
-        let copied: Copied = serde_json::from_slice(body).unwrap_or_default();
-        Moved::new(status, copied.copy)
+        match serde_json::from_slice::<Copied>(body) {
+            Ok(copied) => Moved::new(status, copied.copy),
+            Err(_) => Moved::unread(status, body),
+        }
     }
 }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -280,6 +280,15 @@
             (_, None) => Self::Unclear,
         }
     }
+
+    /// Interprets the status of a reply whose body can't be read. It may have named a copy, unless it is
+    /// empty.
+    pub fn unread(status: StatusCode, body: &[u8]) -> Self {
+        match Self::new(status, None) {
+            Self::Refused { .. } if !body.is_empty() => Self::Unclear,
+            moved => moved,
+        }
+    }
 }
 
 /// Calls to engines other than requests of callers.
