Take no text from a reply without a length

fireflyhoistd puts the operators' text in force as it comes, and a text has no end mark: one that breaks off between two lines is a sound text without its last services and targets. Over HTTP/1.0 and without a length the end of the connection was taken for its end. Such a reply is a failed read now.

--- a/crates/daemon/src/version/watch.rs
+++ b/crates/daemon/src/version/watch.rs
@@ -6,6 +6,7 @@
 use fireflyhoist_policy::version::Contact;
 use fireflyhoist_wire::platform::{Hosts, SEQUENCE_HEADER};
 use ntex::client::ClientResponse;
+use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use ntex::http::{Method, StatusCode};
 
 use crate::connection::answer;
@@ -146,7 +147,11 @@
 async fn answer(response: ClientResponse, after: Option<u64>) -> Answer {
     let header = response.headers().get(SEQUENCE_HEADER);
     let sequence = header.and_then(|value| value.to_str().ok()).and_then(|text| text.parse().ok());
+    // A text has no end of its own, so the end of a connection may leave out its last targets.
+    let headers = response.headers();
+    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
     match response.status() {
+        StatusCode::OK if !is_framed => Answer::Failed,
         StatusCode::OK => match response.body().limit(MAX_VALUE + 1).await {
             Ok(body) => Answer::Changed { sequence, body: body.to_vec() },
             Err(_) => Answer::Failed,
--- a/crates/daemon/tests/ends.rs
+++ b/crates/daemon/tests/ends.rs
@@ -4,20 +4,25 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
 
+use fireflyhoist_daemon::Daemon;
 use fireflyhoist_harness::client;
 use fireflyhoist_wire::caller::{TICKET_HEADER, Ticket};
-use support::{ANY, Fleet, plain_text};
+use fireflyhoist_wire::status::Brief;
+use support::{ANY, Fleet, plain_text, settings};
 use yare::parameterized;
 
-/// Starts a target that sends these bytes for each request and closes the connection.
-fn target(reply: String) -> SocketAddr {
+/// Starts a server that answers each request by its first line, and closes the connection.
+fn target(reply: impl Fn(&str) -> String + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind(ANY).expect("port");
     let address = listener.local_addr().expect("address");
     std::thread::spawn(move || {
         for mut stream in listener.incoming().flatten() {
-            let _ = stream.read(&mut [0; 4096]);
-            let _ = stream.write_all(reply.as_bytes());
+            let mut head = [0; 4096];
+            let length = stream.read(&mut head).unwrap_or(0);
+            let head = String::from_utf8_lossy(&head[..length]);
+            let _ = stream.write_all(reply(head.lines().next().unwrap_or_default()).as_bytes());
         }
     });
     address
@@ -25,7 +30,8 @@
 
 /// What a caller gets: the status, and the body if it is complete.
 async fn ask(service: &str, reply: &str) -> (u16, Option<String>) {
-    let target = target(reply.to_owned());
+    let reply = reply.to_owned();
+    let target = target(move |_| reply.clone());
     let closed = SocketAddr::from(([127, 0, 0, 1], 3));
     let mut fleet = match service {
         "search" => Fleet::open(&plain_text(&[closed], &[target])),
@@ -91,3 +97,27 @@
 async fn a_reply_without_a_body_is_passed_on(service: &str, reply: &str, status: u16) {
     assert_eq!(ask(service, reply).await, (status, Some(String::new())));
 }
+
+/// Guards against a text that breaks off with its connection and is put in force without its last
+/// targets: it has no end mark.
+#[parameterized(
+    length = { "HTTP/1.1 200 OK\r\ncontent-length: ", true },
+    http_1_0 = { "HTTP/1.0 200 OK\r\nx-length: ", false },
+    http_1_1 = { "HTTP/1.1 200 OK\r\nx-length: ", false },
+)]
+#[test_macro(ntex::test)]
+async fn a_text_without_a_length_is_not_put_in_force(head: &str, in_force: bool) {
+    let text = plain_text(&[SocketAddr::from(([127, 0, 0, 1], 3))], &[]);
+    let length = text.len();
+    let text = format!("{head}{length}\r\nx-sequence: 1\r\n\r\n{text}");
+    let platform = target(move |line| match line.contains("/v1/text") {
+        true => text.clone(),
+        false => "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n".to_owned(),
+    });
+    let daemon = Daemon::bind(settings("brno-1", platform)).await.expect("daemon");
+    ntex::time::sleep(Duration::from_secs(1)).await;
+    let url = format!("http://{}/v1/version", daemon.http_address());
+    let response = client().await.get(url).send().await.expect("an answer");
+    let brief: Brief = response.json().await.expect("a version");
+    assert_eq!(brief.in_force.is_some(), in_force, "{brief:?}");
+}
