Let engines of the soak end unframed streams between two events

An unframed engine of the soak leaves a pause of half the time between two events, in which a stop closes its stream in order and a crash ends it between two events; in the other half a crash ends it within one. Since ends of unframed streams are asked after, the entry tells such a crash from a sound end, so that the soak may check it.

Callers that take streams up named the length of another stream as their most tokens.

--- a/crates/soak/src/backend.rs
+++ b/crates/soak/src/backend.rs
@@ -82,6 +82,12 @@
     40 + sum * 7 % 120
 }
 
+/// What the answer to a request is for: the stream that its path names, or else the request itself.
+pub(crate) fn name_of_run<'a>(request: &'a str, path: &'a str) -> &'a str {
+    let last = path.rsplit('/').next();
+    last.filter(|name| name.starts_with(streams::PREFIX)).unwrap_or(request)
+}
+
 /// The last part of the paths of lookups with large answers, and how many bytes more these have: more
 /// than the system buffers of a connection.
 pub(crate) const LARGE: &str = "large";
@@ -450,8 +456,7 @@
     if shared.service == "page" {
         let copy = text(COPY_HEADER);
         let last = text(LAST_EVENT_HEADER).and_then(|last| last.parse().ok()).unwrap_or(0);
-        let named = parts.last().filter(|name| name.starts_with(streams::PREFIX));
-        let name = named.map_or_else(|| id.clone(), |name| SmolStr::from(*name));
+        let name = SmolStr::from(name_of_run(&id, &path));
         return stream_run(&shared, &id, name, copy, last, text(BACKUP_HEADER));
     }
     if shared.fragile.get().is_some() && shared.busy.get() >= SLOTS {
@@ -580,10 +585,23 @@
     let version = version.unwrap_or_default();
     let last = running.run.get().made;
     while !running.is_finished() {
-        sleep(EVENT).await;
+        if shared.unframed && running.run.get().made > last {
+            sleep(EVENT / 2).await;
+            shared.stall().await;
+            if running.stopped.get() {
+                // Closed in order, between two events.
+                break;
+            }
+            if sender.send(Ok(Frame::data(Bytes::from(BEGUN)))).await.is_err() {
+                break;
+            }
+            sleep(EVENT / 2).await;
+        } else {
+            sleep(EVENT).await;
+        }
         shared.stall().await;
         let stops = running.stopped.get();
-        // Without chunks, a stop closes the stream between two events, after the one that has begun.
+        // An unframed stream is closed between two events, after the one that has begun.
         let stops_after_event = stops && shared.unframed && !running.copied.get();
         if stops && !stops_after_event {
             // Closed without its end.
@@ -596,11 +614,6 @@
         let mut event = format!("id: {}\ndata: {name} {generation}{version}\n\n", run.made);
         if shared.unframed {
             event = event.split_off(if run.made == last + 1 { 0 } else { BEGUN.len() });
-            if !stops && !running.is_finished() {
-                // What else ends the connection before the last event ends it inside one, since nothing
-                // tells an engine that crashes between two events from one that is done.
-                event.push_str(BEGUN);
-            }
         }
         if sender.send(Ok(Frame::data(Bytes::from(event)))).await.is_err() {
             break;
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -14,7 +14,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use crate::backend::{length, path};
+use crate::backend::{length, name_of_run, path};
 use crate::ledger::{Asked, End, Kind};
 use crate::seen::Seen;
 
@@ -73,7 +73,7 @@
         .header("authorization", format!("Bearer {KEY}"))
         .header("fireflyhoist-request", id)
         .header("fireflyhoist-prompt-tokens", "100")
-        .header("fireflyhoist-max-tokens", length(id).to_string());
+        .header("fireflyhoist-max-tokens", length(name_of_run(id, path)).to_string());
     for (name, value) in headers {
         request = request.header(*name, *value);
     }
