Send fireflyhoistd's answers to HTTP/1.0 callers without chunks

Callers over HTTP/1.0 got streams and plain replies with sizes of chunks among their bytes, as that version has none, and the connection was closed in order whether a plain reply was whole or not. Streams are written as they are, and their last event tells the end; a plain reply is held until it is complete and sent with its length, or refused as 502.

--- a/crates/daemon/src/request/completion.rs
+++ b/crates/daemon/src/request/completion.rs
@@ -18,7 +18,7 @@
 use fireflyhoist_wire::engine::Start;
 use fireflyhoist_wire::problem::Ran;
 use fireflyhoist_wire::transcode::Transcoder;
-use ntex::http::HeaderMap;
+use ntex::http::{HeaderMap, Version};
 use ntex::web::error::JsonPayloadError;
 use ntex::web::{self, HttpRequest, HttpResponse};
 
@@ -131,7 +131,7 @@
         };
         ntex::rt::spawn(relay.run()).detach();
         match reply.await {
-            Ok(reply) => respond(reply, self.open),
+            Ok(reply) => respond(reply, self.http.version(), self.open),
             Err(_) => refuse::target_failed(Ran::Unknown),
         }
     }
@@ -236,13 +236,17 @@
     values.flat_map(|value| value.split(',')).any(|word| word.trim() == kind)
 }
 
-fn respond(reply: Reply, open: Rc<InFlight>) -> HttpResponse {
+fn respond(reply: Reply, version: Version, open: Rc<InFlight>) -> HttpResponse {
     let (head, mut response) = match reply {
         Reply::Failed(problem) => return refuse::respond(&problem),
         Reply::Stream(ref head, _) | Reply::Body(ref head, _) => (head.clone(), HttpResponse::Ok()),
     };
     let Head { request, handle } = head;
     response.header(REQUEST_HEADER, request.to_string()).header(RESUME_HEADER, handle.as_str());
+    if version < Version::HTTP_11 {
+        // It has no chunks. The last event tells whether the answer is complete.
+        response.no_chunking().force_close();
+    }
     match reply {
         Reply::Stream(_, receiver) => response
             .content_type("text/event-stream")
--- a/crates/daemon/src/request/plain/idempotent.rs
+++ b/crates/daemon/src/request/plain/idempotent.rs
@@ -13,7 +13,7 @@
 use futures_util::Stream;
 use ntex::client::ClientResponse;
 use ntex::client::error::ClientError;
-use ntex::http::{Method, Payload, StatusCode};
+use ntex::http::{Method, Payload, StatusCode, Version};
 use ntex::time::timeout;
 use ntex::util::Bytes;
 use ntex::web::{HttpResponse, types};
@@ -33,6 +33,9 @@
 /// tried after it; otherwise a lookup whose connection went silent would block its page.
 const ATTEMPT_OBJECTIVES: u32 = 10;
 
+/// The largest reply that is held until it is complete, in bytes.
+const MAX_HELD_REPLY_BYTES: usize = 8 << 20;
+
 /// Bounds of the timeout of one attempt.
 const ATTEMPT_TIMEOUT_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_secs(60));
@@ -78,7 +81,7 @@
         match send_once(worker, service, message, &body, &target).await {
             Ok(response) => {
                 watch.answered();
-                return reply(&message.method, response, pass, open);
+                return reply(message, response, pass, open).await;
             }
             Err(failure) => {
                 pass.finish(Outcome::Failed);
@@ -146,7 +149,7 @@
         Ok(response) => match answer::check(&message.method, response) {
             Ok(response) => {
                 watch.answered();
-                reply(&message.method, response, pass, open)
+                reply(&message, response, pass, open).await
             }
             Err(_) => {
                 pass.finish(Outcome::Failed);
@@ -164,9 +167,10 @@
     }
 }
 
-/// Streams a target's reply to the caller.
-fn reply(
-    method: &Method,
+/// Streams a target's reply to the caller. One that speaks HTTP/1.0 has no chunks, so it gets the reply
+/// once it is complete.
+async fn reply(
+    message: &Message,
     response: ClientResponse,
     pass: Pass,
     open: Rc<InFlight>,
@@ -177,9 +181,15 @@
         built.header(name.clone(), value.clone());
     }
     let bodiless = matches!(response.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    if bodiless || *method == Method::HEAD {
+    if bodiless || message.method == Method::HEAD {
         return built.finish();
     }
+    if message.version < Version::HTTP_11 {
+        return match response.body().limit(MAX_HELD_REPLY_BYTES).await {
+            Ok(body) => built.body(body),
+            Err(_) => refuse::target_failed(Ran::Unknown),
+        };
+    }
     built.streaming(Body::open(response.take_payload(), open))
 }
 
--- a/crates/daemon/src/request/plain/message.rs
+++ b/crates/daemon/src/request/plain/message.rs
@@ -12,7 +12,7 @@
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, HeaderName, HeaderValue, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
-use ntex::http::{HeaderMap, Method};
+use ntex::http::{HeaderMap, Method, Version};
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::{HttpRequest, types};
 
@@ -31,6 +31,8 @@
     pub(crate) request: id::Request,
     pub(crate) workspace: id::Workspace,
     pub(crate) method: Method,
+    /// The version of HTTP that the caller speaks.
+    pub(crate) version: Version,
     /// The path and query at the target.
     pub(crate) path: String,
     /// The path and query at another entry.
@@ -68,6 +70,7 @@
             request: id::Request::new(rand::random()),
             workspace,
             method: http.method().clone(),
+            version: http.version(),
             path: format!("/{path}{mark}{query}"),
             entry_path: format!("/s/{service}/{path}{mark}{query}"),
             headers: end_to_end(http.headers()),
--- a/crates/daemon/tests/ends.rs
+++ b/crates/daemon/tests/ends.rs
@@ -10,7 +10,7 @@
 use fireflyhoist_harness::client;
 use fireflyhoist_wire::caller::{TICKET_HEADER, Ticket};
 use fireflyhoist_wire::status::Brief;
-use support::{ANY, Fleet, plain_text, settings};
+use support::{ANY, Fleet, engine, plain_text, raw, settings, text};
 use yare::parameterized;
 
 /// Starts a server that answers each request by its first line, and closes the connection.
@@ -121,3 +121,58 @@
     let brief: Brief = response.json().await.expect("a version");
     assert_eq!(brief.in_force.is_some(), in_force, "{brief:?}");
 }
+
+/// What a caller over HTTP/1.0 gets: the head, the body, and whether the connection was closed in order.
+async fn ask_over_http_1_0(reply: &str) -> (String, String, bool) {
+    let reply = reply.to_owned();
+    let target = target(move |_| reply.clone());
+    let closed = SocketAddr::from(([127, 0, 0, 1], 3));
+    let mut fleet = Fleet::open(&plain_text(&[closed], &[target]));
+    let daemon = fleet.daemon("brno-1").await;
+    let mut caller = raw(daemon.http_address(), "GET /s/search/x HTTP/1.0\r\nhost: e\r\n\r\n");
+    let read = ntex::rt::spawn_blocking(move || {
+        let mut received = Vec::new();
+        let in_order = caller.read_to_end(&mut received).is_ok();
+        (String::from_utf8_lossy(&received).into_owned(), in_order)
+    });
+    let (received, in_order) = read.await.expect("it ends");
+    let (head, body) = received.split_once("\r\n\r\n").expect("a head");
+    (head.to_owned(), body.to_owned(), in_order)
+}
+
+/// Guards against a reply in chunks that stand among its bytes for a caller over HTTP/1.0, which has
+/// none, and against one that is cut and looks whole there.
+#[parameterized(
+    chunks = { "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", true },
+    length = { "content-length: 5\r\n\r\nhello", true },
+    no_last_chunk = { "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n", false },
+    short = { "content-length: 9\r\n\r\nhello", false },
+)]
+#[test_macro(ntex::test)]
+async fn a_caller_over_http_1_0_gets_a_whole_reply_or_sees_the_cut(reply: &str, whole: bool) {
+    let (head, body, in_order) = ask_over_http_1_0(&format!("HTTP/1.1 200 OK\r\n{reply}")).await;
+    assert!(!head.contains("transfer-encoding"), "{head}");
+    let is_whole = head.contains(" 200 ") && in_order;
+    assert_eq!((is_whole, body.contains("hello")), (whole, whole), "{head} {body}");
+}
+
+/// Guards against the events of an answer standing among the sizes of chunks for a caller over HTTP/1.0.
+#[ntex::test]
+async fn a_caller_over_http_1_0_gets_a_stream_without_chunks() {
+    let (one, _engine) = engine();
+    let mut fleet = Fleet::open(&text("live", 2_000, &[one.address()]));
+    let daemon = fleet.daemon("brno-1").await;
+    let body = r#"{"model":"transcribe","prompt":"tokens=3","stream":true}"#;
+    let head = "POST /v1/completions HTTP/1.0\r\nhost: e\r\ncontent-type: application/json";
+    let length = body.len();
+    let request = format!("{head}\r\ncontent-length: {length}\r\n\r\n{body}");
+    let mut caller = raw(daemon.http_address(), &request);
+    let read = ntex::rt::spawn_blocking(move || {
+        let mut received = String::new();
+        caller.read_to_string(&mut received).map(|_| received)
+    });
+    let received = read.await.expect("it ends").expect("text");
+    let (head, events) = received.split_once("\r\n\r\n").expect("a head");
+    assert!(!head.contains("transfer-encoding"), "{head}");
+    assert!(events.starts_with("id: ") && events.ends_with("data: [DONE]\n\n"), "{events}");
+}
