Take no stream for complete whose end comes with the loss of all paths

Where the forwarder of a host ended, which closes what it carries in order, an unframed stream was given as complete if the entry also lost its path to all other targets: the engine could not be asked, and was believed. Such a run is lost now; whether it has ended is checked as for any other before it goes on.

Test: a_stream_whose_forwarder_has_ended_does_not_look_whole, one_of_many red before; ends.rs 27 of 27, isolated.rs, late_stops.rs, unframed.rs and stopped_streams*.rs pass.

--- a/crates/gateway/src/request/ending.rs
+++ b/crates/gateway/src/request/ending.rs
@@ -39,6 +39,9 @@
     /// The run was lost with its engine.
     #[display("{_0}")]
     RunLost(Ended),
+    /// This entry lost its path to all targets, which may have closed the connection.
+    #[display("path lost")]
+    PathLost,
     /// There was no answer in time.
     #[display("unknown")]
     Unknown,
@@ -78,9 +81,9 @@
                 Failure::ConnectFailed { reason: Refusal::TimedOut | Refusal::NotRelayed }
                 | Failure::TimedOut
                 | Failure::Resting
-                | Failure::PermitExpired
-                | Failure::NoPath,
+                | Failure::PermitExpired,
             ) => return Closed::Unknown,
+            Err(Failure::NoPath) => return Closed::PathLost,
         }
         if broken == MAX_BROKEN {
             return Closed::RunLost(Ended::Refused);
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -468,7 +468,7 @@
             self.ended = Some(ended);
             return None;
         }
-        if !self.is_whole(closed) {
+        if closed == Some(Closed::PathLost) || !self.is_whole(closed) {
             self.handle_lost_run::<P>();
             return None;
         }
--- a/crates/gateway/tests/ends.rs
+++ b/crates/gateway/tests/ends.rs
@@ -286,3 +286,39 @@
         _ => assert_eq!(answer.status, 502, "{answer:?}"),
     }
 }
+
+/// Guards against a stream that looks complete where the forwarder of the host ends, which closes the
+/// connections that it carries in order.
+#[parameterized(
+    only_target = { 0 },
+    one_of_many = { 8 },
+)]
+#[test_macro(ntex::test)]
+async fn a_stream_whose_forwarder_has_ended_does_not_look_whole(others: usize) {
+    let registry = Registry::open().await;
+    let route_to = |name, kind| Route { attempts: 1, ..route(name, kind) };
+    registry.publish(text(1, vec![route_to("gen", STREAM), route_to("other", Kind::Safe)]));
+    let script = |seen: &Seen| match seen.line().contains("/gen/") {
+        true => vec![unframed(), write(events(1, 3)), Step::Hang],
+        false => answer(200, "{}"),
+    };
+    let target = Standin::open("t-1", "gen", script).await;
+    registry.put(target.listed.clone());
+    for nth in 0..others {
+        let other = Standin::open(&format!("t-other-{nth}"), "other", |_| answer(200, "")).await;
+        registry.put(other.listed.clone());
+    }
+    let forwarder = Forwarder::open().await;
+    let own = settings("entry-1", registry.address(), &[]);
+    let settings = Settings { forwarder: Some(forwarder.address), ..own };
+    let entry = Gateway::bind::<Native>(settings, PathBuf::from("none")).await.expect("gateway");
+    until_ready(&entry).await;
+    let (request, callers) = (Request::stream("/gen/x", 20).body("b"), entry.callers());
+    let answered = tokio::task::spawn_local(async move { request.send(callers).await });
+    eventually(async || target.seen().iter().any(|seen| seen.line().contains("/gen/"))).await;
+    sleep(Duration::from_millis(100)).await;
+    forwarder.set_mode(Mode::Refuse);
+    forwarder.close();
+    let answer = answered.await.expect("an answer");
+    assert_eq!((answer.status, answer.body, answer.whole), (200, events(1, 3), false));
+}
--- a/crates/gateway/tests/support/forwarder.rs
+++ b/crates/gateway/tests/support/forwarder.rs
@@ -33,6 +33,7 @@
     /// The addresses to which connections are accepted, and nothing comes back.
     hanging: Arc<Mutex<Vec<SocketAddr>>>,
     resets: Arc<Notify>,
+    closing: Arc<Notify>,
     opened: Arc<AtomicUsize>,
 }
 
@@ -45,6 +46,7 @@
             mode: Arc::new(Mutex::new(Mode::Open)),
             hanging: Arc::default(),
             resets: Arc::default(),
+            closing: Arc::default(),
             opened: Arc::default(),
         };
         let served = own.clone();
@@ -76,8 +78,13 @@
         self.resets.notify_waiters();
     }
 
+    /// Closes the connections that are open in order.
+    pub(crate) fn close(&self) {
+        self.closing.notify_waiters();
+    }
+
     async fn serve(self, mut near: TcpStream) {
-        let reset = self.resets.notified();
+        let (reset, closing) = (self.resets.notified(), self.closing.notified());
         let mode = *self.mode.lock();
         let _ = near.set_zero_linger();
         match mode {
@@ -100,6 +107,11 @@
         tokio::select! {
             _ = copy_bidirectional(&mut near, &mut far) => {}
             () = reset => {}
+            () = closing => {
+                let _ = near.shutdown().await;
+                // The reset on dropping it must not overtake what was sent.
+                sleep(Duration::from_millis(500)).await;
+            }
         }
     }
 }
