fireflyhoistd: bound what a target may send without a part of an answer

What callers saw: an engine or a plain service that sent the extension of a chunk without end took 227 MB with 40 callers, of 110 on the smallest host; where the platform did, nobody was served. An engine that sent blank lines without end kept its callers for over 60 s.

Cause: the client of the server library reads on until it has the whole line that begins a chunk, and scans it from the start each time. Blocks of a stream without a token counted as life, at any rate.

Change: connections fail once 128 KiB wait that can't be taken, and a stream after 512 KiB without a token.

--- a/crates/daemon/src/connection/mod.rs
+++ b/crates/daemon/src/connection/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod order;
 pub(crate) mod peer;
 pub(crate) mod server;
+mod unread;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -44,7 +45,8 @@
         // The client also reports a failed connect where a target read a call and closed the
         // connection, which would make `ran: no` false. Only failures to open a connection are
         // mapped to `NoRecords` here, so that variant alone proves that nothing was written.
-        open.call(message).await.map_err(|_| connect::ConnectError::NoRecords)
+        let opened = open.call(message).await.map_err(|_| connect::ConnectError::NoRecords)?;
+        Ok(opened.add_filter(unread::Limit))
     });
     Client::builder()
         .disable_timeout()
--- a/crates/daemon/src/request/relay.rs
+++ b/crates/daemon/src/request/relay.rs
@@ -35,6 +35,9 @@
 /// The most bytes of one answer that are buffered; 65,536 tokens of 128 bytes are half of it.
 const MAX_BUFFERED_BYTES: usize = 16 << 20;
 
+/// The most bytes of a stream between two tokens; comments that keep it open take a few each second.
+const MAX_IDLE_BYTES: usize = 512 << 10;
+
 /// How long a generation continues after its caller has disconnected, so that the caller can resume
 /// it at another entry; callers that reconnect do so within one or two seconds.
 const RECONNECT_GRACE: Duration = Duration::from_secs(3);
@@ -174,6 +177,7 @@
             self.writer.begin(head).await?;
         }
         let mut reported = self.attempt.transcoder.next().offset;
+        let mut idle_bytes = 0;
         loop {
             let read = self.writer.until(self.session.deadline(), link.read()).await?;
             let bytes = read.unwrap_or(Err(Failure::Silent)).map_err(Stop::Broken)?;
@@ -182,7 +186,9 @@
             let progress = self.attempt.transcoder.feed(&bytes, &mut out);
             let progress = progress.map_err(|_| Stop::Broken(Failure::Malformed))?;
             self.session.receive(self.now(), progress.taken > 0);
-            if self.attempt.transcoder.held() > MAX_BUFFERED_BYTES {
+            let has_tokens = progress.taken + progress.fallen > 0;
+            idle_bytes = if has_tokens { 0 } else { idle_bytes + bytes.len() };
+            if idle_bytes > MAX_IDLE_BYTES || self.attempt.transcoder.held() > MAX_BUFFERED_BYTES {
                 return Err(Stop::Broken(Failure::Malformed));
             }
             if !out.is_empty() {
