--- a/crates/gateway/tests/odd_answers.rs
+++ b/crates/gateway/tests/odd_answers.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use fireflyhoist_gateway::native::Native;
+use fireflyhoist_gateway::native::{Copied, Move, Native};
 use fireflyhoist_gateway::{Gateway, Settings};
 use fireflyhoist_policy::route::{Kind, Route};
 use fireflyhoist_standin::registry::Registry;
@@ -219,3 +219,70 @@
     };
     join_all(plays.iter().map(|(name, kind)| play(name, *kind))).await;
 }
+
+/// Guards against a run being taken for copied or stopped, or its answer being lost, since its engine
+/// replies to a call to move it with bytes that are no answer.
+#[parameterized(
+    status_000 = { "HTTP/1.1 000 X\r\n{}", true },
+    status_600 = { "HTTP/1.1 600 X\r\n{}", true },
+    status_600_last = { "HTTP/1.1 600 X\r\n{}", false },
+    status_101_last = { "HTTP/1.1 101 X\r\n{}", false },
+    head_stops = { "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n", true },
+    head_stops_last = { "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n", false },
+    body_stops = { "HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{\"copy\":\"c-odd\"}", true },
+    body_stops_last = { "HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{\"copy\":\"c-odd\"}", false },
+    nothing_last = { "", false },
+)]
+#[test_macro(ntex::test)]
+async fn a_run_is_not_moved_by_a_reply_that_is_none(bytes: &'static str, first: bool) {
+    let registry = Registry::open().await;
+    registry.publish(text(1, vec![route("gen", Kind::Stream { resumable: true })]));
+    let odd = "c-odd";
+    let named = format!("content-length: 16\r\n\r\n{{\"copy\":\"{odd}\"}}");
+    let bytes = match bytes.strip_suffix("\r\n{}") {
+        Some(line) => format!("{line}\r\n{named}"),
+        None => bytes.to_owned(),
+    };
+    let mut engines = Vec::new();
+    for name in ["e-1", "e-2"] {
+        let bytes = bytes.clone();
+        let script = move |seen: &Seen| {
+            if seen.line().contains("/move") {
+                let request: Move = serde_json::from_str(&seen.body).expect("a move");
+                if first || request.last {
+                    return vec![Step::Write(bytes.clone())];
+                }
+                let copied = Copied { copy: Some("c-1".into()) };
+                return answer(200, &serde_json::to_string(&copied).expect("JSON"));
+            }
+            if seen.line().contains("/v1/") {
+                return report(1);
+            }
+            let from = last_event(seen).unwrap_or(0) + 1;
+            let each =
+                (from..=100).flat_map(|id| [event(id), Step::Wait(Duration::from_millis(30))]);
+            std::iter::once(stream_head()).chain(each).chain([stream_end()]).collect()
+        };
+        engines.push(Standin::open(name, "gen", script).await);
+    }
+    engines.iter().for_each(|engine| registry.put(engine.listed.clone()));
+    let gateway = support::gateway(&registry).await;
+    let request = Request::new("POST", "/gen/x")
+        .header("fireflyhoist-prompt-tokens", "60000")
+        .header("fireflyhoist-max-tokens", "100")
+        .header("fireflyhoist-expected-tokens", "100")
+        .body("b");
+    let callers = gateway.callers();
+    let answered = ntex::rt::spawn(async move { request.send(callers).await });
+    let runs = |engine: &Standin| engine.seen().iter().any(|seen| seen.line().contains("/gen/"));
+    eventually(async || engines.iter().any(runs)).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let source = engines.iter().find(|engine| runs(engine)).expect("one runs").clone();
+    registry.put(source.draining());
+    let answer = answered.await.expect("the caller ends");
+    assert_eq!((answer.status, answer.body, answer.whole), (200, events(1, 100), true));
+    let seen: Vec<Seen> = engines.iter().flat_map(Standin::seen).collect();
+    assert!(seen.iter().any(|seen| seen.line().contains("/move")), "no move was asked");
+    let copies = seen.iter().filter_map(|seen| seen.header("fireflyhoist-copy"));
+    assert_eq!(copies.filter(|copy| copy.contains(odd)).count(), 0, "an odd copy was used");
+}
