--- a/crates/daemon/tests/odd_answers.rs
+++ b/crates/daemon/tests/odd_answers.rs
@@ -248,6 +248,17 @@
     assert!(!whole || answer.text.contains("hello"), "{answer:?}");
 }
 
+/// Guards against a sound answer being refused since it has neither a length nor chunks.
+#[ntex::test]
+async fn an_answer_that_ends_with_its_connection_is_passed_on() {
+    let (target, _calls) = odd(&format!("{HEAD}\r\nhello"), End::Closed).await;
+    let mut fleet = Fleet::open(&plain_text(&[unused_address()], &[target]));
+    let entry = fleet.daemon("brno-1").await.http_address();
+    let get = "GET /s/search/x HTTP/1.1\r\nhost: e\r\nconnection: close\r\n\r\n";
+    let answer = send(entry, get.to_owned()).await;
+    assert!(answer.status == 200 && answer.whole && answer.text.contains("hello"), "{answer:?}");
+}
+
 /// Guards against a completion that is lost, or whose end is missing, since one engine answers with
 /// bytes that are no answer.
 #[parameterized(
