Reset connections of the soak's proxies

A reset dropped halves that own their streams, which end a stream in order before it is reset, so that callers and entries saw an orderly end.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -85,7 +85,7 @@
     }
 }
 
-async fn carry(shared: Rc<Shared>, near: TcpStream) {
+async fn carry(shared: Rc<Shared>, mut near: TcpStream) {
     let reset = Rc::clone(&shared.resets.borrow());
     let reset = reset.notified();
     let _ = near.set_zero_linger();
@@ -93,11 +93,12 @@
         connected = connect(&shared) => connected,
         () = reset => return,
     };
-    let Some(far) = connected else { return };
+    let Some(mut far) = connected else { return };
     let _ = far.set_zero_linger();
     let reset = Rc::clone(&shared.resets.borrow());
-    let (near_read, near_write) = near.into_split();
-    let (far_read, far_write) = far.into_split();
+    // Halves that own their stream would end it in order when they are dropped.
+    let (near_read, near_write) = near.split();
+    let (far_read, far_write) = far.split();
     tokio::select! {
         () = pass(&shared, near_read, far_write, false) => {}
         () = pass(&shared, far_read, near_write, true) => {}
@@ -116,8 +117,8 @@
 /// Passes bytes on until one end closes; an orderly end is passed on as one.
 async fn pass(
     shared: &Shared,
-    mut from: tokio::net::tcp::OwnedReadHalf,
-    mut to: tokio::net::tcp::OwnedWriteHalf,
+    mut from: tokio::net::tcp::ReadHalf<'_>,
+    mut to: tokio::net::tcp::WriteHalf<'_>,
     back: bool,
 ) {
     let mut bytes = vec![0; 16 << 10];
