--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -259,9 +259,11 @@
     Busy,
     /// The destination has no room or cannot be reached.
     Refused {
-        /// The copy at the source, where the run was stopped first; `None` if the call did nothing.
+        /// The copy at the source, where the run was stopped first.
         name: Option<SmolStr>,
     },
+    /// The engine did nothing, and says so.
+    Declined,
     /// The reply does not say what the call did.
     Unclear,
 }
@@ -280,6 +282,15 @@
             (_, None) => Self::Unclear,
         }
     }
+
+    /// Interprets the status of a reply whose body can't be read. It may have named a copy, unless it is
+    /// empty.
+    pub fn unread(status: StatusCode, body: &[u8]) -> Self {
+        match Self::new(status, None) {
+            Self::Refused { .. } if !body.is_empty() => Self::Unclear,
+            moved => moved,
+        }
+    }
 }
 
 /// Calls to engines other than requests of callers.
