Name once when it is unclear whether a run was stopped

The same pair of flags was tested in four places, in one of them incompletely: after a refusal that did not say that nothing was done, a connection that is refused no longer counts as one that was never called. 94, 26 and 1 cases of the tests of stopped streams pass.

--- a/crates/gateway/src/request/transfer.rs
+++ b/crates/gateway/src/request/transfer.rs
@@ -350,6 +350,7 @@
     let (mut was_refused, mut was_unclear) = (false, false);
     let mut replies = 0;
     loop {
+        let is_unclear = may_have_stopped || was_refused;
         stream.stop.set(Stop::Called);
         let called = tokio::select! {
             biased;
@@ -362,14 +363,12 @@
         match called {
             Ok(Moved::Copied { name }) => return Ok(Stopped::Copied { name }),
             Ok(Moved::Refused { name: Some(name) }) => return Ok(Stopped::Kept { name }),
-            Ok(Moved::NoRun) if may_have_stopped || was_refused => {
-                return Ok(Stopped::Uncopied(Ended::Stopped));
-            }
+            Ok(Moved::NoRun) if is_unclear => return Ok(Stopped::Uncopied(Ended::Stopped)),
             Ok(Moved::NoRun) => {
                 stream.stop.set(Stop::NoRun);
                 return Err(Error::Unknown("no run"));
             }
-            Ok(Moved::Declined) if !may_have_stopped => {
+            Ok(Moved::Declined) if !is_unclear => {
                 stream.stop.set(Stop::NotStopped);
                 return Err(Error::NotRun("no room"));
             }
@@ -390,7 +389,7 @@
             Ok(Moved::Declined | Moved::Busy) => replies += 1,
             Err(Failure::ConnectFailed { reason: Refusal::Refused }) => {
                 let ended = abandon::<P>(worker, source).await;
-                if ended == Ended::Answered && stream.ended_during_stop() && !may_have_stopped {
+                if ended == Ended::Answered && stream.ended_during_stop() && !is_unclear {
                     stream.stop.set(Stop::NotStopped);
                     return Err(Error::NotSent("move not sent"));
                 }
@@ -402,9 +401,10 @@
                 stream.has_unanswered_call.set(true);
             }
         }
+        let is_unclear = may_have_stopped || was_refused;
         let goes_on = source.last_event.get() != heard;
         let ended_before = replies == 0 && stream.ended_during_stop();
-        if !may_have_stopped && !was_refused && (goes_on || ended_before) {
+        if !is_unclear && (goes_on || ended_before) {
             stream.stop.set(Stop::NotStopped);
             return Err(Error::NotSent("move not sent"));
         }
@@ -412,7 +412,7 @@
             return Ok(Stopped::Uncopied(abandon::<P>(worker, source).await));
         }
         if replies >= MAX_TRIES {
-            if !may_have_stopped && !was_refused {
+            if !is_unclear {
                 stream.stop.set(Stop::NotStopped);
             }
             return Err(Error::Unknown("move busy"));
