Call an entry ready once its gates know the targets

Callers saw "no room now" right after the start of an entry that said it was ready: once in 30 runs of the tests of odd keys, 15 ms after its log says that the targets are listed. The flag that a list is known was set before the list was passed to the gates, which another thread asks for targets meanwhile. It is set afterwards now, as is the text in force.

--- a/crates/gateway/src/process/state/targets.rs
+++ b/crates/gateway/src/process/state/targets.rs
@@ -156,7 +156,6 @@
         source: &str,
     ) -> bool {
         let now = self.clock.now();
-        self.target_list_known.store(true, Ordering::Release);
         self.raise_era(at.era(), source);
         let count = targets.len();
         let mut leases = self.leases.lock();
@@ -172,6 +171,11 @@
             ::log::info!(revision:% = at, listed = count, source = source; "targets listed");
             self.update_gates();
         }
+        // Callers are served by another thread, and refused for want of targets before the gates know
+        // the targets.
+        if !self.target_list_known.swap(true, Ordering::AcqRel) {
+            self.target_changes.send_modify(|count| *count += 1);
+        }
         changed
     }
 
