Encode the key after which a page of a list begins

Callers saw no answer from entries that were started while an item of another program stood in the store, if its key held characters such as &, +, #, % or a blank and was the last of a page: the key went into the query of the next call as it was. The store then read another key, or refused the call, or the call could not be made at all; the list was never read to its end, and an entry without a list serves nobody. `%7A` was decoded to a key behind all others, so that sound targets were left out without a word.

Keys without such characters are sent as before.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub(crate) mod process;
 pub mod program;
 pub(crate) mod request;
+pub mod uri;
 pub(crate) mod version;
 
 pub use process::clock::Clock;
