End a list of the registry that makes no progress

A store that does not go on after a key as it is meant sends pages again that were read before. Only the very same page twice in a row was noticed. In a longer circle an entry called without end, 8,844 times in 4 s at two entries, and kept each page; and an entry that was started meanwhile had no list at all. No line of log named the key.

A list ends now at the first page that was read before, after 32 MB or 20,000 pages. An entry that never had a list to its end uses the pages that it has, at the lowest position, so that any complete list replaces them; only after a failure that would come again, since after others the next list is complete.

While a list stays unreadable, entries do not follow changes; that is open.

--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -195,7 +195,7 @@
 }
 
 /// Returns the beginning of a text, without characters that log lines may not have.
-fn shorten(text: &str) -> String {
+pub(crate) fn shorten(text: &str) -> String {
     let short = &text[..text.floor_char_boundary(MAX_REASON_BYTES)];
     let ellipsis = if short.len() < text.len() { "..." } else { "" };
     let mut shown: String = short.chars().flat_map(char::escape_debug).collect();
--- a/crates/gateway/src/process/state/cordon.rs
+++ b/crates/gateway/src/process/state/cordon.rs
@@ -15,6 +15,11 @@
         self.cordons.lock().is_known()
     }
 
+    /// Returns the position of the cordons.
+    pub(crate) fn cordons_position(&self) -> Position {
+        self.cordons.lock().position()
+    }
+
     /// Returns whether a target gets no new requests because its failure domain is cordoned.
     pub(crate) fn is_cordoned(&self, target: &Target) -> bool {
         self.cordons.lock().contains(&target.domain)
--- a/crates/gateway/src/version/watcher.rs
+++ b/crates/gateway/src/version/watcher.rs
@@ -6,6 +6,7 @@
 //! watch that waits costs nothing. Standby entries receive them from at least two that watch.
 //! Targets change all the time, so only a few entries watch them for all.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,7 +26,7 @@
 use crate::connection::content::Content;
 use crate::connection::exchange::{self, Failure, Outgoing};
 use crate::connection::filter::Filter;
-use crate::platform::{DecodeError, Item, Page, Platform, Resource};
+use crate::platform::{DecodeError, Item, Page, Platform, Resource, shorten};
 use crate::process::fleet::Fleet;
 use crate::process::state::{MEMBERSHIP_SETTLE_TIME, Process, millis};
 use crate::version::history::History;
@@ -79,6 +80,12 @@
 /// Largest reply that is read, in bytes.
 const MAX_REPLY_BYTES: usize = 8 << 20;
 
+/// Largest list, in bytes of all its pages.
+const MAX_LIST_BYTES: usize = 4 * MAX_REPLY_BYTES;
+
+/// The most pages of a list. A store may give one item a page.
+const MAX_PAGES: usize = 20_000;
+
 /// The longest string in a reply with texts, in bytes: a text as a whole.
 const MAX_TEXT_STRING: usize = 6 << 20;
 
@@ -97,6 +104,13 @@
     /// The reply cannot be decoded.
     #[display("{_0}")]
     Decode(#[error(not(source))] DecodeError),
+    /// A page of a list, other than the first, can't be read.
+    #[display("page after {after}: {error}")]
+    Page {
+        /// The key after which the page begins.
+        after: String,
+        error: Box<Self>,
+    },
     /// The registry no longer keeps the requested changes.
     #[display("changes no longer kept; reading the list again")]
     Expired,
@@ -110,6 +124,17 @@
     fn is_in_reply(&self) -> bool {
         matches!(self, Self::Decode(_) | Self::Exchange(Failure::BodyTooLarge))
     }
+
+    /// Returns whether the same call is likely to fail again, however often it is made.
+    fn is_lasting(&self) -> bool {
+        match self {
+            Self::Decode(_) => true,
+            Self::Status(status) => {
+                status.is_client_error() && *status != StatusCode::TOO_MANY_REQUESTS
+            }
+            Self::Exchange(_) | Self::Page { .. } | Self::Expired | Self::Uncovered => false,
+        }
+    }
 }
 
 /// Starts one watcher for texts with cordons and one for targets.
@@ -142,6 +167,45 @@
     body: Bytes,
 }
 
+/// The pages of a list that have been read.
+#[derive(Default)]
+struct List {
+    items: Vec<Result<Item, DecodeError>>,
+    /// The position of the first page.
+    position: Option<Position>,
+    /// The key after which the next page begins; `None` for the first page.
+    after: Option<SmolStr>,
+    /// The keys after which pages began.
+    seen: HashSet<SmolStr>,
+    /// The size of the pages.
+    bytes: usize,
+}
+
+impl List {
+    /// Adds the next page; returns whether it is the last one.
+    ///
+    /// Fails if the list makes no progress: a registry that does not go on after a key as this entry
+    /// means it would send the same pages without end.
+    fn add(&mut self, at: Position, bytes: usize, page: Page) -> Result<bool, CallError> {
+        self.position.get_or_insert(at);
+        self.items.extend(page.items);
+        self.bytes += bytes;
+        let Some(next) = page.next else { return Ok(true) };
+        let failed = |what: &str| {
+            let error = DecodeError::new(what).in_entry(&next);
+            Err(CallError::Decode(error))
+        };
+        if !self.seen.insert(next.clone()) {
+            return failed("a page after this key was read before");
+        }
+        if self.bytes > MAX_LIST_BYTES || self.seen.len() >= MAX_PAGES {
+            return failed("the list is too long");
+        }
+        self.after = Some(next);
+        Ok(false)
+    }
+}
+
 /// Changes of one reply; its texts are applied already.
 #[derive(Default)]
 struct Changes {
@@ -340,34 +404,57 @@
 
     /// Reads the full list and returns the position from which to watch.
     async fn list<P: Platform>(&mut self) -> Result<Position, CallError> {
-        let mut after: Option<SmolStr> = None;
-        let mut first = None;
-        let mut items = Vec::new();
+        let mut list = List::default();
+        let result = self.read_pages::<P>(&mut list).await;
+        let position = list.position.unwrap_or_default();
+        match result {
+            Ok(()) => {
+                self.record_success();
+                self.apply_list(position, list.items);
+                Ok(position)
+            }
+            Err(error) => {
+                // An entry without any list serves nobody. After a failure that passes the next list is
+                // complete, and worth waiting for.
+                if error.is_lasting() && list.position.is_some() && !self.has_full_list() {
+                    // The lowest position of the era: every complete list replaces this one.
+                    self.apply_list(Position::new(position.era(), 0), list.items);
+                }
+                match list.after {
+                    Some(after) => {
+                        Err(CallError::Page { after: shorten(&after), error: Box::new(error) })
+                    }
+                    None => Err(error),
+                }
+            }
+        }
+    }
+
+    /// Reads the pages of a list until the last one.
+    async fn read_pages<P: Platform>(&mut self, list: &mut List) -> Result<(), CallError> {
         loop {
-            let path = P::list_path(self.resource, after.as_deref());
+            let path = P::list_path(self.resource, list.after.as_deref());
             let reply = self.call::<P>(path, LIST_TIMEOUT).await?;
             let page = P::decode_list(self.resource, &reply.body).map_err(CallError::Decode)?;
             // Pages are no snapshot: what changes between them is in the changes after the first
             // page.
             let position = self.history.resolve_position(reply.era, page.revision);
-            if first.is_some_and(|first: Position| position.has_later_era_than(first)) {
+            if list.position.is_some_and(|first| position.has_later_era_than(first)) {
                 return Err(CallError::Expired);
             }
-            first.get_or_insert(position);
-            items.extend(page.items);
-            if page.next.is_some() && page.next == after {
-                let what = "the next page begins where this one does";
-                return Err(CallError::Decode(DecodeError::new(what)));
-            }
-            after = page.next;
-            if after.is_none() {
-                break;
+            if list.add(position, reply.body.len(), page)? {
+                return Ok(());
             }
         }
-        self.record_success();
-        let position = first.unwrap_or_default();
-        self.apply_list(position, items);
-        Ok(position)
+    }
+
+    /// Returns whether a list was read to its end, by this entry or by a peer.
+    fn has_full_list(&self) -> bool {
+        let position = match self.resource {
+            Resource::Text => self.process.cordons_position(),
+            Resource::Targets => self.process.targets_position(),
+        };
+        self.is_initialized() && position.revision() > 0
     }
 
     /// Makes one watch call; returns the changes with the era of the reply.
@@ -415,10 +502,13 @@
     }
 
     /// Records that a call failed and waits before the next one; logs only the first of several
-    /// failures.
+    /// failures, and each page that can't be read.
     async fn back_off(&mut self, error: &CallError) {
-        if self.failures == 0 {
-            let ms = millis(self.process.clock.now().since(self.called_at));
+        let now = self.process.clock.now();
+        let is_new_page = matches!(error, CallError::Page { .. })
+            && self.skipped.record(now, &error.to_string()).is_some();
+        if self.failures == 0 || is_new_page {
+            let ms = millis(now.since(self.called_at));
             ::log::warn!(what:% = self.resource, ms = ms, error:% = error; "registry call failed");
         }
         self.failures += 1;
