Leave out a header that would name something else

A name with blanks around it, such as an instance or a workspace, reached targets without them, since no receiver keeps blanks around a value: as the name of another workspace, or of an instance that the target declines to be. Such a name is left out and logged now, as one with control characters was before. Keys, ids and other values of callers with letters outside ASCII were read as absent, so that a workspace with such a key was refused with 401; they are read as UTF-8.

--- a/crates/gateway/src/header.rs
+++ b/crates/gateway/src/header.rs
@@ -7,10 +7,21 @@
 
 use crate::platform::Resumed;
 
-/// Returns a header's value as trimmed text; `None` where the header is absent or its value is not
-/// text.
+/// Blanks around the value of a header, which are no part of it (RFC 9110, section 5.5).
+const BLANKS: [char; 2] = [' ', '\t'];
+
+/// Returns a header's value as text without the blanks around it; `None` where the header is absent or
+/// its value is not UTF-8.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok().map(str::trim)
+    let value = std::str::from_utf8(headers.get(name)?.as_bytes()).ok()?;
+    Some(value.trim_matches(BLANKS))
+}
+
+/// Returns the value of a header that stands for this text, in UTF-8; `None` where none does: the
+/// text holds control characters, or blanks around it, which its receiver would remove.
+pub fn value(text: &str) -> Option<HeaderValue> {
+    let is_kept = text.trim_matches(BLANKS) == text;
+    HeaderValue::from_bytes(text.as_bytes()).ok().filter(|_| is_kept)
 }
 
 /// Returns a header's value as a whole number; `None` where the header is absent or its value is
@@ -47,12 +58,12 @@
 
 /// Sets a header and replaces its old value.
 ///
-/// A value that is not allowed in a header is left out and logged. Values are addresses, numbers
-/// and names that came in as headers or in the configuration text.
-pub fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
-    match HeaderValue::from_str(value) {
-        Ok(value) => headers.insert(HeaderName::from_static(name), value),
-        Err(_) => {
+/// A text that no value stands for is left out and logged; see [`value`]. Texts are addresses, numbers,
+/// and names that came in as headers, in the registry or in the configuration text.
+pub fn set(headers: &mut HeaderMap, name: &'static str, text: &str) {
+    match value(text) {
+        Some(value) => headers.insert(HeaderName::from_static(name), value),
+        None => {
             log::warn!(header = name; "header skipped because its value is invalid; correct the name in the text")
         }
     }
