Encode handles and ids in the paths of calls to engines

The handle that an engine gives to a copy went into a path and a header as it was. One with `?` or `#` deleted another copy or none. One that no header can stand for, such as one with a line break, was left out of the request that is to go on from it, which an engine then runs as a new one.

Handles, and ids of requests where the native format puts them into a path, are percent-encoded. A reply with a handle that can't be sent back, in a header or a path, is unclear, as one without a handle is: the run goes on from an older copy, or its stream ends. That holds for empty handles, those with control characters or blanks around them, `.` and `..`, and those of more than 1,024 bytes.

That a run went twice because of such a handle is concluded from the code, not shown by a run.

--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -27,6 +27,7 @@
     Call, Copy, DecodeError, Dialect, EngineApi, Item, Moved, Page, Registry, Reply, RequestInfo,
     Resource, TargetHeaders,
 };
+use crate::uri;
 
 /// Milliseconds left for a request.
 pub const TIMEOUT_HEADER: &str = "fireflyhoist-timeout-ms";
@@ -306,11 +307,12 @@
 impl EngineApi for Native {
     fn move_run(request: &str, to: SocketAddr, last: bool) -> Call {
         let body = serde_json::to_vec(&Move { to, last }).expect("a move is JSON");
-        Call { method: Method::POST, path: format!("/v1/runs/{request}/move"), body }
+        let path = format!("/v1/runs/{}/move", uri::segment(request));
+        Call { method: Method::POST, path, body }
     }
 
     fn delete_copy(name: &str) -> Call {
-        let path = format!("/v1/copies/{name}");
+        let path = format!("/v1/copies/{}", uri::segment(name));
         Call { method: Method::DELETE, path, body: Vec::new() }
     }
 
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -18,6 +18,8 @@
 use ntex::http::{HeaderMap, Method, StatusCode};
 use smol_str::SmolStr;
 
+use crate::header;
+
 /// What a caller's headers say about its request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestInfo {
@@ -268,13 +270,25 @@
     Unclear,
 }
 
+/// The longest name of a copy, in bytes. It goes into headers, paths and log lines.
+const MAX_COPY_NAME_BYTES: usize = 1_024;
+
+/// Returns whether a copy of this name can be resumed from and deleted: a header and a segment of a path
+/// can stand for it.
+fn is_copy_name(name: &str) -> bool {
+    (1..=MAX_COPY_NAME_BYTES).contains(&name.len())
+        && header::value(name).is_some()
+        && ![".", ".."].contains(&name)
+}
+
 impl Moved {
     /// Interprets the status of a reply, and the copy that it names.
     pub fn new(status: StatusCode, name: Option<SmolStr>) -> Self {
         match (status, name) {
-            (StatusCode::OK, Some(name)) => Self::Copied { name },
             (StatusCode::NOT_FOUND, _) => Self::NoRun,
             (StatusCode::CONFLICT, _) => Self::Busy,
+            (_, Some(name)) if !is_copy_name(&name) => Self::Unclear,
+            (StatusCode::OK, Some(name)) => Self::Copied { name },
             (_, Some(name)) => Self::Refused { name: Some(name) },
             (StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE, None) => {
                 Self::Refused { name: None }
