Decode the failure domain in queries for entries

The directory compared the domain in a caller's query with the names of domains as it was sent. A caller whose client escapes more than it has to, as in `hala%2Da`, got the entries of its own domain last.

Entries themselves are in domains whose names are ids: others are refused in the settings of a host.

--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -132,8 +132,8 @@
     }
 
     fn entries_query(path: &str, query: &str) -> Option<SmolStr> {
-        let domain = query.split('&').find_map(|pair| pair.strip_prefix("domain="));
-        (path == "/v1/entries").then(|| domain.unwrap_or_default().into())
+        let domain = || uri::query_parameter(query, "domain").unwrap_or_default().into();
+        (path == "/v1/entries").then(domain)
     }
 
     fn encode_entries(members: &[Entry], ttl: Duration) -> Vec<u8> {
