--- a/crates/daemon/tests/plain.rs
+++ b/crates/daemon/tests/plain.rs
@@ -99,6 +99,31 @@
     assert_eq!(&body[..], [b"POST /scan\n".as_slice(), &page].concat());
 }
 
+/// Guards against a path whose escapes are decoded on the way to the target, where it means another
+/// path or ends early.
+#[parameterized(
+    reserved = { "a%2Fb%3Fc%23d%26e%2Bf%25g" },
+    escapes_of_escapes = { "a%252Fb" },
+    blank_and_letters = { "a%20b/%C5%BE" },
+    control_characters = { "a%0D%0Ab%00" },
+    dots = { "a/%2E%2E/b/../c" },
+    query = { "a?q=%2F%26&r=a+b%20c" },
+    none = { "" },
+)]
+#[test_macro(ntex::test)]
+async fn a_path_reaches_its_target_as_it_was_sent(path: &str) {
+    let (listener, seen) = support::recorder();
+    let (_fleet, entry) = fleet(&[listener]).await;
+    let head = format!("GET /s/search/{path} HTTP/1.1\r\nhost: e\r\n\r\n");
+    let _caller = support::raw(entry.http_address(), &head);
+    let mut head = String::new();
+    while head.is_empty() {
+        ntex::time::sleep(std::time::Duration::from_millis(5)).await;
+        head = seen.try_recv().unwrap_or_default();
+    }
+    assert_eq!(head.lines().next(), Some(format!("GET /{path} HTTP/1.1").as_str()));
+}
+
 /// Hop-by-hop headers and proxy credentials must not leak from the caller to a target; other
 /// headers and the request id must reach it.
 #[ntex::test]
