--- a/crates/gateway/tests/uri.rs
+++ b/crates/gateway/tests/uri.rs
@@ -2,6 +2,8 @@
 
 use std::borrow::Cow;
 
+use fireflyhoist_gateway::native::Native;
+use fireflyhoist_gateway::platform::{Dialect, EngineApi};
 use fireflyhoist_gateway::uri::{query_parameter, query_value, segment};
 use proptest::prelude::*;
 
@@ -44,3 +46,24 @@
     assert_eq!(query_parameter("name=x&zone=a%2Bb+c", "zone").as_deref(), Some("a+b c"));
     assert_eq!(query_parameter("name=x", "zone"), None);
 }
+
+/// Guards against a name of a copy, or an id that a caller chose, that ends its segment of the path of
+/// a call to an engine, or means another one.
+#[test]
+fn calls_to_engines_name_what_they_mean() {
+    let name = "a/b?c#d%2F é";
+    let encoded = "a%2Fb%3Fc%23d%252F%20%C3%A9";
+    let to = ([127, 0, 0, 1], 80).into();
+    assert_eq!(Native::move_run(name, to, true).path, format!("/v1/runs/{encoded}/move"));
+    assert_eq!(Native::delete_copy(name).path, format!("/v1/copies/{encoded}"));
+    assert_eq!(Native::move_run("r-1", to, true).path, "/v1/runs/r-1/move");
+}
+
+/// Guards against a failure domain that is not found by its callers, who encode its name.
+#[test]
+fn a_failure_domain_is_decoded() {
+    let domain = |query| Native::entries_query("/v1/entries", query);
+    assert_eq!(domain("domain=hala%2Da&x=1").as_deref(), Some("hala-a"));
+    assert_eq!(domain("x=domain=b").as_deref(), Some(""));
+    assert_eq!(Native::entries_query("/v1/other", "domain=b"), None);
+}
