--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/fireflyhoist-edge target/review-2/stand; do
     [ -x "$program" ] || { echo "$program is missing: build it first"; exit 2; }
 done
-exec target/review-2/stand case upgrade review/7 "${TROUBLE:-1}"
+exec target/review-2/stand case drain review/7 "${TROUBLE:-1}"
