--- a/review/kit-2/host.rs
+++ b/review/kit-2/host.rs
@@ -43,7 +43,8 @@
     std::thread::spawn(move || {
         let _ = std::io::stdin().read(&mut [0]);
         if let Some(pid) = *last.lock().expect("no panic") {
-            let _ = Command::new("kill").args(["-9", &pid.to_string()]).status();
+            let _ =
+                Command::new("kill").args(["-9", &pid.to_string()]).stderr(Stdio::null()).status();
         }
         std::process::exit(0);
     });
@@ -215,15 +216,21 @@
     /// Kills the worker with SIGKILL.
     pub fn kill_worker(&self) {
         if let Some((_, pid, _)) = self.worker() {
-            let _ = Command::new("kill").args(["-9", &pid.to_string()]).status();
+            let _ =
+                Command::new("kill").args(["-9", &pid.to_string()]).stderr(Stdio::null()).status();
         }
     }
 
     /// Returns its entry in the store.
     pub fn entry(&self, service: &str, slots: u32) -> String {
+        self.renewed_entry(service, slots, 1)
+    }
+
+    /// Returns the same after it was written so many times.
+    pub fn renewed_entry(&self, service: &str, slots: u32, seq: u32) -> String {
         let (port, _, born) = self.worker().expect("a worker");
         format!(
-            r#"{{"service":"{service}","addr":"127.0.0.1:{port}","zone":"hala-a","version":"v1","slots":{slots},"state":"ready","coldLeftMs":0,"seq":1,"born":{born}}}"#
+            r#"{{"service":"{service}","addr":"127.0.0.1:{port}","zone":"hala-a","version":"v1","slots":{slots},"state":"ready","coldLeftMs":0,"seq":{seq},"born":{born}}}"#
         )
     }
 }
--- a/review/kit-2/main.rs
+++ b/review/kit-2/main.rs
@@ -4,6 +4,7 @@
 //! addresses. `stand host ...` is a replica that a case starts as a process of its own.
 
 mod case_drain;
+mod case_lapse;
 mod case_plain;
 mod case_stream;
 mod case_upgrade;
@@ -26,6 +27,7 @@
             let outcome = match name {
                 "stream" => case_stream::play(&record, trouble),
                 "plain" => case_plain::play(&record, trouble),
+                "lapse" => case_lapse::play(&record, trouble),
                 "drain" => case_drain::play(&record, trouble),
                 "upgrade" => case_upgrade::play(&record, trouble),
                 _ => Err(format!("no case {name}")),
@@ -33,7 +35,7 @@
             record.end(outcome)
         }
         _ => {
-            eprintln!("usage: stand case stream|plain|drain|upgrade FOLDER TROUBLE");
+            eprintln!("usage: stand case stream|plain|lapse|drain|upgrade FOLDER TROUBLE");
             2
         }
     };
--- a/review/kit-2/store.rs
+++ b/review/kit-2/store.rs
@@ -15,6 +15,8 @@
     /// All changes: the revision, the key, and the value unless it was removed.
     changes: Vec<(u64, String, Option<String>)>,
     cuts: u64,
+    /// Whether it answers no call.
+    silent: bool,
 }
 
 pub struct Store {
@@ -59,6 +61,15 @@
         changed.notify_all();
     }
 
+    /// Stops answering calls, or answers those that come from now on; the others stay unanswered.
+    pub fn set_silent(&self, silent: bool) {
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().expect("no panic");
+        state.silent = silent;
+        state.cuts += 1;
+        changed.notify_all();
+    }
+
     /// Cuts all watches that wait.
     pub fn cut(&self) {
         let (state, changed) = &*self.state;
@@ -90,6 +101,12 @@
     let after = value("after").unwrap_or_default();
     let (state, changed) = state;
     let mut state = state.lock().expect("no panic");
+    if state.silent {
+        drop(state);
+        // The connection stays open without an answer.
+        std::thread::sleep(Duration::from_secs(10));
+        return;
+    }
     let body = if request.path().starts_with("/kv-range") {
         let items = state.items.iter().filter(|(key, _)| key.starts_with(&prefix) && **key > after);
         let items: Vec<String> =
@@ -103,6 +120,10 @@
         let cuts = state.cuts;
         loop {
             if state.cuts != cuts {
+                if state.silent {
+                    drop(state);
+                    std::thread::sleep(Duration::from_secs(10));
+                }
                 return;
             }
             let new =
